Add the design, the build and the core types

Cause: nothing stood yet. The design decides the shape before any part is written. Change: design page; one Maven project with formatter, linter, nullness checks and layering rules; the board, the control thread with its event queue, sealed events and effects, typed identifiers, replicated commands, the closed error list with its table.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/alarm/package-info.java
@@ -0,0 +1,5 @@
+/** Alarms raised. */
+@NullMarked
+package org.plantainwharf.alarm;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/plantainwharf/board/Board.java
@@ -0,0 +1,154 @@
+package org.plantainwharf.board;
+
+import java.util.SplittableRandom;
+
+import org.plantainwharf.admission.AdmissionSection;
+import org.plantainwharf.alarm.AlarmSection;
+import org.plantainwharf.call.CallTable;
+import org.plantainwharf.capacity.CapacitySection;
+import org.plantainwharf.configuration.ConfigurationSection;
+import org.plantainwharf.consensus.ConsensusSection;
+import org.plantainwharf.drain.DrainSection;
+import org.plantainwharf.limit.LimitSection;
+import org.plantainwharf.membership.MembershipSection;
+import org.plantainwharf.quarantine.QuarantineSection;
+import org.plantainwharf.record.RecordSection;
+import org.plantainwharf.retry.RetrySection;
+import org.plantainwharf.routing.RoutingSection;
+import org.plantainwharf.server.ServerSection;
+import org.plantainwharf.settings.Settings;
+
+/**
+ * The control state of one daemon, in typed sections. Controllers read all sections and write their own. Owned by the
+ * control thread; other threads see {@link BoardView} only.
+ */
+public final class Board {
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final CallTable calls = CallTable.create();
+    private final ServerSection servers = ServerSection.create();
+    private final AdmissionSection admission = AdmissionSection.create();
+    private final RoutingSection routing = RoutingSection.create();
+    private final RetrySection retry = RetrySection.create();
+    private final LimitSection limits = LimitSection.create();
+    private final QuarantineSection quarantine = QuarantineSection.create();
+    private final MembershipSection membership;
+    private final ConsensusSection consensus = ConsensusSection.create();
+    private final RecordSection records = RecordSection.create();
+    private final ConfigurationSection configuration = ConfigurationSection.create();
+    private final DrainSection drain = DrainSection.create();
+    private final CapacitySection capacity = CapacitySection.create();
+    private final AlarmSection alarms = AlarmSection.create();
+    private long wallClockMillis;
+
+    private Board(Settings settings, long incarnation, long seed) {
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+        this.membership = MembershipSection.create(settings.host(), settings.zone(), incarnation);
+    }
+
+    /**
+     * Returns an empty board.
+     *
+     * @param incarnation differs between starts of the daemon's process
+     * @param seed of the random numbers that controllers draw
+     */
+    public static Board create(Settings settings, long incarnation, long seed) {
+        return new Board(settings, incarnation, seed);
+    }
+
+    /** Returns the settings of this daemon. */
+    public Settings settings() {
+        return settings;
+    }
+
+    /** Returns the only source of random numbers for controllers. */
+    public SplittableRandom random() {
+        return random;
+    }
+
+    /** Returns the time in milliseconds since the epoch; may jump, so only for retention and display. */
+    public long wallClockMillis() {
+        return wallClockMillis;
+    }
+
+    /** Sets the wall clock time. For the control cycle. */
+    public void setWallClockMillis(long value) {
+        wallClockMillis = value;
+    }
+
+    /** Returns the live calls. */
+    public CallTable calls() {
+        return calls;
+    }
+
+    /** Returns the section on backend servers. */
+    public ServerSection servers() {
+        return servers;
+    }
+
+    /** Returns the section on admission. */
+    public AdmissionSection admission() {
+        return admission;
+    }
+
+    /** Returns the section on routing. */
+    public RoutingSection routing() {
+        return routing;
+    }
+
+    /** Returns the section on retries. */
+    public RetrySection retry() {
+        return retry;
+    }
+
+    /** Returns the section on account limits. */
+    public LimitSection limits() {
+        return limits;
+    }
+
+    /** Returns the section on quarantined requests. */
+    public QuarantineSection quarantine() {
+        return quarantine;
+    }
+
+    /** Returns the section on daemons. */
+    public MembershipSection membership() {
+        return membership;
+    }
+
+    /** Returns the section on replicated logs. */
+    public ConsensusSection consensus() {
+        return consensus;
+    }
+
+    /** Returns the section on orders and accepted work. */
+    public RecordSection records() {
+        return records;
+    }
+
+    /** Returns the section on the sheet in force. */
+    public ConfigurationSection configuration() {
+        return configuration;
+    }
+
+    /** Returns the section on a planned stop. */
+    public DrainSection drain() {
+        return drain;
+    }
+
+    /** Returns the section on hosts and engine orders. */
+    public CapacitySection capacity() {
+        return capacity;
+    }
+
+    /** Returns the section on alarms. */
+    public AlarmSection alarms() {
+        return alarms;
+    }
+
+    /** Returns an immutable view for other threads. Sheet and collections are shared only where they are immutable. */
+    public BoardView publish() {
+        return BoardView.of(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/board/BoardView.java
@@ -0,0 +1,25 @@
+package org.plantainwharf.board;
+
+import java.util.Optional;
+
+import org.plantainwharf.drain.DrainPhase;
+import org.plantainwharf.sheet.Sheet;
+
+/**
+ * What traffic threads see of the board. Immutable; cheap to make, since it is made after every event.
+ *
+ * @param sheet the sheet in force
+ * @param behind whether a newer sheet may exist
+ * @param drainPhase progress of a planned stop
+ * @param liveCalls number of live calls
+ */
+public record BoardView(Optional<Sheet> sheet, boolean behind, DrainPhase drainPhase, int liveCalls) {
+    /** Returns the view of a board in its present state. */
+    static BoardView of(Board board) {
+        return new BoardView(
+                board.configuration().inForce(),
+                board.configuration().behind(),
+                board.drain().phase(),
+                board.calls().size());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/call/CallKind.java
@@ -0,0 +1,36 @@
+package org.plantainwharf.call;
+
+import java.util.List;
+
+import org.plantainwharf.identity.IdempotencyKey;
+import org.plantainwharf.identity.ModelName;
+import org.plantainwharf.identity.RouteName;
+
+/** What a call asks for. Immutable. */
+public sealed interface CallKind {
+    /**
+     * A model call; may be repeated.
+     *
+     * @param model the model
+     * @param promptTokens estimated length of the prompt, in tokens
+     * @param maximumTokens most tokens to generate
+     * @param prefixBlocks hashes of the prompt's blocks, each covering all blocks before it
+     * @param stream whether the caller wants server-sent events
+     */
+    record Model(ModelName model, int promptTokens, int maximumTokens, List<Long> prefixBlocks, boolean stream)
+            implements CallKind {
+        /** Copies the block hashes. */
+        public Model {
+            prefixBlocks = List.copyOf(prefixBlocks);
+        }
+    }
+
+    /** A plain service call that may be repeated. */
+    record Service(RouteName route) implements CallKind {}
+
+    /** A call that may not be repeated, such as an order or a booking. */
+    record Order(RouteName route, IdempotencyKey key) implements CallKind {}
+
+    /** Long work: a model call whose answer is kept and fetched later. */
+    record LongWork(Model model) implements CallKind {}
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/call/CallTable.java
@@ -0,0 +1,73 @@
+package org.plantainwharf.call;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.identity.RequestId;
+
+/**
+ * Live calls of this host by request id, with the queue of those that wait for a backend server. Each controller moves
+ * only calls of the stage that it handles. Owned by the control thread.
+ */
+public final class CallTable {
+    private final Map<RequestId, CallEntry> calls = new LinkedHashMap<>();
+    private final Deque<CallEntry> ready = new ArrayDeque<>();
+
+    private CallTable() {}
+
+    /** Returns an empty table. */
+    public static CallTable create() {
+        return new CallTable();
+    }
+
+    /** Adds a call that has just arrived. */
+    public CallEntry add(Call call) {
+        CallEntry entry = CallEntry.create(call);
+        calls.put(call.id(), entry);
+        return entry;
+    }
+
+    /** Returns a live call. */
+    public Optional<CallEntry> call(RequestId request) {
+        return Optional.ofNullable(calls.get(request));
+    }
+
+    /** Returns all live calls in order of arrival. */
+    public Collection<CallEntry> calls() {
+        return calls.values();
+    }
+
+    /** Returns the number of live calls. */
+    public int size() {
+        return calls.size();
+    }
+
+    /** Moves a call to another stage. */
+    public void advance(CallEntry entry, CallState next) {
+        entry.setState(next);
+        if (next instanceof CallState.Ready) {
+            ready.add(entry);
+        }
+    }
+
+    /** Removes and returns the next call that waits for a server, or null; skips calls that ended meanwhile. */
+    public @Nullable CallEntry pollReady() {
+        @Nullable CallEntry entry = ready.poll();
+        while (entry != null
+                && !(entry.state() instanceof CallState.Ready
+                        && calls.containsKey(entry.call().id()))) {
+            entry = ready.poll();
+        }
+        return entry;
+    }
+
+    /** Removes a call that ended. */
+    public void remove(CallEntry entry) {
+        calls.remove(entry.call().id());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/capacity/package-info.java
@@ -0,0 +1,5 @@
+/** Hosts, starts, prices and engine orders. */
+@NullMarked
+package org.plantainwharf.capacity;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/plantainwharf/configuration/package-info.java
@@ -0,0 +1,5 @@
+/** The sheet in force. */
+@NullMarked
+package org.plantainwharf.configuration;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusSection.java
@@ -0,0 +1,33 @@
+package org.plantainwharf.consensus;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Status of the replicated logs. Written by the controllers of this package. Owned by the control thread. */
+public final class ConsensusSection {
+    private final Map<Integer, GroupStatus> groups = new TreeMap<>();
+
+    private ConsensusSection() {}
+
+    /** Returns an empty section. */
+    public static ConsensusSection create() {
+        return new ConsensusSection();
+    }
+
+    /** Returns the status of a group. */
+    public GroupStatus group(int group) {
+        GroupStatus status = groups.get(group);
+        return status == null ? GroupStatus.unknown(group) : status;
+    }
+
+    /** Returns the status of every group. */
+    public Collection<GroupStatus> groups() {
+        return groups.values();
+    }
+
+    /** Replaces the status of a group. For the consensus controller. */
+    public void put(GroupStatus status) {
+        groups.put(status.group(), status);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/control/ControlThread.java
@@ -0,0 +1,115 @@
+package org.plantainwharf.control;
+
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.board.BoardView;
+import org.plantainwharf.effect.Effect;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.TimerEvent;
+
+/**
+ * The one thread that owns the board. Other threads post events and read the published view; they share no lock with
+ * it. It blocks on its queue until an event or the next tick.
+ *
+ * <p>Thread-safe: {@link #offer}, {@link #post} and {@link #view} may be called from any thread.
+ */
+public final class ControlThread implements EventSink {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    private final ControlCycle cycle;
+    private final Clock clock;
+    private final EffectExecutor executor;
+    private final BlockingQueue<Event> queue;
+    private final Thread thread;
+    private volatile BoardView view;
+    private volatile boolean stopping;
+
+    private ControlThread(ControlCycle cycle, Clock clock, EffectExecutor executor, int queueCapacity) {
+        this.cycle = cycle;
+        this.clock = clock;
+        this.executor = executor;
+        this.queue = new ArrayBlockingQueue<>(queueCapacity);
+        this.view = cycle.board().publish();
+        this.thread = new Thread(this::run, "control");
+    }
+
+    /** Returns a control thread that is not started yet. */
+    public static ControlThread create(ControlCycle cycle, Clock clock, EffectExecutor executor, int queueCapacity) {
+        return new ControlThread(cycle, clock, executor, queueCapacity);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        thread.start();
+    }
+
+    @Override
+    public boolean offer(Event event) {
+        return queue.offer(event);
+    }
+
+    @Override
+    public void post(Event event) {
+        boolean interrupted = false;
+        while (!stopping) {
+            try {
+                queue.put(event);
+                break;
+            } catch (InterruptedException e) {
+                interrupted = true;
+            }
+        }
+        if (interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Returns the newest published view of the board. */
+    public BoardView view() {
+        return view;
+    }
+
+    /** Stops the thread and waits for it. */
+    public void stop() throws InterruptedException {
+        stopping = true;
+        thread.interrupt();
+        thread.join();
+    }
+
+    private void run() {
+        long nextTick = clock.nowNanos();
+        while (!stopping) {
+            try {
+                long wait = nextTick - clock.nowNanos();
+                @Nullable Event event = wait > 0 ? queue.poll(wait, TimeUnit.NANOSECONDS) : queue.poll();
+                if (event != null) {
+                    handle(event);
+                }
+                if (clock.nowNanos() - nextTick >= 0) {
+                    handle(new TimerEvent.Tick());
+                    nextTick = clock.nowNanos() + TICK_NANOS;
+                }
+            } catch (InterruptedException e) {
+                LOGGER.atFine().log("event=control_interrupted stopping=%s", stopping);
+            }
+        }
+    }
+
+    private void handle(Event event) {
+        try {
+            for (Effect effect : cycle.run(event, clock.nowNanos(), clock.wallClockMillis())) {
+                executor.execute(effect);
+            }
+        } catch (RuntimeException e) {
+            // The daemon goes on serving; the event and its partial changes are reported.
+            LOGGER.atSevere().withCause(e).log(
+                    "event=control_failure type=%s", event.getClass().getSimpleName());
+        }
+        view = cycle.board().publish();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/control/package-info.java
@@ -0,0 +1,5 @@
+/** The control thread, its event queue and the interface of controllers. */
+@NullMarked
+package org.plantainwharf.control;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/plantainwharf/effect/CountEffect.java
@@ -0,0 +1,14 @@
+package org.plantainwharf.effect;
+
+/**
+ * Adds to a counter. Immutable.
+ *
+ * @param metric name of the counter, for example {@code retries.connect_failed}
+ * @param amount what to add
+ */
+public record CountEffect(String metric, long amount) implements Effect {
+    /** Returns an effect that adds 1. */
+    public static CountEffect one(String metric) {
+        return new CountEffect(metric, 1);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/effect/PeerEffect.java
@@ -0,0 +1,13 @@
+package org.plantainwharf.effect;
+
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.PeerMessage;
+
+/** What to do on links to other daemons. Immutable. */
+public sealed interface PeerEffect extends Effect {
+    /** Sends a message; dropped and counted when there is no link. */
+    record SendToPeer(HostId peer, PeerMessage message) implements PeerEffect {}
+
+    /** Closes a link that went silent; it is dialled again. */
+    record CloseLink(HostId peer) implements PeerEffect {}
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/event/package-info.java
@@ -0,0 +1,5 @@
+/** What happened: the sealed events that controllers react to. */
+@NullMarked
+package org.plantainwharf.event;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/plantainwharf/membership/package-info.java
@@ -0,0 +1,5 @@
+/** Daemons and their links. */
+@NullMarked
+package org.plantainwharf.membership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -0,0 +1,80 @@
+package org.plantainwharf.message;
+
+import java.util.List;
+import java.util.Map;
+
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.Query;
+import org.plantainwharf.replicated.QueryResult;
+
+/** A message between daemons. Immutable. */
+public sealed interface PeerMessage {
+    /**
+     * Sent to every linked daemon at a fixed period.
+     *
+     * @param token identifies this heartbeat; the receiver returns the newest one as {@code echoedToken}
+     * @param echoedToken newest token received from the other side, 0 for none
+     * @param configurationVersion version of the sheet in force on the sender, 0 for none
+     * @param draining whether the sender is stopping
+     */
+    record Heartbeat(long token, long echoedToken, long configurationVersion, boolean draining)
+            implements PeerMessage {}
+
+    /**
+     * Relays announcements of backend servers.
+     *
+     * @param echoedToken newest heartbeat token received from the receiver: validity counts from when it sent that
+     */
+    record ServerLeases(long echoedToken, List<ServerLease> leases) implements PeerMessage {
+        /** Copies the leases. */
+        public ServerLeases {
+            leases = List.copyOf(leases);
+        }
+    }
+
+    /** Carries a message of the replicated log. */
+    record Replication(int group, ReplicaMessage message) implements PeerMessage {}
+
+    /** Asks the leader of a group to commit a command. */
+    record Propose(int group, String proposalId, Command command) implements PeerMessage {}
+
+    /** Answers a proposal with the command's result after it was applied. */
+    record ProposeDecided(String proposalId, CommandResult result) implements PeerMessage {}
+
+    /** Answers a proposal or a query that was not carried out here. The receiver may try another host. */
+    record Rejected(String correlationId, ErrorKind reason) implements PeerMessage {}
+
+    /** Asks the leader of a group for a read. */
+    record Ask(int group, String queryId, Query query) implements PeerMessage {}
+
+    /** Answers a read. */
+    record Answer(String queryId, QueryResult result) implements PeerMessage {}
+
+    /**
+     * Reports one host's demand to the leader of the control group.
+     *
+     * @param requestsPerSecond demand of each account with traffic
+     */
+    record LimitDemand(Map<AccountName, Double> requestsPerSecond) implements PeerMessage {
+        /** Copies the map. */
+        public LimitDemand {
+            requestsPerSecond = Map.copyOf(requestsPerSecond);
+        }
+    }
+
+    /**
+     * Leases shares of account limits to one host, above its safe share.
+     *
+     * @param echoedToken newest heartbeat token received from the receiver: validity counts from when it sent that
+     */
+    record LimitGrant(long echoedToken, long validMillis, Map<AccountName, Double> requestsPerSecond)
+            implements PeerMessage {
+        /** Copies the map. */
+        public LimitGrant {
+            requestsPerSecond = Map.copyOf(requestsPerSecond);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/replicated/StateRecord.java
@@ -0,0 +1,78 @@
+package org.plantainwharf.replicated;
+
+import java.util.Set;
+
+import org.plantainwharf.call.Content;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.Fingerprint;
+import org.plantainwharf.identity.HostClass;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.IdempotencyKey;
+import org.plantainwharf.identity.RankName;
+import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.sheet.Sheet;
+
+/** One record of replicated state. A snapshot is the list of all records. Immutable. */
+public sealed interface StateRecord {
+    /** The sheet in force. */
+    record SheetInForce(Sheet sheet) implements StateRecord {}
+
+    /** The newest fencing number. */
+    record Fencing(long number, HostId leader, long term) implements StateRecord {}
+
+    /** Crashes counted against a request's content. */
+    record Crashes(Fingerprint fingerprint, double count, long lastMillis, Set<String> reportIds)
+            implements StateRecord {
+        /** Copies the set. */
+        public Crashes {
+            reportIds = Set.copyOf(reportIds);
+        }
+    }
+
+    /** A host start; {@code platformHost} is empty until it succeeded. */
+    record HostStart(String token, AvailabilityZone zone, HostClass hostClass, boolean finished, String platformHost)
+            implements StateRecord {}
+
+    /** A call that may not be repeated. */
+    record Order(AccountName account, IdempotencyKey key, String contentDigest, OrderState state, long wallClockMillis)
+            implements StateRecord {}
+
+    /** Accepted long work. */
+    record Work(
+            AccountName account,
+            RequestId request,
+            RankName rank,
+            String model,
+            Content content,
+            WorkState state,
+            long wallClockMillis)
+            implements StateRecord {}
+
+    /** What is known of the single run of an order. */
+    sealed interface OrderState {
+        /** Its owner may send it or has sent it. */
+        record Reserved(HostId owner, long ownerIncarnation, RequestId request) implements OrderState {}
+
+        /** It ran; this is its answer. */
+        record Finished(RequestId request, int httpStatus, Content answer) implements OrderState {}
+
+        /** Its owner is gone; it may have run. */
+        record Lost() implements OrderState {}
+
+        /** Its answer is no longer kept; the key stays unusable. */
+        record Expired() implements OrderState {}
+    }
+
+    /** Progress of accepted work. */
+    sealed interface WorkState {
+        /** No owner yet; {@code attempt} is the last one given out, 0 for none. */
+        record Waiting(int attempt) implements WorkState {}
+
+        /** An owner runs an attempt. */
+        record Assigned(int attempt, HostId owner, long ownerIncarnation) implements WorkState {}
+
+        /** The whole answer is stored. */
+        record Finished(int attempt, int httpStatus, Content answer, String answerDigest) implements WorkState {}
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/retry/package-info.java
@@ -0,0 +1,5 @@
+/** Retry budget and reasons. */
+@NullMarked
+package org.plantainwharf.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/plantainwharf/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Settings of one daemon. */
+@NullMarked
+package org.plantainwharf.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/test/java/org/plantainwharf/architecture/LayeringTest.java
@@ -0,0 +1,129 @@
+package org.plantainwharf.architecture;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.plantainwharf.control.Controller;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+/** Guards the layering that the design page states. */
+class LayeringTest {
+    private static final String ROOT = "org.plantainwharf.";
+
+    /** Packages that decide. They know no encoding, no network, no file and no thread. */
+    private static final String[] DECISIONS = packages(
+            "identity",
+            "error",
+            "sheet",
+            "call",
+            "event",
+            "effect",
+            "message",
+            "board",
+            "replicated",
+            "server",
+            "admission",
+            "routing",
+            "limit",
+            "retry",
+            "quarantine",
+            "membership",
+            "consensus",
+            "record",
+            "configuration",
+            "drain",
+            "capacity",
+            "alarm");
+
+    private static final JavaClasses PRODUCT = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+            .importPackages("org.plantainwharf");
+
+    private static String[] packages(String... names) {
+        String[] result = new String[names.length];
+        for (int index = 0; index < names.length; index++) {
+            result[index] = ROOT + names[index];
+        }
+        return result;
+    }
+
+    @Nested
+    class DecisionPackages {
+        @Test
+        void doNotDependOnEncodingOrInputAndOutput() {
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DECISIONS)
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "org.eclipse.jetty..",
+                            "io.netty..",
+                            "com.google.protobuf..",
+                            "com.fasterxml..",
+                            "com.networknt..",
+                            "org.apache.commons.csv..",
+                            "java.net..",
+                            "java.nio.file..",
+                            "java.nio.channels..",
+                            "java.util.concurrent.locks..",
+                            ROOT + "wire..",
+                            ROOT + "transport..",
+                            ROOT + "storage..",
+                            ROOT + "front..",
+                            ROOT + "backend..")
+                    .check(PRODUCT);
+        }
+
+        @Test
+        void readNoClockAndStartNoThread() {
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DECISIONS)
+                    .should()
+                    .callMethod(System.class, "nanoTime")
+                    .orShould()
+                    .callMethod(System.class, "currentTimeMillis")
+                    .orShould()
+                    .dependOnClassesThat()
+                    .areAssignableTo(Thread.class)
+                    .check(PRODUCT);
+        }
+    }
+
+    @Nested
+    class Controllers {
+        @Test
+        void doNotCallEachOther() {
+            DescribedPredicate<JavaClass> controllers = DescribedPredicate.describe(
+                    "controllers",
+                    type -> type.isAssignableTo(Controller.class) && !type.isEquivalentTo(Controller.class));
+            classes()
+                    .that(controllers)
+                    .should()
+                    .onlyDependOnClassesThat(DescribedPredicate.not(controllers))
+                    .allowEmptyShould(true)
+                    .check(PRODUCT);
+        }
+    }
+
+    @Nested
+    class Packages {
+        @Test
+        void areNullMarked() {
+            classes()
+                    .that()
+                    .resideInAPackage("org.plantainwharf..")
+                    .and()
+                    .resideOutsideOfPackage(ROOT + "wire")
+                    .should(ArchitectureConditions.resideInNullMarkedPackage())
+                    .check(PRODUCT);
+        }
+    }
+}
