--- a/src/main/java/org/plantainwharf/call/CallTable.java
+++ b/src/main/java/org/plantainwharf/call/CallTable.java
@@ -11,11 +11,13 @@
 import org.plantainwharf.identity.RequestId;
 
 /**
- * Live calls of this host by request id, with the queue of those that wait for a backend server. Each controller moves
+ * Live calls of this host by request id, with the queues of those that wait for a record or for a
+ * backend server. Each controller moves
  * only calls of the stage that it handles. Owned by the control thread.
  */
 public final class CallTable {
     private final Map<RequestId, CallEntry> calls = new LinkedHashMap<>();
+    private final Deque<CallEntry> recording = new ArrayDeque<>();
     private final Deque<CallEntry> ready = new ArrayDeque<>();
 
     private CallTable() {}
@@ -52,16 +54,27 @@
         entry.setState(next);
         if (next instanceof CallState.Ready) {
             ready.add(entry);
+        } else if (next instanceof CallState.Recording) {
+            recording.add(entry);
         }
     }
 
     /** Removes and returns the next call that waits for a server, or null; skips calls that ended meanwhile. */
     public @Nullable CallEntry pollReady() {
-        @Nullable CallEntry entry = ready.poll();
+        return pollLive(ready, CallState.Ready.class);
+    }
+
+    /** Removes and returns the next call that waits for a record, or null; skips calls that ended meanwhile. */
+    public @Nullable CallEntry pollRecording() {
+        return pollLive(recording, CallState.Recording.class);
+    }
+
+    private @Nullable CallEntry pollLive(Deque<CallEntry> queue, Class<? extends CallState> stage) {
+        @Nullable CallEntry entry = queue.poll();
         while (entry != null
-                && !(entry.state() instanceof CallState.Ready
+                && !(stage.isInstance(entry.state())
                         && calls.containsKey(entry.call().id()))) {
-            entry = ready.poll();
+            entry = queue.poll();
         }
         return entry;
     }
