Complete the commands of orders and accepted work

Cause: released intents and lost outcomes need states of their own, or a delayed duplicate of an intent could reserve a key again after its owner gave it back. Change: LoseOutcome, ReturnWork, Released, AcceptedSheet; accepted work keeps its model call as data.

--- a/src/main/java/org/plantainwharf/replicated/Command.java
+++ b/src/main/java/org/plantainwharf/replicated/Command.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 
+import org.plantainwharf.call.CallKind;
 import org.plantainwharf.call.Content;
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.AvailabilityZone;
@@ -80,6 +81,9 @@
     /** Gives an intent back: its owner sent no byte and will send none. */
     record ReleaseIntent(AccountName account, IdempotencyKey key, RequestId request) implements Recording {}
 
+    /** Records that a call may have run and that its outcome will not be known. */
+    record LoseOutcome(AccountName account, IdempotencyKey key, RequestId request) implements Recording {}
+
     /** Stores the answer of a call that may not be repeated. */
     record RecordOutcome(
             AccountName account,
@@ -95,12 +99,20 @@
 
     /** Accepts long work. */
     record AcceptWork(
-            AccountName account, RequestId request, RankName rank, String model, Content content, long wallClockMillis)
+            AccountName account,
+            RequestId request,
+            RankName rank,
+            CallKind.Model model,
+            Content content,
+            long wallClockMillis)
             implements Recording {}
 
     /** Gives accepted work to an owner under a new attempt number. */
     record AssignWork(RequestId request, int attempt, HostId owner, long ownerIncarnation) implements Recording {}
 
+    /** Gives accepted work back without an answer; ignored unless the attempt is the current one. */
+    record ReturnWork(RequestId request, int attempt) implements Recording {}
+
     /** Stores the whole answer of accepted work; ignored unless the attempt is the current one. */
     record CompleteWork(
             RequestId request, int attempt, int httpStatus, Content answer, String answerDigest, long wallClockMillis)
--- a/src/main/java/org/plantainwharf/replicated/StateRecord.java
+++ b/src/main/java/org/plantainwharf/replicated/StateRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 
+import org.plantainwharf.call.CallKind;
 import org.plantainwharf.call.Content;
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.AvailabilityZone;
@@ -18,6 +19,9 @@
     /** The sheet in force. */
     record SheetInForce(Sheet sheet) implements StateRecord {}
 
+    /** A sheet that was accepted earlier, so that a resend gets the same answer. */
+    record AcceptedSheet(long version, String digest) implements StateRecord {}
+
     /** The newest fencing number. */
     record Fencing(long number, HostId leader, long term) implements StateRecord {}
 
@@ -43,7 +47,7 @@
             AccountName account,
             RequestId request,
             RankName rank,
-            String model,
+            CallKind.Model model,
             Content content,
             WorkState state,
             long wallClockMillis)
@@ -54,11 +58,14 @@
         /** Its owner may send it or has sent it. */
         record Reserved(HostId owner, long ownerIncarnation, RequestId request) implements OrderState {}
 
+        /** Its owner gave it back without sending it; another request may reserve it, the same one may not. */
+        record Released(RequestId request) implements OrderState {}
+
         /** It ran; this is its answer. */
         record Finished(RequestId request, int httpStatus, Content answer) implements OrderState {}
 
         /** Its owner is gone; it may have run. */
-        record Lost() implements OrderState {}
+        record Lost(RequestId request) implements OrderState {}
 
         /** Its answer is no longer kept; the key stays unusable. */
         record Expired() implements OrderState {}
