--- /dev/null
+++ b/src/main/java/org/plantainwharf/configuration/ConfigurationController.java
@@ -0,0 +1,137 @@
+package org.plantainwharf.configuration;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import io.vavr.control.Either;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.consensus.GroupStatus;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.OperatorEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+
+/**
+ * Submits sheets to the control group, puts committed ones in force on this host, and notes when this host may be
+ * behind. Runs on the control thread.
+ */
+public final class ConfigurationController implements Controller {
+    private static final int CONTROL_GROUP = 0;
+
+    /** Without word of the majority for this long, a newer sheet may be in force elsewhere. */
+    private static final long BEHIND_AFTER_NANOS = Duration.ofSeconds(3).toNanos();
+
+    private ConfigurationController() {}
+
+    /** Returns the controller. */
+    public static ConfigurationController create() {
+        return new ConfigurationController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case OperatorEvent operator -> handleOperator(operator, board, effects);
+            case ReplicationEvent replication -> handleReplication(replication, board, effects);
+            case TimerEvent timer -> updateBehind(board, nowNanos);
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case PeerEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private static void handleOperator(OperatorEvent event, Board board, Effects effects) {
+        switch (event) {
+            case OperatorEvent.SheetSubmitted submitted -> {
+                String proposalId = "sheet/" + board.membership().self() + "/"
+                        + board.membership().incarnation() + "/" + submitted.ticket();
+                board.configuration().submitted(proposalId, submitted.ticket());
+                effects.post(new ReplicationEvent.ProposalRequested(
+                        proposalId, CONTROL_GROUP, new Command.ApplySheet(submitted.sheet())));
+            }
+            case OperatorEvent.DrainRequested ignored -> {}
+        }
+    }
+
+    private static void handleReplication(ReplicationEvent event, Board board, Effects effects) {
+        switch (event) {
+            case ReplicationEvent.ProposalDecided decided ->
+                board.configuration()
+                        .settle(decided.proposalId())
+                        .ifPresent(ticket ->
+                                effects.add(new OperatorEffect.AnswerOperator(ticket, describe(decided.result()))));
+            case ReplicationEvent.ProposalFailed failed ->
+                board.configuration()
+                        .settle(failed.proposalId())
+                        .ifPresent(ticket -> effects.add(
+                                new OperatorEffect.AnswerOperator(ticket, Either.left(Failure.of(failed.reason())))));
+            case ReplicationEvent.EntryApplied applied -> {
+                if (applied.group() == CONTROL_GROUP) {
+                    putInForce(board);
+                }
+            }
+            case ReplicationEvent.StateReplaced replaced -> {
+                if (replaced.group() == CONTROL_GROUP) {
+                    putInForce(board);
+                }
+            }
+            case ReplicationEvent.ProposalRequested ignored -> {}
+            case ReplicationEvent.QueryRequested ignored -> {}
+            case ReplicationEvent.QueryAnswered ignored -> {}
+            case ReplicationEvent.QueryFailed ignored -> {}
+            case ReplicationEvent.LeadershipChanged ignored -> {}
+        }
+    }
+
+    private static void putInForce(Board board) {
+        board.configuration().state().sheet().ifPresent(board.configuration()::putInForce);
+    }
+
+    private static Either<Failure, String> describe(CommandResult result) {
+        return switch (result) {
+            case CommandResult.SheetAccepted accepted ->
+                Either.right("sheet version " + accepted.version() + " accepted, digest " + accepted.digest());
+            case CommandResult.SheetConflict conflict ->
+                Either.left(Failure.of(ErrorKind.SHEET_VERSION_CONFLICT, conflict.version(), conflict.winnerDigest()));
+            case CommandResult.SheetStale stale ->
+                Either.left(Failure.of(ErrorKind.SHEET_VERSION_STALE, stale.version(), stale.versionInForce()));
+            case CommandResult.Done other -> unexpected();
+            case CommandResult.FencingNumber other -> unexpected();
+            case CommandResult.IntentGranted other -> unexpected();
+            case CommandResult.IntentFinished other -> unexpected();
+            case CommandResult.IntentRunning other -> unexpected();
+            case CommandResult.IntentLost other -> unexpected();
+            case CommandResult.IntentReused other -> unexpected();
+            case CommandResult.IntentExpired other -> unexpected();
+            case CommandResult.Ignored other -> unexpected();
+        };
+    }
+
+    private static Either<Failure, String> unexpected() {
+        return Either.left(Failure.of(ErrorKind.INTERNAL_ERROR));
+    }
+
+    private static void updateBehind(Board board, long nowNanos) {
+        GroupStatus control = board.consensus().group(CONTROL_GROUP);
+        Optional<Long> contact = control.lastContactNanos() == Long.MIN_VALUE
+                ? Optional.empty()
+                : Optional.of(control.lastContactNanos());
+        board.configuration().setBehind(contact.isEmpty() || nowNanos - contact.get() >= BEHIND_AFTER_NANOS);
+    }
+}
--- a/src/main/java/org/plantainwharf/configuration/ConfigurationSection.java
+++ b/src/main/java/org/plantainwharf/configuration/ConfigurationSection.java
@@ -1,5 +1,7 @@
 package org.plantainwharf.configuration;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import org.plantainwharf.sheet.Sheet;
@@ -9,6 +11,8 @@
  * the control thread.
  */
 public final class ConfigurationSection {
+    private final ControlState state = ControlState.create();
+    private final Map<String, Long> tickets = new LinkedHashMap<>();
     private Optional<Sheet> inForce = Optional.empty();
     private boolean behind = true;
 
@@ -19,6 +23,19 @@
         return new ConfigurationSection();
     }
 
+    /** Returns this host's copy of the control group's state, which the consensus controller applies commands to. */
+    public ControlState state() {
+        return state;
+    }
+
+    void submitted(String proposalId, long ticket) {
+        tickets.put(proposalId, ticket);
+    }
+
+    Optional<Long> settle(String proposalId) {
+        return Optional.ofNullable(tickets.remove(proposalId));
+    }
+
     /** Returns the sheet in force. */
     public Optional<Sheet> inForce() {
         return inForce;
--- /dev/null
+++ b/src/main/java/org/plantainwharf/configuration/ControlState.java
@@ -0,0 +1,201 @@
+package org.plantainwharf.configuration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.identity.Fingerprint;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.Query;
+import org.plantainwharf.replicated.QueryResult;
+import org.plantainwharf.replicated.StateMachine;
+import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.sheet.Sheet;
+
+/**
+ * The state of the control group: the sheet in force, the fencing number, crash counts and host starts. The version of
+ * the sheet never decreases, and one version never has two contents. Owned by the control thread.
+ */
+public final class ControlState implements StateMachine {
+    /** Sheets whose resend still gets the first answer. A resend comes within minutes, not after a thousand sheets. */
+    static final int REMEMBERED_SHEETS = 1024;
+
+    /** Crashes older than this no longer count against a request. */
+    static final long CRASH_RETENTION_MILLIS = Duration.ofMinutes(30).toMillis();
+
+    private Optional<Sheet> sheet = Optional.empty();
+    private final TreeMap<Long, String> acceptedSheets = new TreeMap<>();
+    private StateRecord.Fencing fencing = new StateRecord.Fencing(0, HostId.of("none"), 0);
+    private final Map<Fingerprint, StateRecord.Crashes> crashes = new LinkedHashMap<>();
+    private final Map<String, StateRecord.HostStart> hostStarts = new LinkedHashMap<>();
+
+    private ControlState() {}
+
+    /** Returns an empty state. */
+    public static ControlState create() {
+        return new ControlState();
+    }
+
+    /** Returns the newest accepted sheet. */
+    public Optional<Sheet> sheet() {
+        return sheet;
+    }
+
+    /** Returns the newest fencing number with its holder; number 0 before the first was taken. */
+    public StateRecord.Fencing fencing() {
+        return fencing;
+    }
+
+    /** Returns the crash counts. */
+    public Collection<StateRecord.Crashes> crashes() {
+        return crashes.values();
+    }
+
+    /** Returns the host starts, finished and open. */
+    public Collection<StateRecord.HostStart> hostStarts() {
+        return hostStarts.values();
+    }
+
+    @Override
+    public CommandResult apply(Command command) {
+        return switch (command) {
+            case Command.Control control -> applyControl(control);
+            case Command.Recording recording -> new CommandResult.Ignored();
+        };
+    }
+
+    private CommandResult applyControl(Command.Control command) {
+        return switch (command) {
+            case Command.NoOperation none -> new CommandResult.Done();
+            case Command.ChangeVoters change -> new CommandResult.Done();
+            case Command.ApplySheet apply -> applySheet(apply.sheet());
+            case Command.TakeFencingNumber take -> takeFencingNumber(take);
+            case Command.ReportCrash report -> reportCrash(report);
+            case Command.RecordHostStart start -> {
+                hostStarts.putIfAbsent(
+                        start.token(),
+                        new StateRecord.HostStart(start.token(), start.zone(), start.hostClass(), false, ""));
+                yield new CommandResult.Done();
+            }
+            case Command.FinishHostStart finish -> finishHostStart(finish);
+            case Command.Expire expire -> expire(expire.wallClockMillis());
+        };
+    }
+
+    private CommandResult applySheet(Sheet candidate) {
+        long version = candidate.version();
+        @Nullable String accepted = acceptedSheets.get(version);
+        if (accepted != null) {
+            return accepted.equals(candidate.digest())
+                    ? new CommandResult.SheetAccepted(version, accepted)
+                    : new CommandResult.SheetConflict(version, accepted);
+        }
+        long inForce = sheet.map(Sheet::version).orElse(0L);
+        if (version <= inForce) {
+            return new CommandResult.SheetStale(version, inForce);
+        }
+        sheet = Optional.of(candidate);
+        acceptedSheets.put(version, candidate.digest());
+        if (acceptedSheets.size() > REMEMBERED_SHEETS) {
+            acceptedSheets.pollFirstEntry();
+        }
+        return new CommandResult.SheetAccepted(version, candidate.digest());
+    }
+
+    private CommandResult takeFencingNumber(Command.TakeFencingNumber take) {
+        boolean resent = fencing.leader().equals(take.leader()) && fencing.term() == take.term();
+        if (!resent) {
+            fencing = new StateRecord.Fencing(fencing.number() + 1, take.leader(), take.term());
+        }
+        return new CommandResult.FencingNumber(fencing.number());
+    }
+
+    private CommandResult reportCrash(Command.ReportCrash report) {
+        StateRecord.@Nullable Crashes known = crashes.get(report.fingerprint());
+        double count = 0;
+        Set<String> reportIds = new LinkedHashSet<>();
+        if (known != null && report.wallClockMillis() - known.lastMillis() < CRASH_RETENTION_MILLIS) {
+            count = known.count();
+            reportIds.addAll(known.reportIds());
+        }
+        if (!reportIds.add(report.reportId())) {
+            return new CommandResult.Done();
+        }
+        crashes.put(
+                report.fingerprint(),
+                new StateRecord.Crashes(
+                        report.fingerprint(), count + report.share(), report.wallClockMillis(), reportIds));
+        return new CommandResult.Done();
+    }
+
+    private CommandResult finishHostStart(Command.FinishHostStart finish) {
+        StateRecord.@Nullable HostStart start = hostStarts.get(finish.token());
+        if (start == null) {
+            return new CommandResult.Ignored();
+        }
+        hostStarts.put(
+                start.token(),
+                new StateRecord.HostStart(start.token(), start.zone(), start.hostClass(), true, finish.platformHost()));
+        return new CommandResult.Done();
+    }
+
+    private CommandResult expire(long wallClockMillis) {
+        crashes.values().removeIf(entry -> wallClockMillis - entry.lastMillis() >= CRASH_RETENTION_MILLIS);
+        hostStarts
+                .values()
+                .removeIf(start -> start.finished() && start.platformHost().isEmpty());
+        return new CommandResult.Done();
+    }
+
+    @Override
+    public QueryResult answer(Query query) {
+        return switch (query) {
+            case Query.WorkState work -> new QueryResult.NotFound();
+        };
+    }
+
+    @Override
+    public List<StateRecord> records() {
+        List<StateRecord> records = new ArrayList<>();
+        sheet.ifPresent(value -> records.add(new StateRecord.SheetInForce(value)));
+        acceptedSheets.forEach((version, digest) -> records.add(new StateRecord.AcceptedSheet(version, digest)));
+        records.add(fencing);
+        records.addAll(crashes.values());
+        records.addAll(hostStarts.values());
+        return records;
+    }
+
+    @Override
+    public void restore(List<StateRecord> records) {
+        sheet = Optional.empty();
+        acceptedSheets.clear();
+        crashes.clear();
+        hostStarts.clear();
+        for (StateRecord stateRecord : records) {
+            switch (stateRecord) {
+                case StateRecord.SheetInForce inForce -> sheet = Optional.of(inForce.sheet());
+                case StateRecord.AcceptedSheet accepted -> acceptedSheets.put(accepted.version(), accepted.digest());
+                case StateRecord.Fencing value -> fencing = value;
+                case StateRecord.Crashes value -> crashes.put(value.fingerprint(), value);
+                case StateRecord.HostStart value -> hostStarts.put(value.token(), value);
+                case StateRecord.Order order -> throw unexpected(order);
+                case StateRecord.Work work -> throw unexpected(work);
+            }
+        }
+    }
+
+    private static IllegalArgumentException unexpected(StateRecord stateRecord) {
+        return new IllegalArgumentException("record does not belong to the control group: "
+                + stateRecord.getClass().getSimpleName());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/drain/DrainController.java
@@ -0,0 +1,124 @@
+package org.plantainwharf.drain;
+
+import java.time.Duration;
+import java.util.ArrayList;
+
+import io.vavr.control.Either;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.board.CallEnding;
+import org.plantainwharf.call.CallEntry;
+import org.plantainwharf.call.CallKind;
+import org.plantainwharf.call.CallState;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.AttemptEffect;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.OperatorEffect;
+import org.plantainwharf.effect.ProcessEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+
+/**
+ * Stops the daemon without cutting off a request: the health check fails first, calls are still taken until the
+ * balancer has noticed, then new calls are refused and the daemon exits when the last running one has ended and every
+ * record is committed. Other controllers hand over accepted work and leadership when the phase changes. Runs on the
+ * control thread.
+ */
+public final class DrainController implements Controller {
+    /** Time for records to be committed once the drain limit has passed. */
+    private static final long RECORD_GRACE_NANOS = Duration.ofSeconds(10).toNanos();
+
+    private DrainController() {}
+
+    /** Returns the controller. */
+    public static DrainController create() {
+        return new DrainController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case OperatorEvent.DrainRequested requested -> begin(requested, board, nowNanos, effects);
+            case OperatorEvent.SheetSubmitted ignored -> {}
+            case PlatformEvent.HostReclaimNoticed noticed -> {
+                if (noticed.host().equals(board.membership().self())) {
+                    enterAnnouncing(board, nowNanos, effects);
+                }
+            }
+            case TimerEvent timer -> advance(board, nowNanos, effects);
+            case PlatformEvent.ServerReclaimNoticed ignored -> {}
+            case PlatformEvent.HostStarted ignored -> {}
+            case PlatformEvent.HostStartRefused ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case PeerEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case ReplicationEvent ignored -> {}
+        }
+    }
+
+    private static void begin(OperatorEvent.DrainRequested requested, Board board, long nowNanos, Effects effects) {
+        enterAnnouncing(board, nowNanos, effects);
+        if (requested.ticket() != 0) {
+            effects.add(new OperatorEffect.AnswerOperator(requested.ticket(), Either.right("drain started")));
+        }
+    }
+
+    private static void enterAnnouncing(Board board, long nowNanos, Effects effects) {
+        if (board.drain().phase() instanceof DrainPhase.Serving) {
+            board.drain().enter(new DrainPhase.Announcing(nowNanos));
+            effects.count("drain.started");
+        }
+    }
+
+    private static void advance(Board board, long nowNanos, Effects effects) {
+        switch (board.drain().phase()) {
+            case DrainPhase.Serving serving -> {}
+            case DrainPhase.Finished finished -> {}
+            case DrainPhase.Announcing announcing -> {
+                long notice = Duration.ofMillis(board.settings().timings().drainNoticeMillis())
+                        .toNanos();
+                if (nowNanos - announcing.sinceNanos() >= notice) {
+                    board.drain().enter(new DrainPhase.Finishing(nowNanos));
+                }
+            }
+            case DrainPhase.Finishing finishing -> finish(finishing, board, nowNanos, effects);
+        }
+    }
+
+    private static void finish(DrainPhase.Finishing finishing, Board board, long nowNanos, Effects effects) {
+        long limit =
+                Duration.ofMillis(board.settings().timings().drainLimitMillis()).toNanos();
+        long elapsed = nowNanos - finishing.sinceNanos();
+        boolean idle = board.calls().size() == 0 && !board.records().busy();
+        if (idle || elapsed >= limit + RECORD_GRACE_NANOS) {
+            board.drain().enter(new DrainPhase.Finished());
+            effects.add(new ProcessEffect.ExitGracefully());
+        } else if (elapsed >= limit) {
+            endRepeatableCalls(board, effects);
+        }
+    }
+
+    /** Ends calls that outlast the limit with an error that says so; sent orders keep running to their outcome. */
+    private static void endRepeatableCalls(Board board, Effects effects) {
+        for (CallEntry entry : new ArrayList<>(board.calls().calls())) {
+            if (!(entry.call().kind() instanceof CallKind.Order)) {
+                if (entry.state() instanceof CallState.Running running) {
+                    effects.add(new AttemptEffect.CancelAttempt(running.attempt()));
+                }
+                effects.count("drain.limit_exceeded");
+                CallEnding.fail(board, effects, entry, Failure.of(ErrorKind.DRAINING));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/record/IntakeController.java
@@ -0,0 +1,78 @@
+package org.plantainwharf.record;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.board.CallEnding;
+import org.plantainwharf.call.Call;
+import org.plantainwharf.call.CallEntry;
+import org.plantainwharf.call.CallKind;
+import org.plantainwharf.call.CallState;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.replicated.Command;
+
+/**
+ * Proposes the record that a call needs before it may go on: the intent of an order or the acceptance of long work.
+ * Refuses at once where this host cannot reach the majority. Runs on the control thread.
+ */
+public final class IntakeController implements Controller {
+    private IntakeController() {}
+
+    /** Returns the controller. */
+    public static IntakeController create() {
+        return new IntakeController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        @Nullable CallEntry entry = board.calls().pollRecording();
+        while (entry != null) {
+            record(entry, board, nowNanos, effects);
+            entry = board.calls().pollRecording();
+        }
+    }
+
+    private static void record(CallEntry entry, Board board, long nowNanos, Effects effects) {
+        Call call = entry.call();
+        int groups = board.settings().recordGroups();
+        switch (call.kind()) {
+            case CallKind.Order order -> {
+                int group = RecordGroups.groupOf(call.account(), order.key(), groups);
+                if (Proposals.reachesMajority(board, group, nowNanos)) {
+                    board.records().intentProposed(call.id());
+                    Command intent = new Command.RecordIntent(
+                            call.account(),
+                            order.key(),
+                            order.route() + "/" + call.fingerprint().value(),
+                            board.membership().self(),
+                            board.membership().incarnation(),
+                            call.id(),
+                            board.wallClockMillis());
+                    Proposals.propose(board, effects, group, intent, new PendingProposal.Intent(call.id()));
+                } else {
+                    CallEnding.fail(board, effects, entry, Failure.of(ErrorKind.NO_QUORUM_NOT_RUN));
+                }
+            }
+            case CallKind.LongWork work -> {
+                int group = RecordGroups.groupOf(call.account(), call.id(), groups);
+                if (Proposals.reachesMajority(board, group, nowNanos)) {
+                    Command accept = new Command.AcceptWork(
+                            call.account(),
+                            call.id(),
+                            call.rank(),
+                            work.model(),
+                            call.content(),
+                            board.wallClockMillis());
+                    Proposals.propose(board, effects, group, accept, new PendingProposal.Acceptance(call.id()));
+                } else {
+                    CallEnding.fail(board, effects, entry, Failure.of(ErrorKind.NO_QUORUM_NOT_RUN));
+                }
+            }
+            case CallKind.Model model -> board.calls().advance(entry, new CallState.Ready(nowNanos));
+            case CallKind.Service service -> board.calls().advance(entry, new CallState.Ready(nowNanos));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/record/OrderController.java
@@ -0,0 +1,258 @@
+package org.plantainwharf.record;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import io.vavr.control.Option;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.board.CallEnding;
+import org.plantainwharf.call.Call;
+import org.plantainwharf.call.CallEntry;
+import org.plantainwharf.call.CallKind;
+import org.plantainwharf.call.CallState;
+import org.plantainwharf.call.Content;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.CallEffect;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.error.Ran;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+
+/**
+ * Runs calls that may not be repeated at most once. A call is sent only after its intent is committed for this request;
+ * its answer is committed before the caller gets it; where the outcome is not known the caller is told so. Runs on the
+ * control thread.
+ */
+public final class OrderController implements Controller {
+    private static final Duration RUNNING_RETRY_AFTER = Duration.ofSeconds(1);
+
+    private OrderController() {}
+
+    /** Returns the controller. */
+    public static OrderController create() {
+        return new OrderController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ReplicationEvent replication -> handleReplication(replication, board, nowNanos, effects);
+            case AttemptEvent attempt -> handleAttempt(attempt, board, nowNanos, effects);
+            case CallEvent call -> handleCall(call, board, effects);
+            case PeerEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+            case TimerEvent timer -> retryProposals(board, effects);
+        }
+    }
+
+    private static void handleReplication(ReplicationEvent event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ReplicationEvent.ProposalDecided decided -> {
+                Optional<PendingProposal> pending = board.records().settle(decided.proposalId());
+                pending.ifPresent(purpose -> decided(purpose, decided, board, nowNanos, effects));
+            }
+            case ReplicationEvent.ProposalFailed failed -> {
+                Optional<PendingProposal> pending = board.records().settle(failed.proposalId());
+                pending.ifPresent(purpose -> failed(purpose, board, nowNanos, effects));
+            }
+            case ReplicationEvent.ProposalRequested ignored -> {}
+            case ReplicationEvent.QueryRequested ignored -> {}
+            case ReplicationEvent.QueryAnswered ignored -> {}
+            case ReplicationEvent.QueryFailed ignored -> {}
+            case ReplicationEvent.EntryApplied ignored -> {}
+            case ReplicationEvent.StateReplaced ignored -> {}
+            case ReplicationEvent.LeadershipChanged ignored -> {}
+        }
+    }
+
+    private static void decided(
+            PendingProposal purpose,
+            ReplicationEvent.ProposalDecided decided,
+            Board board,
+            long nowNanos,
+            Effects effects) {
+        switch (purpose) {
+            case PendingProposal.Intent intent ->
+                intentDecided(intent.request(), decided.result(), board, nowNanos, effects);
+            case PendingProposal.Acceptance acceptance ->
+                board.calls().call(acceptance.request()).ifPresent(entry -> {
+                    effects.add(new CallEffect.AcceptCall(acceptance.request()));
+                    CallEnding.finish(board, effects, entry, nowNanos);
+                });
+            case PendingProposal.Outcome outcome -> answer(outcome, board, nowNanos, effects);
+            case PendingProposal.Completion completion ->
+                board.calls()
+                        .call(completion.request())
+                        .ifPresent(entry -> CallEnding.finish(board, effects, entry, nowNanos));
+            case PendingProposal.Notice notice -> {}
+            case PendingProposal.Assignment assignment ->
+                board.records().assigning().remove(assignment.work());
+        }
+    }
+
+    private static void failed(PendingProposal purpose, Board board, long nowNanos, Effects effects) {
+        switch (purpose) {
+            case PendingProposal.Intent intent ->
+                board.calls()
+                        .call(intent.request())
+                        .ifPresent(entry ->
+                                CallEnding.fail(board, effects, entry, Failure.of(ErrorKind.NO_QUORUM_NOT_RUN)));
+            case PendingProposal.Acceptance acceptance ->
+                board.calls()
+                        .call(acceptance.request())
+                        .ifPresent(entry -> CallEnding.fail(board, effects, entry, Failure.of(ErrorKind.NO_QUORUM)));
+            case PendingProposal.Outcome outcome -> {
+                // The caller gets the answer now; a resend gets it only once the record is committed.
+                answer(outcome, board, nowNanos, effects);
+                board.records().retryLater(new PendingProposal.Notice(outcome.group(), outcome.command()));
+            }
+            case PendingProposal.Repeatable repeatable -> board.records().retryLater(repeatable);
+            case PendingProposal.Assignment assignment ->
+                board.records().assigning().remove(assignment.work());
+        }
+    }
+
+    private static void retryProposals(Board board, Effects effects) {
+        for (PendingProposal.Repeatable proposal : board.records().takeRetries()) {
+            Proposals.propose(board, effects, proposal.group(), proposal.command(), proposal);
+        }
+    }
+
+    private static void answer(PendingProposal.Outcome outcome, Board board, long nowNanos, Effects effects) {
+        board.records().forgetIntent(outcome.request());
+        board.calls().call(outcome.request()).ifPresent(entry -> {
+            effects.add(new CallEffect.AnswerCall(outcome.request(), outcome.httpStatus(), outcome.answer()));
+            CallEnding.finish(board, effects, entry, nowNanos);
+        });
+    }
+
+    private static void intentDecided(
+            RequestId request, CommandResult result, Board board, long nowNanos, Effects effects) {
+        Optional<CallEntry> live = board.calls().call(request);
+        if (live.isEmpty()) {
+            // The call ended while its intent was proposed; handleCall has proposed the release.
+            return;
+        }
+        CallEntry entry = live.get();
+        switch (result) {
+            case CommandResult.IntentGranted granted -> board.calls().advance(entry, new CallState.Ready(nowNanos));
+            case CommandResult.IntentFinished finished -> {
+                board.records().forgetIntent(request);
+                effects.count("orders.answered_from_record");
+                effects.add(new CallEffect.AnswerCall(request, finished.httpStatus(), finished.answer()));
+                CallEnding.finish(board, effects, entry, nowNanos);
+            }
+            case CommandResult.IntentRunning running ->
+                refuse(
+                        entry,
+                        Failure.of(ErrorKind.ORDER_IN_PROGRESS).withRetryAfter(RUNNING_RETRY_AFTER),
+                        board,
+                        effects);
+            case CommandResult.IntentLost lost -> refuse(entry, Failure.of(ErrorKind.OUTCOME_UNKNOWN), board, effects);
+            case CommandResult.IntentReused reused ->
+                refuse(entry, Failure.of(ErrorKind.IDEMPOTENCY_KEY_REUSED), board, effects);
+            case CommandResult.IntentExpired expired ->
+                refuse(entry, Failure.of(ErrorKind.IDEMPOTENCY_KEY_EXPIRED), board, effects);
+            case CommandResult.Ignored ignored ->
+                refuse(entry, Failure.of(ErrorKind.NO_QUORUM_NOT_RUN), board, effects);
+            case CommandResult.Done done -> refuseUnexpected(entry, board, effects);
+            case CommandResult.SheetAccepted other -> refuseUnexpected(entry, board, effects);
+            case CommandResult.SheetConflict other -> refuseUnexpected(entry, board, effects);
+            case CommandResult.SheetStale other -> refuseUnexpected(entry, board, effects);
+            case CommandResult.FencingNumber other -> refuseUnexpected(entry, board, effects);
+        }
+    }
+
+    private static void refuseUnexpected(CallEntry entry, Board board, Effects effects) {
+        refuse(entry, Failure.of(ErrorKind.INTERNAL_ERROR).withRan(Ran.NO), board, effects);
+    }
+
+    /** Refuses a call whose request reserved nothing. */
+    private static void refuse(CallEntry entry, Failure failure, Board board, Effects effects) {
+        board.records().forgetIntent(entry.call().id());
+        CallEnding.fail(board, effects, entry, failure);
+    }
+
+    private static void handleAttempt(AttemptEvent event, Board board, long nowNanos, Effects effects) {
+        Optional<CallEntry> live = board.calls().call(event.attempt().request());
+        if (live.isEmpty()
+                || !live.get().isCurrent(event.attempt())
+                || !(live.get().call().kind() instanceof CallKind.Order)) {
+            return;
+        }
+        CallEntry entry = live.get();
+        switch (event) {
+            case AttemptEvent.AttemptCompleted completed -> completed(entry, completed, board, nowNanos, effects);
+            case AttemptEvent.AttemptFailed failed -> {
+                if (failed.problem().ran() != Ran.NO) {
+                    CallEnding.fail(
+                            board,
+                            effects,
+                            entry,
+                            Failure.of(ErrorKind.OUTCOME_UNKNOWN)
+                                    .withRan(failed.problem().ran()));
+                }
+            }
+            case AttemptEvent.AttemptSent ignored -> {}
+            case AttemptEvent.FirstTokenReceived ignored -> {}
+            case AttemptEvent.TokensReceived ignored -> {}
+        }
+    }
+
+    private static void completed(
+            CallEntry entry, AttemptEvent.AttemptCompleted completed, Board board, long nowNanos, Effects effects) {
+        Call call = entry.call();
+        Option<Content> collected = completed.collected();
+        if (!(call.kind() instanceof CallKind.Order order) || collected.isEmpty()) {
+            CallEnding.fail(board, effects, entry, Failure.of(ErrorKind.OUTCOME_UNKNOWN));
+            return;
+        }
+        board.calls().advance(entry, new CallState.Completing(nowNanos));
+        int group = RecordGroups.groupOf(
+                call.account(), order.key(), board.settings().recordGroups());
+        Command outcome = new Command.RecordOutcome(
+                call.account(),
+                order.key(),
+                call.id(),
+                completed.httpStatus(),
+                collected.get(),
+                board.wallClockMillis());
+        Proposals.propose(
+                board,
+                effects,
+                group,
+                outcome,
+                new PendingProposal.Outcome(call.id(), completed.httpStatus(), collected.get(), group, outcome));
+    }
+
+    /** Gives the intent of an ended call back where nothing was sent, and records the loss of its outcome elsewhere. */
+    private static void handleCall(CallEvent event, Board board, Effects effects) {
+        if (event instanceof CallEvent.CallRefused refused
+                && refused.call().kind() instanceof CallKind.Order order
+                && board.records().forgetIntent(refused.call().id())) {
+            Call call = refused.call();
+            int group = RecordGroups.groupOf(
+                    call.account(), order.key(), board.settings().recordGroups());
+            Command command = refused.failure().ran() == Ran.NO
+                    ? new Command.ReleaseIntent(call.account(), order.key(), call.id())
+                    : new Command.LoseOutcome(call.account(), order.key(), call.id());
+            Proposals.propose(board, effects, group, command, new PendingProposal.Notice(group, command));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/record/OwnershipController.java
@@ -0,0 +1,227 @@
+package org.plantainwharf.record;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.membership.Member;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.replicated.StateRecord.OrderState;
+import org.plantainwharf.replicated.StateRecord.WorkState;
+
+/**
+ * Duties of the leader of a record group: gives accepted work to owners, takes it from owners that are lost or
+ * stopping, and marks orders whose owner is lost. Acts only under a valid lease. Whether an owner is really gone does
+ * not matter for correctness: attempt numbers and the states of orders decide, this only decides when. Runs on the
+ * control thread.
+ */
+public final class OwnershipController implements Controller {
+    private static final long PERIOD_NANOS = Duration.ofMillis(200).toNanos();
+
+    /** Silence after which accepted work is given to another owner; a repeated run costs only tokens. */
+    private static final long WORK_OWNER_SILENCE_NANOS = Duration.ofSeconds(3).toNanos();
+
+    /** Silence after which an order counts as lost; longer, since the answer "unknown" costs a caller more. */
+    private static final long ORDER_OWNER_SILENCE_NANOS = Duration.ofSeconds(10).toNanos();
+
+    private static final long RETURN_DELAY_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final long EXPIRY_PERIOD_NANOS = Duration.ofHours(1).toNanos();
+
+    private final Map<Integer, Long> leadingSince = new HashMap<>();
+    private final Map<Integer, Long> lastExpiry = new HashMap<>();
+    private final Map<Owner, Long> markedLost = new HashMap<>();
+    private long nextRunNanos = Long.MIN_VALUE;
+
+    private OwnershipController() {}
+
+    /** Returns the controller. */
+    public static OwnershipController create() {
+        return new OwnershipController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ReplicationEvent.LeadershipChanged changed -> {
+                if (changed.leading()) {
+                    leadingSince.put(changed.group(), nowNanos);
+                } else {
+                    leadingSince.remove(changed.group());
+                }
+                markedLost.clear();
+            }
+            case ReplicationEvent.EntryApplied applied -> {
+                if (applied.command() instanceof Command.ReturnWork giveBack
+                        && applied.result() instanceof CommandResult.Done) {
+                    board.records().assignNotBefore().put(giveBack.request(), nowNanos + RETURN_DELAY_NANOS);
+                }
+            }
+            case TimerEvent timer -> {
+                if (nextRunNanos == Long.MIN_VALUE || nowNanos - nextRunNanos >= 0) {
+                    nextRunNanos = nowNanos + PERIOD_NANOS;
+                    leadingSince.forEach((group, since) -> lead(group, since, board, nowNanos, effects));
+                }
+            }
+            case ReplicationEvent ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case PeerEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private void lead(int group, long since, Board board, long nowNanos, Effects effects) {
+        if (group == 0 || !board.consensus().group(group).holdsLease(nowNanos)) {
+            return;
+        }
+        RecordState state = board.records().state(group);
+        for (StateRecord.Work work : state.unfinishedWork()) {
+            superviseWork(group, since, work, board, nowNanos, effects);
+        }
+        for (StateRecord.Order order : state.reservedOrders()) {
+            superviseOrder(group, since, order, board, nowNanos, effects);
+        }
+        long expiry = lastExpiry.getOrDefault(group, since);
+        if (nowNanos - expiry >= EXPIRY_PERIOD_NANOS) {
+            lastExpiry.put(group, nowNanos);
+            Command command = new Command.Expire(board.wallClockMillis());
+            Proposals.propose(board, effects, group, command, new PendingProposal.Notice(group, command));
+        }
+    }
+
+    private static void superviseWork(
+            int group, long since, StateRecord.Work work, Board board, long nowNanos, Effects effects) {
+        switch (work.state()) {
+            case WorkState.Waiting waiting -> assign(group, work, waiting.attempt() + 1, board, nowNanos, effects);
+            case WorkState.Assigned assigned -> {
+                boolean stopping = board.membership()
+                        .member(assigned.owner())
+                        .map(Member::draining)
+                        .orElse(false);
+                if (stopping
+                        || lost(
+                                assigned.owner(),
+                                assigned.ownerIncarnation(),
+                                since,
+                                WORK_OWNER_SILENCE_NANOS,
+                                board,
+                                nowNanos)) {
+                    effects.count("work.reassigned");
+                    assign(group, work, assigned.attempt() + 1, board, nowNanos, effects);
+                }
+            }
+            case WorkState.Finished finished -> {}
+        }
+    }
+
+    private static void assign(
+            int group, StateRecord.Work work, int attempt, Board board, long nowNanos, Effects effects) {
+        RecordSection records = board.records();
+        Long notBefore = records.assignNotBefore().get(work.request());
+        if (notBefore != null && nowNanos - notBefore < 0) {
+            return;
+        }
+        Optional<Owner> owner = chooseOwner(group, board, nowNanos);
+        if (owner.isEmpty() || !records.assigning().add(work.request())) {
+            return;
+        }
+        records.assignNotBefore().remove(work.request());
+        Command command = new Command.AssignWork(
+                work.request(), attempt, owner.get().host(), owner.get().incarnation());
+        Proposals.propose(board, effects, group, command, new PendingProposal.Assignment(work.request()));
+    }
+
+    private record Owner(HostId host, long incarnation) {}
+
+    /** Returns the reachable host with the least accepted work. */
+    private static Optional<Owner> chooseOwner(int group, Board board, long nowNanos) {
+        Map<HostId, Integer> owned = new HashMap<>();
+        for (StateRecord.Work work : board.records().state(group).unfinishedWork()) {
+            if (work.state() instanceof WorkState.Assigned assigned) {
+                owned.merge(assigned.owner(), 1, Integer::sum);
+            }
+        }
+        Map<HostId, Long> candidates = new HashMap<>();
+        if (!board.drain().refusesCalls()) {
+            candidates.put(board.membership().self(), board.membership().incarnation());
+        }
+        for (Member member : board.membership().members()) {
+            if (member.linked()
+                    && !member.draining()
+                    && member.configurationVersion() > 0
+                    && nowNanos - member.lastHeardNanos() < WORK_OWNER_SILENCE_NANOS) {
+                candidates.put(member.host(), member.incarnation());
+            }
+        }
+        return candidates.entrySet().stream()
+                .min(Comparator.<Map.Entry<HostId, Long>>comparingInt(
+                                candidate -> owned.getOrDefault(candidate.getKey(), 0))
+                        .thenComparing(candidate -> candidate.getKey().value()))
+                .map(candidate -> new Owner(candidate.getKey(), candidate.getValue()));
+    }
+
+    private void superviseOrder(
+            int group, long since, StateRecord.Order order, Board board, long nowNanos, Effects effects) {
+        if (order.state() instanceof OrderState.Reserved reserved
+                && lost(
+                        reserved.owner(),
+                        reserved.ownerIncarnation(),
+                        since,
+                        ORDER_OWNER_SILENCE_NANOS,
+                        board,
+                        nowNanos)
+                && mayMark(new Owner(reserved.owner(), reserved.ownerIncarnation()), nowNanos)) {
+            Command command = new Command.MarkOwnerLost(reserved.owner(), reserved.ownerIncarnation());
+            Proposals.propose(board, effects, group, command, new PendingProposal.Notice(group, command));
+        }
+    }
+
+    /** One mark covers all orders of an owner, so it is not proposed again while the first may still be on its way. */
+    private boolean mayMark(Owner owner, long nowNanos) {
+        Long marked = markedLost.get(owner);
+        if (marked != null && nowNanos - marked < ORDER_OWNER_SILENCE_NANOS) {
+            return false;
+        }
+        markedLost.put(owner, nowNanos);
+        return true;
+    }
+
+    /** Says whether an owner restarted, or was not heard for a time that also passed since this host leads. */
+    private static boolean lost(
+            HostId owner, long incarnation, long since, long silenceNanos, Board board, long nowNanos) {
+        if (owner.equals(board.membership().self())) {
+            return incarnation != board.membership().incarnation();
+        }
+        Optional<Member> member = board.membership().member(owner);
+        if (member.isPresent()
+                && member.get().incarnation() != 0
+                && member.get().incarnation() != incarnation) {
+            return true;
+        }
+        boolean heard = member.isPresent()
+                && member.get().incarnation() != 0
+                && nowNanos - member.get().lastHeardNanos() < silenceNanos;
+        return !heard && nowNanos - since >= silenceNanos;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/record/RecordState.java
@@ -0,0 +1,391 @@
+package org.plantainwharf.record;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.IdempotencyKey;
+import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.Query;
+import org.plantainwharf.replicated.QueryResult;
+import org.plantainwharf.replicated.StateMachine;
+import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.replicated.StateRecord.OrderState;
+import org.plantainwharf.replicated.StateRecord.WorkState;
+
+/**
+ * The state of one record group: orders by account and idempotency key, and accepted work by request id.
+ *
+ * <p>Invariants: a key is granted to a second request only from {@code Released}, which states that the first sent no
+ * byte; {@code Finished} and {@code Lost} never become runnable again; an answer of accepted work is stored only under
+ * the current attempt. Owned by the control thread.
+ */
+public final class RecordState implements StateMachine {
+    /** How long an answer is kept. */
+    static final long ANSWER_RETENTION_MILLIS = Duration.ofDays(7).toMillis();
+
+    /** How long a used key stays unusable after its answer was dropped. */
+    static final long KEY_RETENTION_MILLIS =
+            ANSWER_RETENTION_MILLIS + Duration.ofDays(90).toMillis();
+
+    private record OrderKey(AccountName account, IdempotencyKey key) {}
+
+    private final Map<OrderKey, StateRecord.Order> orders = new LinkedHashMap<>();
+    private final Map<RequestId, StateRecord.Work> work = new LinkedHashMap<>();
+    private final Set<OrderKey> reservedOrders = new LinkedHashSet<>();
+    private final Set<RequestId> unfinishedWork = new LinkedHashSet<>();
+
+    private RecordState() {}
+
+    /** Returns an empty state. */
+    public static RecordState create() {
+        return new RecordState();
+    }
+
+    /** Returns the orders that are reserved and have no outcome yet. */
+    public List<StateRecord.Order> reservedOrders() {
+        return reservedOrders.stream().map(this::orderOf).toList();
+    }
+
+    /** Returns accepted work without an answer, in order of acceptance. */
+    public List<StateRecord.Work> unfinishedWork() {
+        return unfinishedWork.stream().map(this::workOf).toList();
+    }
+
+    /** Returns accepted work. */
+    public Optional<StateRecord.Work> work(RequestId request) {
+        return Optional.ofNullable(work.get(request));
+    }
+
+    /** Returns the number of orders and accepted requests kept. */
+    public int size() {
+        return orders.size() + work.size();
+    }
+
+    private StateRecord.Order orderOf(OrderKey key) {
+        return java.util.Objects.requireNonNull(orders.get(key));
+    }
+
+    private StateRecord.Work workOf(RequestId request) {
+        return java.util.Objects.requireNonNull(work.get(request));
+    }
+
+    @Override
+    public CommandResult apply(Command command) {
+        return switch (command) {
+            case Command.Recording recording -> applyRecording(recording);
+            case Command.Control control -> new CommandResult.Ignored();
+        };
+    }
+
+    private CommandResult applyRecording(Command.Recording command) {
+        return switch (command) {
+            case Command.NoOperation none -> new CommandResult.Done();
+            case Command.ChangeVoters change -> new CommandResult.Done();
+            case Command.RecordIntent intent -> recordIntent(intent);
+            case Command.ReleaseIntent release -> releaseIntent(release);
+            case Command.LoseOutcome lose -> loseOutcome(lose);
+            case Command.RecordOutcome outcome -> recordOutcome(outcome);
+            case Command.MarkOwnerLost lost -> markOwnerLost(lost);
+            case Command.AcceptWork accept -> acceptWork(accept);
+            case Command.AssignWork assign -> assignWork(assign);
+            case Command.ReturnWork giveBack -> returnWork(giveBack);
+            case Command.CompleteWork complete -> completeWork(complete);
+            case Command.Expire expire -> expire(expire.wallClockMillis());
+        };
+    }
+
+    private CommandResult recordIntent(Command.RecordIntent intent) {
+        OrderKey key = new OrderKey(intent.account(), intent.key());
+        StateRecord.@Nullable Order known = orders.get(key);
+        if (known == null) {
+            return reserve(key, intent);
+        }
+        if (known.state() instanceof OrderState.Released released) {
+            // A delayed duplicate of the released intent must not reserve the key: its owner will never send it.
+            return released.request().equals(intent.request()) ? new CommandResult.Ignored() : reserve(key, intent);
+        }
+        if (known.state() instanceof OrderState.Expired) {
+            return new CommandResult.IntentExpired();
+        }
+        if (!known.contentDigest().equals(intent.contentDigest())) {
+            return new CommandResult.IntentReused();
+        }
+        return switch (known.state()) {
+            case OrderState.Reserved reserved ->
+                reserved.request().equals(intent.request())
+                        ? new CommandResult.IntentGranted()
+                        : new CommandResult.IntentRunning(reserved.request());
+            case OrderState.Finished finished ->
+                new CommandResult.IntentFinished(finished.httpStatus(), finished.answer());
+            case OrderState.Lost lost -> new CommandResult.IntentLost();
+            case OrderState.Expired expired -> new CommandResult.IntentExpired();
+            case OrderState.Released released -> new CommandResult.Ignored();
+        };
+    }
+
+    private CommandResult reserve(OrderKey key, Command.RecordIntent intent) {
+        OrderState state = new OrderState.Reserved(intent.owner(), intent.ownerIncarnation(), intent.request());
+        put(
+                key,
+                new StateRecord.Order(
+                        intent.account(), intent.key(), intent.contentDigest(), state, intent.wallClockMillis()));
+        return new CommandResult.IntentGranted();
+    }
+
+    private CommandResult releaseIntent(Command.ReleaseIntent release) {
+        OrderKey key = new OrderKey(release.account(), release.key());
+        StateRecord.@Nullable Order known = orders.get(key);
+        OrderState released = new OrderState.Released(release.request());
+        if (known == null) {
+            // The release overtook its intent, which must find it here.
+            put(key, new StateRecord.Order(release.account(), release.key(), "", released, 0));
+            return new CommandResult.Done();
+        }
+        if (known.state() instanceof OrderState.Reserved reserved
+                && reserved.request().equals(release.request())) {
+            put(key, withState(known, released));
+            return new CommandResult.Done();
+        }
+        return known.state().equals(released) ? new CommandResult.Done() : new CommandResult.Ignored();
+    }
+
+    private CommandResult loseOutcome(Command.LoseOutcome lose) {
+        OrderKey key = new OrderKey(lose.account(), lose.key());
+        StateRecord.@Nullable Order known = orders.get(key);
+        OrderState lost = new OrderState.Lost(lose.request());
+        if (known != null
+                && known.state() instanceof OrderState.Reserved reserved
+                && reserved.request().equals(lose.request())) {
+            put(key, withState(known, lost));
+            return new CommandResult.Done();
+        }
+        return known != null && known.state().equals(lost) ? new CommandResult.Done() : new CommandResult.Ignored();
+    }
+
+    private CommandResult recordOutcome(Command.RecordOutcome outcome) {
+        OrderKey key = new OrderKey(outcome.account(), outcome.key());
+        StateRecord.@Nullable Order known = orders.get(key);
+        if (known == null) {
+            return new CommandResult.Ignored();
+        }
+        boolean same =
+                switch (known.state()) {
+                    case OrderState.Reserved reserved -> reserved.request().equals(outcome.request());
+                    // An owner that was thought lost may still learn the outcome of the one run.
+                    case OrderState.Lost lost -> lost.request().equals(outcome.request());
+                    case OrderState.Finished finished -> finished.request().equals(outcome.request());
+                    case OrderState.Released released -> false;
+                    case OrderState.Expired expired -> false;
+                };
+        if (!same) {
+            return new CommandResult.Ignored();
+        }
+        if (!(known.state() instanceof OrderState.Finished)) {
+            put(
+                    key,
+                    withState(
+                            known, new OrderState.Finished(outcome.request(), outcome.httpStatus(), outcome.answer())));
+        }
+        return new CommandResult.Done();
+    }
+
+    private CommandResult markOwnerLost(Command.MarkOwnerLost command) {
+        for (StateRecord.Order order : reservedOrders()) {
+            if (order.state() instanceof OrderState.Reserved reserved
+                    && reserved.owner().equals(command.owner())
+                    && reserved.ownerIncarnation() == command.ownerIncarnation()) {
+                put(
+                        new OrderKey(order.account(), order.key()),
+                        withState(order, new OrderState.Lost(reserved.request())));
+            }
+        }
+        return new CommandResult.Done();
+    }
+
+    private CommandResult acceptWork(Command.AcceptWork accept) {
+        StateRecord.@Nullable Work known = work.get(accept.request());
+        if (known != null) {
+            return known.account().equals(accept.account()) ? new CommandResult.Done() : new CommandResult.Ignored();
+        }
+        put(new StateRecord.Work(
+                accept.account(),
+                accept.request(),
+                accept.rank(),
+                accept.model(),
+                accept.content(),
+                new WorkState.Waiting(0),
+                accept.wallClockMillis()));
+        return new CommandResult.Done();
+    }
+
+    private CommandResult assignWork(Command.AssignWork assign) {
+        StateRecord.@Nullable Work known = work.get(assign.request());
+        if (known == null) {
+            return new CommandResult.Ignored();
+        }
+        WorkState assigned = new WorkState.Assigned(assign.attempt(), assign.owner(), assign.ownerIncarnation());
+        if (known.state().equals(assigned)) {
+            return new CommandResult.Done();
+        }
+        int lastAttempt =
+                switch (known.state()) {
+                    case WorkState.Waiting waiting -> waiting.attempt();
+                    case WorkState.Assigned earlier -> earlier.attempt();
+                    case WorkState.Finished finished -> Integer.MAX_VALUE;
+                };
+        if (assign.attempt() - 1 != lastAttempt) {
+            return new CommandResult.Ignored();
+        }
+        put(withState(known, assigned, known.wallClockMillis()));
+        return new CommandResult.Done();
+    }
+
+    private CommandResult returnWork(Command.ReturnWork giveBack) {
+        StateRecord.@Nullable Work known = work.get(giveBack.request());
+        if (known != null
+                && known.state() instanceof WorkState.Assigned assigned
+                && assigned.attempt() == giveBack.attempt()) {
+            put(withState(known, new WorkState.Waiting(giveBack.attempt()), known.wallClockMillis()));
+            return new CommandResult.Done();
+        }
+        return new CommandResult.Ignored();
+    }
+
+    private CommandResult completeWork(Command.CompleteWork complete) {
+        StateRecord.@Nullable Work known = work.get(complete.request());
+        if (known == null) {
+            return new CommandResult.Ignored();
+        }
+        return switch (known.state()) {
+            case WorkState.Waiting waiting -> new CommandResult.Ignored();
+            case WorkState.Finished finished ->
+                finished.attempt() == complete.attempt() ? new CommandResult.Done() : new CommandResult.Ignored();
+            case WorkState.Assigned assigned -> {
+                if (assigned.attempt() != complete.attempt()) {
+                    yield new CommandResult.Ignored();
+                }
+                WorkState finished = new WorkState.Finished(
+                        complete.attempt(), complete.httpStatus(), complete.answer(), complete.answerDigest());
+                put(withState(known, finished, complete.wallClockMillis()));
+                yield new CommandResult.Done();
+            }
+        };
+    }
+
+    private CommandResult expire(long now) {
+        for (StateRecord.Order order : List.copyOf(orders.values())) {
+            OrderKey key = new OrderKey(order.account(), order.key());
+            long age = now - order.wallClockMillis();
+            switch (order.state()) {
+                case OrderState.Reserved reserved -> {}
+                case OrderState.Released released -> removeAfter(key, age, ANSWER_RETENTION_MILLIS);
+                case OrderState.Expired expired -> removeAfter(key, age, KEY_RETENTION_MILLIS);
+                case OrderState.Finished finished -> expireAfter(key, order, age);
+                case OrderState.Lost lost -> expireAfter(key, order, age);
+            }
+        }
+        work.values()
+                .removeIf(entry -> entry.state() instanceof WorkState.Finished
+                        && now - entry.wallClockMillis() >= ANSWER_RETENTION_MILLIS);
+        return new CommandResult.Done();
+    }
+
+    private void removeAfter(OrderKey key, long age, long limit) {
+        if (age >= limit) {
+            orders.remove(key);
+        }
+    }
+
+    private void expireAfter(OrderKey key, StateRecord.Order order, long age) {
+        if (age >= ANSWER_RETENTION_MILLIS) {
+            put(key, withState(order, new OrderState.Expired()));
+        }
+    }
+
+    private void put(OrderKey key, StateRecord.Order order) {
+        orders.put(key, order);
+        if (order.state() instanceof OrderState.Reserved) {
+            reservedOrders.add(key);
+        } else {
+            reservedOrders.remove(key);
+        }
+    }
+
+    private void put(StateRecord.Work entry) {
+        work.put(entry.request(), entry);
+        if (entry.state() instanceof WorkState.Finished) {
+            unfinishedWork.remove(entry.request());
+        } else {
+            unfinishedWork.add(entry.request());
+        }
+    }
+
+    private static StateRecord.Order withState(StateRecord.Order order, OrderState state) {
+        return new StateRecord.Order(
+                order.account(), order.key(), order.contentDigest(), state, order.wallClockMillis());
+    }
+
+    private static StateRecord.Work withState(StateRecord.Work entry, WorkState state, long wallClockMillis) {
+        return new StateRecord.Work(
+                entry.account(), entry.request(), entry.rank(), entry.model(), entry.content(), state, wallClockMillis);
+    }
+
+    @Override
+    public QueryResult answer(Query query) {
+        return switch (query) {
+            case Query.WorkState ask -> {
+                StateRecord.@Nullable Work known = work.get(ask.request());
+                if (known == null || !known.account().equals(ask.account())) {
+                    yield new QueryResult.NotFound();
+                }
+                yield switch (known.state()) {
+                    case WorkState.Waiting waiting -> new QueryResult.WorkPending(waiting.attempt());
+                    case WorkState.Assigned assigned -> new QueryResult.WorkPending(assigned.attempt());
+                    case WorkState.Finished finished ->
+                        new QueryResult.WorkFinished(finished.httpStatus(), finished.answer(), finished.answerDigest());
+                };
+            }
+        };
+    }
+
+    @Override
+    public List<StateRecord> records() {
+        List<StateRecord> records = new ArrayList<>(orders.values());
+        records.addAll(work.values());
+        return records;
+    }
+
+    @Override
+    public void restore(List<StateRecord> records) {
+        orders.clear();
+        work.clear();
+        reservedOrders.clear();
+        unfinishedWork.clear();
+        for (StateRecord stateRecord : records) {
+            switch (stateRecord) {
+                case StateRecord.Order order -> put(new OrderKey(order.account(), order.key()), order);
+                case StateRecord.Work entry -> put(entry);
+                case StateRecord.SheetInForce other -> throw unexpected(other);
+                case StateRecord.AcceptedSheet other -> throw unexpected(other);
+                case StateRecord.Fencing other -> throw unexpected(other);
+                case StateRecord.Crashes other -> throw unexpected(other);
+                case StateRecord.HostStart other -> throw unexpected(other);
+            }
+        }
+    }
+
+    private static IllegalArgumentException unexpected(StateRecord stateRecord) {
+        return new IllegalArgumentException("record does not belong to a record group: "
+                + stateRecord.getClass().getSimpleName());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/record/WorkController.java
@@ -0,0 +1,241 @@
+package org.plantainwharf.record;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.board.CallEnding;
+import org.plantainwharf.call.Call;
+import org.plantainwharf.call.CallEntry;
+import org.plantainwharf.call.CallState;
+import org.plantainwharf.call.Content;
+import org.plantainwharf.call.Origin;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.AttemptEffect;
+import org.plantainwharf.effect.CallEffect;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.Query;
+import org.plantainwharf.replicated.QueryResult;
+import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.sheet.Rank;
+
+/**
+ * Runs the attempts at accepted work that this host owns, stores their answers, and answers questions about accepted
+ * work of any host. An attempt that this host cannot finish is given back. Runs on the control thread.
+ */
+public final class WorkController implements Controller {
+    /** Deadline of one attempt when the rank gives none. */
+    private static final Duration DEFAULT_ATTEMPT_DEADLINE = Duration.ofMinutes(10);
+
+    private WorkController() {}
+
+    /** Returns the controller. */
+    public static WorkController create() {
+        return new WorkController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ReplicationEvent replication -> handleReplication(replication, board, nowNanos, effects);
+            case AttemptEvent attempt -> handleAttempt(attempt, board, nowNanos, effects);
+            case CallEvent call -> handleCall(call, board, effects);
+            case TimerEvent timer -> handBackWhileStopping(board, effects);
+            case PeerEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private static void handleReplication(ReplicationEvent event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ReplicationEvent.EntryApplied applied -> {
+                if (applied.command() instanceof Command.AssignWork assign
+                        && applied.result() instanceof CommandResult.Done
+                        && assign.owner().equals(board.membership().self())
+                        && assign.ownerIncarnation() == board.membership().incarnation()) {
+                    start(applied.group(), assign, board, nowNanos, effects);
+                }
+            }
+            case ReplicationEvent.QueryAnswered answered ->
+                board.records().answered(answered.queryId()).ifPresent(ask -> answer(ask, answered.result(), effects));
+            case ReplicationEvent.QueryFailed failed ->
+                board.records()
+                        .answered(failed.queryId())
+                        .ifPresent(ask ->
+                                effects.add(new CallEffect.FailCall(ask.ask(), Failure.of(ErrorKind.NO_QUORUM))));
+            case ReplicationEvent.ProposalRequested ignored -> {}
+            case ReplicationEvent.ProposalDecided ignored -> {}
+            case ReplicationEvent.ProposalFailed ignored -> {}
+            case ReplicationEvent.QueryRequested ignored -> {}
+            case ReplicationEvent.StateReplaced ignored -> {}
+            case ReplicationEvent.LeadershipChanged ignored -> {}
+        }
+    }
+
+    private static void start(int group, Command.AssignWork assign, Board board, long nowNanos, Effects effects) {
+        Optional<StateRecord.Work> known = board.records().state(group).work(assign.request());
+        if (known.isEmpty()) {
+            return;
+        }
+        StateRecord.Work work = known.get();
+        RequestId attemptRequest = RequestId.of(assign.request() + "." + assign.attempt());
+        if (board.calls().call(attemptRequest).isPresent()) {
+            return;
+        }
+        long deadlineMillis = board.configuration()
+                .inForce()
+                .map(sheet -> sheet.ranks().get(work.rank()))
+                .map(Rank::deadlineMillis)
+                .orElse(DEFAULT_ATTEMPT_DEADLINE.toMillis());
+        effects.post(new CallEvent.CallArrived(new Call(
+                attemptRequest,
+                work.account(),
+                work.rank(),
+                work.model(),
+                work.content(),
+                Digests.fingerprint(work.account(), work.content()),
+                new Origin.AcceptedWork(group, assign.attempt()),
+                nowNanos,
+                nowNanos + Duration.ofMillis(deadlineMillis).toNanos())));
+    }
+
+    private static void answer(CallEvent.WorkAsked ask, QueryResult result, Effects effects) {
+        switch (result) {
+            case QueryResult.NotFound none ->
+                effects.add(new CallEffect.FailCall(ask.ask(), Failure.of(ErrorKind.WORK_NOT_FOUND, ask.work())));
+            case QueryResult.WorkPending pending ->
+                effects.add(
+                        ask.wantsAnswer()
+                                ? new CallEffect.FailCall(
+                                        ask.ask(), Failure.of(ErrorKind.WORK_NOT_FINISHED, ask.work()))
+                                : new CallEffect.ReportPending(ask.ask(), ask.work(), pending.attempt()));
+            case QueryResult.WorkFinished finished -> {
+                if (!Digests.sha256(finished.answer().bytes()).equals(finished.answerDigest())) {
+                    effects.add(new CallEffect.FailCall(ask.ask(), Failure.of(ErrorKind.ANSWER_TRUNCATED)));
+                } else if (ask.wantsAnswer()) {
+                    effects.add(new CallEffect.AnswerCall(ask.ask(), finished.httpStatus(), finished.answer()));
+                } else {
+                    effects.add(new CallEffect.ReportFinished(
+                            ask.ask(),
+                            ask.work(),
+                            finished.httpStatus(),
+                            finished.answer().length(),
+                            finished.answerDigest()));
+                }
+            }
+        }
+    }
+
+    private static void handleAttempt(AttemptEvent event, Board board, long nowNanos, Effects effects) {
+        if (!(event instanceof AttemptEvent.AttemptCompleted completed)) {
+            return;
+        }
+        Optional<CallEntry> live = board.calls().call(event.attempt().request());
+        if (live.isEmpty()
+                || !live.get().isCurrent(event.attempt())
+                || !(live.get().call().origin() instanceof Origin.AcceptedWork origin)) {
+            return;
+        }
+        board.calls().advance(live.get(), new CallState.Completing(nowNanos));
+        Content answer = completed.collected().getOrElse(() -> Content.of("text/plain", new byte[0]));
+        complete(live.get().call(), origin, completed.httpStatus(), answer, board, effects);
+    }
+
+    private static void complete(
+            Call call, Origin.AcceptedWork origin, int httpStatus, Content answer, Board board, Effects effects) {
+        Command command = new Command.CompleteWork(
+                workOf(call),
+                origin.attempt(),
+                httpStatus,
+                answer,
+                Digests.sha256(answer.bytes()),
+                board.wallClockMillis());
+        Proposals.propose(
+                board,
+                effects,
+                origin.group(),
+                command,
+                new PendingProposal.Completion(call.id(), origin.group(), command));
+    }
+
+    /** Returns the accepted request behind the call of one attempt at it. */
+    private static RequestId workOf(Call call) {
+        String value = call.id().value();
+        return RequestId.of(value.substring(0, value.lastIndexOf('.')));
+    }
+
+    private static void handleCall(CallEvent event, Board board, Effects effects) {
+        switch (event) {
+            case CallEvent.WorkAsked ask -> {
+                String queryId = "work/" + ask.ask();
+                board.records().asked(queryId, ask);
+                int group = RecordGroups.groupOf(
+                        ask.account(), ask.work(), board.settings().recordGroups());
+                effects.post(new ReplicationEvent.QueryRequested(
+                        queryId, group, new Query.WorkState(ask.account(), ask.work())));
+            }
+            case CallEvent.CallRefused refused -> {
+                if (refused.call().origin() instanceof Origin.AcceptedWork origin) {
+                    attemptRefused(refused.call(), origin, refused.failure(), board, effects);
+                }
+            }
+            case CallEvent.CallArrived ignored -> {}
+            case CallEvent.CallerLeft ignored -> {}
+            case CallEvent.CallFinished ignored -> {}
+        }
+    }
+
+    private static void attemptRefused(
+            Call call, Origin.AcceptedWork origin, Failure failure, Board board, Effects effects) {
+        if (failure.kind().retryable()) {
+            Command command = new Command.ReturnWork(workOf(call), origin.attempt());
+            Proposals.propose(
+                    board, effects, origin.group(), command, new PendingProposal.Notice(origin.group(), command));
+        } else {
+            // No host would fare better, so the failure is the answer.
+            Content answer = Content.of("text/plain", failure.message().getBytes(StandardCharsets.UTF_8));
+            complete(call, origin, failure.kind().httpStatus(), answer, board, effects);
+        }
+    }
+
+    /** Gives attempts back once this host refuses calls, so that another host runs them. */
+    private static void handBackWhileStopping(Board board, Effects effects) {
+        if (!board.drain().refusesCalls()) {
+            return;
+        }
+        List<CallEntry> owned = new ArrayList<>();
+        for (CallEntry entry : board.calls().calls()) {
+            if (entry.call().origin() instanceof Origin.AcceptedWork
+                    && !(entry.state() instanceof CallState.Completing)) {
+                owned.add(entry);
+            }
+        }
+        for (CallEntry entry : owned) {
+            if (entry.state() instanceof CallState.Running running) {
+                effects.add(new AttemptEffect.CancelAttempt(running.attempt()));
+            }
+            CallEnding.fail(board, effects, entry, Failure.of(ErrorKind.DRAINING));
+        }
+    }
+}
