--- /dev/null
+++ b/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
@@ -0,0 +1,97 @@
+package org.plantainwharf.configuration;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.plantainwharf.identity.Fingerprint;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.testing.Samples;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class ControlStateTest {
+    private final ControlState state = ControlState.create();
+
+    private CommandResult apply(long version, String digest) {
+        return state.apply(new Command.ApplySheet(Samples.sheet(version, digest)));
+    }
+
+    @Nested
+    class SheetVersions {
+        @Test
+        void letsExactlyOneOfTwoContentsUnderOneNumberWin() {
+            assertEquals(new CommandResult.SheetAccepted(5, "one"), apply(5, "one"));
+            assertEquals(new CommandResult.SheetConflict(5, "one"), apply(5, "two"));
+            assertEquals("one", state.sheet().orElseThrow().digest());
+        }
+
+        @Test
+        void answersAResendAsTheFirstTimeEvenAfterANewerSheet() {
+            apply(5, "one");
+            apply(6, "next");
+            assertEquals(new CommandResult.SheetAccepted(5, "one"), apply(5, "one"));
+            assertEquals(6, state.sheet().orElseThrow().version());
+        }
+
+        @Test
+        void refusesAnOlderNumberThatWasNeverAccepted() {
+            apply(6, "next");
+            assertEquals(new CommandResult.SheetStale(4, 6), apply(4, "old"));
+        }
+
+        @Test
+        void survivesASnapshotWithAllAnswers() {
+            apply(5, "one");
+            apply(6, "next");
+            ControlState restored = ControlState.create();
+            restored.restore(state.records());
+            assertEquals(
+                    new CommandResult.SheetConflict(5, "one"),
+                    restored.apply(new Command.ApplySheet(Samples.sheet(5, "two"))));
+            assertEquals(6, restored.sheet().orElseThrow().version());
+            assertEquals(state.records(), restored.records());
+        }
+
+        @Test
+        void forgetsOnlyTheOldestAnswersAfterManySheets() {
+            for (int version = 1; version <= ControlState.REMEMBERED_SHEETS + 10; version++) {
+                apply(version, "digest" + version);
+            }
+            assertEquals(new CommandResult.SheetStale(1, ControlState.REMEMBERED_SHEETS + 10), apply(1, "digest1"));
+            assertEquals(new CommandResult.SheetAccepted(11, "digest11"), apply(11, "digest11"));
+        }
+    }
+
+    @Nested
+    class FencingNumbers {
+        @Test
+        void growWithEveryLeadershipButNotWithAResend() {
+            Command first = new Command.TakeFencingNumber(HostId.of("h1"), 3);
+            assertEquals(new CommandResult.FencingNumber(1), state.apply(first));
+            assertEquals(new CommandResult.FencingNumber(1), state.apply(first));
+            assertEquals(
+                    new CommandResult.FencingNumber(2), state.apply(new Command.TakeFencingNumber(HostId.of("h2"), 4)));
+        }
+    }
+
+    @Nested
+    class CrashCounts {
+        private final Fingerprint fingerprint = Fingerprint.of("f");
+
+        @Test
+        void countAReportOnceHoweverOftenItArrives() {
+            state.apply(new Command.ReportCrash("r1", fingerprint, 1, 1_000));
+            state.apply(new Command.ReportCrash("r1", fingerprint, 1, 1_000));
+            assertEquals(1, state.crashes().iterator().next().count());
+        }
+
+        @Test
+        void startAnewAfterTheRetention() {
+            state.apply(new Command.ReportCrash("r1", fingerprint, 1, 1_000));
+            long later = 1_000 + ControlState.CRASH_RETENTION_MILLIS;
+            state.apply(new Command.ReportCrash("r2", fingerprint, 1, later));
+            assertEquals(1, state.crashes().iterator().next().count());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/record/RecordStateTest.java
@@ -0,0 +1,260 @@
+package org.plantainwharf.record;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+import org.plantainwharf.call.Content;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.IdempotencyKey;
+import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.Query;
+import org.plantainwharf.replicated.QueryResult;
+import org.plantainwharf.testing.Samples;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+class RecordStateTest {
+    private static final AccountName ACCOUNT = Samples.ACCOUNT;
+    private static final IdempotencyKey KEY = IdempotencyKey.of("key");
+    private static final HostId OWNER = HostId.of("h1");
+    private static final Content ANSWER = Content.of("text/plain", "done".getBytes(StandardCharsets.UTF_8));
+
+    private static Command intent(String request, String digest) {
+        return new Command.RecordIntent(ACCOUNT, KEY, digest, OWNER, 1, RequestId.of(request), 0);
+    }
+
+    private static Command release(String request) {
+        return new Command.ReleaseIntent(ACCOUNT, KEY, RequestId.of(request));
+    }
+
+    private static Command lose(String request) {
+        return new Command.LoseOutcome(ACCOUNT, KEY, RequestId.of(request));
+    }
+
+    private static Command outcome(String request) {
+        return new Command.RecordOutcome(ACCOUNT, KEY, RequestId.of(request), 200, ANSWER, 0);
+    }
+
+    private static Command expire(long millis) {
+        return new Command.Expire(millis);
+    }
+
+    private static final Command OWNER_LOST = new Command.MarkOwnerLost(OWNER, 1);
+
+    /** Commands in order, and the result that the last one must give. */
+    private record Case(String guardsAgainst, CommandResult expected, Command... commands) {}
+
+    @Nested
+    class Orders {
+        private static final CommandResult GRANTED = new CommandResult.IntentGranted();
+        private static final CommandResult DONE = new CommandResult.Done();
+        private static final CommandResult IGNORED = new CommandResult.Ignored();
+        private static final CommandResult LOST = new CommandResult.IntentLost();
+        private static final CommandResult FINISHED = new CommandResult.IntentFinished(200, ANSWER);
+        private static final long WEEK = RecordState.ANSWER_RETENTION_MILLIS;
+        private static final long KEY_END = RecordState.KEY_RETENTION_MILLIS;
+
+        @TestFactory
+        Stream<DynamicTest> followTheTable() {
+            return List.of(
+                            new Case("first intent refused", GRANTED, intent("r1", "d")),
+                            new Case("resend of the owner refused", GRANTED, intent("r1", "d"), intent("r1", "d")),
+                            new Case(
+                                    "second run while the first is open",
+                                    new CommandResult.IntentRunning(RequestId.of("r1")),
+                                    intent("r1", "d"),
+                                    intent("r2", "d")),
+                            new Case(
+                                    "key reused with other content",
+                                    new CommandResult.IntentReused(),
+                                    intent("r1", "d"),
+                                    intent("r2", "other")),
+                            new Case(
+                                    "second run after the answer",
+                                    FINISHED,
+                                    intent("r1", "d"),
+                                    outcome("r1"),
+                                    intent("r2", "d")),
+                            new Case("lost key runnable again", LOST, intent("r1", "d"), lose("r1"), intent("r2", "d")),
+                            new Case(
+                                    "key of a lost owner runnable again",
+                                    LOST,
+                                    intent("r1", "d"),
+                                    OWNER_LOST,
+                                    intent("r2", "d")),
+                            new Case(
+                                    "late outcome of a lost owner dropped",
+                                    FINISHED,
+                                    intent("r1", "d"),
+                                    OWNER_LOST,
+                                    outcome("r1"),
+                                    intent("r2", "d")),
+                            new Case(
+                                    "released key not runnable",
+                                    GRANTED,
+                                    intent("r1", "d"),
+                                    release("r1"),
+                                    intent("r2", "d")),
+                            new Case(
+                                    "delayed duplicate intent reserves a released key",
+                                    IGNORED,
+                                    intent("r1", "d"),
+                                    release("r1"),
+                                    intent("r1", "d")),
+                            new Case("intent after its own release runs", IGNORED, release("r1"), intent("r1", "d")),
+                            new Case(
+                                    "release by a request that does not own the intent",
+                                    IGNORED,
+                                    intent("r1", "d"),
+                                    release("r2")),
+                            new Case(
+                                    "delayed release takes the intent of another request",
+                                    IGNORED,
+                                    intent("r1", "d"),
+                                    release("r1"),
+                                    intent("r2", "d"),
+                                    release("r1")),
+                            new Case("outcome of another request stored", IGNORED, intent("r1", "d"), outcome("r2")),
+                            new Case(
+                                    "release after the outcome",
+                                    IGNORED,
+                                    intent("r1", "d"),
+                                    outcome("r1"),
+                                    release("r1")),
+                            new Case("resent outcome refused", DONE, intent("r1", "d"), outcome("r1"), outcome("r1")),
+                            new Case(
+                                    "key runnable when its answer is dropped",
+                                    new CommandResult.IntentExpired(),
+                                    intent("r1", "d"),
+                                    outcome("r1"),
+                                    expire(WEEK),
+                                    intent("r2", "d")),
+                            new Case(
+                                    "answer dropped early",
+                                    FINISHED,
+                                    intent("r1", "d"),
+                                    outcome("r1"),
+                                    expire(WEEK - 1),
+                                    intent("r2", "d")),
+                            new Case(
+                                    "open intent dropped by expiry",
+                                    new CommandResult.IntentRunning(RequestId.of("r1")),
+                                    intent("r1", "d"),
+                                    expire(KEY_END * 2),
+                                    intent("r2", "d")),
+                            new Case(
+                                    "expired key runnable before its retention ends",
+                                    new CommandResult.IntentExpired(),
+                                    intent("r1", "d"),
+                                    outcome("r1"),
+                                    expire(WEEK),
+                                    expire(KEY_END - 1),
+                                    intent("r2", "d")))
+                    .stream()
+                    .map(row -> DynamicTest.dynamicTest(row.guardsAgainst(), () -> {
+                        check(row, RecordState.create(), false);
+                        check(row, RecordState.create(), true);
+                    }));
+        }
+
+        /** Runs a row, with a snapshot and restore before each command if asked. */
+        private void check(Case row, RecordState initial, boolean snapshots) {
+            RecordState state = initial;
+            CommandResult last = IGNORED;
+            for (Command command : row.commands()) {
+                if (snapshots) {
+                    RecordState restored = RecordState.create();
+                    restored.restore(state.records());
+                    state = restored;
+                }
+                last = state.apply(command);
+            }
+            assertEquals(row.expected(), last);
+        }
+    }
+
+    @Nested
+    class AcceptedWork {
+        private final RecordState state = RecordState.create();
+        private final RequestId request = RequestId.of("w1");
+
+        private CommandResult assign(int attempt, String owner) {
+            return state.apply(new Command.AssignWork(request, attempt, HostId.of(owner), 1));
+        }
+
+        private CommandResult complete(int attempt, String text) {
+            Content answer = Content.of("text/plain", text.getBytes(StandardCharsets.UTF_8));
+            return state.apply(
+                    new Command.CompleteWork(request, attempt, 200, answer, Digests.sha256(answer.bytes()), 0));
+        }
+
+        private void accept() {
+            state.apply(new Command.AcceptWork(ACCOUNT, request, Samples.LONG, Samples.model(false), ANSWER, 0));
+        }
+
+        @Test
+        void dropsALateAnswerOfAnOldAttempt() {
+            accept();
+            assign(1, "h1");
+            assign(2, "h2");
+            assertEquals(new CommandResult.Ignored(), complete(1, "late"));
+            assertEquals(new CommandResult.Done(), complete(2, "current"));
+            QueryResult.WorkFinished finished = assertInstanceOf(
+                    QueryResult.WorkFinished.class, state.answer(new Query.WorkState(ACCOUNT, request)));
+            assertEquals("current", new String(finished.answer().bytes(), StandardCharsets.UTF_8));
+        }
+
+        @Test
+        void keepsItsFirstAnswer() {
+            accept();
+            assign(1, "h1");
+            complete(1, "first");
+            assertEquals(new CommandResult.Ignored(), assign(2, "h2"));
+            complete(1, "second");
+            QueryResult.WorkFinished finished = assertInstanceOf(
+                    QueryResult.WorkFinished.class, state.answer(new Query.WorkState(ACCOUNT, request)));
+            assertEquals("first", new String(finished.answer().bytes(), StandardCharsets.UTF_8));
+        }
+
+        @Test
+        void isNotShownToAnotherAccount() {
+            accept();
+            assertEquals(
+                    new QueryResult.NotFound(), state.answer(new Query.WorkState(AccountName.of("other"), request)));
+        }
+
+        @Test
+        void isNeverWithoutAPlaceInTheQueue() {
+            accept();
+            assign(1, "h1");
+            state.apply(new Command.ReturnWork(request, 1));
+            assertEquals(1, state.unfinishedWork().size());
+            assertEquals(new CommandResult.Ignored(), complete(1, "returned attempt"));
+            assertEquals(new CommandResult.Done(), assign(2, "h2"));
+        }
+
+        @Test
+        void skipsNoAttemptNumber() {
+            accept();
+            assertEquals(new CommandResult.Ignored(), assign(2, "h1"));
+        }
+
+        @Test
+        void survivesASnapshot() {
+            accept();
+            assign(1, "h1");
+            RecordState restored = RecordState.create();
+            restored.restore(state.records());
+            assertEquals(state.unfinishedWork(), restored.unfinishedWork());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/record/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of orders and accepted work. */
+@NullMarked
+package org.plantainwharf.record;
+
+import org.jspecify.annotations.NullMarked;
