Add the wire format and the codec of messages between daemons

Cause: links and the log need one encoding whose decoding never throws on foreign bytes. Result: round trips of every message, command and result and the fuzz of truncated, damaged and random frames pass.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
@@ -0,0 +1,162 @@
+package org.plantainwharf.codec;
+
+import io.vavr.control.Either;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.wire.PeerProtocol;
+
+/**
+ * Encodes messages between daemons as the content of one frame, without its length prefix. Decoding never throws,
+ * whatever the bytes are. Equal messages have equal bytes. Stateless and thread-safe.
+ */
+public final class PeerMessageCodec {
+    private PeerMessageCodec() {}
+
+    /** Returns a codec. */
+    public static PeerMessageCodec create() {
+        return new PeerMessageCodec();
+    }
+
+    /** Returns the bytes of the first frame of a link. */
+    public byte[] encodeHello(Hello hello) {
+        return PeerProtocol.Frame.newBuilder()
+                .setHello(PeerProtocol.Hello.newBuilder()
+                        .setProtocolVersion(hello.protocolVersion())
+                        .setHost(hello.host().value())
+                        .setZone(hello.zone().value())
+                        .setIncarnation(hello.incarnation()))
+                .build()
+                .toByteArray();
+    }
+
+    /** Returns the greeting in a link's first frame, or {@link ErrorKind#FRAME_INVALID}. */
+    public Either<Failure, Hello> decodeHello(byte[] bytes) {
+        return Decoding.run(() -> {
+            PeerProtocol.Frame frame = PeerProtocol.Frame.parseFrom(bytes);
+            if (!frame.hasHello()) {
+                throw new DecodingException("first frame is not a hello");
+            }
+            PeerProtocol.Hello wire = frame.getHello();
+            return new Hello(
+                    wire.getProtocolVersion(),
+                    HostId.of(wire.getHost()),
+                    AvailabilityZone.of(wire.getZone()),
+                    wire.getIncarnation());
+        });
+    }
+
+    /** Returns the bytes of a message. */
+    public byte[] encode(PeerMessage message) {
+        PeerProtocol.Frame.Builder frame = PeerProtocol.Frame.newBuilder();
+        switch (message) {
+            case PeerMessage.Heartbeat heartbeat ->
+                frame.setHeartbeat(PeerProtocol.Heartbeat.newBuilder()
+                        .setToken(heartbeat.token())
+                        .setEchoedToken(heartbeat.echoedToken())
+                        .setConfigurationVersion(heartbeat.configurationVersion())
+                        .setDraining(heartbeat.draining()));
+            case PeerMessage.ServerLeases leases ->
+                frame.setServerLeases(PeerProtocol.ServerLeases.newBuilder()
+                        .setEchoedToken(leases.echoedToken())
+                        .addAllLeases(leases.leases().stream()
+                                .map(AnnouncementMapping::encode)
+                                .toList()));
+            case PeerMessage.Replication replication ->
+                frame.setReplication(PeerProtocol.Replication.newBuilder()
+                        .setGroup(replication.group())
+                        .setMessage(ReplicaMapping.encode(replication.message())));
+            case PeerMessage.Propose propose ->
+                frame.setPropose(PeerProtocol.Propose.newBuilder()
+                        .setGroup(propose.group())
+                        .setProposalId(propose.proposalId())
+                        .setCommand(CommandMapping.encode(propose.command())));
+            case PeerMessage.ProposeDecided decided ->
+                frame.setProposeDecided(PeerProtocol.ProposeDecided.newBuilder()
+                        .setProposalId(decided.proposalId())
+                        .setResult(ResultMapping.encode(decided.result())));
+            case PeerMessage.Rejected rejected ->
+                frame.setRejected(PeerProtocol.Rejected.newBuilder()
+                        .setCorrelationId(rejected.correlationId())
+                        .setReason(rejected.reason().name()));
+            case PeerMessage.Ask ask ->
+                frame.setAsk(PeerProtocol.Ask.newBuilder()
+                        .setGroup(ask.group())
+                        .setQueryId(ask.queryId())
+                        .setQuery(ResultMapping.encode(ask.query())));
+            case PeerMessage.Answer answer ->
+                frame.setAnswer(PeerProtocol.Answer.newBuilder()
+                        .setQueryId(answer.queryId())
+                        .setResult(ResultMapping.encode(answer.result())));
+            case PeerMessage.LimitDemand demand ->
+                frame.setLimitDemand(PeerProtocol.LimitDemand.newBuilder()
+                        .addAllRates(ValueMapping.encodeRates(demand.requestsPerSecond())));
+            case PeerMessage.LimitGrant grant ->
+                frame.setLimitGrant(PeerProtocol.LimitGrant.newBuilder()
+                        .setEchoedToken(grant.echoedToken())
+                        .setValidMillis(grant.validMillis())
+                        .addAllRates(ValueMapping.encodeRates(grant.requestsPerSecond())));
+        }
+        return frame.build().toByteArray();
+    }
+
+    /** Returns the message in a frame, or {@link ErrorKind#FRAME_INVALID}. */
+    public Either<Failure, PeerMessage> decode(byte[] bytes) {
+        return Decoding.run(() -> message(PeerProtocol.Frame.parseFrom(bytes)));
+    }
+
+    private static PeerMessage message(PeerProtocol.Frame frame) {
+        return switch (frame.getKindCase()) {
+            case HELLO -> throw new DecodingException("hello after the first frame");
+            case HEARTBEAT ->
+                new PeerMessage.Heartbeat(
+                        frame.getHeartbeat().getToken(),
+                        frame.getHeartbeat().getEchoedToken(),
+                        frame.getHeartbeat().getConfigurationVersion(),
+                        frame.getHeartbeat().getDraining());
+            case SERVER_LEASES ->
+                new PeerMessage.ServerLeases(
+                        frame.getServerLeases().getEchoedToken(),
+                        frame.getServerLeases().getLeasesList().stream()
+                                .map(AnnouncementMapping::decode)
+                                .toList());
+            case REPLICATION ->
+                new PeerMessage.Replication(
+                        frame.getReplication().getGroup(),
+                        ReplicaMapping.decode(frame.getReplication().getMessage()));
+            case PROPOSE ->
+                new PeerMessage.Propose(
+                        frame.getPropose().getGroup(),
+                        frame.getPropose().getProposalId(),
+                        CommandMapping.decode(frame.getPropose().getCommand()));
+            case PROPOSE_DECIDED ->
+                new PeerMessage.ProposeDecided(
+                        frame.getProposeDecided().getProposalId(),
+                        ResultMapping.decode(frame.getProposeDecided().getResult()));
+            case REJECTED ->
+                new PeerMessage.Rejected(
+                        frame.getRejected().getCorrelationId(),
+                        ErrorKind.valueOf(frame.getRejected().getReason()));
+            case ASK ->
+                new PeerMessage.Ask(
+                        frame.getAsk().getGroup(),
+                        frame.getAsk().getQueryId(),
+                        ResultMapping.decode(frame.getAsk().getQuery()));
+            case ANSWER ->
+                new PeerMessage.Answer(
+                        frame.getAnswer().getQueryId(),
+                        ResultMapping.decode(frame.getAnswer().getResult()));
+            case LIMIT_DEMAND ->
+                new PeerMessage.LimitDemand(
+                        ValueMapping.decodeRates(frame.getLimitDemand().getRatesList()));
+            case LIMIT_GRANT ->
+                new PeerMessage.LimitGrant(
+                        frame.getLimitGrant().getEchoedToken(),
+                        frame.getLimitGrant().getValidMillis(),
+                        ValueMapping.decodeRates(frame.getLimitGrant().getRatesList()));
+            case KIND_NOT_SET -> throw new DecodingException("message of an unknown kind");
+        };
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/codec/PeerMessageCodecTest.java
@@ -0,0 +1,122 @@
+package org.plantainwharf.codec;
+
+import java.util.Arrays;
+
+import io.vavr.control.Either;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.message.ReplicaMessage;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against fields lost on the wire and against frames that throw. */
+class PeerMessageCodecTest {
+    private static final PeerMessageCodec CODEC = PeerMessageCodec.create();
+
+    private static void assertSurvives(PeerMessage message) {
+        byte[] bytes = CODEC.encode(message);
+        assertEquals(Either.right(message), CODEC.decode(bytes));
+        assertArrayEquals(bytes, CODEC.encode(message), "equal messages have equal bytes");
+    }
+
+    @Group
+    class RoundTrip {
+        @Property(tries = 1_000, seed = "1")
+        void keepsEveryMessage(@ForAll("variants") Class<? extends PeerMessage> type, @ForAll long seed) {
+            assertSurvives(new RandomValues(seed).value(type));
+        }
+
+        @Property(tries = 1_000, seed = "2")
+        void keepsEveryReplicaMessage(
+                @ForAll("replicaMessages") Class<? extends ReplicaMessage> type, @ForAll long seed) {
+            assertSurvives(new PeerMessage.Replication(1, new RandomValues(seed).value(type)));
+        }
+
+        @Property(tries = 1_000, seed = "3")
+        void keepsEveryCommand(@ForAll("commands") Class<? extends Command> type, @ForAll long seed) {
+            assertSurvives(new PeerMessage.Propose(1, "proposal", new RandomValues(seed).value(type)));
+        }
+
+        @Property(tries = 500, seed = "4")
+        void keepsEveryResult(@ForAll("results") Class<? extends CommandResult> type, @ForAll long seed) {
+            assertSurvives(new PeerMessage.ProposeDecided("proposal", new RandomValues(seed).value(type)));
+        }
+
+        @Property(tries = 100, seed = "5")
+        void keepsTheHello(@ForAll long incarnation) {
+            Hello hello = Hello.of(HostId.of("host-1"), AvailabilityZone.of("zone-1"), incarnation);
+            assertEquals(Either.right(hello), CODEC.decodeHello(CODEC.encodeHello(hello)));
+        }
+
+        @Provide
+        Arbitrary<Class<?>> variants() {
+            return Arbitraries.of(RandomValues.variants(PeerMessage.class));
+        }
+
+        @Provide
+        Arbitrary<Class<?>> replicaMessages() {
+            return Arbitraries.of(RandomValues.variants(ReplicaMessage.class));
+        }
+
+        @Provide
+        Arbitrary<Class<?>> commands() {
+            return Arbitraries.of(RandomValues.variants(Command.class));
+        }
+
+        @Provide
+        Arbitrary<Class<?>> results() {
+            return Arbitraries.of(RandomValues.variants(CommandResult.class));
+        }
+    }
+
+    @Group
+    class ForeignBytes {
+        @Property(tries = 2_000, seed = "6")
+        void truncatedFrameNeverThrows(@ForAll long seed) {
+            byte[] whole = CODEC.encode(new RandomValues(seed).value(PeerMessage.class));
+            for (int length = 0; length < whole.length; length += 1 + whole.length / 16) {
+                byte[] part = Arrays.copyOf(whole, length);
+                assertNotNull(CODEC.decode(part));
+                assertNotNull(CODEC.decodeHello(part));
+            }
+        }
+
+        @Property(tries = 5_000, seed = "7")
+        void randomFrameNeverThrows(@ForAll byte[] bytes) {
+            assertNotNull(CODEC.decode(bytes));
+            assertNotNull(CODEC.decodeHello(bytes));
+        }
+
+        @Property(tries = 5_000, seed = "8")
+        void damagedFrameNeverThrows(@ForAll long seed, @ForAll int position, @ForAll byte value) {
+            byte[] bytes = CODEC.encode(new RandomValues(seed).value(PeerMessage.class));
+            bytes[Math.floorMod(position, bytes.length)] = value;
+            assertNotNull(CODEC.decode(bytes));
+        }
+
+        @Property(tries = 1, seed = "9")
+        void reportsWhatIsWrong() {
+            Either<Failure, PeerMessage> empty = CODEC.decode(new byte[0]);
+            assertTrue(empty.isLeft());
+            assertEquals(ErrorKind.FRAME_INVALID, empty.getLeft().kind());
+            byte[] hello = CODEC.encodeHello(Hello.of(HostId.of("h"), AvailabilityZone.of("z"), 1));
+            assertTrue(CODEC.decode(hello).isLeft(), "a second hello could change the identity of a link");
+            assertTrue(CODEC.decodeHello(CODEC.encode(new PeerMessage.Heartbeat(1, 0, 0, false)))
+                    .isLeft());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/codec/RandomValues.java
@@ -0,0 +1,125 @@
+package org.plantainwharf.codec;
+
+import java.lang.reflect.GenericArrayType;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import org.plantainwharf.call.Content;
+
+/**
+ * Builds random values of sealed interfaces and records by reflection, so that a new message type or a new field is
+ * covered without a change here.
+ */
+final class RandomValues {
+    private final Random random;
+
+    RandomValues(long seed) {
+        random = new Random(seed);
+    }
+
+    /** Returns every record that implements a sealed interface, also through other sealed interfaces. */
+    static List<Class<?>> variants(Class<?> type) {
+        if (!type.isSealed()) {
+            return List.of(type);
+        }
+        return Arrays.stream(type.getPermittedSubclasses())
+                .flatMap(subtype -> variants(subtype).stream())
+                .distinct()
+                .toList();
+    }
+
+    /** Returns a random value of a type. */
+    <T> T value(Class<T> type) {
+        return type.cast(any(type));
+    }
+
+    private Object any(Type type) {
+        if (type instanceof ParameterizedType generic) {
+            return collection(generic);
+        }
+        if (type instanceof GenericArrayType) {
+            throw new IllegalArgumentException("no random value for " + type);
+        }
+        Class<?> plain = (Class<?>) type;
+        if (plain == long.class || plain == Long.class) {
+            return random.nextBoolean() ? random.nextLong() : random.nextLong(1_000);
+        } else if (plain == int.class) {
+            return random.nextBoolean() ? random.nextInt() : random.nextInt(1_000);
+        } else if (plain == boolean.class) {
+            return random.nextBoolean();
+        } else if (plain == double.class || plain == Double.class) {
+            return random.nextGaussian();
+        } else if (plain == String.class) {
+            return "text-" + (char) ('a' + random.nextInt(26)) + random.nextInt(10_000) + "é";
+        } else if (plain == Content.class) {
+            byte[] bytes = new byte[random.nextInt(64)];
+            random.nextBytes(bytes);
+            return Content.of("application/json", bytes);
+        } else if (plain.isEnum()) {
+            Object[] constants = plain.getEnumConstants();
+            return constants[random.nextInt(constants.length)];
+        } else if (plain.isSealed()) {
+            List<Class<?>> variants = variants(plain);
+            return any(variants.get(random.nextInt(variants.size())));
+        }
+        return newRecord(plain);
+    }
+
+    private Object collection(ParameterizedType type) {
+        int size = random.nextInt(4);
+        Type[] arguments = type.getActualTypeArguments();
+        if (type.getRawType() == Map.class) {
+            Map<Object, Object> map = new HashMap<>();
+            for (int index = 0; index < size; index++) {
+                Object value = any(arguments[1]);
+                map.put(value instanceof Record named && hasName(named) ? nameOf(named) : any(arguments[0]), value);
+            }
+            return map;
+        }
+        List<Object> list = new ArrayList<>();
+        for (int index = 0; index < size; index++) {
+            list.add(any(arguments[0]));
+        }
+        if (type.getRawType() == Set.class) {
+            return new HashSet<>(list);
+        }
+        return list;
+    }
+
+    /** A sheet's maps hold each value under its own name. */
+    private static boolean hasName(Record value) {
+        return value.getClass().getRecordComponents()[0].getName().equals("name");
+    }
+
+    private static Object nameOf(Record value) {
+        try {
+            return value.getClass().getRecordComponents()[0].getAccessor().invoke(value);
+        } catch (IllegalAccessException | InvocationTargetException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Object newRecord(Class<?> type) {
+        RecordComponent[] components = type.getRecordComponents();
+        Class<?>[] types =
+                Arrays.stream(components).map(RecordComponent::getType).toArray(Class<?>[]::new);
+        Object[] arguments = Arrays.stream(components)
+                .map(component -> any(component.getGenericType()))
+                .toArray();
+        try {
+            return type.getDeclaredConstructor(types).newInstance(arguments);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("cannot build " + type, e);
+        }
+    }
+}
