Define the record codec and messages for leadership transfer

A leader that drains hands over without waiting for an election timeout, so a vote request says whether it follows such a transfer. Rejected proposals name the known leader, which spares hosts without disk a search. Result: compiles; no behaviour yet.

--- a/src/main/java/org/plantainwharf/effect/StorageEffect.java
+++ b/src/main/java/org/plantainwharf/effect/StorageEffect.java
@@ -15,7 +15,7 @@
      * Writes and syncs term, vote and entries. Entries from {@code truncateFrom} on are dropped first.
      *
      * @param writeNumber returned once synced
-     * @param vote host voted for in this term, or empty text
+     * @param vote identity voted for in this term, or empty text
      * @param truncateFrom first index to drop, 0 for none
      */
     record WriteLog(int group, long writeNumber, long term, String vote, long truncateFrom, List<ReplicaEntry> entries)
@@ -26,8 +26,13 @@
         }
     }
 
-    /** Writes and syncs a snapshot, then drops the log up to a tail. */
-    record WriteSnapshot(int group, long lastIndex, long lastTerm, List<VoterId> voters, List<StateRecord> records)
+    /**
+     * Writes and syncs a snapshot, then drops entries before {@code keepFrom} from the log.
+     *
+     * @param keepFrom first index to keep; a tail before the snapshot's end spares slow followers the snapshot
+     */
+    record WriteSnapshot(
+            int group, long lastIndex, long lastTerm, List<VoterId> voters, List<StateRecord> records, long keepFrom)
             implements StorageEffect {
         /** Copies the lists. */
         public WriteSnapshot {
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.HostId;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.replicated.Query;
@@ -44,8 +46,12 @@
     /** Answers a proposal with the command's result after it was applied. */
     record ProposeDecided(String proposalId, CommandResult result) implements PeerMessage {}
 
-    /** Answers a proposal or a query that was not carried out here. The receiver may try another host. */
-    record Rejected(String correlationId, ErrorKind reason) implements PeerMessage {}
+    /**
+     * Answers a proposal or a query that was not carried out here. The receiver may try another host.
+     *
+     * @param leader the leader that the sender knows, if any
+     */
+    record Rejected(String correlationId, ErrorKind reason, Optional<HostId> leader) implements PeerMessage {}
 
     /** Asks the leader of a group for a read. */
     record Ask(int group, String queryId, Query query) implements PeerMessage {}
--- a/src/main/java/org/plantainwharf/message/ReplicaMessage.java
+++ b/src/main/java/org/plantainwharf/message/ReplicaMessage.java
@@ -19,8 +19,14 @@
     /** Answers a pre-vote request for the proposed term. */
     record PreVoteAnswer(long term, VoterId sender, boolean granted) implements ReplicaMessage {}
 
-    /** Asks for a vote. */
-    record VoteRequest(long term, VoterId sender, long lastIndex, long lastTerm) implements ReplicaMessage {}
+    /**
+     * Asks for a vote.
+     *
+     * @param transfer whether the leader of the term before gave up its lease and asked the sender to take over; only
+     *     then is the vote granted although a leader was heard recently
+     */
+    record VoteRequest(long term, VoterId sender, long lastIndex, long lastTerm, boolean transfer)
+            implements ReplicaMessage {}
 
     /** Answers a vote request; sent after the vote is synced. */
     record VoteAnswer(long term, VoterId sender, boolean granted) implements ReplicaMessage {}
@@ -83,6 +89,9 @@
     record SnapshotAnswer(long term, VoterId sender, long lastIndex, int received, long round)
             implements ReplicaMessage {}
 
+    /** A leader that gave up its lease asks the most caught-up voter to take over. */
+    record LeadershipTransfer(long term, VoterId sender) implements ReplicaMessage {}
+
     /** A learner asks for entries after its last applied index. */
     record StreamRequest(long term, VoterId sender, long afterIndex) implements ReplicaMessage {}
 }
--- /dev/null
+++ b/src/main/java/org/plantainwharf/storage/RecordCodec.java
@@ -0,0 +1,24 @@
+package org.plantainwharf.storage;
+
+import io.vavr.control.Either;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.message.ReplicaEntry;
+import org.plantainwharf.replicated.StateRecord;
+
+/**
+ * Turns log entries and state records into bytes and back. The storage writer adds length and checksum, so the bytes
+ * need neither. Implementations are thread-safe and accept what older versions of this program wrote.
+ */
+public interface RecordCodec {
+    /** Returns the bytes of an entry. */
+    byte[] encodeEntry(ReplicaEntry entry);
+
+    /** Returns the entry, or a failure when the bytes are not an entry. */
+    Either<Failure, ReplicaEntry> decodeEntry(byte[] bytes);
+
+    /** Returns the bytes of a state record. */
+    byte[] encodeRecord(StateRecord record);
+
+    /** Returns the state record, or a failure when the bytes are not a state record. */
+    Either<Failure, StateRecord> decodeRecord(byte[] bytes);
+}
