--- a/src/main/java/org/plantainwharf/control/ControlThread.java
+++ b/src/main/java/org/plantainwharf/control/ControlThread.java
@@ -7,6 +7,7 @@
 import com.google.common.flogger.FluentLogger;
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.board.BoardView;
+import org.plantainwharf.board.StatusView;
 import org.plantainwharf.effect.Effect;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.TimerEvent;
@@ -20,6 +21,7 @@
 public final class ControlThread implements EventSink {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long STATUS_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final ControlCycle cycle;
     private final Clock clock;
@@ -27,6 +29,7 @@
     private final BlockingQueue<Event> queue;
     private final Thread thread;
     private volatile BoardView view;
+    private volatile StatusView status;
     private volatile boolean stopping;
 
     private ControlThread(ControlCycle cycle, Clock clock, EffectExecutor executor, int queueCapacity) {
@@ -35,6 +38,7 @@
         this.executor = executor;
         this.queue = new ArrayBlockingQueue<>(queueCapacity);
         this.view = cycle.board().publish();
+        this.status = StatusView.of(cycle.board(), clock.nowNanos());
         this.thread = new Thread(this::run, "control");
     }
 
@@ -74,6 +78,11 @@
         return view;
     }
 
+    /** Returns the newest published status, at most about a second old. */
+    public StatusView status() {
+        return status;
+    }
+
     /** Stops the thread and waits for it. */
     public void stop() throws InterruptedException {
         stopping = true;
@@ -92,6 +101,9 @@
                 }
                 if (clock.nowNanos() - nextTick >= 0) {
                     handle(new TimerEvent.Tick());
+                    if (clock.nowNanos() - status.takenNanos() >= STATUS_PERIOD_NANOS) {
+                        status = StatusView.of(cycle.board(), clock.nowNanos());
+                    }
                     nextTick = clock.nowNanos() + TICK_NANOS;
                 }
             } catch (InterruptedException e) {
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -6,11 +6,13 @@
 
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.replicated.Query;
 import org.plantainwharf.replicated.QueryResult;
+import org.plantainwharf.replicated.StateRecord;
 
 /** A message between daemons. Immutable. */
 public sealed interface PeerMessage {
@@ -59,6 +61,12 @@
     /** Answers a read. */
     record Answer(String queryId, QueryResult result) implements PeerMessage {}
 
+    /** The leader of a record group hands accepted work to its owner; sent again until it is taken. */
+    record WorkAssigned(int group, StateRecord.Work work) implements PeerMessage {}
+
+    /** An owner took an attempt at accepted work. */
+    record WorkTaken(int group, RequestId request, int attempt) implements PeerMessage {}
+
     /**
      * Reports one host's demand to the leader of the control group.
      *
--- a/src/main/java/org/plantainwharf/record/OwnershipController.java
+++ b/src/main/java/org/plantainwharf/record/OwnershipController.java
@@ -9,6 +9,7 @@
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
 import org.plantainwharf.event.Event;
@@ -20,7 +21,9 @@
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.membership.Member;
+import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.replicated.StateRecord;
@@ -43,11 +46,14 @@
     private static final long ORDER_OWNER_SILENCE_NANOS = Duration.ofSeconds(10).toNanos();
 
     private static final long RETURN_DELAY_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final long HAND_OVER_PERIOD_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long EXPIRY_PERIOD_NANOS = Duration.ofHours(1).toNanos();
 
     private final Map<Integer, Long> leadingSince = new HashMap<>();
     private final Map<Integer, Long> lastExpiry = new HashMap<>();
     private final Map<Owner, Long> markedLost = new HashMap<>();
+    private final Map<RequestId, Integer> takenAttempts = new HashMap<>();
+    private final Map<RequestId, Long> handedOverNanos = new HashMap<>();
     private long nextRunNanos = Long.MIN_VALUE;
 
     private OwnershipController() {}
@@ -67,10 +73,13 @@
                     leadingSince.remove(changed.group());
                 }
                 markedLost.clear();
+                takenAttempts.clear();
+                handedOverNanos.clear();
             }
             case ReplicationEvent.EntryApplied applied -> {
                 if (applied.command() instanceof Command.ReturnWork giveBack
                         && applied.result() instanceof CommandResult.Done) {
+                    handedOverNanos.remove(giveBack.request());
                     board.records().assignNotBefore().put(giveBack.request(), nowNanos + RETURN_DELAY_NANOS);
                 }
             }
@@ -83,7 +92,12 @@
             case ReplicationEvent ignored -> {}
             case CallEvent ignored -> {}
             case AttemptEvent ignored -> {}
-            case PeerEvent ignored -> {}
+            case PeerEvent peer -> {
+                if (peer instanceof PeerEvent.PeerMessageReceived received
+                        && received.message() instanceof PeerMessage.WorkTaken taken) {
+                    takenAttempts.merge(taken.request(), taken.attempt(), Math::max);
+                }
+            }
             case ServerEvent ignored -> {}
             case StorageEvent ignored -> {}
             case OperatorEvent ignored -> {}
@@ -110,7 +124,7 @@
         }
     }
 
-    private static void superviseWork(
+    private void superviseWork(
             int group, long since, StateRecord.Work work, Board board, long nowNanos, Effects effects) {
         switch (work.state()) {
             case WorkState.Waiting waiting -> assign(group, work, waiting.attempt() + 1, board, nowNanos, effects);
@@ -129,12 +143,31 @@
                                 nowNanos)) {
                     effects.count("work.reassigned");
                     assign(group, work, assigned.attempt() + 1, board, nowNanos, effects);
+                } else {
+                    handOver(group, work, assigned, board, nowNanos, effects);
                 }
             }
             case WorkState.Finished finished -> {}
         }
     }
 
+    /** Tells the owner of its attempt, again until it answers. */
+    private void handOver(
+            int group,
+            StateRecord.Work work,
+            WorkState.Assigned assigned,
+            Board board,
+            long nowNanos,
+            Effects effects) {
+        Long sent = handedOverNanos.get(work.request());
+        boolean taken = takenAttempts.getOrDefault(work.request(), 0) >= assigned.attempt();
+        boolean recent = sent != null && nowNanos - sent < HAND_OVER_PERIOD_NANOS;
+        if (!taken && !recent && !assigned.owner().equals(board.membership().self())) {
+            handedOverNanos.put(work.request(), nowNanos);
+            effects.add(new PeerEffect.SendToPeer(assigned.owner(), new PeerMessage.WorkAssigned(group, work)));
+        }
+    }
+
     private static void assign(
             int group, StateRecord.Work work, int attempt, Board board, long nowNanos, Effects effects) {
         RecordSection records = board.records();
--- a/src/main/java/org/plantainwharf/record/RecordSection.java
+++ b/src/main/java/org/plantainwharf/record/RecordSection.java
@@ -19,6 +19,9 @@
  * this package. Owned by the control thread.
  */
 public final class RecordSection {
+    /** Attempts that are recognised when a leader hands them over again; it does so within seconds. */
+    private static final int REMEMBERED_ATTEMPTS = 10_000;
+
     private final Map<Integer, RecordState> states = new TreeMap<>();
     private final Map<String, PendingProposal> pending = new LinkedHashMap<>();
     private final Set<RequestId> intents = new HashSet<>();
@@ -26,6 +29,12 @@
     private final Map<RequestId, Long> assignNotBefore = new HashMap<>();
     private final Set<RequestId> assigning = new HashSet<>();
     private final List<PendingProposal.Repeatable> retries = new ArrayList<>();
+    private final Map<String, Boolean> takenAttempts = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > REMEMBERED_ATTEMPTS;
+        }
+    };
     private long proposals;
 
     private RecordSection() {}
@@ -89,6 +98,11 @@
         return Optional.ofNullable(asks.remove(queryId));
     }
 
+    /** Returns whether an attempt is handed to this host for the first time. */
+    boolean takeAttempt(RequestId attemptRequest) {
+        return takenAttempts.put(attemptRequest.value(), Boolean.TRUE) == null;
+    }
+
     Set<RequestId> assigning() {
         return assigning;
     }
--- a/src/main/java/org/plantainwharf/record/WorkController.java
+++ b/src/main/java/org/plantainwharf/record/WorkController.java
@@ -17,6 +17,7 @@
 import org.plantainwharf.effect.AttemptEffect;
 import org.plantainwharf.effect.CallEffect;
 import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.AttemptEvent;
@@ -30,11 +31,13 @@
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.replicated.Query;
 import org.plantainwharf.replicated.QueryResult;
 import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.replicated.StateRecord.WorkState;
 import org.plantainwharf.sheet.Rank;
 
 /**
@@ -59,7 +62,7 @@
             case AttemptEvent attempt -> handleAttempt(attempt, board, nowNanos, effects);
             case CallEvent call -> handleCall(call, board, effects);
             case TimerEvent timer -> handBackWhileStopping(board, effects);
-            case PeerEvent ignored -> {}
+            case PeerEvent peer -> handlePeer(peer, board, nowNanos, effects);
             case ServerEvent ignored -> {}
             case StorageEvent ignored -> {}
             case OperatorEvent ignored -> {}
@@ -74,7 +77,10 @@
                         && applied.result() instanceof CommandResult.Done
                         && assign.owner().equals(board.membership().self())
                         && assign.ownerIncarnation() == board.membership().incarnation()) {
-                    start(applied.group(), assign, board, nowNanos, effects);
+                    board.records()
+                            .state(applied.group())
+                            .work(assign.request())
+                            .ifPresent(work -> start(applied.group(), work, board, nowNanos, effects));
                 }
             }
             case ReplicationEvent.QueryAnswered answered ->
@@ -93,14 +99,28 @@
         }
     }
 
-    private static void start(int group, Command.AssignWork assign, Board board, long nowNanos, Effects effects) {
-        Optional<StateRecord.Work> known = board.records().state(group).work(assign.request());
-        if (known.isEmpty()) {
+    /** Takes work that a leader hands over; a host without a copy of the record group learns of it only this way. */
+    private static void handlePeer(PeerEvent event, Board board, long nowNanos, Effects effects) {
+        if (event instanceof PeerEvent.PeerMessageReceived received
+                && received.message() instanceof PeerMessage.WorkAssigned assigned
+                && assigned.work().state() instanceof WorkState.Assigned state
+                && state.owner().equals(board.membership().self())
+                && state.ownerIncarnation() == board.membership().incarnation()) {
+            effects.add(new PeerEffect.SendToPeer(
+                    received.peer(),
+                    new PeerMessage.WorkTaken(
+                            assigned.group(), assigned.work().request(), state.attempt())));
+            start(assigned.group(), assigned.work(), board, nowNanos, effects);
+        }
+    }
+
+    private static void start(
+            int group, StateRecord.Work work, Board board, long nowNanos, Effects effects) {
+        if (!(work.state() instanceof WorkState.Assigned assigned)) {
             return;
         }
-        StateRecord.Work work = known.get();
-        RequestId attemptRequest = RequestId.of(assign.request() + "." + assign.attempt());
-        if (board.calls().call(attemptRequest).isPresent()) {
+        RequestId attemptRequest = RequestId.of(work.request() + "." + assigned.attempt());
+        if (!board.records().takeAttempt(attemptRequest)) {
             return;
         }
         long deadlineMillis = board.configuration()
@@ -115,7 +135,7 @@
                 work.model(),
                 work.content(),
                 Digests.fingerprint(work.account(), work.content()),
-                new Origin.AcceptedWork(group, assign.attempt()),
+                new Origin.AcceptedWork(group, assigned.attempt()),
                 nowNanos,
                 nowNanos + Duration.ofMillis(deadlineMillis).toNanos())));
     }
