--- a/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
+++ b/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
@@ -1,5 +1,7 @@
 package org.plantainwharf.codec;
 
+import java.util.Optional;
+
 import io.vavr.control.Either;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
@@ -77,10 +79,7 @@
                 frame.setProposeDecided(PeerProtocol.ProposeDecided.newBuilder()
                         .setProposalId(decided.proposalId())
                         .setResult(ResultMapping.encode(decided.result())));
-            case PeerMessage.Rejected rejected ->
-                frame.setRejected(PeerProtocol.Rejected.newBuilder()
-                        .setCorrelationId(rejected.correlationId())
-                        .setReason(rejected.reason().name()));
+            case PeerMessage.Rejected rejected -> frame.setRejected(encode(rejected));
             case PeerMessage.Ask ask ->
                 frame.setAsk(PeerProtocol.Ask.newBuilder()
                         .setGroup(ask.group())
@@ -102,6 +101,14 @@
         return frame.build().toByteArray();
     }
 
+    private static PeerProtocol.Rejected encode(PeerMessage.Rejected rejected) {
+        PeerProtocol.Rejected.Builder wire = PeerProtocol.Rejected.newBuilder()
+                .setCorrelationId(rejected.correlationId())
+                .setReason(rejected.reason().name());
+        rejected.leader().ifPresent(leader -> wire.setLeader(leader.value()));
+        return wire.build();
+    }
+
     /** Returns the message in a frame, or {@link ErrorKind#FRAME_INVALID}. */
     public Either<Failure, PeerMessage> decode(byte[] bytes) {
         return Decoding.run(() -> message(PeerProtocol.Frame.parseFrom(bytes)));
@@ -138,7 +145,10 @@
             case REJECTED ->
                 new PeerMessage.Rejected(
                         frame.getRejected().getCorrelationId(),
-                        ErrorKind.valueOf(frame.getRejected().getReason()));
+                        ErrorKind.valueOf(frame.getRejected().getReason()),
+                        frame.getRejected().hasLeader()
+                                ? Optional.of(HostId.of(frame.getRejected().getLeader()))
+                                : Optional.empty());
             case ASK ->
                 new PeerMessage.Ask(
                         frame.getAsk().getGroup(),
--- a/src/main/java/org/plantainwharf/codec/ReplicaMapping.java
+++ b/src/main/java/org/plantainwharf/codec/ReplicaMapping.java
@@ -27,10 +27,10 @@
                 .setSender(ValueMapping.encode(message.sender()));
         switch (message) {
             case ReplicaMessage.PreVoteRequest request ->
-                wire.setPreVoteRequest(candidacy(request.lastIndex(), request.lastTerm()));
+                wire.setPreVoteRequest(candidacy(request.lastIndex(), request.lastTerm(), false));
             case ReplicaMessage.PreVoteAnswer answer -> wire.setPreVoteAnswer(vote(answer.granted()));
             case ReplicaMessage.VoteRequest request ->
-                wire.setVoteRequest(candidacy(request.lastIndex(), request.lastTerm()));
+                wire.setVoteRequest(candidacy(request.lastIndex(), request.lastTerm(), request.transfer()));
             case ReplicaMessage.VoteAnswer answer -> wire.setVoteAnswer(vote(answer.granted()));
             case ReplicaMessage.AppendRequest append ->
                 wire.setAppendRequest(PeerProtocol.AppendRequest.newBuilder()
@@ -62,16 +62,18 @@
                         .setLastIndex(answer.lastIndex())
                         .setReceived(answer.received())
                         .setRound(answer.round()));
+            case ReplicaMessage.LeadershipTransfer transfer -> wire.setLeadershipTransfer(ValueMapping.NOTHING);
             case ReplicaMessage.StreamRequest request ->
                 wire.setStreamRequest(PeerProtocol.StreamRequest.newBuilder().setAfterIndex(request.afterIndex()));
         }
         return wire.build();
     }
 
-    private static PeerProtocol.Candidacy candidacy(long lastIndex, long lastTerm) {
+    private static PeerProtocol.Candidacy candidacy(long lastIndex, long lastTerm, boolean transfer) {
         return PeerProtocol.Candidacy.newBuilder()
                 .setLastIndex(lastIndex)
                 .setLastTerm(lastTerm)
+                .setTransfer(transfer)
                 .build();
     }
 
@@ -97,7 +99,8 @@
                         term,
                         sender,
                         wire.getVoteRequest().getLastIndex(),
-                        wire.getVoteRequest().getLastTerm());
+                        wire.getVoteRequest().getLastTerm(),
+                        wire.getVoteRequest().getTransfer());
             case VOTE_ANSWER ->
                 new ReplicaMessage.VoteAnswer(term, sender, wire.getVoteAnswer().getGranted());
             case APPEND_REQUEST -> decode(term, sender, wire.getAppendRequest());
@@ -119,6 +122,7 @@
             case STREAM_REQUEST ->
                 new ReplicaMessage.StreamRequest(
                         term, sender, wire.getStreamRequest().getAfterIndex());
+            case LEADERSHIP_TRANSFER -> new ReplicaMessage.LeadershipTransfer(term, sender);
             case KIND_NOT_SET -> throw new DecodingException("replica message of an unknown kind");
         };
     }
--- a/src/test/java/org/plantainwharf/codec/RandomValues.java
+++ b/src/test/java/org/plantainwharf/codec/RandomValues.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 
@@ -78,6 +79,9 @@
     private Object collection(ParameterizedType type) {
         int size = random.nextInt(4);
         Type[] arguments = type.getActualTypeArguments();
+        if (type.getRawType() == Optional.class) {
+            return size == 0 ? Optional.empty() : Optional.of(any(arguments[0]));
+        }
         if (type.getRawType() == Map.class) {
             Map<Object, Object> map = new HashMap<>();
             for (int index = 0; index < size; index++) {
