--- a/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
+++ b/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
@@ -7,7 +7,9 @@
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.replicated.StateRecord;
 import org.plantainwharf.wire.PeerProtocol;
 
 /**
@@ -89,6 +91,15 @@
                 frame.setAnswer(PeerProtocol.Answer.newBuilder()
                         .setQueryId(answer.queryId())
                         .setResult(ResultMapping.encode(answer.result())));
+            case PeerMessage.WorkAssigned assigned ->
+                frame.setWorkAssigned(PeerProtocol.AssignedWork.newBuilder()
+                        .setGroup(assigned.group())
+                        .setWork(StateRecordMapping.encode(assigned.work())));
+            case PeerMessage.WorkTaken taken ->
+                frame.setWorkTaken(PeerProtocol.WorkTaken.newBuilder()
+                        .setGroup(taken.group())
+                        .setRequest(taken.request().value())
+                        .setAttempt(taken.attempt()));
             case PeerMessage.LimitDemand demand ->
                 frame.setLimitDemand(PeerProtocol.LimitDemand.newBuilder()
                         .addAllRates(ValueMapping.encodeRates(demand.requestsPerSecond())));
@@ -158,6 +169,12 @@
                 new PeerMessage.Answer(
                         frame.getAnswer().getQueryId(),
                         ResultMapping.decode(frame.getAnswer().getResult()));
+            case WORK_ASSIGNED -> workAssigned(frame.getWorkAssigned());
+            case WORK_TAKEN ->
+                new PeerMessage.WorkTaken(
+                        frame.getWorkTaken().getGroup(),
+                        RequestId.of(frame.getWorkTaken().getRequest()),
+                        frame.getWorkTaken().getAttempt());
             case LIMIT_DEMAND ->
                 new PeerMessage.LimitDemand(
                         ValueMapping.decodeRates(frame.getLimitDemand().getRatesList()));
@@ -169,4 +186,11 @@
             case KIND_NOT_SET -> throw new DecodingException("message of an unknown kind");
         };
     }
+
+    private static PeerMessage.WorkAssigned workAssigned(PeerProtocol.AssignedWork wire) {
+        if (StateRecordMapping.decode(wire.getWork()) instanceof StateRecord.Work work) {
+            return new PeerMessage.WorkAssigned(wire.getGroup(), work);
+        }
+        throw new DecodingException("assigned record is not accepted work");
+    }
 }
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -6,8 +6,8 @@
 
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.identity.AccountName;
-import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.replicated.Query;
--- a/src/main/java/org/plantainwharf/record/OwnershipController.java
+++ b/src/main/java/org/plantainwharf/record/OwnershipController.java
@@ -81,6 +81,9 @@
                         && applied.result() instanceof CommandResult.Done) {
                     handedOverNanos.remove(giveBack.request());
                     board.records().assignNotBefore().put(giveBack.request(), nowNanos + RETURN_DELAY_NANOS);
+                } else if (applied.command() instanceof Command.CompleteWork complete) {
+                    handedOverNanos.remove(complete.request());
+                    takenAttempts.remove(complete.request());
                 }
             }
             case TimerEvent timer -> {
--- a/src/main/java/org/plantainwharf/record/WorkController.java
+++ b/src/main/java/org/plantainwharf/record/WorkController.java
@@ -108,14 +108,12 @@
                 && state.ownerIncarnation() == board.membership().incarnation()) {
             effects.add(new PeerEffect.SendToPeer(
                     received.peer(),
-                    new PeerMessage.WorkTaken(
-                            assigned.group(), assigned.work().request(), state.attempt())));
+                    new PeerMessage.WorkTaken(assigned.group(), assigned.work().request(), state.attempt())));
             start(assigned.group(), assigned.work(), board, nowNanos, effects);
         }
     }
 
-    private static void start(
-            int group, StateRecord.Work work, Board board, long nowNanos, Effects effects) {
+    private static void start(int group, StateRecord.Work work, Board board, long nowNanos, Effects effects) {
         if (!(work.state() instanceof WorkState.Assigned assigned)) {
             return;
         }
