Admit, place and retry calls

A call that arrives had no controller. Admission now queues calls by destination, rank and account, refuses early with a reason, and admits within a capacity window that the hosts share. Orders and accepted work leave their ends to the record package.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/admission/AdmissionController.java
@@ -0,0 +1,282 @@
+package org.plantainwharf.admission;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.board.CallEnding;
+import org.plantainwharf.call.Call;
+import org.plantainwharf.call.CallEntry;
+import org.plantainwharf.call.CallKind;
+import org.plantainwharf.call.CallState;
+import org.plantainwharf.call.Origin;
+import org.plantainwharf.consensus.GroupStatus;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.sheet.ClientAccount;
+import org.plantainwharf.sheet.Rank;
+import org.plantainwharf.sheet.Sheet;
+
+/**
+ * Takes calls that arrive, refuses those that cannot be served in time, and admits the others within the capacity
+ * estimate. A call that holds an accepted promise, {@link Origin.AcceptedWork}, is only queued, never refused for lack
+ * of room.
+ *
+ * <p>Stateless; its state is the {@link AdmissionSection}. Used by the control thread only.
+ */
+public final class AdmissionController implements Controller {
+    /** Age after which a capacity estimate is computed again; short against the period of load reports. */
+    private static final long ESTIMATE_NANOS = 20_000_000;
+
+    /**
+     * Silence of a record group's leader after which orders are not queued: an election takes up to 2 s, and the record
+     * package refuses such orders at once.
+     */
+    private static final long CONTACT_NANOS = 1_500_000_000;
+
+    private static final Duration SERVER_RETRY_AFTER = Duration.ofSeconds(1);
+    private static final Duration LONGEST_RETRY_AFTER = Duration.ofSeconds(60);
+
+    private AdmissionController() {}
+
+    /** Returns a controller. */
+    public static AdmissionController create() {
+        return new AdmissionController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case CallEvent call -> handleCall(call, board, nowNanos, effects);
+            case AttemptEvent attempt -> {}
+            case ServerEvent server -> admitAll(board, nowNanos);
+            case TimerEvent timer -> {
+                expire(board, nowNanos, effects);
+                admitAll(board, nowNanos);
+            }
+            case PeerEvent peer -> {}
+            case StorageEvent storage -> {}
+            case ReplicationEvent replication -> {}
+            case OperatorEvent operator -> {}
+            case PlatformEvent platform -> {}
+        }
+    }
+
+    private static void handleCall(CallEvent event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case CallEvent.CallArrived arrived -> arrive(arrived.call(), board, nowNanos, effects);
+            case CallEvent.CallRefused refused -> end(refused.call(), board, nowNanos);
+            case CallEvent.CallFinished finished -> end(finished.call(), board, nowNanos);
+            case CallEvent.CallerLeft left -> {}
+            case CallEvent.WorkAsked asked -> {}
+        }
+    }
+
+    private static void arrive(Call call, Board board, long nowNanos, Effects effects) {
+        CallEntry entry = board.calls().add(call);
+        Failure refusal = refusal(call, board, nowNanos);
+        if (refusal != null) {
+            CallEnding.fail(board, effects, entry, refusal);
+        } else if (needsNoCapacity(call, board, nowNanos)) {
+            board.calls().advance(entry, new CallState.Recording(nowNanos));
+        } else {
+            enqueue(entry, board, nowNanos);
+        }
+    }
+
+    private static @Nullable Failure refusal(Call call, Board board, long nowNanos) {
+        if (board.drain().refusesCalls()) {
+            return Failure.of(ErrorKind.DRAINING);
+        }
+        Sheet sheet = board.configuration().inForce().orElse(null);
+        if (sheet == null) {
+            return Failure.of(ErrorKind.CONFIGURATION_MISSING);
+        }
+        return switch (call.origin()) {
+            case Origin.AcceptedWork work -> null;
+            case Origin.Caller caller -> callerRefusal(call, sheet, board, nowNanos);
+        };
+    }
+
+    private static @Nullable Failure callerRefusal(Call call, Sheet sheet, Board board, long nowNanos) {
+        Rank rank = sheet.ranks().get(call.rank());
+        ClientAccount account = sheet.accounts().get(call.account());
+        if (rank == null || account == null) {
+            return Failure.of(ErrorKind.RANK_NOT_ALLOWED, call.rank().value());
+        }
+        if (board.quarantine().isQuarantined(call.fingerprint(), board.wallClockMillis())) {
+            return Failure.of(ErrorKind.REQUEST_QUARANTINED);
+        }
+        Optional<Duration> overLimit = board.limits().refusal(call.id());
+        if (overLimit.isPresent()) {
+            return Failure.of(ErrorKind.ACCOUNT_LIMIT_EXCEEDED, account.name().value())
+                    .withRetryAfter(overLimit.get());
+        }
+        if (needsNoCapacity(call, board, nowNanos)) {
+            return null;
+        }
+        Destination destination = Destination.of(call.kind());
+        if (board.routing().servers(destination).isEmpty()) {
+            return Failure.of(ErrorKind.NO_SERVER_AVAILABLE, destination.label())
+                    .withRetryAfter(SERVER_RETRY_AFTER);
+        }
+        return queueRefusal(call, rank, account, destination, board, nowNanos);
+    }
+
+    private static @Nullable Failure queueRefusal(
+            Call call, Rank rank, ClientAccount account, Destination destination, Board board, long nowNanos) {
+        AdmissionSection section = board.admission();
+        RankQueue queue = section.destination(destination).rank(rank.name(), nowNanos);
+        queue.update(nowNanos);
+        double ahead = queue.calls().callsAhead(account.name(), account.weight());
+        double waitMillis = 1_000 * queue.predictedWaitSeconds(ahead);
+        if (section.queued(rank.name(), account.name())
+                >= board.settings().bounds().accountQueueCapacity()) {
+            return Failure.of(ErrorKind.ACCOUNT_QUEUE_FULL, account.name().value())
+                    .withRetryAfter(retryAfter(waitMillis));
+        }
+        if (section.queued(rank.name()) >= board.settings().bounds().rankQueueCapacity()) {
+            return Failure.of(ErrorKind.RANK_QUEUE_FULL, rank.name().value()).withRetryAfter(retryAfter(waitMillis));
+        }
+        double remainingMillis = rank.latencyTargetMillis() - (nowNanos - call.arrivedNanos()) / 1e6;
+        if (queue.calls().size() > 0 && waitMillis > remainingMillis) {
+            return Failure.of(ErrorKind.DEADLINE_UNREACHABLE, Math.round(waitMillis))
+                    .withRetryAfter(retryAfter(waitMillis - remainingMillis));
+        }
+        return null;
+    }
+
+    /** Returns a delay in whole seconds, as the header states it, from 1 second on. */
+    private static Duration retryAfter(double millis) {
+        Duration delay = Duration.ofSeconds((long) Math.ceil(Math.max(1, millis) / 1_000));
+        return delay.compareTo(LONGEST_RETRY_AFTER) > 0 ? LONGEST_RETRY_AFTER : delay;
+    }
+
+    /**
+     * Says whether a call goes on without waiting for a slot: accepting long work needs no server, and an order
+     * without a majority is refused by the record package without delay.
+     */
+    private static boolean needsNoCapacity(Call call, Board board, long nowNanos) {
+        if (!(call.origin() instanceof Origin.Caller)) {
+            return false;
+        }
+        return switch (call.kind()) {
+            case CallKind.LongWork work -> true;
+            case CallKind.Order order -> !recordGroupsReachable(board, nowNanos);
+            case CallKind.Model model -> false;
+            case CallKind.Service service -> false;
+        };
+    }
+
+    private static boolean recordGroupsReachable(Board board, long nowNanos) {
+        for (int group = 1; group <= board.settings().recordGroups(); group++) {
+            GroupStatus status = board.consensus().group(group);
+            if (status.leader().isEmpty() || nowNanos - status.lastContactNanos() > CONTACT_NANOS) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static void enqueue(CallEntry entry, Board board, long nowNanos) {
+        Call call = entry.call();
+        AdmissionSection section = board.admission();
+        DestinationQueue destination = section.destination(Destination.of(call.kind()));
+        RankQueue queue = destination.rank(call.rank(), nowNanos);
+        queue.update(nowNanos);
+        double weight = board.configuration()
+                .inForce()
+                .map(sheet -> sheet.accounts().get(call.account()))
+                .map(ClientAccount::weight)
+                .orElse(1.0);
+        queue.calls().add(entry, weight);
+        section.countAdded(call, destination);
+        board.calls().advance(entry, new CallState.Queued(nowNanos));
+        admit(destination, board, nowNanos);
+    }
+
+    private static void admitAll(Board board, long nowNanos) {
+        for (DestinationQueue destination : board.admission().destinations()) {
+            admit(destination, board, nowNanos);
+        }
+    }
+
+    private static void admit(DestinationQueue destination, Board board, long nowNanos) {
+        Sheet sheet = board.configuration().inForce().orElse(null);
+        if (sheet == null || destination.size() == 0) {
+            return;
+        }
+        CapacityEstimate capacity = destination.capacity();
+        if (capacity.servers() == 0 || nowNanos - capacity.computedNanos() >= ESTIMATE_NANOS) {
+            capacity = CapacityEstimate.compute(board, destination.destination(), nowNanos);
+            destination.setCapacity(capacity);
+        }
+        while (destination.size() > 0 && capacity.hasRoom(destination.admitted())) {
+            boolean onlyHighestWorth = !capacity.hasRoomForAll(destination.admitted());
+            RankQueue queue = destination.next(sheet.ranks(), onlyHighestWorth, nowNanos);
+            CallEntry entry = queue == null ? null : queue.calls().poll();
+            if (queue == null || entry == null) {
+                return;
+            }
+            board.admission().countRemoved(entry.call(), destination);
+            queue.served();
+            admit(entry, destination, board, nowNanos);
+        }
+    }
+
+    private static void admit(CallEntry entry, DestinationQueue destination, Board board, long nowNanos) {
+        Call call = entry.call();
+        destination.countAdmitted(1);
+        board.admission()
+                .putAdmitted(
+                        call.id(), new AdmissionSection.Admitted(destination.destination(), call.rank(), nowNanos));
+        boolean recordFirst = call.kind() instanceof CallKind.Order;
+        board.calls().advance(entry, recordFirst ? new CallState.Recording(nowNanos) : new CallState.Ready(nowNanos));
+    }
+
+    /** Gives back the capacity of a call that ended, or its place in the queue. */
+    private static void end(Call call, Board board, long nowNanos) {
+        AdmissionSection section = board.admission();
+        AdmissionSection.Admitted admitted = section.removeAdmitted(call.id());
+        if (admitted != null) {
+            DestinationQueue destination = section.destination(admitted.destination());
+            destination.countAdmitted(-1);
+            destination.rank(admitted.rank(), nowNanos).learnHolding((nowNanos - admitted.sinceNanos()) / 1e9);
+            admit(destination, board, nowNanos);
+        } else if (section.isQueued(call.id())) {
+            DestinationQueue destination = section.destination(Destination.of(call.kind()));
+            RankQueue queue = destination.rank(call.rank(), nowNanos);
+            queue.update(nowNanos);
+            for (CallEntry removed :
+                    queue.calls().removeIf(entry -> entry.call().id().equals(call.id()))) {
+                section.countRemoved(removed.call(), destination);
+            }
+        }
+    }
+
+    private static void expire(Board board, long nowNanos, Effects effects) {
+        for (DestinationQueue destination : board.admission().destinations()) {
+            for (RankQueue queue : destination.ranks()) {
+                queue.update(nowNanos);
+                for (CallEntry entry : queue.calls()
+                        .removeIf(waiting -> nowNanos - waiting.call().deadlineNanos() >= 0)) {
+                    board.admission().countRemoved(entry.call(), destination);
+                    CallEnding.fail(board, effects, entry, Failure.of(ErrorKind.QUEUE_TIMEOUT));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/admission/CapacityEstimate.java
@@ -0,0 +1,75 @@
+package org.plantainwharf.admission;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.membership.Member;
+import org.plantainwharf.routing.ServerTrack;
+
+/**
+ * How many calls this host may have admitted for one destination. Immutable.
+ *
+ * <p>Every host sees the same reported load, some time late. If each filled all free slots, they would be filled once
+ * per host. So the free slots of a report are divided by the number of hosts, and what this host had running when the
+ * report arrived stays its own. A part of all slots is divided evenly whatever runs now, so that a host without running
+ * calls is not kept out by the others. Over all hosts, the windows sum to the slots.
+ *
+ * @param window calls that this host may have admitted on servers that take new work
+ * @param elsewhere this host's calls on servers that take no new work
+ * @param servers servers that take new work
+ * @param computedNanos when it was computed
+ */
+record CapacityEstimate(double window, int elsewhere, int servers, long computedNanos) {
+    /** Share of all slots that is divided evenly between hosts. */
+    private static final double EVEN_SHARE = 0.05;
+
+    /**
+     * Part of the window by which the highest ranks may exceed it. Their calls then wait at the engine, ahead of other
+     * work by priority, for the first slot that any host frees, not only for one that this host frees.
+     */
+    private static final double EXCESS_SHARE = 0.1;
+
+    /** Returns the estimate before any server is known. */
+    static CapacityEstimate none() {
+        return new CapacityEstimate(0, 0, 0, Long.MIN_VALUE);
+    }
+
+    /** Returns the estimate from what is known of the servers now. */
+    static CapacityEstimate compute(Board board, Destination destination, long nowNanos) {
+        int hosts = hosts(board);
+        double window = 0;
+        int elsewhere = 0;
+        int servers = 0;
+        for (ServerTrack track : board.routing().servers(destination)) {
+            if (!track.entry().acceptsNewWork(nowNanos)) {
+                elsewhere += track.entry().inFlight();
+                continue;
+            }
+            servers++;
+            int slots = track.entry().announcement().slots();
+            int load = track.entry().announcement().load().running()
+                    + track.entry().announcement().load().queued();
+            double own = Math.max(0, track.inFlightAtReport() + (double) (slots - load) / hosts);
+            window += EVEN_SHARE * slots / hosts + (1 - EVEN_SHARE) * own;
+        }
+        return new CapacityEstimate(servers == 0 ? 0 : Math.max(1, window), elsewhere, servers, nowNanos);
+    }
+
+    /** Says whether one more call of the highest worth, or of a rank below its floor, may be admitted. */
+    boolean hasRoom(int admitted) {
+        return servers > 0 && admitted - elsewhere + 1 <= window + Math.max(1, EXCESS_SHARE * window);
+    }
+
+    /** Says whether one more call of any rank may be admitted. */
+    boolean hasRoomForAll(int admitted) {
+        return servers > 0 && admitted - elsewhere + 1 <= window;
+    }
+
+    private static int hosts(Board board) {
+        int hosts = 1;
+        for (Member member : board.membership().members()) {
+            if (member.linked() && !member.draining()) {
+                hosts++;
+            }
+        }
+        return hosts;
+    }
+}
--- a/src/main/java/org/plantainwharf/limit/LimitSection.java
+++ b/src/main/java/org/plantainwharf/limit/LimitSection.java
@@ -1,5 +1,10 @@
 package org.plantainwharf.limit;
 
+import java.time.Duration;
+import java.util.Optional;
+
+import org.plantainwharf.identity.RequestId;
+
 /** Shares of account limits. Written by the controllers of this package. Owned by the control thread. */
 public final class LimitSection {
     private LimitSection() {}
@@ -8,4 +13,9 @@
     public static LimitSection create() {
         return new LimitSection();
     }
+
+    /** Returns after what delay a call of an account may come again, empty if the call is within the limit. */
+    public Optional<Duration> refusal(RequestId request) {
+        return Optional.empty();
+    }
 }
--- /dev/null
+++ b/src/main/java/org/plantainwharf/retry/CallHistory.java
@@ -0,0 +1,74 @@
+package org.plantainwharf.retry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.error.Ran;
+import org.plantainwharf.identity.ServerId;
+
+/** What is remembered of a call whose attempt failed, until the call ends. Owned by the control thread. */
+final class CallHistory {
+    private final Map<ServerId, Long> failedAt = new HashMap<>();
+    private Ran ran = Ran.NO;
+    private String reason;
+    private Failure failure;
+    private boolean held;
+    private long heldSinceNanos;
+
+    private CallHistory(String reason, Failure failure) {
+        this.reason = reason;
+        this.failure = failure;
+    }
+
+    static CallHistory create(String reason, Failure failure) {
+        return new CallHistory(reason, failure);
+    }
+
+    void add(ServerId server, long nowNanos, Ran attemptRan, String attemptReason, Failure attemptFailure) {
+        failedAt.put(server, nowNanos);
+        reason = attemptReason;
+        failure = attemptFailure;
+        if (attemptRan != Ran.NO && ran != Ran.YES) {
+            ran = attemptRan;
+        }
+    }
+
+    boolean failedSince(ServerId server, long nanos) {
+        Long at = failedAt.get(server);
+        return at != null && at - nanos > 0;
+    }
+
+    /** Returns whether any attempt ran, {@code NO} only if it is certain that none did. */
+    Ran ran() {
+        return ran;
+    }
+
+    /** Returns the code of the newest problem. */
+    String reason() {
+        return reason;
+    }
+
+    /** Returns what the caller is told if no further attempt succeeds. */
+    Failure failure() {
+        return failure.withRan(ran);
+    }
+
+    /** Says whether the next attempt waits for the retry budget. */
+    boolean held() {
+        return held;
+    }
+
+    long heldSinceNanos() {
+        return heldSinceNanos;
+    }
+
+    void hold(long nowNanos) {
+        held = true;
+        heldSinceNanos = nowNanos;
+    }
+
+    void release() {
+        held = false;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/retry/RetryBudget.java
@@ -0,0 +1,59 @@
+package org.plantainwharf.retry;
+
+import java.util.Arrays;
+
+/**
+ * Retries allowed in a sliding window: a tenth of the first attempts in it, at least a few. So a failing zone adds at
+ * most a tenth to the load of the others. Owned by the control thread.
+ */
+final class RetryBudget {
+    private static final int WINDOW_SECONDS = 10;
+    private static final double SHARE = 0.1;
+    private static final int MINIMUM = 3;
+
+    private final long[] seconds = new long[WINDOW_SECONDS];
+    private final int[] attempts = new int[WINDOW_SECONDS];
+    private final int[] retries = new int[WINDOW_SECONDS];
+
+    private RetryBudget() {
+        Arrays.fill(seconds, Long.MIN_VALUE);
+    }
+
+    static RetryBudget create() {
+        return new RetryBudget();
+    }
+
+    /** Counts the first attempt of a call. */
+    void countAttempt(long nowNanos) {
+        attempts[slot(nowNanos)]++;
+    }
+
+    /** Counts a retry if one is left. */
+    boolean tryRetry(long nowNanos) {
+        long second = Math.floorDiv(nowNanos, 1_000_000_000L);
+        int recentAttempts = 0;
+        int recentRetries = 0;
+        for (int slot = 0; slot < WINDOW_SECONDS; slot++) {
+            if (seconds[slot] > second - WINDOW_SECONDS) {
+                recentAttempts += attempts[slot];
+                recentRetries += retries[slot];
+            }
+        }
+        if (recentRetries >= Math.max(MINIMUM, SHARE * recentAttempts)) {
+            return false;
+        }
+        retries[slot(nowNanos)]++;
+        return true;
+    }
+
+    private int slot(long nowNanos) {
+        long second = Math.floorDiv(nowNanos, 1_000_000_000L);
+        int slot = (int) Math.floorMod(second, (long) WINDOW_SECONDS);
+        if (seconds[slot] != second) {
+            seconds[slot] = second;
+            attempts[slot] = 0;
+            retries[slot] = 0;
+        }
+        return slot;
+    }
+}
--- a/src/main/java/org/plantainwharf/retry/RetrySection.java
+++ b/src/main/java/org/plantainwharf/retry/RetrySection.java
@@ -1,11 +1,89 @@
 package org.plantainwharf.retry;
 
-/** Retry budget and reasons. Written by the controllers of this package. Owned by the control thread. */
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.identity.AttemptId;
+import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.identity.ServerId;
+
+/**
+ * Retry budget, failed attempts of live calls, and deadlines. Written by the controllers of this package. Owned by the
+ * control thread.
+ */
 public final class RetrySection {
+    /** Time for which a call avoids a server on which it failed; afterwards the only server left may be tried again. */
+    private static final long AVOID_NANOS = 500_000_000;
+
+    private final RetryBudget budget = RetryBudget.create();
+    private final Map<RequestId, CallHistory> histories = new HashMap<>();
+    private final Map<RequestId, Progress> progress = new HashMap<>();
+    private final Deque<RequestId> held = new ArrayDeque<>();
+    private final PriorityQueue<Deadline> deadlines = new PriorityQueue<>(Comparator.comparingLong(Deadline::nanos));
+
     private RetrySection() {}
 
     /** Returns an empty section. */
     public static RetrySection create() {
         return new RetrySection();
     }
+
+    /** Says whether a ready call must wait, because the retry budget is used up. */
+    public boolean holds(RequestId request, long nowNanos) {
+        CallHistory history = histories.get(request);
+        return history != null && history.held();
+    }
+
+    /** Says whether a call should not be sent to a server, because it failed there just now. */
+    public boolean avoids(RequestId request, ServerId server, long nowNanos) {
+        CallHistory history = histories.get(request);
+        return history != null && history.failedSince(server, nowNanos - AVOID_NANOS);
+    }
+
+    /** Returns the code of the problem that makes the next attempt of a call compute again, null if none does. */
+    public @Nullable String reasonToRecompute(RequestId request) {
+        CallHistory history = histories.get(request);
+        return history == null ? null : history.reason();
+    }
+
+    /** Returns the number of calls that wait for the retry budget. */
+    public int heldCalls() {
+        return held.size();
+    }
+
+    RetryBudget budget() {
+        return budget;
+    }
+
+    Map<RequestId, CallHistory> histories() {
+        return histories;
+    }
+
+    Map<RequestId, Progress> progress() {
+        return progress;
+    }
+
+    Deque<RequestId> held() {
+        return held;
+    }
+
+    PriorityQueue<Deadline> deadlines() {
+        return deadlines;
+    }
+
+    void forget(RequestId request) {
+        histories.remove(request);
+        progress.remove(request);
+    }
+
+    /** Tokens counted for the running attempt of a call. */
+    record Progress(AttemptId attempt, int tokens) {}
+
+    /** When a call's answer stops being of use. */
+    record Deadline(long nanos, RequestId request) {}
 }
--- /dev/null
+++ b/src/main/java/org/plantainwharf/routing/Placement.java
@@ -0,0 +1,108 @@
+package org.plantainwharf.routing;
+
+import org.plantainwharf.admission.Destination;
+import org.plantainwharf.call.Call;
+import org.plantainwharf.identity.AttemptId;
+import org.plantainwharf.server.ServerEntry;
+
+/**
+ * An attempt that was sent and whose end was not reported yet. Mutable; owned by the control thread.
+ */
+public final class Placement {
+    private final AttemptId attempt;
+    private final Call call;
+    private final Destination destination;
+    private final ServerTrack track;
+    private final ServerEntry entry;
+    private final long incarnation;
+    private final long startedNanos;
+    private final boolean startedWithFreeSlot;
+    private final int cachedTokens;
+    private final boolean suspect;
+    private long firstTokenNanos = Long.MIN_VALUE;
+    private int tokens;
+
+    private Placement(
+            AttemptId attempt, Call call, ServerTrack track, int cachedTokens, boolean suspect, long startedNanos) {
+        this.attempt = attempt;
+        this.call = call;
+        this.destination = Destination.of(call.kind());
+        this.track = track;
+        this.entry = track.entry();
+        this.incarnation = entry.announcement().incarnation();
+        this.startedNanos = startedNanos;
+        this.startedWithFreeSlot = track.load() < entry.announcement().slots();
+        this.cachedTokens = cachedTokens;
+        this.suspect = suspect;
+    }
+
+    static Placement create(
+            AttemptId attempt, Call call, ServerTrack track, int cachedTokens, boolean suspect, long startedNanos) {
+        return new Placement(attempt, call, track, cachedTokens, suspect, startedNanos);
+    }
+
+    /** Returns the attempt. */
+    public AttemptId attempt() {
+        return attempt;
+    }
+
+    /** Returns the call. */
+    public Call call() {
+        return call;
+    }
+
+    /** Returns what the call needs. */
+    public Destination destination() {
+        return destination;
+    }
+
+    /** Returns the server's entry when the attempt was sent. */
+    public ServerEntry entry() {
+        return entry;
+    }
+
+    /** Returns the incarnation of the server's process to which the attempt was sent. */
+    public long incarnation() {
+        return incarnation;
+    }
+
+    /** Returns when the attempt was sent. */
+    public long startedNanos() {
+        return startedNanos;
+    }
+
+    /** Says whether it is a suspect request that runs alone on the server. */
+    public boolean suspect() {
+        return suspect;
+    }
+
+    ServerTrack track() {
+        return track;
+    }
+
+    /** Says whether the server had a free slot, so that the times seen are not times of waiting. */
+    boolean startedWithFreeSlot() {
+        return startedWithFreeSlot;
+    }
+
+    /** Returns how many tokens of the prompt the server was believed to hold already. */
+    int cachedTokens() {
+        return cachedTokens;
+    }
+
+    long firstTokenNanos() {
+        return firstTokenNanos;
+    }
+
+    void setFirstTokenNanos(long value) {
+        firstTokenNanos = value;
+    }
+
+    int tokens() {
+        return tokens;
+    }
+
+    void addTokens(int value) {
+        tokens += value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/routing/PrefixHints.java
@@ -0,0 +1,76 @@
+package org.plantainwharf.routing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.plantainwharf.identity.ServerId;
+
+/**
+ * Which servers are believed to hold which prompt blocks. Only hints: a wrong one costs time, never a wrong answer. The
+ * number of blocks is bounded; the least recently used block is dropped first. Owned by the control thread.
+ */
+final class PrefixHints {
+    /** About 5 MB; a daemon has 64 MB for control at full size. */
+    private static final int MAXIMUM_BLOCKS = 32_768;
+
+    /** Servers remembered for one block; more do not improve a choice among a few candidates. */
+    private static final int MAXIMUM_SERVERS = 8;
+
+    private final Map<Long, List<ServerId>> holders = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, List<ServerId>> eldest) {
+            return size() > MAXIMUM_BLOCKS;
+        }
+    };
+
+    private PrefixHints() {}
+
+    static PrefixHints create() {
+        return new PrefixHints();
+    }
+
+    void stored(ServerId server, List<Long> blocks) {
+        for (Long block : blocks) {
+            List<ServerId> servers = holders.computeIfAbsent(block, key -> new ArrayList<>(1));
+            if (!servers.contains(server)) {
+                if (servers.size() == MAXIMUM_SERVERS) {
+                    servers.removeFirst();
+                }
+                servers.add(server);
+            }
+        }
+    }
+
+    void evicted(ServerId server, List<Long> blocks) {
+        for (Long block : blocks) {
+            List<ServerId> servers = holders.get(block);
+            if (servers != null && servers.remove(server) && servers.isEmpty()) {
+                holders.remove(block);
+            }
+        }
+    }
+
+    void forget(ServerId server) {
+        holders.values().removeIf(servers -> servers.remove(server) && servers.isEmpty());
+    }
+
+    /**
+     * Returns, for each server that holds a prefix of the prompt, the number of blocks held. Hashes cover all blocks
+     * before them, so the last block that a server holds decides.
+     */
+    Map<ServerId, Integer> heldBlocks(List<Long> blocks) {
+        Map<ServerId, Integer> held = new LinkedHashMap<>();
+        for (int index = blocks.size() - 1; index >= 0; index--) {
+            for (ServerId server : holders.getOrDefault(blocks.get(index), List.of())) {
+                held.putIfAbsent(server, index + 1);
+            }
+        }
+        return held;
+    }
+
+    int size() {
+        return holders.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/routing/ServerTrack.java
@@ -0,0 +1,123 @@
+package org.plantainwharf.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.plantainwharf.admission.Destination;
+import org.plantainwharf.server.LoadReport;
+import org.plantainwharf.server.ServerEntry;
+
+/** What routing keeps of one backend server besides its entry in the registry. Owned by the control thread. */
+public final class ServerTrack {
+    private ServerEntry entry;
+    private Set<Destination> destinations = Set.of();
+    private final Map<Destination, LearnedSpeed> speeds = new HashMap<>();
+    private long reportNanos;
+    private int inFlightAtReport;
+    private boolean runsSuspect;
+    private boolean hintsStale = true;
+    private long cacheIncarnation;
+    private long cacheSequence;
+    private long cacheAskedNanos = Long.MIN_VALUE;
+    private long lastUsedNanos = Long.MIN_VALUE;
+
+    private ServerTrack(ServerEntry entry) {
+        this.entry = entry;
+        this.reportNanos = entry.reportedAtNanos();
+        this.inFlightAtReport = entry.inFlight();
+    }
+
+    static ServerTrack create(ServerEntry entry) {
+        return new ServerTrack(entry);
+    }
+
+    /** Returns the server's entry in the registry. */
+    public ServerEntry entry() {
+        return entry;
+    }
+
+    /** Returns the number of this host's calls that the newest load report can contain. */
+    public int inFlightAtReport() {
+        return inFlightAtReport;
+    }
+
+    /**
+     * Returns the load now: the newest report, corrected by what this host started and saw ending since. Never below
+     * this host's own running calls.
+     */
+    public int load() {
+        LoadReport report = entry.announcement().load();
+        int corrected = report.running() + report.queued() + entry.inFlight() - inFlightAtReport;
+        return Math.max(entry.inFlight(), corrected);
+    }
+
+    /** Takes over a newer report, if there is one. */
+    void refresh(ServerEntry current) {
+        if (current != entry || current.reportedAtNanos() != reportNanos) {
+            entry = current;
+            reportNanos = current.reportedAtNanos();
+            inFlightAtReport = current.inFlight();
+        }
+    }
+
+    Set<Destination> destinations() {
+        return destinations;
+    }
+
+    void setDestinations(Set<Destination> values) {
+        destinations = values;
+        speeds.keySet().retainAll(values);
+    }
+
+    LearnedSpeed speed(Destination destination, LearnedSpeed mean) {
+        return speeds.computeIfAbsent(destination, key -> mean.copy());
+    }
+
+    /** Says whether the server runs a suspect request of this host, which must stay alone. */
+    public boolean runsSuspect() {
+        return runsSuspect;
+    }
+
+    void setRunsSuspect(boolean value) {
+        runsSuspect = value;
+    }
+
+    /** Says whether cache events were missed, so that nothing is known of the prefixes that the engine holds. */
+    boolean hintsStale() {
+        return hintsStale;
+    }
+
+    void setHintsStale(boolean value) {
+        hintsStale = value;
+    }
+
+    long cacheIncarnation() {
+        return cacheIncarnation;
+    }
+
+    long cacheSequence() {
+        return cacheSequence;
+    }
+
+    void setCachePosition(long incarnation, long sequence) {
+        cacheIncarnation = incarnation;
+        cacheSequence = sequence;
+    }
+
+    long cacheAskedNanos() {
+        return cacheAskedNanos;
+    }
+
+    void setCacheAskedNanos(long value) {
+        cacheAskedNanos = value;
+    }
+
+    long lastUsedNanos() {
+        return lastUsedNanos;
+    }
+
+    void setLastUsedNanos(long value) {
+        lastUsedNanos = value;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/retry/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of retries. */
+@NullMarked
+package org.plantainwharf.retry;
+
+import org.jspecify.annotations.NullMarked;
