Add the caller front and the client towards backend servers

Callers and backend servers had no HTTP edge. The front turns requests into events and writes the answers; the client runs attempts, checks the identity and wholeness of answers and keeps the text that a resumed stream continues.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/backend/BackendClient.java
@@ -0,0 +1,214 @@
+package org.plantainwharf.backend;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.control.Clock;
+import org.plantainwharf.control.EventSink;
+import org.plantainwharf.effect.AttemptEffect;
+import org.plantainwharf.effect.ServerEffect;
+import org.plantainwharf.identity.AttemptId;
+import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.settings.Settings;
+
+/**
+ * Runs attempts on backend servers and reports what becomes of them.
+ *
+ * <p>Thread-safe. The {@code execute} methods return at once; effects are started in the order given, on a thread of
+ * this client, since posting an event can block and the control thread must not wait for its own queue.
+ */
+public final class BackendClient implements AutoCloseable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    // A healthy server in the same region accepts within a few milliseconds.
+    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+    // Below the idle limits that servers commonly have, so that this side closes idle connections first.
+    private static final long IDLE_TIMEOUT_MILLIS = 4_000;
+    private static final int MAXIMUM_CONNECTIONS_PER_SERVER = 1_024;
+    private static final int MAXIMUM_THREADS = 24;
+    private static final long SWEEP_MILLIS = 1_000;
+    // Longest pause between two attempts at accepted work after which its text is still kept.
+    private static final long KEEP_TEXT_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    private final AttemptContext context;
+    private final ServerExchanges exchanges;
+    private final ExecutorService starter =
+            Executors.newSingleThreadExecutor(task -> new Thread(task, "backend-starter"));
+    private final Map<AttemptId, RunningAttempt> running = new ConcurrentHashMap<>();
+    private final Map<RequestId, CallProgress> progresses = new ConcurrentHashMap<>();
+    private volatile Scheduler.@Nullable Task sweep;
+    private volatile boolean closed;
+
+    private BackendClient(AttemptContext context) {
+        this.context = context;
+        this.exchanges = ServerExchanges.create(context);
+    }
+
+    /**
+     * Returns a started client.
+     *
+     * @param sinks the callers that wait for streamed answers
+     * @throws IllegalStateException if the HTTP client cannot be started
+     */
+    public static BackendClient create(
+            Settings settings, Clock clock, EventSink events, AnswerSinks sinks, MetricRegistry metrics) {
+        BackendClient client = new BackendClient(new AttemptContext(
+                startedClient("backend"),
+                startedClient("backend-direct"),
+                ConnectionPools.create(),
+                clock,
+                events,
+                sinks,
+                metrics,
+                settings.bounds().maximumAnswerBytes()));
+        client.scheduleSweep();
+        return client;
+    }
+
+    private static HttpClient startedClient(String name) {
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(1);
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, 4);
+        threads.setName(name);
+        threads.setDaemon(true);
+        client.setExecutor(threads);
+        client.setName(name);
+        client.setFollowRedirects(false);
+        client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+        client.setDestinationIdleTimeout(2 * IDLE_TIMEOUT_MILLIS);
+        client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS_PER_SERVER);
+        client.setUserAgentField(null);
+        try {
+            client.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("HTTP client cannot be started", e);
+        }
+        client.getProtocolHandlers().clear();
+        client.getContentDecoderFactories().clear();
+        return client;
+    }
+
+    /** Starts or cancels an attempt. */
+    public void execute(AttemptEffect effect) {
+        dispatch(() -> {
+            switch (effect) {
+                case AttemptEffect.StartAttempt start -> start(start);
+                case AttemptEffect.CancelAttempt cancel ->
+                    Optional.ofNullable(running.get(cancel.attempt())).ifPresent(RunningAttempt::cancel);
+            }
+        });
+    }
+
+    /** Sends a probe, a fetch of cache events or an engine order. Answers to announcements belong to the front. */
+    public void execute(ServerEffect effect) {
+        dispatch(() -> {
+            switch (effect) {
+                case ServerEffect.ProbeServer probe -> exchanges.probe(probe);
+                case ServerEffect.FetchCacheEvents fetch -> exchanges.fetchCacheEvents(fetch);
+                case ServerEffect.OrderModels order -> exchanges.order(order);
+                case ServerEffect.AnswerAnnouncement answer -> context.count("backend.misdirected_effects");
+            }
+        });
+    }
+
+    /** Returns the number of attempts that have not ended. */
+    public int runningAttempts() {
+        return running.size();
+    }
+
+    private void dispatch(Runnable task) {
+        try {
+            starter.execute(() -> {
+                try {
+                    task.run();
+                } catch (RuntimeException e) {
+                    context.count("backend.internal_failures");
+                    LOGGER.atSevere().withCause(e).log("event=backend_effect_failed");
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            context.count("backend.effects_after_close");
+        }
+    }
+
+    private void start(AttemptEffect.StartAttempt start) {
+        RequestId request = start.attempt().request();
+        // Accepted work can come back to this host as a new call with the same id; its text starts anew.
+        CallProgress progress = progresses.compute(
+                request,
+                (key, present) -> present != null && present.call().equals(start.call())
+                        ? present
+                        : CallProgress.create(
+                                start.call(),
+                                context.maximumAnswerBytes(),
+                                context.clock().nowNanos()));
+        RunningAttempt attempt = RunningAttempt.create(context, start, progress, () -> running.remove(start.attempt()));
+        if (running.putIfAbsent(start.attempt(), attempt) != null) {
+            context.count("backend.duplicate_starts");
+            return;
+        }
+        try {
+            attempt.send();
+        } catch (RuntimeException e) {
+            LOGGER.atSevere().withCause(e).log("event=attempt_not_sent request_id=%s", request);
+            attempt.cancel();
+        }
+    }
+
+    private void scheduleSweep() {
+        if (!closed) {
+            sweep = context.pooled().getScheduler().schedule(this::sweep, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Forgets the text of calls that no attempt will continue. */
+    private void sweep() {
+        long now = context.clock().nowNanos();
+        progresses.values().removeIf(progress -> {
+            synchronized (progress) {
+                // A caller who still waits may already have part of the text, so it is kept however long that takes.
+                return progress.hasCaller()
+                        ? progress.idleSince(now, 0)
+                                && context.sinks().sink(progress.call().id()).isEmpty()
+                        : progress.idleSince(now, KEEP_TEXT_NANOS);
+            }
+        });
+        scheduleSweep();
+    }
+
+    /** Cancels all attempts and stops. Ends are still reported. */
+    @Override
+    public void close() {
+        closed = true;
+        Scheduler.@Nullable Task task = sweep;
+        if (task != null) {
+            task.cancel();
+        }
+        starter.shutdown();
+        running.values().forEach(RunningAttempt::cancel);
+        stop(context.pooled());
+        stop(context.direct());
+    }
+
+    private static void stop(HttpClient client) {
+        try {
+            client.stop();
+        } catch (Exception e) {
+            LOGGER.atWarning().withCause(e).log("event=http_client_stop_failed");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/backend/ModelMessages.java
@@ -0,0 +1,79 @@
+package org.plantainwharf.backend;
+
+import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.plantainwharf.call.CallKind;
+import org.plantainwharf.identity.RequestId;
+
+/** JSON bodies of the model engine interface. Stateless; thread-safe. */
+final class ModelMessages {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private ModelMessages() {}
+
+    /**
+     * Returns the body to send to an engine. Engines always stream, also for callers that want one JSON body, because
+     * only a stream shows progress and can be resumed.
+     *
+     * @throws JsonProcessingException if the checked body is not JSON after all
+     */
+    static byte[] engineRequest(byte[] callerBody, String resumeText, int resumeTokens) throws JsonProcessingException {
+        JsonNode parsed = JSON.readTree(new String(callerBody, StandardCharsets.UTF_8));
+        ObjectNode body = parsed instanceof ObjectNode object ? object : JSON.createObjectNode();
+        body.put("stream", true);
+        if (resumeTokens > 0) {
+            body.putObject("resume").put("text", resumeText).put("tokens", resumeTokens);
+        }
+        return JSON.writeValueAsBytes(body);
+    }
+
+    /** Parses one chunk of a stream. */
+    static ObjectNode chunk(String data) throws JsonProcessingException {
+        if (JSON.readTree(data) instanceof ObjectNode object) {
+            return object;
+        }
+        throw new com.fasterxml.jackson.core.JsonParseException(null, "chunk is not an object");
+    }
+
+    /** Returns the generated text of a chunk, empty if it has none. */
+    static String content(ObjectNode chunk) {
+        return chunk.path("choices").path(0).path("delta").path("content").asText("");
+    }
+
+    /** Returns the finish reason of a chunk, empty if it has none. */
+    static String finishReason(ObjectNode chunk) {
+        return chunk.path("choices").path(0).path("finish_reason").asText("");
+    }
+
+    /** Returns a chunk as an event for the caller. All chunks of a call carry one id, whichever engine sent them. */
+    static byte[] callerEvent(ObjectNode chunk, RequestId request) throws JsonProcessingException {
+        chunk.put("id", answerId(request));
+        return ("data: " + JSON.writeValueAsString(chunk) + "\n\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Returns the whole answer for a caller that wants one JSON body. */
+    static byte[] completion(RequestId request, CallKind.Model model, CallProgress progress)
+            throws JsonProcessingException {
+        ObjectNode body = JSON.createObjectNode();
+        body.put("id", answerId(request));
+        body.put("object", "chat.completion");
+        body.put("model", model.model().value());
+        ObjectNode choice = body.putArray("choices").addObject();
+        choice.put("index", 0);
+        choice.putObject("message").put("role", "assistant").put("content", progress.text());
+        choice.put("finish_reason", progress.finishReason().isEmpty() ? "stop" : progress.finishReason());
+        body.putObject("usage")
+                .put("prompt_tokens", model.promptTokens())
+                .put("completion_tokens", progress.tokens())
+                .put("total_tokens", model.promptTokens() + progress.tokens());
+        return JSON.writeValueAsBytes(body);
+    }
+
+    private static String answerId(RequestId request) {
+        return "chatcmpl-" + request.value();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/CallTarget.java
@@ -0,0 +1,71 @@
+package org.plantainwharf.front;
+
+import io.vavr.control.Either;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.identity.RouteName;
+
+/** What a caller's path names. Immutable. */
+sealed interface CallTarget {
+    /** A model call. */
+    record Chat() implements CallTarget {}
+
+    /** Acceptance of long work. */
+    record Work() implements CallTarget {}
+
+    /** A plain service call. */
+    record Service(RouteName route) implements CallTarget {}
+
+    /** State or answer of accepted work. */
+    record WorkState(RequestId work, boolean wantsAnswer) implements CallTarget {}
+
+    /** The balancer's health check. */
+    record Health() implements CallTarget {}
+
+    /** Finds the target of a method and a decoded path. */
+    static Either<Failure, CallTarget> parse(String method, String path) {
+        return find(path)
+                .filterOrElse(
+                        target -> method.equals(methodOf(target)),
+                        target -> Failure.of(ErrorKind.METHOD_NOT_ALLOWED, Texts.shorten(method)));
+    }
+
+    private static Either<Failure, CallTarget> find(String path) {
+        switch (path) {
+            case "/v1/chat/completions":
+                return Either.right(new Chat());
+            case "/v1/work":
+                return Either.right(new Work());
+            case "/health":
+                return Either.right(new Health());
+            default:
+                break;
+        }
+        String[] parts = path.split("/", -1);
+        boolean versioned = parts.length >= 4 && parts[0].isEmpty() && parts[1].equals("v1");
+        if (versioned && parts.length == 4 && parts[2].equals("services") && !parts[3].isBlank()) {
+            return Either.right(new Service(RouteName.of(parts[3])));
+        }
+        if (versioned && parts[2].equals("work")) {
+            boolean state = parts.length == 4;
+            boolean answer = parts.length == 5 && parts[4].equals("result");
+            if (state || answer) {
+                return parts[3].matches("[A-Za-z0-9_-]{1,80}")
+                        ? Either.right(new WorkState(RequestId.of(parts[3]), answer))
+                        : Either.left(Failure.of(ErrorKind.WORK_NOT_FOUND, Texts.shorten(parts[3])));
+            }
+        }
+        return Either.left(Failure.of(ErrorKind.UNKNOWN_ROUTE, Texts.shorten(path)));
+    }
+
+    private static String methodOf(CallTarget target) {
+        return switch (target) {
+            case Chat chat -> "POST";
+            case Work work -> "POST";
+            case Service service -> "POST";
+            case WorkState state -> "GET";
+            case Health health -> "GET";
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/CallerFront.java
@@ -0,0 +1,222 @@
+package org.plantainwharf.front;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.backend.AnswerSink;
+import org.plantainwharf.backend.AnswerSinks;
+import org.plantainwharf.board.BoardView;
+import org.plantainwharf.call.Content;
+import org.plantainwharf.control.Clock;
+import org.plantainwharf.control.EventSink;
+import org.plantainwharf.drain.DrainPhase;
+import org.plantainwharf.effect.CallEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.settings.Settings;
+
+/**
+ * The HTTP server for callers: HTTP/1.1 and HTTP/2 cleartext on one port. Invariant: every request gets exactly one
+ * answer, and every answer carries the request's id.
+ *
+ * <p>Thread-safe. {@link #execute} returns at once; answers are written on threads of this class and of the server.
+ */
+public final class CallerFront implements AnswerSinks {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Settings settings;
+    private final Clock clock;
+    private final Supplier<BoardView> view;
+    private final EventSink events;
+    private final MetricRegistry metrics;
+    private final CallIntake intake = CallIntake.create();
+    private final Map<RequestId, HttpExchange> exchanges = new ConcurrentHashMap<>();
+    private final ExecutorService answering =
+            Executors.newSingleThreadExecutor(task -> new Thread(task, "caller-answers"));
+    private final HttpListener listener;
+
+    private CallerFront(
+            Settings settings, Clock clock, Supplier<BoardView> view, EventSink events, MetricRegistry metrics) {
+        this.settings = settings;
+        this.clock = clock;
+        this.view = view;
+        this.events = events;
+        this.metrics = metrics;
+        this.listener =
+                HttpListener.create("callers", settings.callerAddress(), true, settings.bounds(), new CallHandler());
+    }
+
+    /**
+     * Returns a front that does not listen yet.
+     *
+     * @param view gives the newest published view of the board
+     */
+    public static CallerFront create(
+            Settings settings, Clock clock, Supplier<BoardView> view, EventSink events, MetricRegistry metrics) {
+        return new CallerFront(settings, clock, view, events, metrics);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws IllegalStateException if the address cannot be bound
+     */
+    public void start() {
+        try {
+            listener.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("cannot listen on " + settings.callerAddress(), e);
+        }
+    }
+
+    /** Returns the port, which the system may have chosen. */
+    public int port() {
+        return listener.port();
+    }
+
+    /** Returns the number of requests whose answer is not complete. */
+    public int openExchanges() {
+        return exchanges.size();
+    }
+
+    /** Stops listening and closes all connections, also those that still wait for an answer. */
+    public void stop() {
+        try {
+            listener.stop();
+        } catch (Exception e) {
+            LOGGER.atWarning().withCause(e).log("event=caller_front_stop_failed");
+        }
+        answering.shutdown();
+    }
+
+    @Override
+    public Optional<AnswerSink> sink(RequestId request) {
+        return Optional.ofNullable(exchanges.get(request));
+    }
+
+    /** Tells a caller what became of its request. */
+    public void execute(CallEffect effect) {
+        try {
+            answering.execute(() -> answer(effect));
+        } catch (RejectedExecutionException e) {
+            metrics.counter("front.answers_after_stop").inc();
+        }
+    }
+
+    private void answer(CallEffect effect) {
+        @Nullable HttpExchange exchange = exchanges.get(effect.request());
+        if (exchange == null) {
+            metrics.counter("front.answers_without_caller").inc();
+            return;
+        }
+        switch (effect) {
+            case CallEffect.FailCall fail -> exchange.fail(fail.failure());
+            case CallEffect.AnswerCall whole -> exchange.answer(whole.httpStatus(), whole.answer());
+            case CallEffect.FinishStream finish -> exchange.finish();
+            case CallEffect.AcceptCall accept -> {
+                exchange.header("Location", "/v1/work/" + accept.request());
+                exchange.answer(
+                        202,
+                        json(JSON.createObjectNode().put("id", accept.request().value())));
+            }
+            case CallEffect.ReportPending pending ->
+                exchange.answer(
+                        200,
+                        json(JSON.createObjectNode()
+                                .put("id", pending.work().value())
+                                .put("state", "running")
+                                .put("attempt", pending.attempt())));
+            case CallEffect.ReportFinished finished ->
+                exchange.answer(
+                        200,
+                        json(JSON.createObjectNode()
+                                .put("id", finished.work().value())
+                                .put("state", "finished")
+                                .put("http_status", finished.httpStatus())
+                                .put("length", finished.length())
+                                .put("sha256", finished.digest())));
+        }
+    }
+
+    private static Content json(ObjectNode body) {
+        return Content.of("application/json", body.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Handles requests on traffic threads. */
+    private final class CallHandler extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            metrics.counter("front.requests").inc();
+            RequestId id = RequestId.of(UUID.randomUUID().toString());
+            HttpExchange exchange = HttpExchange.create(
+                    id,
+                    request,
+                    response,
+                    callback,
+                    () -> events.post(new CallEvent.CallerLeft(id)),
+                    () -> exchanges.remove(id));
+            @Nullable String path = request.getHttpURI().getDecodedPath();
+            Either<Failure, CallTarget> target = CallTarget.parse(request.getMethod(), path == null ? "" : path);
+            if (target.isRight() && target.get() instanceof CallTarget.Health) {
+                health(exchange);
+                return true;
+            }
+            Either<Failure, CallerHeaders> headers = RequestReader.headers(request);
+            target.flatMap(known -> headers.flatMap(present -> intake.check(view.get(), known, present)))
+                    .peekLeft(failure -> refuse(exchange, failure))
+                    .peek(checked ->
+                            RequestReader.body(request, settings.bounds().maximumBodyBytes(), body -> body.flatMap(
+                                            bytes -> intake.read(id, checked, headers.get(), bytes, clock.nowNanos()))
+                                    .peekLeft(failure -> refuse(exchange, failure))
+                                    .peek(event -> submit(id, exchange, event))));
+            return true;
+        }
+    }
+
+    private void submit(RequestId id, HttpExchange exchange, CallEvent event) {
+        exchanges.put(id, exchange);
+        if (events.offer(event)) {
+            // Watched only now, so that the control thread never hears of a caller's end before its request.
+            exchange.watchCaller();
+        } else {
+            exchanges.remove(id);
+            refuse(exchange, Failure.of(ErrorKind.ENTRY_QUEUE_FULL).withRetryAfter(java.time.Duration.ofSeconds(1)));
+        }
+    }
+
+    private void refuse(HttpExchange exchange, Failure failure) {
+        metrics.counter(failure.kind().metricName()).inc();
+        exchange.fail(failure);
+    }
+
+    private void health(HttpExchange exchange) {
+        BoardView present = view.get();
+        if (!(present.drainPhase() instanceof DrainPhase.Serving)) {
+            exchange.fail(Failure.of(ErrorKind.DRAINING));
+        } else if (present.sheet().isEmpty()) {
+            exchange.fail(Failure.of(ErrorKind.CONFIGURATION_MISSING));
+        } else {
+            exchange.answer(200, Content.of("text/plain", "ok\n".getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/FailureBody.java
@@ -0,0 +1,37 @@
+package org.plantainwharf.front;
+
+import java.util.Locale;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.error.Ran;
+
+/** JSON form of a failure: {@code {"error":{"code","message","ran","retry","request_id"}}}. Stateless; thread-safe. */
+final class FailureBody {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private FailureBody() {}
+
+    /** Returns the body as JSON on one line. */
+    static String json(Failure failure, String requestId) {
+        ObjectNode body = JSON.createObjectNode();
+        body.putObject("error")
+                .put("code", failure.kind().code())
+                .put("message", failure.message())
+                .put("ran", ran(failure))
+                .put("retry", failure.kind().retryable() && failure.ran() != Ran.YES)
+                .put("request_id", requestId);
+        return body.toString();
+    }
+
+    /** Returns {@code no}, {@code yes} or {@code unknown}. */
+    static String ran(Failure failure) {
+        return failure.ran().name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns the value of {@code Retry-After}: whole seconds, rounded up, at least one. */
+    static String retryAfterSeconds(java.time.Duration delay) {
+        return String.valueOf(Math.max(1, (delay.toMillis() + 999) / 1_000));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/HttpListener.java
@@ -0,0 +1,84 @@
+package org.plantainwharf.front;
+
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+
+import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.ConnectionFactory;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.plantainwharf.settings.Settings;
+
+/** One Jetty server on one address, with the limits and the error form of this system. Thread-safe. */
+final class HttpListener {
+    private static final int MAXIMUM_THREADS = 32;
+    private static final long IDLE_TIMEOUT_MILLIS = 30_000;
+
+    private final Server server;
+    private final ServerConnector connector;
+
+    private HttpListener(Server server, ServerConnector connector) {
+        this.server = server;
+        this.connector = connector;
+    }
+
+    /**
+     * Returns a listener that is not started yet.
+     *
+     * @param address IP number and port; port 0 lets the system choose
+     * @param http2 whether HTTP/2 cleartext is offered beside HTTP/1.1
+     */
+    static HttpListener create(String name, String address, boolean http2, Settings.Bounds bounds, Handler handler) {
+        QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, 4);
+        threads.setName(name);
+        Server server = new Server(threads);
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        configuration.setRequestHeaderSize(bounds.maximumHeaderBytes());
+        HttpConnectionFactory first = new HttpConnectionFactory(configuration);
+        ConnectionFactory[] factories = http2
+                ? new ConnectionFactory[] {first, new HTTP2CServerConnectionFactory(configuration)}
+                : new ConnectionFactory[] {first};
+        ServerConnector connector = new ServerConnector(server, 1, 1, factories) {
+            @Override
+            protected SocketChannelEndPoint newEndPoint(
+                    SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+                SocketChannelEndPoint endPoint =
+                        WatchedEndPoint.create(channel, selector, key, getScheduler(), getExecutor());
+                endPoint.setIdleTimeout(getIdleTimeout());
+                return endPoint;
+            }
+        };
+        int colon = address.lastIndexOf(':');
+        connector.setHost(address.substring(0, colon));
+        connector.setPort(Integer.parseInt(address.substring(colon + 1)));
+        connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+        server.addConnector(connector);
+        server.setHandler(handler);
+        server.setErrorHandler(JsonErrorHandler.create(bounds.maximumHeaderBytes()));
+        server.setStopTimeout(1_000);
+        return new HttpListener(server, connector);
+    }
+
+    Server server() {
+        return server;
+    }
+
+    void start() throws Exception {
+        server.start();
+    }
+
+    int port() {
+        return connector.getLocalPort();
+    }
+
+    void stop() throws Exception {
+        server.stop();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
@@ -0,0 +1,50 @@
+package org.plantainwharf.front;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.UUID;
+
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+
+/** Answers requests that Jetty refuses itself, in the form of all other errors. Stateless; thread-safe. */
+final class JsonErrorHandler implements Request.Handler {
+    private final int maximumHeaderBytes;
+
+    private JsonErrorHandler(int maximumHeaderBytes) {
+        this.maximumHeaderBytes = maximumHeaderBytes;
+    }
+
+    static JsonErrorHandler create(int maximumHeaderBytes) {
+        return new JsonErrorHandler(maximumHeaderBytes);
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        Failure failure = failure(response.getStatus());
+        @Nullable String present = response.getHeaders().get("X-Request-Id");
+        String id = present == null ? UUID.randomUUID().toString() : present;
+        response.setStatus(failure.kind().httpStatus());
+        response.getHeaders()
+                .put("X-Request-Id", id)
+                .put("X-Ran", FailureBody.ran(failure))
+                .put(HttpHeader.CONTENT_TYPE, "application/json");
+        byte[] body = FailureBody.json(failure, id).getBytes(StandardCharsets.UTF_8);
+        response.write(true, ByteBuffer.wrap(body), callback);
+        return true;
+    }
+
+    private Failure failure(int status) {
+        return switch (status) {
+            case 431 -> Failure.of(ErrorKind.HEADERS_TOO_LARGE, maximumHeaderBytes);
+            case 404 -> Failure.of(ErrorKind.UNKNOWN_ROUTE, "of this request");
+            case 500 -> Failure.of(ErrorKind.INTERNAL_ERROR);
+            default -> Failure.of(ErrorKind.REQUEST_INVALID, "the HTTP message is malformed or not supported");
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/PrefixBlocks.java
@@ -0,0 +1,56 @@
+package org.plantainwharf.front;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Hashes of a prompt's leading blocks, under which engines report cached prefixes. Each hash covers its block and all
+ * before it, so equal hashes mean equal prefixes. Stateless; thread-safe.
+ */
+public final class PrefixBlocks {
+    /** Size of a block in bytes. */
+    public static final int BLOCK_BYTES = 256;
+
+    // 512 blocks cover 128 KiB; a longer common prefix gains little and the list is kept with the call.
+    private static final int MAXIMUM_BLOCKS = 512;
+
+    private PrefixBlocks() {}
+
+    /** Returns the prompt of a chat body: role and text of each message, separated by control characters. */
+    public static byte[] prompt(JsonNode messages) {
+        ByteArrayOutputStream prompt = new ByteArrayOutputStream();
+        for (JsonNode message : messages) {
+            append(prompt, message.path("role").asText());
+            prompt.write(0x1f);
+            JsonNode content = message.path("content");
+            append(prompt, content.isTextual() ? content.asText() : content.toString());
+            prompt.write(0x1e);
+        }
+        return prompt.toByteArray();
+    }
+
+    private static void append(ByteArrayOutputStream prompt, String text) {
+        prompt.writeBytes(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns the hashes of the whole blocks of a prompt, in order. */
+    public static List<Long> hashes(byte[] prompt) {
+        int count = Math.min(prompt.length / BLOCK_BYTES, MAXIMUM_BLOCKS);
+        List<Long> hashes = new ArrayList<>(count);
+        MessageDigest digest = Digests.sha256();
+        byte[] previous = new byte[0];
+        for (int block = 0; block < count; block++) {
+            digest.update(previous);
+            digest.update(prompt, block * BLOCK_BYTES, BLOCK_BYTES);
+            previous = digest.digest();
+            hashes.add(ByteBuffer.wrap(previous).getLong());
+        }
+        return hashes;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/RequestReader.java
@@ -0,0 +1,56 @@
+package org.plantainwharf.front;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+
+/** Reads headers and bodies of HTTP requests within their bounds. Stateless; thread-safe. */
+final class RequestReader {
+    private static final List<String> SINGLE_HEADERS =
+            List.of("Authorization", "X-Rank", "Idempotency-Key", "Content-Type");
+
+    private RequestReader() {}
+
+    /** Returns the headers of a call; each may stand there once, since two values leave open which one counts. */
+    static Either<Failure, CallerHeaders> headers(Request request) {
+        for (String name : SINGLE_HEADERS) {
+            if (request.getHeaders().stream().filter(field -> field.is(name)).count() > 1) {
+                return Either.left(Failure.of(ErrorKind.REQUEST_INVALID, "header " + name + " is repeated"));
+            }
+        }
+        return Either.right(new CallerHeaders(
+                value(request, "Authorization"),
+                value(request, "X-Rank"),
+                value(request, "Idempotency-Key"),
+                value(request, "Content-Type")));
+    }
+
+    private static Optional<String> value(Request request, String name) {
+        return Optional.ofNullable(request.getHeaders().getField(name)).map(HttpField::getValue);
+    }
+
+    /** Reads a body on threads of the server and hands it over, or the failure if it is too large or was cut off. */
+    static void body(Request request, int maximumBytes, Consumer<Either<Failure, byte[]>> onRead) {
+        if (request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) > maximumBytes) {
+            onRead.accept(Either.left(Failure.of(ErrorKind.BODY_TOO_LARGE, maximumBytes)));
+            return;
+        }
+        Content.Source.asByteArrayAsync(request, maximumBytes).whenComplete((bytes, cause) -> {
+            if (cause == null) {
+                onRead.accept(Either.right(bytes));
+            } else if (cause instanceof IllegalStateException || cause.getCause() instanceof IllegalStateException) {
+                onRead.accept(Either.left(Failure.of(ErrorKind.BODY_TOO_LARGE, maximumBytes)));
+            } else {
+                onRead.accept(Either.left(Failure.of(ErrorKind.REQUEST_INVALID, "the body was cut off")));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/WatchedEndPoint.java
@@ -0,0 +1,176 @@
+package org.plantainwharf.front;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadPendingException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeoutException;
+
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A connection that can be watched for its end while an HTTP/1.1 request is being handled. The HTTP/1.1 connection
+ * itself does not read during that time, so it would notice a caller who left only when it writes the answer. Bytes
+ * that arrive meanwhile (the caller's next request) are kept and given to the next reader; they end the watch.
+ *
+ * <p>Invariant: at most one read interest is registered with the selector; a reader that comes while the watch holds it
+ * takes it over. Thread-safe: the state is guarded by {@code lock}, and callbacks run without it.
+ */
+final class WatchedEndPoint extends SocketChannelEndPoint {
+    private static final int AHEAD_BYTES = 4_096;
+
+    private final Object lock = new Object();
+    private final Executor executor;
+    private final ByteBuffer ahead = BufferUtil.allocate(AHEAD_BYTES);
+    private boolean endSeen;
+    private boolean watchRegistered;
+    private @Nullable Callback reader;
+    private @Nullable Runnable onEnd;
+
+    private WatchedEndPoint(
+            SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler, Executor executor) {
+        super(channel, selector, key, scheduler);
+        this.executor = executor;
+    }
+
+    static WatchedEndPoint create(
+            SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler, Executor executor) {
+        return new WatchedEndPoint(channel, selector, key, scheduler, executor);
+    }
+
+    /** Runs a task once when the other side ends the connection, until {@link #stopWatching}. */
+    void watch(Runnable task) {
+        synchronized (lock) {
+            onEnd = task;
+            register();
+        }
+    }
+
+    /** Ends the watch. To be called before the answer's last byte is written. */
+    void stopWatching() {
+        synchronized (lock) {
+            onEnd = null;
+        }
+    }
+
+    private void register() {
+        if (!watchRegistered && !endSeen && !ahead.hasRemaining()) {
+            watchRegistered = super.tryFillInterested(new WatchCallback());
+        }
+    }
+
+    @Override
+    public void fillInterested(Callback callback) {
+        if (!tryFillInterested(callback)) {
+            throw new ReadPendingException();
+        }
+    }
+
+    @Override
+    public boolean tryFillInterested(Callback callback) {
+        synchronized (lock) {
+            if (watchRegistered) {
+                if (reader != null) {
+                    return false;
+                }
+                reader = callback;
+                return true;
+            }
+            if (!ahead.hasRemaining() && !endSeen) {
+                return super.tryFillInterested(callback);
+            }
+        }
+        executor.execute(callback::succeeded);
+        return true;
+    }
+
+    @Override
+    public boolean isFillInterested() {
+        synchronized (lock) {
+            return watchRegistered ? reader != null : super.isFillInterested();
+        }
+    }
+
+    @Override
+    public int fill(ByteBuffer buffer) throws IOException {
+        synchronized (lock) {
+            if (ahead.hasRemaining()) {
+                return BufferUtil.append(buffer, ahead);
+            }
+            return endSeen ? -1 : super.fill(buffer);
+        }
+    }
+
+    private void readable() {
+        @Nullable Callback taken;
+        @Nullable Runnable ended = null;
+        synchronized (lock) {
+            watchRegistered = false;
+            taken = reader;
+            reader = null;
+            if (taken == null && onEnd != null) {
+                try {
+                    endSeen = super.fill(ahead) < 0;
+                } catch (IOException e) {
+                    endSeen = true;
+                }
+                if (endSeen) {
+                    ended = onEnd;
+                    onEnd = null;
+                } else {
+                    register();
+                }
+            }
+        }
+        if (taken != null) {
+            taken.succeeded();
+        }
+        if (ended != null) {
+            ended.run();
+        }
+    }
+
+    private void failed(Throwable cause) {
+        @Nullable Callback taken;
+        @Nullable Runnable ended = null;
+        synchronized (lock) {
+            watchRegistered = false;
+            taken = reader;
+            reader = null;
+            if (taken == null && onEnd != null) {
+                if (cause instanceof TimeoutException && isOpen()) {
+                    register();
+                } else {
+                    ended = onEnd;
+                    onEnd = null;
+                }
+            }
+        }
+        if (taken != null) {
+            taken.failed(cause);
+        }
+        if (ended != null) {
+            ended.run();
+        }
+    }
+
+    /** Receives the selector's notice for the watch, or for the reader that took its interest over. */
+    private final class WatchCallback implements Callback {
+        @Override
+        public void succeeded() {
+            readable();
+        }
+
+        @Override
+        public void failed(Throwable cause) {
+            WatchedEndPoint.this.failed(cause);
+        }
+    }
+}
