Add the operator front and the Prometheus text of the metrics

Operators, announcing servers and platform notices had no listener. Requests that the control thread decides get a ticket and a time limit. Compiled only.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/AnnouncementReader.java
@@ -0,0 +1,134 @@
+package org.plantainwharf.front;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostClass;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.ModelName;
+import org.plantainwharf.identity.RouteName;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.server.Announcement;
+import org.plantainwharf.server.LoadReport;
+import org.plantainwharf.server.ServerKind;
+
+/** Turns the JSON of announcements and platform notices into events. Stateless; thread-safe. */
+final class AnnouncementReader {
+    private static final int MAXIMUM_SLOTS = 100_000;
+    // Numbers only: a name would be looked up, which blocks and can change.
+    private static final Pattern ADDRESS =
+            Pattern.compile("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]{2,45}\\]):\\d{1,5}");
+
+    private AnnouncementReader() {}
+
+    /** Says what is wrong with a value. */
+    private static final class InvalidField extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        InvalidField(String message) {
+            super(message, null, false, false);
+        }
+    }
+
+    /** Reads an announcement for the exchange with this ticket. */
+    static Either<Failure, ServerEvent.ServerAnnounced> announcement(JsonNode body, long ticket) {
+        return read(() -> new ServerEvent.ServerAnnounced(
+                new Announcement(
+                        ServerId.of(text(body, "server")),
+                        number(body, "incarnation", Long.MAX_VALUE),
+                        number(body, "sequence", Long.MAX_VALUE),
+                        address(body),
+                        AvailabilityZone.of(text(body, "zone")),
+                        HostClass.of(text(body, "hostClass")),
+                        kind(body),
+                        (int) number(body, "slots", MAXIMUM_SLOTS),
+                        load(body.path("load")),
+                        body.path("leaving").asBoolean(false)),
+                body.path("token").asLong(0),
+                ticket));
+    }
+
+    /** Reads a notice of the platform: it names either a backend server or an entry host. */
+    static Either<Failure, PlatformEvent> notice(JsonNode body) {
+        return read(() -> {
+            long millis = number(body, "noticeMillis", Long.MAX_VALUE);
+            return body.has("server")
+                    ? new PlatformEvent.ServerReclaimNoticed(ServerId.of(text(body, "server")), millis)
+                    : new PlatformEvent.HostReclaimNoticed(HostId.of(text(body, "host")), millis);
+        });
+    }
+
+    private static <T> Either<Failure, T> read(java.util.function.Supplier<T> reading) {
+        try {
+            return Either.right(reading.get());
+        } catch (InvalidField e) {
+            return Either.left(Failure.of(ErrorKind.REQUEST_INVALID, String.valueOf(e.getMessage())));
+        }
+    }
+
+    private static ServerKind kind(JsonNode body) {
+        String kind = text(body, "kind");
+        return switch (kind) {
+            case "model-engine" ->
+                new ServerKind.ModelEngine(
+                        names(body, "models", ModelName::of),
+                        body.path("checksFencing").asBoolean(false),
+                        body.path("movesCache").asBoolean(false));
+            case "plain-service" -> new ServerKind.PlainService(names(body, "routes", RouteName::of));
+            default -> throw new InvalidField("kind must be model-engine or plain-service");
+        };
+    }
+
+    private static LoadReport load(JsonNode load) {
+        return load.isMissingNode()
+                ? LoadReport.idle()
+                : new LoadReport(
+                        (int) number(load, "running", MAXIMUM_SLOTS),
+                        (int) number(load, "queued", MAXIMUM_SLOTS),
+                        number(load, "ageMillis", Long.MAX_VALUE));
+    }
+
+    private static String address(JsonNode body) {
+        String address = text(body, "address");
+        if (!ADDRESS.matcher(address).matches()) {
+            throw new InvalidField("address must be an IP number and a port");
+        }
+        return address;
+    }
+
+    private static <T> Set<T> names(JsonNode body, String field, Function<String, T> make) {
+        Set<T> names = new HashSet<>();
+        for (JsonNode name : body.path(field)) {
+            if (!name.isTextual() || name.asText().isBlank()) {
+                throw new InvalidField(field + " must be a list of texts");
+            }
+            names.add(make.apply(name.asText()));
+        }
+        return names;
+    }
+
+    private static String text(JsonNode body, String field) {
+        JsonNode value = body.path(field);
+        if (!value.isTextual() || value.asText().isBlank()) {
+            throw new InvalidField(field + " must be a text");
+        }
+        return value.asText();
+    }
+
+    private static long number(JsonNode body, String field, long maximum) {
+        JsonNode value = body.path(field);
+        if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < 0 || value.asLong() > maximum) {
+            throw new InvalidField(field + " must be a whole number from 0 to " + maximum);
+        }
+        return value.asLong();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/OperatorFront.java
@@ -0,0 +1,282 @@
+package org.plantainwharf.front;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.board.BoardView;
+import org.plantainwharf.call.Content;
+import org.plantainwharf.control.EventSink;
+import org.plantainwharf.effect.OperatorEffect;
+import org.plantainwharf.effect.ServerEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.settings.Settings;
+import org.plantainwharf.sheet.Sheet;
+
+/**
+ * The HTTP server for operators, announcements of backend servers and notices of the platform. A request that the
+ * control thread has to decide gets a ticket and is answered by the effect that carries it, or with an error after a
+ * time limit.
+ *
+ * <p>Thread-safe. The {@code execute} methods return at once.
+ */
+public final class OperatorFront {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final ObjectMapper JSON = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+    private static final long OPERATOR_LIMIT_MILLIS = 10_000;
+    private static final long ANNOUNCEMENT_LIMIT_MILLIS = 2_000;
+    private static final String JSON_TYPE = "application/json";
+
+    private final Settings settings;
+    private final Supplier<BoardView> view;
+    private final Supplier<String> status;
+    private final Function<byte[], Either<Failure, Sheet>> sheetParser;
+    private final EventSink events;
+    private final MetricRegistry metrics;
+    private final AtomicLong tickets = new AtomicLong();
+    private final Map<Long, Pending> pending = new ConcurrentHashMap<>();
+    private final ExecutorService answering =
+            Executors.newSingleThreadExecutor(task -> new Thread(task, "operator-answers"));
+    private final HttpListener listener;
+
+    private record Pending(HttpExchange exchange, Scheduler.Task limit) {}
+
+    private OperatorFront(
+            Settings settings,
+            Supplier<BoardView> view,
+            Supplier<String> status,
+            Function<byte[], Either<Failure, Sheet>> sheetParser,
+            EventSink events,
+            MetricRegistry metrics) {
+        this.settings = settings;
+        this.view = view;
+        this.status = status;
+        this.sheetParser = sheetParser;
+        this.events = events;
+        this.metrics = metrics;
+        this.listener = HttpListener.create(
+                "operators", settings.operatorAddress(), false, settings.bounds(), new OperatorHandler());
+    }
+
+    /**
+     * Returns a front that does not listen yet.
+     *
+     * @param view gives the newest published view of the board
+     * @param status gives the status as JSON
+     * @param sheetParser reads a sheet from CSV
+     */
+    public static OperatorFront create(
+            Settings settings,
+            Supplier<BoardView> view,
+            Supplier<String> status,
+            Function<byte[], Either<Failure, Sheet>> sheetParser,
+            EventSink events,
+            MetricRegistry metrics) {
+        return new OperatorFront(settings, view, status, sheetParser, events, metrics);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws IllegalStateException if the address cannot be bound
+     */
+    public void start() {
+        try {
+            listener.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("cannot listen on " + settings.operatorAddress(), e);
+        }
+    }
+
+    /** Returns the port, which the system may have chosen. */
+    public int port() {
+        return listener.port();
+    }
+
+    /** Stops listening and closes all connections. */
+    public void stop() {
+        try {
+            listener.stop();
+        } catch (Exception e) {
+            LOGGER.atWarning().withCause(e).log("event=operator_front_stop_failed");
+        }
+        answering.shutdown();
+    }
+
+    /** Answers an operator. */
+    public void execute(OperatorEffect effect) {
+        switch (effect) {
+            case OperatorEffect.AnswerOperator answer ->
+                settle(answer.ticket(), exchange -> answer.answer()
+                        .peek(text -> exchange.answer(200, plain(text)))
+                        .peekLeft(exchange::fail));
+        }
+    }
+
+    /** Answers an announcement with the token to return. */
+    public void execute(ServerEffect.AnswerAnnouncement answer) {
+        settle(answer.ticket(), exchange -> exchange.answer(200, json("{\"token\":" + answer.token() + "}")));
+    }
+
+    private void settle(long ticket, Consumer<HttpExchange> answer) {
+        try {
+            answering.execute(() -> {
+                @Nullable Pending waiting = pending.remove(ticket);
+                if (waiting == null) {
+                    metrics.counter("front.answers_without_operator").inc();
+                    return;
+                }
+                waiting.limit().cancel();
+                answer.accept(waiting.exchange());
+            });
+        } catch (RejectedExecutionException e) {
+            metrics.counter("front.answers_after_stop").inc();
+        }
+    }
+
+    /** Offers an event whose answer comes by ticket. */
+    private void ask(HttpExchange exchange, long ticket, Event event, long limitMillis) {
+        Scheduler.Task limit = listener.server()
+                .getScheduler()
+                .schedule(
+                        () -> settle(ticket, late -> refuse(late, Failure.of(ErrorKind.NO_QUORUM))),
+                        limitMillis,
+                        TimeUnit.MILLISECONDS);
+        pending.put(ticket, new Pending(exchange, limit));
+        if (!events.offer(event)) {
+            settle(ticket, full -> refuse(full, Failure.of(ErrorKind.ENTRY_QUEUE_FULL)));
+        }
+    }
+
+    private void refuse(HttpExchange exchange, Failure failure) {
+        metrics.counter(failure.kind().metricName()).inc();
+        exchange.fail(failure);
+    }
+
+    private static Content plain(String text) {
+        return Content.of("text/plain; charset=utf-8", (text + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static Content json(String text) {
+        return Content.of(JSON_TYPE, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Handles requests on traffic threads. */
+    private final class OperatorHandler extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            RequestId id = RequestId.of(UUID.randomUUID().toString());
+            HttpExchange exchange = HttpExchange.create(id, request, response, callback, () -> {}, () -> {});
+            String path = String.valueOf(request.getHttpURI().getDecodedPath());
+            String method = request.getMethod();
+            switch (path) {
+                case "/admin/status" -> get(method, exchange, () -> json(status.get()));
+                case "/admin/metrics" -> get(method, exchange, OperatorFront.this::metricsText);
+                case "/admin/sheet" -> sheet(request, method, exchange);
+                case "/admin/drain" ->
+                    post(request, method, exchange, body -> {
+                        long ticket = tickets.incrementAndGet();
+                        ask(exchange, ticket, new OperatorEvent.DrainRequested(ticket), OPERATOR_LIMIT_MILLIS);
+                    });
+                case "/servers/announce" ->
+                    postJson(request, method, exchange, body -> {
+                        long ticket = tickets.incrementAndGet();
+                        AnnouncementReader.announcement(body, ticket)
+                                .peek(event -> ask(exchange, ticket, event, ANNOUNCEMENT_LIMIT_MILLIS))
+                                .peekLeft(failure -> refuse(exchange, failure));
+                    });
+                case "/platform/notice" ->
+                    postJson(request, method, exchange, body -> AnnouncementReader.notice(body)
+                            .peek(event -> {
+                                events.post(event);
+                                exchange.answer(202, json("{\"noted\":true}"));
+                            })
+                            .peekLeft(failure -> refuse(exchange, failure)));
+                default -> refuse(exchange, Failure.of(ErrorKind.UNKNOWN_ROUTE, Texts.shorten(path)));
+            }
+            return true;
+        }
+    }
+
+    private Content metricsText() {
+        return Content.of(PrometheusText.MEDIA_TYPE, PrometheusText.of(metrics).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void sheet(Request request, String method, HttpExchange exchange) {
+        if (method.equals("GET")) {
+            view.get()
+                    .sheet()
+                    .ifPresentOrElse(
+                            present -> exchange.answer(
+                                    200, json(SheetBody.json(present).toString())),
+                            () -> refuse(exchange, Failure.of(ErrorKind.CONFIGURATION_MISSING)));
+            return;
+        }
+        post(request, method, exchange, body -> sheetParser
+                .apply(body)
+                .peek(parsed -> {
+                    long ticket = tickets.incrementAndGet();
+                    ask(exchange, ticket, new OperatorEvent.SheetSubmitted(ticket, parsed), OPERATOR_LIMIT_MILLIS);
+                })
+                .peekLeft(failure -> refuse(exchange, failure)));
+    }
+
+    private void get(String method, HttpExchange exchange, Supplier<Content> answer) {
+        if (method.equals("GET")) {
+            exchange.answer(200, answer.get());
+        } else {
+            refuse(exchange, Failure.of(ErrorKind.METHOD_NOT_ALLOWED, Texts.shorten(method)));
+        }
+    }
+
+    private void post(Request request, String method, HttpExchange exchange, Consumer<byte[]> onBody) {
+        if (!method.equals("POST")) {
+            refuse(exchange, Failure.of(ErrorKind.METHOD_NOT_ALLOWED, Texts.shorten(method)));
+            return;
+        }
+        RequestReader.body(request, settings.bounds().maximumBodyBytes(), body -> body.peek(onBody)
+                .peekLeft(failure -> refuse(exchange, failure)));
+    }
+
+    private void postJson(Request request, String method, HttpExchange exchange, Consumer<JsonNode> onBody) {
+        post(request, method, exchange, bytes -> {
+            JsonNode body;
+            try {
+                body = JSON.readTree(bytes);
+            } catch (JsonProcessingException e) {
+                refuse(exchange, Failure.of(ErrorKind.MALFORMED_JSON, Texts.shorten(e.getOriginalMessage())));
+                return;
+            } catch (java.io.IOException e) {
+                refuse(exchange, Failure.of(ErrorKind.MALFORMED_JSON, "it is not in UTF-8"));
+                return;
+            }
+            onBody.accept(body);
+        });
+    }
+}
