--- /dev/null
+++ b/src/main/java/org/plantainwharf/standin/EngineCache.java
@@ -0,0 +1,116 @@
+package org.plantainwharf.standin;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * The prefix cache of a stand-in engine: least recently used blocks leave first. Its events are published late, and
+ * some never, as the options say. Thread-safe.
+ */
+final class EngineCache {
+    private static final int KEPT_EVENTS = 1_024;
+
+    private final int capacity;
+    private final long lagMillis;
+    private final int gapEvery;
+    private final LongSupplier millis;
+    private final LinkedHashSet<Long> blocks = new LinkedHashSet<>();
+    private final List<Change> changes = new ArrayList<>();
+    private long sequence;
+
+    private record Change(long sequence, long atMillis, List<Long> stored, List<Long> evicted) {}
+
+    private EngineCache(int capacity, long lagMillis, int gapEvery, LongSupplier millis) {
+        this.capacity = capacity;
+        this.lagMillis = lagMillis;
+        this.gapEvery = gapEvery;
+        this.millis = millis;
+    }
+
+    /**
+     * Returns an empty cache.
+     *
+     * @param capacity blocks it holds
+     * @param lagMillis age at which an event is published
+     * @param gapEvery every event with a multiple of this number is lost, 0 for none
+     */
+    static EngineCache create(int capacity, long lagMillis, int gapEvery, LongSupplier millis) {
+        return new EngineCache(capacity, lagMillis, gapEvery, millis);
+    }
+
+    /** Returns how many leading blocks of a prompt are held. */
+    synchronized int heldPrefix(List<Long> prompt) {
+        int held = 0;
+        while (held < prompt.size() && blocks.contains(prompt.get(held))) {
+            held++;
+        }
+        return held;
+    }
+
+    /** Stores a prompt's blocks and publishes what changed. */
+    synchronized void store(List<Long> prompt) {
+        List<Long> stored = new ArrayList<>();
+        for (Long block : prompt) {
+            if (!blocks.remove(block)) {
+                stored.add(block);
+            }
+            blocks.add(block);
+        }
+        List<Long> evicted = new ArrayList<>();
+        while (blocks.size() > capacity) {
+            Long oldest = blocks.iterator().next();
+            blocks.remove(oldest);
+            evicted.add(oldest);
+        }
+        if (stored.isEmpty() && evicted.isEmpty()) {
+            return;
+        }
+        sequence++;
+        if (gapEvery == 0 || sequence % gapEvery != 0) {
+            changes.add(new Change(sequence, millis.getAsLong(), stored, evicted));
+        }
+        if (changes.size() > KEPT_EVENTS) {
+            changes.remove(0);
+        }
+    }
+
+    /** Returns the events after a sequence number, or everything held for 0. */
+    synchronized ObjectNode events(long after, long incarnation) {
+        ObjectNode answer = StandInExchange.object().put("incarnation", incarnation);
+        if (after == 0) {
+            answer.put("first", sequence).put("last", sequence).put("whole", true);
+            put(answer, "stored", blocks);
+            put(answer, "evicted", Set.of());
+            return answer;
+        }
+        Set<Long> stored = new LinkedHashSet<>();
+        Set<Long> evicted = new LinkedHashSet<>();
+        long first = after + 1;
+        long last = after;
+        long publishedUntil = millis.getAsLong() - lagMillis;
+        for (Change change : changes) {
+            if (change.sequence() > after && change.atMillis() <= publishedUntil) {
+                first = last == after ? change.sequence() : first;
+                last = change.sequence();
+                change.stored().forEach(evicted::remove);
+                stored.addAll(change.stored());
+                change.evicted().forEach(stored::remove);
+                evicted.addAll(change.evicted());
+            }
+        }
+        answer.put("first", first).put("last", last).put("whole", false);
+        put(answer, "stored", stored);
+        put(answer, "evicted", evicted);
+        return answer;
+    }
+
+    private static void put(ObjectNode answer, String name, Iterable<Long> values) {
+        var array = answer.putArray(name);
+        values.forEach(array::add);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/standin/StandInEngine.java
@@ -0,0 +1,238 @@
+package org.plantainwharf.standin;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.plantainwharf.front.PrefixBlocks;
+
+/**
+ * A stand-in for a model engine. It generates {@code t0 t1 t2 ...}, so that every answer can be checked, and follows
+ * the engine interface that the design page describes. Thread-safe.
+ */
+public final class StandInEngine implements AutoCloseable {
+    private static final int BYTES_PER_TOKEN = 4;
+    private static final long LEAVE_LIMIT_MILLIS = 20_000;
+
+    private final StandInOptions options;
+    private final boolean checksFencing;
+    private final boolean movesCache;
+    private final long incarnation = System.currentTimeMillis();
+    private final AtomicLong order = new AtomicLong();
+    private final StandInHttp http;
+    private final EngineCache cache;
+    private final EngineRuns runs;
+    private final Announcer announcer;
+    private volatile Set<String> models;
+    private volatile boolean leaving;
+    private long fencing;
+
+    private StandInEngine(OptionSet set, Runnable halt) {
+        options = StandInOptions.of(set);
+        checksFencing = Boolean.parseBoolean(StandInOptions.text(set, "checks-fencing"));
+        movesCache = Boolean.parseBoolean(StandInOptions.text(set, "moves-cache"));
+        models = new TreeSet<>(StandInOptions.texts(set, "models"));
+        cache = EngineCache.create(
+                StandInOptions.number(set, "cache-blocks"),
+                StandInOptions.number(set, "cache-lag-millis"),
+                StandInOptions.number(set, "cache-gap"),
+                System::currentTimeMillis);
+        http = StandInHttp.start(options.port(), endpoints(), halt);
+        runs = EngineRuns.create(
+                http,
+                cache,
+                new EngineRuns.EngineSpeed(
+                        options.slots(),
+                        StandInOptions.number(set, "token-millis"),
+                        Math.max(1, StandInOptions.number(set, "prefill-tokens-per-milli"))));
+        announcer = Announcer.start(options.operators(), this::announcement);
+    }
+
+    /** Runs a stand-in until the process is told to end. Returns the exit status. */
+    public static int run(String[] arguments) {
+        OptionSet set;
+        try {
+            set = parser().parse(arguments);
+        } catch (OptionException e) {
+            System.err.println("stand-in-engine: " + e.getMessage());
+            return 2;
+        }
+        StandInEngine engine = new StandInEngine(set, () -> Runtime.getRuntime().halt(137));
+        System.out.println("stand-in-engine " + engine.options.server() + " on " + engine.address());
+        return StandInProcess.runUntilTold(engine::leave);
+    }
+
+    /**
+     * Starts a stand-in within this process.
+     *
+     * @param halt run instead of ending the process when it is told to crash
+     */
+    static StandInEngine start(Runnable halt, String... arguments) {
+        return new StandInEngine(parser().parse(arguments), halt);
+    }
+
+    private static OptionParser parser() {
+        OptionParser parser = new OptionParser();
+        StandInOptions.describe(parser);
+        number(parser, "token-millis", "time for a token", 10);
+        number(parser, "prefill-tokens-per-milli", "prompt tokens computed in a millisecond", 10);
+        number(parser, "cache-blocks", "blocks of the prefix cache", 4_096);
+        number(parser, "cache-lag-millis", "age at which cache events are published", 0);
+        number(parser, "cache-gap", "each event with a multiple of this number is lost", 0);
+        parser.accepts("models", "models loaded at the start")
+                .withRequiredArg()
+                .withValuesSeparatedBy(',')
+                .defaultsTo("small");
+        parser.accepts("checks-fencing", "refuse orders with an old fencing number")
+                .withRequiredArg()
+                .defaultsTo("true");
+        parser.accepts("moves-cache", "export and import KV cache")
+                .withRequiredArg()
+                .defaultsTo("true");
+        return parser;
+    }
+
+    private static void number(OptionParser parser, String name, String description, int value) {
+        parser.accepts(name, description)
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(value);
+    }
+
+    /** Returns IP number and port. */
+    String address() {
+        return http.address();
+    }
+
+    void setFault(StandInFault fault) {
+        http.setFault(fault);
+    }
+
+    /** Announces that it leaves, finishes what runs and stops. */
+    void leave() {
+        leaving = true;
+        announcer.announce();
+        StandInProcess.awaitIdle(() -> runs.runningCount() + runs.waitingCount() == 0, LEAVE_LIMIT_MILLIS);
+        close();
+    }
+
+    @Override
+    public void close() {
+        announcer.close();
+        runs.stop();
+        http.stop();
+    }
+
+    private Map<String, Consumer<StandInExchange>> endpoints() {
+        Map<String, Consumer<StandInExchange>> endpoints = new LinkedHashMap<>();
+        endpoints.put("POST /v1/chat/completions", this::chat);
+        endpoints.put("POST /v1/cancel", this::cancel);
+        endpoints.put("GET /v1/load", exchange -> runs.load(exchange));
+        endpoints.put("GET /v1/cache-events", this::cacheEvents);
+        endpoints.put("POST /v1/orders", this::takeOrder);
+        endpoints.put("GET /v1/orders", exchange -> exchange.reply(200, orders()));
+        endpoints.put("POST /v1/kv/export", this::exportCache);
+        endpoints.put("POST /v1/kv/import", this::importCache);
+        return endpoints;
+    }
+
+    private void chat(StandInExchange exchange) {
+        JsonNode body = exchange.json();
+        String model = body.path("model").asText();
+        boolean crossed = http.fault() instanceof StandInFault.Crossed;
+        if (leaving || http.fault() instanceof StandInFault.Refuse) {
+            exchange.echo(crossed).refuse(leaving);
+            return;
+        }
+        if (!models.contains(model)) {
+            exchange.echo(crossed).refuse(false);
+            return;
+        }
+        byte[] prompt = PrefixBlocks.prompt(body.path("messages"));
+        EngineRun.Task task = new EngineRun.Task(
+                model,
+                Math.max(1, prompt.length / BYTES_PER_TOKEN),
+                PrefixBlocks.hashes(prompt),
+                body.path("max_tokens").asInt(32),
+                EngineRun.parse(exchange.header("X-Resume-Tokens")));
+        runs.submit(EngineRun.create(exchange, order.incrementAndGet(), task, crossed));
+    }
+
+    private void cancel(StandInExchange exchange) {
+        runs.cancel(exchange.header("X-Request-Id"), exchange.header("X-Attempt"));
+        exchange.reply(200, StandInExchange.object().put("cancelled", true));
+    }
+
+    private void cacheEvents(StandInExchange exchange) {
+        exchange.reply(200, cache.events(EngineRun.parse(exchange.parameter("after")), incarnation));
+    }
+
+    private void takeOrder(StandInExchange exchange) {
+        JsonNode body = exchange.json();
+        boolean accepted;
+        synchronized (this) {
+            long number = body.path("fencing").asLong();
+            accepted = !checksFencing || number >= fencing;
+            if (accepted) {
+                fencing = number;
+                Set<String> ordered = new TreeSet<>();
+                body.path("models").forEach(model -> ordered.add(model.asText()));
+                models = ordered;
+            }
+        }
+        exchange.reply(accepted ? 200 : 409, orders());
+    }
+
+    private synchronized ObjectNode orders() {
+        ObjectNode answer = StandInExchange.object().put("fencing", fencing);
+        models.forEach(answer.putArray("models")::add);
+        return answer;
+    }
+
+    /** The handle carries the block hashes, so any stand-in can import it; to others it is opaque. */
+    private void exportCache(StandInExchange exchange) {
+        byte[] prompt = PrefixBlocks.prompt(exchange.json().path("messages"));
+        String blocks =
+                PrefixBlocks.hashes(prompt).stream().map(String::valueOf).collect(Collectors.joining(","));
+        String handle = Base64.getUrlEncoder().encodeToString(blocks.getBytes(StandardCharsets.UTF_8));
+        if (movesCache) {
+            exchange.reply(200, StandInExchange.object().put("handle", handle));
+        } else {
+            exchange.reply(404, StandInExchange.object().put("error", "cache is not moved"));
+        }
+    }
+
+    private void importCache(StandInExchange exchange) {
+        String blocks = new String(
+                Base64.getUrlDecoder().decode(exchange.json().path("handle").asText()), StandardCharsets.UTF_8);
+        List<Long> hashes = Arrays.stream(blocks.split(","))
+                .filter(text -> !text.isEmpty())
+                .map(Long::valueOf)
+                .toList();
+        cache.store(hashes);
+        exchange.reply(200, StandInExchange.object().put("imported", hashes.size()));
+    }
+
+    private ObjectNode announcement() {
+        ObjectNode body = StandInProcess.announcement(
+                        options, incarnation, address(), leaving, runs.runningCount(), runs.waitingCount())
+                .put("kind", "model-engine")
+                .put("checksFencing", checksFencing)
+                .put("movesCache", movesCache);
+        models.forEach(body.putArray("models")::add);
+        return body;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/standin/StandInOptions.java
@@ -0,0 +1,56 @@
+package org.plantainwharf.standin;
+
+import java.util.List;
+
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/**
+ * What both stand-ins are told on the command line. Immutable.
+ *
+ * @param operators operator addresses of daemons, tried in turn
+ * @param slots most requests run at once
+ */
+record StandInOptions(String server, String zone, String hostClass, int port, List<String> operators, int slots) {
+    /** Adds the options to a parser. */
+    static void describe(OptionParser parser) {
+        parser.accepts("server", "name of this server").withRequiredArg().defaultsTo("server-1");
+        parser.accepts("zone", "availability zone").withRequiredArg().defaultsTo("zone-a");
+        parser.accepts("host-class", "host class").withRequiredArg().defaultsTo("standard");
+        parser.accepts("port", "port to listen on, 0 for any")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(0);
+        parser.accepts("operators", "operator addresses of daemons")
+                .withRequiredArg()
+                .withValuesSeparatedBy(',')
+                .defaultsTo(new String[0]);
+        parser.accepts("slots", "requests run at once")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(8);
+    }
+
+    /** Reads the options. */
+    static StandInOptions of(OptionSet options) {
+        return new StandInOptions(
+                text(options, "server"),
+                text(options, "zone"),
+                text(options, "host-class"),
+                number(options, "port"),
+                texts(options, "operators"),
+                number(options, "slots"));
+    }
+
+    static String text(OptionSet options, String name) {
+        return String.valueOf(options.valueOf(name));
+    }
+
+    static int number(OptionSet options, String name) {
+        return Integer.parseInt(text(options, name));
+    }
+
+    static List<String> texts(OptionSet options, String name) {
+        return options.valuesOf(name).stream().map(String::valueOf).toList();
+    }
+}
