Read settings and sheets with every problem named

Cause: a daemon needs checked settings, and planners' exports differ by locale and spreadsheet. Both report all problems at once.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/settings/SettingsRules.java
@@ -0,0 +1,160 @@
+package org.plantainwharf.settings;
+
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostId;
+
+/** Rules between several keys of settings. Thread-safe. */
+public final class SettingsRules {
+    private SettingsRules() {}
+
+    /** Returns what forbids a start, in the order of the keys. */
+    public static List<SettingsProblem> problems(Settings settings) {
+        List<SettingsProblem> problems = new ArrayList<>();
+        checkListenAddresses(settings, problems);
+        checkHosts(settings, problems);
+        checkOwnEntry(settings, problems);
+        Settings.Timings timings = settings.timings();
+        if (timings.drainNoticeMillis() > timings.drainLimitMillis()) {
+            problems.add(new SettingsProblem(
+                    "timings.drainNoticeMillis",
+                    String.valueOf(timings.drainNoticeMillis()),
+                    "at most timings.drainLimitMillis, which is " + timings.drainLimitMillis()));
+        }
+        Settings.Bounds bounds = settings.bounds();
+        if (bounds.accountQueueCapacity() > bounds.rankQueueCapacity()) {
+            problems.add(new SettingsProblem(
+                    "bounds.accountQueueCapacity",
+                    String.valueOf(bounds.accountQueueCapacity()),
+                    "at most bounds.rankQueueCapacity, which is " + bounds.rankQueueCapacity()));
+        }
+        return List.copyOf(problems);
+    }
+
+    /** Returns what weakens the system but does not forbid a start. */
+    public static List<String> warnings(Settings settings) {
+        List<String> warnings = new ArrayList<>();
+        Map<String, Integer> votersByZone = new TreeMap<>();
+        int voters = 0;
+        for (Settings.HostEntry entry : settings.hosts()) {
+            if (entry.voter()) {
+                voters++;
+                votersByZone.merge(entry.zone().value(), 1, Integer::sum);
+            }
+        }
+        int majority = voters / 2 + 1;
+        for (Map.Entry<String, Integer> zone : votersByZone.entrySet()) {
+            int left = voters - zone.getValue();
+            if (left < majority) {
+                warnings.add("losing availability zone " + zone.getKey() + " leaves " + left + " of " + voters
+                        + " voters, and a majority needs " + majority
+                        + ": orders and long work would be refused; spread the voters over more zones");
+            }
+        }
+        return List.copyOf(warnings);
+    }
+
+    private static void checkListenAddresses(Settings settings, List<SettingsProblem> problems) {
+        Map<String, String> keyByAddress = new HashMap<>();
+        checkListenAddress("callerAddress", settings.callerAddress(), keyByAddress, problems);
+        checkListenAddress("operatorAddress", settings.operatorAddress(), keyByAddress, problems);
+        checkListenAddress("peerAddress", settings.peerAddress(), keyByAddress, problems);
+    }
+
+    private static void checkListenAddress(
+            String key, String address, Map<String, String> keyByAddress, List<SettingsProblem> problems) {
+        checkNumber(key, address, problems);
+        if (hasPortZero(address)) {
+            return;
+        }
+        String other = keyByAddress.putIfAbsent(address, key);
+        if (other != null) {
+            problems.add(new SettingsProblem(key, quote(address), "an address other than that of " + other));
+        }
+    }
+
+    private static void checkHosts(Settings settings, List<SettingsProblem> problems) {
+        Set<HostId> hosts = new HashSet<>();
+        Set<String> addresses = new HashSet<>();
+        boolean anyVoter = false;
+        for (int index = 0; index < settings.hosts().size(); index++) {
+            Settings.HostEntry entry = settings.hosts().get(index);
+            String path = "hosts[" + index + "]";
+            anyVoter |= entry.voter();
+            if (!hosts.add(entry.host())) {
+                problems.add(
+                        new SettingsProblem(path + ".host", quote(entry.host().value()), "a host that is listed once"));
+            }
+            checkNumber(path + ".peerAddress", entry.peerAddress(), problems);
+            if (hasPortZero(entry.peerAddress())) {
+                if (!entry.host().equals(settings.host())) {
+                    problems.add(new SettingsProblem(
+                            path + ".peerAddress",
+                            quote(entry.peerAddress()),
+                            "a port from 1 to 65535 for another host"));
+                }
+            } else if (!addresses.add(entry.peerAddress())) {
+                problems.add(new SettingsProblem(
+                        path + ".peerAddress", quote(entry.peerAddress()), "an address that is listed once"));
+            }
+        }
+        if (!anyVoter) {
+            problems.add(new SettingsProblem("hosts", "no voter", "at least one host with \"voter\": true"));
+        }
+    }
+
+    private static void checkOwnEntry(Settings settings, List<SettingsProblem> problems) {
+        boolean listed = false;
+        for (int index = 0; index < settings.hosts().size(); index++) {
+            Settings.HostEntry entry = settings.hosts().get(index);
+            if (!entry.host().equals(settings.host())) {
+                continue;
+            }
+            listed = true;
+            AvailabilityZone zone = entry.zone();
+            if (!zone.equals(settings.zone())) {
+                problems.add(new SettingsProblem(
+                        "hosts[" + index + "].zone",
+                        quote(zone.value()),
+                        quote(settings.zone().value()) + ", the zone of this host"));
+            }
+            if (entry.voter() && settings.dataFolder().isEmpty()) {
+                problems.add(new SettingsProblem(
+                        "dataFolder", "no such key", "a folder on a disk, because this host is a voter"));
+            }
+        }
+        if (!listed) {
+            problems.add(new SettingsProblem("host", quote(settings.host().value()), "a host listed in hosts"));
+        }
+    }
+
+    private static void checkNumber(String path, String address, List<SettingsProblem> problems) {
+        if (!address.startsWith("[")) {
+            return;
+        }
+        String number = address.substring(1, address.indexOf(']'));
+        try {
+            // A text with a colon is read as an IPv6 number and never looked up as a name.
+            InetAddress.getByName(number);
+        } catch (UnknownHostException e) {
+            problems.add(new SettingsProblem(path, quote(address), "a valid IPv6 number in brackets"));
+        }
+    }
+
+    private static boolean hasPortZero(String address) {
+        return address.endsWith(":0");
+    }
+
+    private static String quote(String text) {
+        return '"' + text + '"';
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/sheet/SheetDigest.java
@@ -0,0 +1,106 @@
+package org.plantainwharf.sheet;
+
+import java.math.BigDecimal;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Collection;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.RankName;
+import org.plantainwharf.identity.RouteName;
+
+/**
+ * SHA-256 over the canonical content of a sheet. The order of rows, the separators and the way numbers are written do
+ * not change it. The version is not part of it, so that equal content under two versions is recognisable. Thread-safe.
+ */
+public final class SheetDigest {
+    private SheetDigest() {}
+
+    /** Returns the digest of a sheet's content in lower-case hexadecimal. */
+    public static String of(Sheet sheet) {
+        return of(sheet.accounts(), sheet.ranks(), sheet.routes(), sheet.budgets());
+    }
+
+    /** Returns the digest of an account key as sheets hold it, in lower-case hexadecimal. */
+    public static String ofKey(String key) {
+        return sha256(key);
+    }
+
+    static String of(
+            Map<AccountName, ClientAccount> accounts,
+            Map<RankName, Rank> ranks,
+            Map<RouteName, Route> routes,
+            List<Budget> budgets) {
+        Stream<String> lines = Stream.of(
+                        lines(accounts.values(), SheetDigest::line),
+                        lines(ranks.values(), SheetDigest::line),
+                        lines(routes.values(), SheetDigest::line),
+                        lines(budgets, SheetDigest::line))
+                .flatMap(part -> part);
+        return sha256(lines.collect(Collectors.joining("\n")));
+    }
+
+    private static <T> Stream<String> lines(
+            Collection<T> values, java.util.function.Function<? super T, String> toLine) {
+        return values.stream().map(toLine).sorted();
+    }
+
+    // Values are quoted, so that no value can imitate a boundary between two values.
+    private static String line(ClientAccount account) {
+        String ranks = account.ranks().stream().map(RankName::value).sorted().collect(Collectors.joining("\" \""));
+        return join(
+                "account",
+                account.name().value(),
+                account.keyDigest(),
+                number(account.weight()),
+                number(account.requestsPerSecond()),
+                ranks);
+    }
+
+    private static String line(Rank rank) {
+        return join(
+                "rank",
+                rank.name().value(),
+                String.valueOf(rank.latencyTargetMillis()),
+                String.valueOf(rank.deadlineMillis()),
+                number(rank.worth()),
+                number(rank.floorShare()));
+    }
+
+    private static String line(Route route) {
+        return join("route", route.name().value(), route.rank().value(), String.valueOf(route.repeatable()));
+    }
+
+    private static String line(Budget budget) {
+        return join(
+                "budget",
+                budget.zone().value(),
+                budget.hostClass().value(),
+                number(budget.pricePerHour()),
+                number(budget.maximumPerHour()),
+                String.valueOf(budget.reclaimable()));
+    }
+
+    private static String join(String... values) {
+        return Stream.of(values).collect(Collectors.joining("\",\"", "\"", "\""));
+    }
+
+    private static String number(double value) {
+        return value == 0 ? "0" : BigDecimal.valueOf(value).stripTrailingZeros().toPlainString();
+    }
+
+    private static String sha256(String text) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java runtime has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/sheet/csv/CsvVariant.java
@@ -0,0 +1,45 @@
+package org.plantainwharf.sheet.csv;
+
+/** The two ways in which spreadsheets export CSV, by locale. Immutable. */
+public sealed interface CsvVariant {
+    /** Separator {@code ;} and decimal comma. */
+    record Semicolon() implements CsvVariant {}
+
+    /** Separator {@code ,} and decimal point. */
+    record Comma() implements CsvVariant {}
+
+    /** Returns the character between cells. */
+    default char separator() {
+        return switch (this) {
+            case Semicolon semicolon -> ';';
+            case Comma comma -> ',';
+        };
+    }
+
+    /** Returns the decimal sign that this locale writes. The other one is read too. */
+    default char decimalSign() {
+        return switch (this) {
+            case Semicolon semicolon -> ',';
+            case Comma comma -> '.';
+        };
+    }
+
+    /** Detects the variant: the first row that holds a separator outside quotes decides, and {@code ;} goes first. */
+    static CsvVariant detect(String text) {
+        boolean quoted = false;
+        boolean comma = false;
+        for (int index = 0; index < text.length(); index++) {
+            char character = text.charAt(index);
+            if (character == '"') {
+                quoted = !quoted;
+            } else if (!quoted && character == ';') {
+                return new Semicolon();
+            } else if (!quoted && character == ',') {
+                comma = true;
+            } else if (!quoted && (character == '\n' || character == '\r') && comma) {
+                return new Comma();
+            }
+        }
+        return comma ? new Comma() : new Semicolon();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/sheet/csv/SheetProblems.java
@@ -0,0 +1,28 @@
+package org.plantainwharf.sheet.csv;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+
+/** Everything that is wrong with one sheet file, by row; never empty. Immutable. */
+public record SheetProblems(List<SheetProblem> problems) {
+    /** Copies the list. */
+    public SheetProblems {
+        problems = List.copyOf(problems);
+        if (problems.isEmpty()) {
+            throw new IllegalArgumentException("problems must not be empty");
+        }
+    }
+
+    /** Returns the problems, one a line. */
+    public String text() {
+        return problems.stream().map(SheetProblem::toString).collect(Collectors.joining("\n"));
+    }
+
+    /** Returns these problems as one failure. */
+    public Failure toFailure() {
+        return Failure.of(ErrorKind.SHEET_INVALID, text().replace("\n", " | "));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/sheet/csv/SheetRow.java
@@ -0,0 +1,178 @@
+package org.plantainwharf.sheet.csv;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+
+import io.vavr.control.Either;
+
+/**
+ * The cells of one row by header. Reads typed values and records a problem for each cell that has none; the returned
+ * value is then empty. Used by one thread.
+ */
+final class SheetRow {
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+    private static final Pattern KEY_DIGEST = Pattern.compile("[0-9a-fA-F]{64}");
+    private static final double LARGEST = 1e12;
+
+    private final int number;
+    private final Map<String, Integer> columns;
+    private final List<String> cells;
+    private final CsvVariant variant;
+    private final List<SheetProblem> problems;
+
+    private SheetRow(
+            int number,
+            Map<String, Integer> columns,
+            List<String> cells,
+            CsvVariant variant,
+            List<SheetProblem> problems) {
+        this.number = number;
+        this.columns = columns;
+        this.cells = cells;
+        this.variant = variant;
+        this.problems = problems;
+    }
+
+    /**
+     * Returns a row.
+     *
+     * @param number row as spreadsheets number it
+     * @param columns index of the column of each header, from 0
+     * @param cells trimmed cells
+     * @param problems receives what is wrong
+     */
+    static SheetRow create(
+            int number,
+            Map<String, Integer> columns,
+            List<String> cells,
+            CsvVariant variant,
+            List<SheetProblem> problems) {
+        return new SheetRow(number, columns, cells, variant, problems);
+    }
+
+    /** Returns a column's letter as spreadsheets show it, from index 0 for {@code A}. */
+    static String letter(int index) {
+        String last = String.valueOf((char) ('A' + index % 26));
+        return index < 26 ? last : letter(index / 26 - 1) + last;
+    }
+
+    /** Returns the row's number. */
+    int number() {
+        return number;
+    }
+
+    /** Reads a name. */
+    Optional<String> name(String header) {
+        return read(header, SheetRow::checkName);
+    }
+
+    /** Reads one or more names separated by blanks. */
+    Optional<Set<String>> names(String header) {
+        return read(header, text -> {
+            Set<String> names = new LinkedHashSet<>();
+            for (String name : text.split("[ \\u00A0]+", -1)) {
+                Either<String, String> checked = checkName(name);
+                if (checked.isLeft()) {
+                    return Either.left(checked.getLeft() + "; several are separated by blanks");
+                }
+                if (!names.add(name)) {
+                    return Either.left(name + " is named twice");
+                }
+            }
+            return Either.right(names);
+        });
+    }
+
+    /** Reads a whole number within bounds. */
+    Optional<Long> whole(String header, long least, long most) {
+        return read(header, text -> NumberText.whole(text)
+                .filterOrElse(
+                        value -> value >= least && value <= most, value -> "must be from " + least + " to " + most));
+    }
+
+    /** Reads a decimal number greater than 0. */
+    Optional<Double> positive(String header) {
+        return decimal(header, value -> value > 0 && value <= LARGEST, "must be greater than 0 and at most 1e12");
+    }
+
+    /** Reads a decimal number that is not negative. */
+    Optional<Double> notNegative(String header) {
+        return decimal(header, value -> value >= 0 && value <= LARGEST, "must be from 0 to 1e12");
+    }
+
+    /** Reads a share of a whole. */
+    Optional<Double> share(String header) {
+        return decimal(header, value -> value >= 0 && value <= 1, "must be from 0 to 1");
+    }
+
+    /** Reads yes or no. */
+    Optional<Boolean> yesOrNo(String header) {
+        return read(header, text -> switch (text.toLowerCase(Locale.ROOT)) {
+            case "yes", "true" -> Either.right(true);
+            case "no", "false" -> Either.right(false);
+            default -> Either.left("must be yes or no");
+        });
+    }
+
+    /** Reads a key digest. Its text is withheld from problems, since it may be a key pasted by mistake. */
+    Optional<String> keyDigest(String header) {
+        String text = cell(header);
+        if (!KEY_DIGEST.matcher(text).matches()) {
+            String shown = text.isEmpty() ? "" : "(withheld)";
+            problems.add(new SheetProblem(
+                    number,
+                    place(header),
+                    shown,
+                    "must be the SHA-256 digest of the account's key, 64 hexadecimal digits; see: sheet key"));
+            return Optional.empty();
+        }
+        return Optional.of(text.toLowerCase(Locale.ROOT));
+    }
+
+    /** Records a problem of one cell. */
+    void refuse(String header, String reason) {
+        problems.add(new SheetProblem(number, place(header), cell(header), reason));
+    }
+
+    private Optional<Double> decimal(String header, Predicate<Double> allowed, String reason) {
+        return read(header, text -> NumberText.decimal(text, variant).filterOrElse(allowed, value -> reason));
+    }
+
+    private <T> Optional<T> read(String header, Function<String, Either<String, T>> reader) {
+        String text = cell(header);
+        if (text.isEmpty()) {
+            refuse(header, "must not be empty");
+            return Optional.empty();
+        }
+        Either<String, T> value = reader.apply(text);
+        if (value.isLeft()) {
+            refuse(header, value.getLeft());
+            return Optional.empty();
+        }
+        return Optional.of(value.get());
+    }
+
+    private static Either<String, String> checkName(String text) {
+        return NAME.matcher(text).matches()
+                ? Either.right(text)
+                : Either.left("must be 1 to 64 letters, digits, dots, hyphens or underscores, beginning with a letter"
+                        + " or digit");
+    }
+
+    private String cell(String header) {
+        Integer index = columns.get(header);
+        return index == null || index >= cells.size() ? "" : cells.get(index);
+    }
+
+    private String place(String header) {
+        Integer index = columns.get(header);
+        return index == null ? header : letter(index) + " (" + header + ")";
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/sheet/csv/package-info.java
@@ -0,0 +1,5 @@
+/** Reads and writes sheets as CSV. */
+@NullMarked
+package org.plantainwharf.sheet.csv;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/test/java/org/plantainwharf/sheet/csv/package-info.java
@@ -0,0 +1,5 @@
+/** Right and wrong sheet files. */
+@NullMarked
+package org.plantainwharf.sheet.csv;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/test/java/org/plantainwharf/sheet/package-info.java
@@ -0,0 +1,5 @@
+/** Digests and differences of sheets. */
+@NullMarked
+package org.plantainwharf.sheet;
+
+import org.jspecify.annotations.NullMarked;
