Add links between daemons

Cause: heartbeats, leases and the replicated logs need one ordered link for each pair of daemons that no peer can harm. Change: PeerNetwork on one event loop thread, with a checked hello, bounded queues that drop and count, and jittered redial; LinkPlan decides which pairs keep a link; every PeerEffect names its peer.

--- a/src/main/java/org/plantainwharf/effect/PeerEffect.java
+++ b/src/main/java/org/plantainwharf/effect/PeerEffect.java
@@ -5,6 +5,9 @@
 
 /** What to do on links to other daemons. Immutable. */
 public sealed interface PeerEffect extends Effect {
+    /** The other daemon. */
+    HostId peer();
+
     /** Sends a message; dropped and counted when there is no link. */
     record SendToPeer(HostId peer, PeerMessage message) implements PeerEffect {}
 
--- /dev/null
+++ b/src/main/java/org/plantainwharf/membership/LinkPlan.java
@@ -0,0 +1,70 @@
+package org.plantainwharf.membership;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.settings.Settings;
+
+/**
+ * Decides which pairs of daemons keep a link. Up to {@link #FULL_MESH_MAXIMUM} daemons every pair does. Above that, a
+ * pair keeps a link if both are in one zone, or both relay for their zones, or one of them is a voter. The rule is
+ * symmetric, so both ends agree without talking. Immutable and thread-safe.
+ */
+public final class LinkPlan {
+    /** At 48 daemons a full mesh costs each one 47 links, as many as its zone's mesh costs at the planned size. */
+    public static final int FULL_MESH_MAXIMUM = 48;
+
+    /** Two relays for each zone: one may be restarted while the other carries the zone. */
+    static final int RELAYS_PER_ZONE = 2;
+
+    private final Set<HostId> peers;
+
+    private LinkPlan(Set<HostId> peers) {
+        this.peers = peers;
+    }
+
+    /** Returns the plan of one host from the configured daemons. */
+    public static LinkPlan of(HostId self, List<Settings.HostEntry> hosts) {
+        Set<HostId> relays = relays(hosts);
+        boolean selfVotes = hosts.stream().anyMatch(host -> host.host().equals(self) && host.voter());
+        AvailabilityZone zone = hosts.stream()
+                .filter(host -> host.host().equals(self))
+                .map(Settings.HostEntry::zone)
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("host " + self + " is not configured"));
+        return new LinkPlan(hosts.stream()
+                .filter(host -> !host.host().equals(self))
+                .filter(host -> hosts.size() <= FULL_MESH_MAXIMUM
+                        || host.zone().equals(zone)
+                        || selfVotes
+                        || host.voter()
+                        || (relays.contains(self) && relays.contains(host.host())))
+                .map(Settings.HostEntry::host)
+                .collect(Collectors.toUnmodifiableSet()));
+    }
+
+    /** The first diskless hosts of each zone by id, which every daemon computes alike. */
+    private static Set<HostId> relays(List<Settings.HostEntry> hosts) {
+        return hosts.stream().collect(Collectors.groupingBy(Settings.HostEntry::zone)).values().stream()
+                .flatMap(zone -> zone.stream()
+                        .filter(host -> !host.voter())
+                        .sorted(Comparator.comparing(host -> host.host().value()))
+                        .limit(RELAYS_PER_ZONE))
+                .map(Settings.HostEntry::host)
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns the daemons that this host keeps a link with. */
+    public Set<HostId> peers() {
+        return peers;
+    }
+
+    /** Says which end of a pair opens the link, so that each pair has one. */
+    public static boolean dials(HostId self, HostId peer) {
+        return self.value().compareTo(peer.value()) < 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/transport/Dialer.java
@@ -0,0 +1,68 @@
+package org.plantainwharf.transport;
+
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+
+/** Keeps one link open: dials again after each failure and each close. Used by the event loop only. */
+final class Dialer {
+    private static final long FIRST_DELAY_MILLIS = 50;
+
+    /** Bounds the time that a recovered host stays without links. */
+    private static final long LONGEST_DELAY_MILLIS = 1_000;
+
+    private final Bootstrap bootstrap;
+    private final InetSocketAddress address;
+    private final EventLoop loop;
+    private final SplittableRandom random;
+    private long delayMillis = FIRST_DELAY_MILLIS;
+    private long openedNanos;
+    private boolean stopped;
+
+    Dialer(Bootstrap bootstrap, InetSocketAddress address, EventLoop loop, SplittableRandom random) {
+        this.bootstrap = bootstrap;
+        this.address = address;
+        this.loop = loop;
+        this.random = random;
+    }
+
+    void dial() {
+        if (stopped) {
+            return;
+        }
+        bootstrap.connect(address).addListener((ChannelFuture connected) -> {
+            if (connected.isSuccess()) {
+                openedNanos = System.nanoTime();
+                connected.channel().closeFuture().addListener(closed -> closed());
+            } else {
+                dialLater();
+            }
+        });
+    }
+
+    private void closed() {
+        // A link that closes soon after it opened failed for a reason that a quick redial meets again.
+        if (System.nanoTime() - openedNanos > TimeUnit.MILLISECONDS.toNanos(LONGEST_DELAY_MILLIS)) {
+            delayMillis = FIRST_DELAY_MILLIS;
+        }
+        dialLater();
+    }
+
+    private void dialLater() {
+        if (stopped || loop.isShuttingDown()) {
+            return;
+        }
+        // Half of the delay is random, so that the peers of a host that comes back do not all dial at one moment.
+        long wait = delayMillis / 2 + random.nextLong(delayMillis / 2 + 1);
+        delayMillis = Math.min(2 * delayMillis, LONGEST_DELAY_MILLIS);
+        loop.schedule(this::dial, wait, TimeUnit.MILLISECONDS);
+    }
+
+    void stop() {
+        stopped = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/transport/LinkHandler.java
@@ -0,0 +1,115 @@
+package org.plantainwharf.transport;
+
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.codec.Hello;
+import org.plantainwharf.codec.PeerMessageCodec;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.message.PeerMessage;
+
+/**
+ * Reads the frames of one link: first the hello, then messages. A frame that cannot be decoded closes this link only.
+ * Used by the event loop only.
+ */
+final class LinkHandler extends SimpleChannelInboundHandler<ByteBuf> {
+    /** A host that connects and says nothing would hold a socket for ever. */
+    private static final long HELLO_LIMIT_MILLIS = 2_000;
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final PeerNetwork network;
+    private final PeerMessageCodec codec;
+    private final LinkMetrics metrics;
+    private final HelloCheck check;
+    private @Nullable PeerLink link;
+
+    LinkHandler(PeerNetwork network, PeerMessageCodec codec, LinkMetrics metrics, HelloCheck check) {
+        this.network = network;
+        this.codec = codec;
+        this.metrics = metrics;
+        this.check = check;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        context.writeAndFlush(Unpooled.wrappedBuffer(codec.encodeHello(network.hello())));
+        context.executor()
+                .schedule(
+                        () -> {
+                            if (link == null && context.channel().isActive()) {
+                                metrics.helloMissing().inc();
+                                context.close();
+                            }
+                        },
+                        HELLO_LIMIT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+        byte[] bytes = ByteBufUtil.getBytes(frame);
+        metrics.receivedBytes().inc(PeerNetwork.LENGTH_BYTES + bytes.length);
+        PeerLink open = link;
+        if (open == null) {
+            greet(context, codec.decodeHello(bytes));
+            return;
+        }
+        Either<Failure, PeerMessage> message = codec.decode(bytes);
+        if (message.isLeft()) {
+            metrics.framesInvalid().inc();
+            LOGGER.atWarning().log(
+                    "event=frame_invalid peer=%s problem=%s",
+                    open.other().host(), message.getLeft().message());
+            context.close();
+            return;
+        }
+        network.received(open, message.get());
+    }
+
+    private void greet(ChannelHandlerContext context, Either<Failure, Hello> greeting) {
+        if (greeting.isLeft()) {
+            metrics.framesInvalid().inc();
+            context.close();
+            return;
+        }
+        Hello other = greeting.get();
+        String problem = check.problem(other);
+        if (!problem.isEmpty()) {
+            metrics.helloRefused().inc();
+            LOGGER.atWarning().log(
+                    "event=hello_refused peer=%s address=%s problem=%s",
+                    other.host(), context.channel().remoteAddress(), problem);
+            context.close();
+            return;
+        }
+        PeerLink opened = PeerLink.create(other, context.channel(), codec, metrics);
+        link = opened;
+        network.opened(opened);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        if (link != null) {
+            network.closed(link);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof TooLongFrameException) {
+            metrics.framesTooLong().inc();
+        }
+        LOGGER.atFine().withCause(cause).log(
+                "event=link_failed address=%s", context.channel().remoteAddress());
+        context.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/transport/LinkMetrics.java
@@ -0,0 +1,33 @@
+package org.plantainwharf.transport;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+
+/** Counters of the links, one for each reason to drop a message or to close a link. Thread-safe. */
+record LinkMetrics(
+        Counter opened,
+        Counter closed,
+        Counter sentBytes,
+        Counter receivedBytes,
+        Counter droppedNotConnected,
+        Counter droppedQueueFull,
+        Counter droppedTooLarge,
+        Counter framesInvalid,
+        Counter framesTooLong,
+        Counter helloRefused,
+        Counter helloMissing) {
+    static LinkMetrics of(MetricRegistry registry) {
+        return new LinkMetrics(
+                registry.counter("links.opened"),
+                registry.counter("links.closed"),
+                registry.counter("links.sent_bytes"),
+                registry.counter("links.received_bytes"),
+                registry.counter("links.dropped.not_connected"),
+                registry.counter("links.dropped.queue_full"),
+                registry.counter("links.dropped.too_large"),
+                registry.counter("links.frames_invalid"),
+                registry.counter("links.frames_too_long"),
+                registry.counter("links.hello_refused"),
+                registry.counter("links.hello_missing"));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/transport/PeerNetwork.java
@@ -0,0 +1,252 @@
+package org.plantainwharf.transport;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.codec.Hello;
+import org.plantainwharf.codec.PeerMessageCodec;
+import org.plantainwharf.control.EventSink;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.membership.LinkPlan;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.settings.Settings;
+
+/**
+ * Links to other daemons: one TCP link for each pair of {@link LinkPlan}, opened by the host with the smaller id.
+ *
+ * <p>Each {@code PeerConnected} is followed by exactly one {@code PeerDisconnected} of the same incarnation, before the
+ * next {@code PeerConnected} of that peer. All links share one event loop thread, which keeps these events in order
+ * without locks. That thread waits while the event queue is full, which slows down the other daemons through TCP.
+ * {@link #execute} is thread-safe and never blocks. Close the network before the control thread stops.
+ */
+public final class PeerNetwork implements AutoCloseable {
+    /** Largest content of a frame; a larger one closes the link. */
+    static final int MAXIMUM_FRAME_BYTES = 4 << 20;
+
+    /** Length of the prefix that gives a frame's length. */
+    static final int LENGTH_BYTES = 4;
+
+    private static final int CONNECT_LIMIT_MILLIS = 1_000;
+    private static final long CLOSE_LIMIT_MILLIS = 2_000;
+
+    /** Two largest frames may wait in a channel; further messages are dropped until one of them is sent. */
+    private static final WriteBufferWaterMark WATER_MARK =
+            new WriteBufferWaterMark(MAXIMUM_FRAME_BYTES, 2 * MAXIMUM_FRAME_BYTES);
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Settings settings;
+    private final Hello hello;
+    private final PeerMessageCodec codec;
+    private final EventSink events;
+    private final LinkMetrics metrics;
+    private final EventLoopGroup loops;
+    private final ChannelGroup channels;
+    private final Map<HostId, PeerLink> links = new ConcurrentHashMap<>();
+    private final List<Dialer> dialers = new ArrayList<>();
+    private volatile int port;
+    private volatile boolean closing;
+
+    private PeerNetwork(
+            Settings settings, long incarnation, PeerMessageCodec codec, EventSink events, MetricRegistry registry) {
+        this.settings = settings;
+        this.hello = Hello.of(settings.host(), settings.zone(), incarnation);
+        this.codec = codec;
+        this.events = events;
+        this.metrics = LinkMetrics.of(registry);
+        this.loops = new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory("links-" + settings.host(), true), NioIoHandler.newFactory());
+        this.channels = new DefaultChannelGroup(loops.next());
+    }
+
+    /**
+     * Returns a network that has not started.
+     *
+     * @param incarnation differs between starts of this daemon's process
+     * @param events receives connections, disconnections and messages
+     * @param registry receives the counters {@code links.*}
+     */
+    public static PeerNetwork create(
+            Settings settings, long incarnation, PeerMessageCodec codec, EventSink events, MetricRegistry registry) {
+        return new PeerNetwork(settings, incarnation, codec, events, registry);
+    }
+
+    /** Listens for other daemons and begins to dial. Returns the port, or a failure when it cannot listen. */
+    public Either<Failure, Integer> start() {
+        HelloCheck accepting = HelloCheck.accepting(settings);
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .childHandler(initializer(() -> new LinkHandler(this, codec, metrics, accepting)))
+                .bind(address(settings.peerAddress()))
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            loops.shutdownGracefully(0, CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+            return Either.left(Failure.of(
+                    ErrorKind.SETTINGS_INVALID,
+                    "peerAddress " + settings.peerAddress() + " cannot be opened: " + bound.cause()));
+        }
+        channels.add(bound.channel());
+        port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
+        loops.next().execute(this::dialAll);
+        return Either.right(port);
+    }
+
+    private void dialAll() {
+        LinkPlan plan = LinkPlan.of(settings.host(), settings.hosts());
+        SplittableRandom random = new SplittableRandom(hello.incarnation());
+        for (Settings.HostEntry entry : settings.hosts()) {
+            if (!plan.peers().contains(entry.host()) || !LinkPlan.dials(settings.host(), entry.host())) {
+                continue;
+            }
+            HelloCheck dialling = HelloCheck.dialling(settings, entry.host());
+            Bootstrap bootstrap = new Bootstrap()
+                    .group(loops)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT_MILLIS)
+                    .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                    .handler(initializer(() -> new LinkHandler(this, codec, metrics, dialling)));
+            Dialer dialer = new Dialer(bootstrap, address(entry.peerAddress()), loops.next(), random.split());
+            dialers.add(dialer);
+            dialer.dial();
+        }
+    }
+
+    private ChannelInitializer<Channel> initializer(Supplier<LinkHandler> handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channels.add(channel);
+                channel.pipeline()
+                        .addLast(new LengthFieldBasedFrameDecoder(
+                                MAXIMUM_FRAME_BYTES + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                        .addLast(handler.get());
+            }
+        };
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    /** Returns the port that other daemons connect to, 0 before the start. */
+    public int port() {
+        return port;
+    }
+
+    /** Carries out an effect. A message to a host without a link is dropped and counted. */
+    public void execute(PeerEffect effect) {
+        @Nullable PeerLink link = links.get(effect.peer());
+        switch (effect) {
+            case PeerEffect.SendToPeer send -> {
+                if (link == null) {
+                    metrics.droppedNotConnected().inc();
+                } else {
+                    link.send(send.message());
+                }
+            }
+            case PeerEffect.CloseLink close -> {
+                if (link != null) {
+                    link.close();
+                }
+            }
+        }
+    }
+
+    /** Returns what this host says of itself on each link. */
+    Hello hello() {
+        return hello;
+    }
+
+    /** Takes a link whose other side has identified itself. A newer link of a peer replaces the older one. */
+    void opened(PeerLink link) {
+        @Nullable PeerLink older = links.put(link.other().host(), link);
+        if (older != null) {
+            postClosed(older);
+            older.close();
+        }
+        metrics.opened().inc();
+        LOGGER.atInfo().log(
+                "event=link_opened peer=%s incarnation=%s",
+                link.other().host(), link.other().incarnation());
+        events.post(new PeerEvent.PeerConnected(
+                link.other().host(), link.other().zone(), link.other().incarnation()));
+    }
+
+    /** Takes a message. Messages of a replaced link are dropped: its peer has already been reported as gone. */
+    void received(PeerLink link, PeerMessage message) {
+        if (links.get(link.other().host()) == link) {
+            events.post(new PeerEvent.PeerMessageReceived(
+                    link.other().host(), link.other().incarnation(), message));
+        }
+    }
+
+    /** Takes the end of a link. */
+    void closed(PeerLink link) {
+        if (links.remove(link.other().host(), link)) {
+            postClosed(link);
+        }
+    }
+
+    private void postClosed(PeerLink link) {
+        metrics.closed().inc();
+        LOGGER.atInfo().log(
+                "event=link_closed peer=%s incarnation=%s",
+                link.other().host(), link.other().incarnation());
+        if (!closing) {
+            events.post(new PeerEvent.PeerDisconnected(
+                    link.other().host(), link.other().incarnation()));
+        }
+    }
+
+    /** Closes all links without reporting them. */
+    @Override
+    public void close() {
+        closing = true;
+        if (loops.isShuttingDown()) {
+            return;
+        }
+        loops.next().execute(() -> {
+            dialers.forEach(Dialer::stop);
+            channels.close();
+        });
+        loops.shutdownGracefully(0, CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_LIMIT_MILLIS);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/transport/RawPeer.java
@@ -0,0 +1,73 @@
+package org.plantainwharf.transport;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+
+import org.plantainwharf.codec.Hello;
+import org.plantainwharf.codec.PeerMessageCodec;
+
+/** The other end of a link as a plain socket, so that a test can send what no daemon would send. */
+final class RawPeer implements AutoCloseable {
+    private static final int LIMIT_MILLIS = 10_000;
+
+    private final Socket socket;
+    private final DataOutputStream out;
+    private final DataInputStream in;
+
+    private RawPeer(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setSoTimeout(LIMIT_MILLIS);
+        out = new DataOutputStream(socket.getOutputStream());
+        in = new DataInputStream(socket.getInputStream());
+    }
+
+    static RawPeer connect(int port) throws IOException {
+        return new RawPeer(new Socket(InetAddress.getLoopbackAddress(), port));
+    }
+
+    void greet(Hello hello) throws IOException {
+        frame(PeerMessageCodec.create().encodeHello(hello));
+    }
+
+    void frame(byte[] bytes) throws IOException {
+        out.writeInt(bytes.length);
+        out.write(bytes);
+        out.flush();
+    }
+
+    /** Announces a frame of one length and sends fewer or more bytes. */
+    void frame(int length, byte[] bytes) throws IOException {
+        out.writeInt(length);
+        out.write(bytes);
+        out.flush();
+    }
+
+    byte[] read() throws IOException {
+        byte[] bytes = new byte[in.readInt()];
+        in.readFully(bytes);
+        return bytes;
+    }
+
+    /** Waits until the other side closes. Fails by timeout if it does not. */
+    void awaitClosed() throws IOException {
+        byte[] buffer = new byte[4_096];
+        int count = 0;
+        while (count >= 0) {
+            try {
+                count = in.read(buffer);
+            } catch (java.net.SocketTimeoutException e) {
+                throw e;
+            } catch (IOException e) {
+                count = -1;
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
