Keep account limits over all hosts by safe and leased shares

An account could exceed its limit by spreading calls over hosts. Each host now has a safe share and leases more from the leader of the control group. Grants are dated by heartbeat tokens, which the membership section now remembers, and a new leader waits until older grants have ended.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/limit/LimitController.java
@@ -0,0 +1,218 @@
+package org.plantainwharf.limit;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.call.Call;
+import org.plantainwharf.call.Origin;
+import org.plantainwharf.consensus.GroupStatus;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.sheet.ClientAccount;
+import org.plantainwharf.sheet.Sheet;
+
+/**
+ * Keeps each account within its limit over all hosts. Each host has a safe share and leases more from the leader of the
+ * control group according to its demand; over all hosts, usable shares never exceed the limit. The verdict on a call
+ * that arrives is left in the section for admission, which handles the same event later.
+ *
+ * <p>Stateless; its state is the {@link LimitSection}. Used by the control thread only.
+ */
+public final class LimitController implements Controller {
+    private static final int CONTROL_GROUP = 0;
+    private static final long DEMAND_PERIOD_NANOS = 500_000_000L;
+    private static final double DEMAND_SMOOTHING = 0.5;
+
+    /** Demand is reported somewhat higher than seen, so that a share can grow. */
+    private static final double DEMAND_MARGIN = 1.2;
+
+    /** Demand below this many requests per second is no longer reported. */
+    private static final double LEAST_DEMAND = 0.01;
+
+    private LimitController() {}
+
+    /** Returns a controller. */
+    public static LimitController create() {
+        return new LimitController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case CallEvent call -> handleCall(call, board, nowNanos);
+            case PeerEvent peer -> handlePeer(peer, board, nowNanos, effects);
+            case ReplicationEvent replication -> handleReplication(replication, board, nowNanos);
+            case TimerEvent timer -> reportDemand(board, nowNanos, effects);
+            case AttemptEvent attempt -> {}
+            case ServerEvent server -> {}
+            case StorageEvent storage -> {}
+            case OperatorEvent operator -> {}
+            case PlatformEvent platform -> {}
+        }
+    }
+
+    private static void handleCall(CallEvent event, Board board, long nowNanos) {
+        switch (event) {
+            case CallEvent.CallArrived arrived -> judge(arrived.call(), board, nowNanos);
+            case CallEvent.CallerLeft left -> {}
+            case CallEvent.CallRefused refused -> {}
+            case CallEvent.CallFinished finished -> {}
+            case CallEvent.WorkAsked asked -> {}
+        }
+    }
+
+    private static void judge(Call call, Board board, long nowNanos) {
+        LimitSection section = board.limits();
+        section.setRefusal(null, Duration.ZERO);
+        ClientAccount account = board.configuration()
+                .inForce()
+                .map(sheet -> sheet.accounts().get(call.account()))
+                .orElse(null);
+        if (account == null || !(call.origin() instanceof Origin.Caller)) {
+            return;
+        }
+        section.arrivals().merge(account.name(), 1.0, Double::sum);
+        double rate = section.usableRate(account.name(), account.requestsPerSecond(), hosts(board), nowNanos);
+        TokenBucket bucket = section.bucket(account.name(), nowNanos);
+        bucket.refill(rate, nowNanos);
+        if (!bucket.tryTake()) {
+            section.setRefusal(call.id(), bucket.untilNext(rate));
+        }
+    }
+
+    private static int hosts(Board board) {
+        return board.settings().hosts().size();
+    }
+
+    private static void reportDemand(Board board, long nowNanos, Effects effects) {
+        LimitSection section = board.limits();
+        if (section.demandNanos() != Long.MIN_VALUE && nowNanos - section.demandNanos() < DEMAND_PERIOD_NANOS) {
+            return;
+        }
+        if (section.demandNanos() != Long.MIN_VALUE) {
+            measureDemand(section, (nowNanos - section.demandNanos()) / 1e9);
+        }
+        section.setDemandNanos(nowNanos);
+        HostId self = board.membership().self();
+        GroupStatus control = board.consensus().group(CONTROL_GROUP);
+        if (section.demand().isEmpty()) {
+            return;
+        }
+        if (control.holdsLease(nowNanos)) {
+            Map<AccountName, Double> grant =
+                    section.ledger().grant(self, section.demand(), limits(board), hosts(board), nowNanos);
+            takeGrant(grant, nowNanos + LimitShares.VALIDITY.toNanos(), board, nowNanos);
+        } else if (!control.leading()) {
+            control.leader()
+                    .filter(leader -> !leader.equals(self))
+                    .ifPresent(leader -> effects.add(
+                            new PeerEffect.SendToPeer(leader, new PeerMessage.LimitDemand(section.demand()))));
+        }
+    }
+
+    private static void measureDemand(LimitSection section, double seconds) {
+        Map<AccountName, Double> demand = section.demand();
+        section.arrivals().keySet().forEach(account -> demand.putIfAbsent(account, 0.0));
+        demand.replaceAll((account, old) -> {
+            double seen = DEMAND_MARGIN * section.arrivals().getOrDefault(account, 0.0) / seconds;
+            return old + DEMAND_SMOOTHING * (seen - old);
+        });
+        demand.values().removeIf(rate -> rate < LEAST_DEMAND);
+        section.arrivals().clear();
+    }
+
+    private static Map<AccountName, Double> limits(Board board) {
+        Map<AccountName, Double> limits = new HashMap<>();
+        Sheet sheet = board.configuration().inForce().orElse(null);
+        if (sheet != null) {
+            sheet.accounts().forEach((name, account) -> limits.put(name, account.requestsPerSecond()));
+        }
+        return limits;
+    }
+
+    private static void handlePeer(PeerEvent event, Board board, long nowNanos, Effects effects) {
+        if (!(event instanceof PeerEvent.PeerMessageReceived received)) {
+            return;
+        }
+        if (received.message() instanceof PeerMessage.LimitDemand demand) {
+            answerDemand(received.peer(), demand, board, nowNanos, effects);
+        } else if (received.message() instanceof PeerMessage.LimitGrant grant) {
+            receiveGrant(received.peer(), grant, board, nowNanos, effects);
+        }
+    }
+
+    private static void answerDemand(
+            HostId peer, PeerMessage.LimitDemand demand, Board board, long nowNanos, Effects effects) {
+        if (!board.consensus().group(CONTROL_GROUP).holdsLease(nowNanos)) {
+            return;
+        }
+        Map<AccountName, Double> grant =
+                board.limits().ledger().grant(peer, demand.requestsPerSecond(), limits(board), hosts(board), nowNanos);
+        if (!grant.isEmpty()) {
+            effects.add(new PeerEffect.SendToPeer(
+                    peer,
+                    new PeerMessage.LimitGrant(
+                            board.membership().newestReceivedToken(peer), LimitShares.VALIDITY.toMillis(), grant)));
+        }
+    }
+
+    /**
+     * Dates a grant from the time at which this host sent the heartbeat that the grant returns, which is before the
+     * leader made the grant. A grant of an unknown heartbeat is dropped, because it may have been delayed for any time.
+     * Only while no heartbeats to the leader are recorded at all, validity counts from receipt.
+     */
+    private static void receiveGrant(
+            HostId peer, PeerMessage.LimitGrant grant, Board board, long nowNanos, Effects effects) {
+        OptionalLong sent = board.membership().heartbeatSentNanos(peer, grant.echoedToken());
+        if (sent.isEmpty() && board.membership().hasSentHeartbeats(peer)) {
+            effects.count("limits.undated_grants_dropped");
+            return;
+        }
+        long validMillis = Math.min(grant.validMillis(), LimitShares.VALIDITY.toMillis());
+        takeGrant(grant.requestsPerSecond(), sent.orElse(nowNanos) + validMillis * 1_000_000, board, nowNanos);
+    }
+
+    /** Replaces the leased shares, unless a grant that ends later was taken already. */
+    private static void takeGrant(Map<AccountName, Double> grant, long endNanos, Board board, long nowNanos) {
+        LimitSection section = board.limits();
+        Map<AccountName, Double> limits = limits(board);
+        section.buckets().forEach((account, bucket) -> {
+            double limit = limits.getOrDefault(account, 0.0);
+            bucket.refill(section.usableRate(account, limit, hosts(board), nowNanos), nowNanos);
+        });
+        grant.forEach((account, rate) -> {
+            LimitSection.Lease known = section.leases().get(account);
+            if (known == null || endNanos - known.endNanos() >= 0) {
+                section.leases().put(account, new LimitSection.Lease(rate, endNanos));
+            }
+        });
+        section.leases().values().removeIf(lease -> nowNanos - lease.endNanos() >= 0);
+    }
+
+    private static void handleReplication(ReplicationEvent event, Board board, long nowNanos) {
+        if (event instanceof ReplicationEvent.LeadershipChanged changed && changed.group() == CONTROL_GROUP) {
+            if (changed.leading()) {
+                board.limits().ledger().takeOver(nowNanos);
+            } else {
+                board.limits().ledger().handOver();
+            }
+        }
+    }
+}
--- a/src/main/java/org/plantainwharf/limit/LimitSection.java
+++ b/src/main/java/org/plantainwharf/limit/LimitSection.java
@@ -1,12 +1,28 @@
 package org.plantainwharf.limit;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.RequestId;
 
-/** Shares of account limits. Written by the controllers of this package. Owned by the control thread. */
+/**
+ * Shares of account limits on this host, and what this host leases to others while it leads. Written by the controllers
+ * of this package. Owned by the control thread.
+ */
 public final class LimitSection {
+    private final Map<AccountName, TokenBucket> buckets = new HashMap<>();
+    private final Map<AccountName, Lease> leases = new HashMap<>();
+    private final Map<AccountName, Double> arrivals = new HashMap<>();
+    private final Map<AccountName, Double> demand = new HashMap<>();
+    private final LimitLedger ledger = LimitLedger.create();
+    private long demandNanos = Long.MIN_VALUE;
+    private @Nullable RequestId refused;
+    private Duration retryAfter = Duration.ZERO;
+
     private LimitSection() {}
 
     /** Returns an empty section. */
@@ -14,8 +30,64 @@
         return new LimitSection();
     }
 
-    /** Returns after what delay a call of an account may come again, empty if the call is within the limit. */
+    /** Returns after what delay the call that arrives now may come again, empty if it is within the limit. */
     public Optional<Duration> refusal(RequestId request) {
-        return Optional.empty();
+        return request.equals(refused) ? Optional.of(retryAfter) : Optional.empty();
+    }
+
+    /**
+     * Returns the rate at which this host may serve an account.
+     *
+     * @param limit the account's limit over all hosts, in requests per second
+     * @param hosts number of configured hosts
+     */
+    public double usableRate(AccountName account, double limit, int hosts, long nowNanos) {
+        double safe = LimitShares.safeRate(limit, hosts);
+        Lease lease = leases.get(account);
+        if (lease == null || nowNanos - lease.endNanos() >= 0) {
+            return safe;
+        }
+        return safe + Math.min(lease.rate(), LimitShares.leasableRate(limit));
+    }
+
+    void setRefusal(@Nullable RequestId request, Duration delay) {
+        refused = request;
+        retryAfter = delay;
+    }
+
+    TokenBucket bucket(AccountName account, long nowNanos) {
+        return buckets.computeIfAbsent(account, key -> TokenBucket.create(nowNanos));
+    }
+
+    /** Returns all buckets; they are refilled before a lease changes. */
+    Map<AccountName, TokenBucket> buckets() {
+        return buckets;
+    }
+
+    Map<AccountName, Lease> leases() {
+        return leases;
     }
+
+    Map<AccountName, Double> arrivals() {
+        return arrivals;
+    }
+
+    Map<AccountName, Double> demand() {
+        return demand;
+    }
+
+    LimitLedger ledger() {
+        return ledger;
+    }
+
+    long demandNanos() {
+        return demandNanos;
+    }
+
+    void setDemandNanos(long value) {
+        demandNanos = value;
+    }
+
+    /** A share above the safe share, with its end on this host's monotonic clock. */
+    record Lease(double rate, long endNanos) {}
 }
--- a/src/main/java/org/plantainwharf/membership/MembershipSection.java
+++ b/src/main/java/org/plantainwharf/membership/MembershipSection.java
@@ -4,17 +4,24 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.HostId;
 
 /** Daemons and their links. Written by the controllers of this package. Owned by the control thread. */
 public final class MembershipSection {
+    /** Eight seconds of heartbeats; leases between daemons are valid for 3 s at most. */
+    private static final int REMEMBERED_HEARTBEATS = 32;
+
     private final HostId self;
     private final AvailabilityZone zone;
     private final long incarnation;
     private final Map<HostId, Member> members = new LinkedHashMap<>();
 
+    private final Map<HostId, Map<Long, Long>> sentHeartbeats = new LinkedHashMap<>();
+    private final Map<HostId, Long> receivedTokens = new LinkedHashMap<>();
+
     private MembershipSection(HostId self, AvailabilityZone zone, long incarnation) {
         this.self = self;
         this.zone = zone;
@@ -55,4 +62,37 @@
     public void put(Member member) {
         members.put(member.host(), member);
     }
+
+    /** Records a heartbeat that this host sent. For the membership controller. */
+    public void heartbeatSent(HostId peer, long token, long nowNanos) {
+        Map<Long, Long> tokens = sentHeartbeats.computeIfAbsent(peer, key -> new LinkedHashMap<>());
+        tokens.put(token, nowNanos);
+        if (tokens.size() > REMEMBERED_HEARTBEATS) {
+            tokens.remove(tokens.keySet().iterator().next());
+        }
+    }
+
+    /**
+     * Returns when this host sent a heartbeat to another daemon, on this host's monotonic clock. Empty for a token that
+     * is too old or was sent by another incarnation.
+     */
+    public OptionalLong heartbeatSentNanos(HostId peer, long token) {
+        Long sent = sentHeartbeats.getOrDefault(peer, Map.of()).get(token);
+        return sent == null ? OptionalLong.empty() : OptionalLong.of(sent);
+    }
+
+    /** Says whether any heartbeat to another daemon was recorded. */
+    public boolean hasSentHeartbeats(HostId peer) {
+        return sentHeartbeats.containsKey(peer);
+    }
+
+    /** Records the token of a heartbeat that arrived. For the membership controller. */
+    public void heartbeatReceived(HostId peer, long token) {
+        receivedTokens.put(peer, token);
+    }
+
+    /** Returns the newest token received from another daemon, 0 for none. */
+    public long newestReceivedToken(HostId peer) {
+        return receivedTokens.getOrDefault(peer, 0L);
+    }
 }
