Add subcommands, log lines, counters and the examples of two firms

Cause: operators need a command line, and refusals must be visible. Change: JOpt Simple subcommands as a sealed interface with exit codes 0, 1 and 2; an HTTP client of the operator address; structured log lines that withhold secrets and stay on one line; a counter for each error kind from the start; settings and sheets for eight daemons in four zones each. "serve" reports that there is no daemon yet.

--- a/src/main/java/org/plantainwharf/Main.java
+++ b/src/main/java/org/plantainwharf/Main.java
@@ -1,11 +1,14 @@
 package org.plantainwharf;
 
+import org.plantainwharf.cli.Console;
+import org.plantainwharf.cli.SubcommandRunner;
+
 /** Entry point of the executable. */
 public final class Main {
     private Main() {}
 
     /** Runs a subcommand and exits with its status. */
     public static void main(String[] arguments) {
-        System.exit(2);
+        System.exit(SubcommandRunner.run(Console.ofProcess(), arguments).status());
     }
 }
--- /dev/null
+++ b/src/main/java/org/plantainwharf/cli/CommandLine.java
@@ -0,0 +1,166 @@
+package org.plantainwharf.cli;
+
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import io.vavr.control.Either;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+
+/** Turns arguments into a subcommand. Stateless; thread-safe. */
+public final class CommandLine {
+    private static final String HELP = "help";
+    private static final String SETTINGS = "settings";
+    private static final String OPERATOR = "operator";
+    private static final String JSON = "json";
+
+    private CommandLine() {}
+
+    /** Returns the subcommand, or a message that says what is wrong with the arguments. */
+    public static Either<String, Subcommand> parse(String... arguments) {
+        List<String> words = Arrays.asList(arguments);
+        if (words.isEmpty()) {
+            return Either.left("a subcommand is missing\n" + overview(""));
+        }
+        Optional<SubcommandName> found = SubcommandName.of(words);
+        if (found.isPresent()) {
+            SubcommandName name = found.get();
+            return parse(name, words.subList(name.wordCount(), words.size()));
+        }
+        String first = words.get(0);
+        if (first.equals("--help") || first.equals("-h") || first.equals(HELP)) {
+            return Either.right(new Subcommand.Help(overview("")));
+        }
+        boolean group = Arrays.stream(SubcommandName.values())
+                .anyMatch(name -> name.usage().startsWith("plantainwharf " + first + " "));
+        if (group && words.size() > 1 && words.get(1).equals("--help")) {
+            return Either.right(new Subcommand.Help(overview(first)));
+        }
+        return Either.left("unknown subcommand: " + words.stream().limit(2).collect(Collectors.joining(" ")) + "\n"
+                + overview(group ? first : ""));
+    }
+
+    private static Either<String, Subcommand> parse(SubcommandName name, List<String> rest) {
+        OptionParser parser = parser(name);
+        try {
+            OptionSet options = parser.parse(rest.toArray(String[]::new));
+            if (options.has(HELP)) {
+                return Either.right(new Subcommand.Help(help(name, parser)));
+            }
+            return build(name, options).mapLeft(problem -> problem + "\nusage: " + name.usage());
+        } catch (OptionException e) {
+            return Either.left(e.getMessage() + "\nusage: " + name.usage());
+        }
+    }
+
+    private static OptionParser parser(SubcommandName name) {
+        OptionParser parser = new OptionParser(false);
+        parser.acceptsAll(List.of("h", HELP), "show this help").forHelp();
+        return switch (name) {
+            case SERVE -> acceptSettings(parser, "settings of the daemon, JSON");
+            case SHEET_APPLY, DRAIN -> acceptTarget(parser);
+            case SHEET_SHOW, STATUS -> {
+                parser.accepts(JSON, "print the daemon's answer unchanged");
+                yield acceptTarget(parser);
+            }
+            case SETTINGS_CHECK, SHEET_CHECK, SHEET_DIFF, SHEET_KEY, VERSION -> parser;
+        };
+    }
+
+    private static OptionParser acceptTarget(OptionParser parser) {
+        parser.accepts(OPERATOR, "operator address of a daemon, for example 10.0.0.1:8081")
+                .withRequiredArg()
+                .describedAs("ADDRESS");
+        return acceptSettings(parser, "settings file of the daemon, in place of its operator address");
+    }
+
+    private static OptionParser acceptSettings(OptionParser parser, String description) {
+        parser.accepts(SETTINGS, description).withRequiredArg().describedAs("FILE");
+        return parser;
+    }
+
+    private static Either<String, Subcommand> build(SubcommandName name, OptionSet options) {
+        return switch (name) {
+            case SERVE ->
+                noFiles(options)
+                        .flatMap(none -> options.has(SETTINGS)
+                                ? Either.right(new Subcommand.Serve(Path.of(argument(options, SETTINGS))))
+                                : Either.left("option --settings is missing"));
+            case SETTINGS_CHECK -> files(options, 1, Integer.MAX_VALUE).map(Subcommand.SettingsCheck::new);
+            case SHEET_CHECK -> files(options, 1, Integer.MAX_VALUE).map(Subcommand.SheetCheck::new);
+            case SHEET_DIFF -> files(options, 2, 2).map(files -> new Subcommand.SheetDiff(files.get(0), files.get(1)));
+            case SHEET_APPLY ->
+                files(options, 1, 1)
+                        .flatMap(files -> target(options, target -> new Subcommand.SheetApply(target, files.get(0))));
+            case SHEET_SHOW ->
+                noFiles(options)
+                        .flatMap(
+                                none -> target(options, target -> new Subcommand.SheetShow(target, options.has(JSON))));
+            case SHEET_KEY -> noFiles(options).map(none -> new Subcommand.SheetKey());
+            case STATUS ->
+                noFiles(options)
+                        .flatMap(none -> target(options, target -> new Subcommand.Status(target, options.has(JSON))));
+            case DRAIN -> noFiles(options).flatMap(none -> target(options, Subcommand.Drain::new));
+            case VERSION -> noFiles(options).map(none -> new Subcommand.Version());
+        };
+    }
+
+    private static Either<String, Subcommand> target(
+            OptionSet options, Function<OperatorTarget, Subcommand> subcommand) {
+        if (options.has(OPERATOR) == options.has(SETTINGS)) {
+            return Either.left("give either --operator or --settings");
+        }
+        OperatorTarget target = options.has(OPERATOR)
+                ? new OperatorTarget.Address(argument(options, OPERATOR))
+                : new OperatorTarget.SettingsFile(Path.of(argument(options, SETTINGS)));
+        return Either.right(subcommand.apply(target));
+    }
+
+    private static String argument(OptionSet options, String option) {
+        List<?> values = options.valuesOf(option);
+        return String.valueOf(values.get(values.size() - 1));
+    }
+
+    private static Either<String, List<Path>> noFiles(OptionSet options) {
+        return files(options, 0, 0);
+    }
+
+    private static Either<String, List<Path>> files(OptionSet options, int least, int most) {
+        List<Path> files = options.nonOptionArguments().stream()
+                .map(argument -> Path.of(String.valueOf(argument)))
+                .toList();
+        if (files.size() < least) {
+            return Either.left("a file is missing");
+        }
+        return files.size() > most ? Either.left("unexpected argument: " + files.get(most)) : Either.right(files);
+    }
+
+    private static String help(SubcommandName name, OptionParser parser) {
+        StringWriter text = new StringWriter();
+        text.write("usage: " + name.usage() + "\n" + name.description() + "\n\n");
+        try {
+            parser.printHelpOn(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+
+    private static String overview(String group) {
+        StringBuilder text = new StringBuilder("usage: plantainwharf SUBCOMMAND ...; each has --help\n");
+        for (SubcommandName name : SubcommandName.values()) {
+            if (name.usage().startsWith(("plantainwharf " + group).strip())) {
+                text.append(String.format("  %-58s %s%n", name.usage(), name.description()));
+            }
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/cli/OperatorClient.java
@@ -0,0 +1,110 @@
+package org.plantainwharf.cli;
+
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.vavr.control.Either;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpMethod;
+
+/** Sends requests to the operator address of one daemon. Used by one thread. */
+final class OperatorClient implements AutoCloseable {
+    private static final JsonMapper MAPPER = new JsonMapper();
+    private static final Duration CONNECT_LIMIT = Duration.ofSeconds(3);
+    /** Longer than the 10 s within which a daemon answers an operator. */
+    private static final Duration ANSWER_LIMIT = Duration.ofSeconds(15);
+    /** Holds the status of several thousand backend servers. */
+    private static final int LARGEST_ANSWER_BYTES = 16 << 20;
+
+    private final HttpClient client;
+    private final String address;
+
+    private OperatorClient(HttpClient client, String address) {
+        this.client = client;
+        this.address = address;
+    }
+
+    /** Returns a client of one daemon. */
+    static OperatorClient open(String address) {
+        HttpClient client = new HttpClient();
+        client.setConnectTimeout(CONNECT_LIMIT.toMillis());
+        try {
+            client.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("HTTP client cannot be started", e);
+        }
+        return new OperatorClient(client, address);
+    }
+
+    /** Fetches a path; an error status becomes a message. */
+    Either<String, String> get(String path) {
+        return request(HttpMethod.GET, path).flatMap(this::send);
+    }
+
+    /** Sends a body to a path; an error status becomes a message. */
+    Either<String, String> post(String path, String mediaType, byte[] body) {
+        return request(HttpMethod.POST, path)
+                .map(request -> request.body(new BytesRequestContent(mediaType, body)))
+                .flatMap(this::send);
+    }
+
+    @Override
+    public void close() {
+        try {
+            client.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("HTTP client cannot be stopped", e);
+        }
+    }
+
+    private Either<String, Request> request(HttpMethod method, String path) {
+        try {
+            return Either.right(client.newRequest("http://" + address + path)
+                    .method(method)
+                    .timeout(ANSWER_LIMIT.toMillis(), TimeUnit.MILLISECONDS));
+        } catch (IllegalArgumentException e) {
+            return Either.left("operator address " + address + " is not an IP number and a port");
+        }
+    }
+
+    private Either<String, String> send(Request request) {
+        try {
+            ContentResponse response = new CompletableResponseListener(request, LARGEST_ANSWER_BYTES)
+                    .send()
+                    .get();
+            String body = response.getContentAsString();
+            return response.getStatus() < 300 ? Either.right(body) : Either.left(message(response.getStatus(), body));
+        } catch (ExecutionException e) {
+            Throwable cause = e.getCause() == null ? e : e.getCause();
+            return Either.left(
+                    cause instanceof TimeoutException
+                            ? "no answer from " + address + " within " + ANSWER_LIMIT.toSeconds() + " s"
+                            : "no answer from " + address + ": " + cause.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left("interrupted while waiting for " + address);
+        }
+    }
+
+    private static String message(int status, String body) {
+        try {
+            JsonNode error = MAPPER.readTree(body).path("error");
+            if (error.isObject()) {
+                return error.path("code").asText() + ": "
+                        + error.path("message").asText();
+            }
+        } catch (JsonProcessingException e) {
+            // Not the product's own error format; the body is shown as it is.
+        }
+        return "status " + status + ": " + body.strip();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/cli/SheetText.java
@@ -0,0 +1,78 @@
+package org.plantainwharf.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.plantainwharf.sheet.SheetChange;
+import org.plantainwharf.sheet.SheetDifference;
+
+/** Writes sheets and their differences for people. Stateless; thread-safe. */
+final class SheetText {
+    private SheetText() {}
+
+    /** Returns the text of a sheet in JSON: each list of objects becomes a table. */
+    static String of(JsonNode sheet) {
+        StringBuilder text = new StringBuilder("Sheet version ")
+                .append(sheet.path("version").asText())
+                .append(", digest ")
+                .append(sheet.path("digest").asText())
+                .append('\n');
+        sheet.fields().forEachRemaining(section -> {
+            if (section.getValue().isArray()) {
+                text.append('\n')
+                        .append(section.getKey())
+                        .append(": ")
+                        .append(section.getValue().size())
+                        .append('\n');
+                text.append(table(section.getValue()));
+            }
+        });
+        return text.toString();
+    }
+
+    /** Returns the text of a difference. */
+    static String of(SheetDifference difference) {
+        StringBuilder text = new StringBuilder("version ")
+                .append(difference.versionBefore())
+                .append(" -> ")
+                .append(difference.versionAfter())
+                .append(difference.isEmpty() ? ": the contents are equal\n" : "\n");
+        for (SheetChange change : difference.changes()) {
+            text.append(
+                            switch (change) {
+                                case SheetChange.Added added -> "added   " + added.subject() + ": " + added.value();
+                                case SheetChange.Removed removed ->
+                                    "removed " + removed.subject() + ": " + removed.value();
+                                case SheetChange.Changed changed ->
+                                    "changed " + changed.subject() + ": " + changed.field() + " " + changed.before()
+                                            + " -> " + changed.after();
+                            })
+                    .append('\n');
+        }
+        return text.toString();
+    }
+
+    private static String table(JsonNode rows) {
+        if (rows.isEmpty()) {
+            return "";
+        }
+        List<String> headers = new ArrayList<>();
+        rows.get(0).fieldNames().forEachRemaining(headers::add);
+        TextTable table = TextTable.withHeader(
+                headers.stream().map(header -> header.replace('_', ' ')).toArray(String[]::new));
+        for (JsonNode row : rows) {
+            table.add(headers.stream().map(header -> cell(row.path(header))).toArray(String[]::new));
+        }
+        return table.text();
+    }
+
+    private static String cell(JsonNode value) {
+        if (!value.isArray()) {
+            return value.asText();
+        }
+        List<String> texts = new ArrayList<>();
+        value.forEach(element -> texts.add(element.asText()));
+        return String.join(" ", texts);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/cli/Subcommand.java
@@ -0,0 +1,50 @@
+package org.plantainwharf.cli;
+
+import java.nio.file.Path;
+import java.util.List;
+
+/** What a command line asks for. Immutable. */
+public sealed interface Subcommand {
+    /** Runs a daemon until it is stopped. */
+    record Serve(Path settings) implements Subcommand {}
+
+    /** Checks settings files. */
+    record SettingsCheck(List<Path> files) implements Subcommand {
+        /** Copies the list. */
+        public SettingsCheck {
+            files = List.copyOf(files);
+        }
+    }
+
+    /** Checks sheet files. */
+    record SheetCheck(List<Path> files) implements Subcommand {
+        /** Copies the list. */
+        public SheetCheck {
+            files = List.copyOf(files);
+        }
+    }
+
+    /** Compares two sheet files. */
+    record SheetDiff(Path before, Path after) implements Subcommand {}
+
+    /** Puts a sheet in force. */
+    record SheetApply(OperatorTarget target, Path file) implements Subcommand {}
+
+    /** Shows the sheet in force. */
+    record SheetShow(OperatorTarget target, boolean json) implements Subcommand {}
+
+    /** Prints the digest of an account key from standard input. */
+    record SheetKey() implements Subcommand {}
+
+    /** Shows the status of the system as one daemon sees it. */
+    record Status(OperatorTarget target, boolean json) implements Subcommand {}
+
+    /** Starts a planned stop of a daemon. */
+    record Drain(OperatorTarget target) implements Subcommand {}
+
+    /** Prints the version. */
+    record Version() implements Subcommand {}
+
+    /** Prints help. */
+    record Help(String text) implements Subcommand {}
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/cli/SubcommandName.java
@@ -0,0 +1,56 @@
+package org.plantainwharf.cli;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+/** Every subcommand with its words and its line in the help. Immutable. */
+enum SubcommandName {
+    SERVE("serve", "--settings FILE", "run a daemon until SIGTERM, then stop gracefully"),
+    SETTINGS_CHECK("settings check", "FILE...", "check settings files"),
+    SHEET_CHECK("sheet check", "FILE...", "check sheet files"),
+    SHEET_DIFF("sheet diff", "BEFORE AFTER", "show what differs between two sheet files"),
+    SHEET_APPLY("sheet apply", "--operator ADDRESS FILE", "put a sheet in force"),
+    SHEET_SHOW("sheet show", "--operator ADDRESS [--json]", "show the sheet in force"),
+    SHEET_KEY("sheet key", "", "read an account key from standard input and print its digest for the sheet"),
+    STATUS("status", "--operator ADDRESS [--json]", "show daemons, backend servers, refusals and retries"),
+    DRAIN("drain", "--operator ADDRESS", "start a planned stop of one daemon"),
+    VERSION("version", "", "print the version");
+
+    private final String words;
+    private final String synopsis;
+    private final String description;
+
+    SubcommandName(String words, String synopsis, String description) {
+        this.words = words;
+        this.synopsis = synopsis;
+        this.description = description;
+    }
+
+    /** Returns the subcommand whose words begin the arguments. */
+    static Optional<SubcommandName> of(List<String> arguments) {
+        return Arrays.stream(values())
+                .filter(name -> arguments.size() >= name.wordCount()
+                        && arguments.subList(0, name.wordCount()).equals(name.wordList()))
+                .findFirst();
+    }
+
+    /** Returns the number of arguments that the name takes. */
+    int wordCount() {
+        return wordList().size();
+    }
+
+    /** Returns the form of the whole command line. */
+    String usage() {
+        return ("plantainwharf " + words + " " + synopsis).strip();
+    }
+
+    /** Returns what it does, on one line. */
+    String description() {
+        return description;
+    }
+
+    private List<String> wordList() {
+        return List.of(words.split(" "));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -0,0 +1,219 @@
+package org.plantainwharf.cli;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Properties;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.vavr.control.Either;
+import org.plantainwharf.settings.Settings;
+import org.plantainwharf.settings.SettingsProblems;
+import org.plantainwharf.settings.SettingsReader;
+import org.plantainwharf.settings.SettingsRules;
+import org.plantainwharf.sheet.Sheet;
+import org.plantainwharf.sheet.SheetDifference;
+import org.plantainwharf.sheet.SheetDigest;
+import org.plantainwharf.sheet.csv.SheetParser;
+
+/** Carries out subcommands. Results go to standard output, everything else to standard error. Used by one thread. */
+public final class SubcommandRunner {
+    private static final JsonMapper MAPPER = new JsonMapper();
+    private static final int LARGEST_KEY = 4096;
+
+    private final Console console;
+
+    private SubcommandRunner(Console console) {
+        this.console = console;
+    }
+
+    /** Parses and carries out a command line. */
+    public static ExitCode run(Console console, String... arguments) {
+        Either<String, Subcommand> subcommand = CommandLine.parse(arguments);
+        if (subcommand.isLeft()) {
+            console.errors().println(subcommand.getLeft().stripTrailing());
+            return ExitCode.USAGE;
+        }
+        ExitCode exitCode = new SubcommandRunner(console).run(subcommand.get());
+        console.output().flush();
+        return exitCode;
+    }
+
+    private ExitCode run(Subcommand subcommand) {
+        return switch (subcommand) {
+            case Subcommand.Serve serve -> serve(serve.settings());
+            case Subcommand.SettingsCheck check -> settingsCheck(check.files());
+            case Subcommand.SheetCheck check -> sheetCheck(check.files());
+            case Subcommand.SheetDiff diff -> sheetDiff(diff);
+            case Subcommand.SheetApply apply -> sheetApply(apply);
+            case Subcommand.SheetShow show ->
+                ask(show.target(), client -> client.get("/admin/sheet"), show.json(), SheetText::of);
+            case Subcommand.SheetKey key -> sheetKey();
+            case Subcommand.Status status ->
+                ask(status.target(), client -> client.get("/admin/status"), status.json(), StatusText::of);
+            case Subcommand.Drain drain -> drain(drain.target());
+            case Subcommand.Version version -> version();
+            case Subcommand.Help help -> succeed(help.text());
+        };
+    }
+
+    private ExitCode serve(Path file) {
+        return readSettings(file).fold(this::fail, settings -> {
+            SettingsRules.warnings(settings).forEach(warning -> console.errors().println("warning: " + warning));
+            return fail("this build has no daemon");
+        });
+    }
+
+    private ExitCode settingsCheck(List<Path> files) {
+        ExitCode exitCode = ExitCode.OK;
+        for (Path file : files) {
+            Either<SettingsProblems, Settings> result = SettingsReader.read(file);
+            if (result.isLeft()) {
+                exitCode = fail(prefixed(file, result.getLeft().text()));
+            } else {
+                SettingsRules.warnings(result.get())
+                        .forEach(warning -> console.errors().println(file + ": warning: " + warning));
+                console.output().println(file + ": ok");
+            }
+        }
+        return exitCode;
+    }
+
+    private ExitCode sheetCheck(List<Path> files) {
+        ExitCode exitCode = ExitCode.OK;
+        for (Path file : files) {
+            Either<String, Sheet> sheet = readSheet(file);
+            if (sheet.isLeft()) {
+                exitCode = fail(sheet.getLeft());
+            } else {
+                console.output()
+                        .println(file + ": ok, version " + sheet.get().version() + ", digest "
+                                + sheet.get().digest());
+            }
+        }
+        return exitCode;
+    }
+
+    private ExitCode sheetDiff(Subcommand.SheetDiff diff) {
+        return readSheet(diff.before())
+                .flatMap(before -> readSheet(diff.after()).map(after -> SheetDifference.between(before, after)))
+                .fold(this::fail, difference -> succeed(SheetText.of(difference)));
+    }
+
+    private ExitCode sheetApply(Subcommand.SheetApply apply) {
+        // Checked here first, so that all problems are shown with the file's name even when no daemon can be reached.
+        return readSheet(apply.file())
+                .flatMap(sheet -> readBytes(apply.file()))
+                .flatMap(bytes -> reach(apply.target(), client -> client.post("/admin/sheet", "text/csv", bytes)
+                        .mapLeft(problem -> problem + "\nit is safe to apply the same file again")))
+                .fold(this::fail, this::succeed);
+    }
+
+    private ExitCode sheetKey() {
+        try {
+            BufferedReader reader =
+                    new BufferedReader(new InputStreamReader(console.input(), StandardCharsets.UTF_8), LARGEST_KEY);
+            String key = reader.readLine();
+            if (key == null || key.isBlank()) {
+                return fail("standard input holds no key");
+            }
+            if (!key.equals(key.strip())) {
+                return fail("the key must not begin or end with a blank");
+            }
+            return succeed(SheetDigest.ofKey(key));
+        } catch (IOException e) {
+            return fail("standard input cannot be read: " + e.getMessage());
+        }
+    }
+
+    private ExitCode drain(OperatorTarget target) {
+        return reach(target, client -> client.post("/admin/drain", "text/plain", new byte[0]))
+                .fold(this::fail, this::succeed);
+    }
+
+    private ExitCode version() {
+        Properties properties = new Properties();
+        try (InputStream stream = SubcommandRunner.class.getResourceAsStream(
+                "/META-INF/maven/org.plantainwharf/plantainwharf/pom.properties")) {
+            if (stream != null) {
+                properties.load(stream);
+            }
+        } catch (IOException e) {
+            return fail("version cannot be read: " + e.getMessage());
+        }
+        return succeed("plantainwharf " + properties.getProperty("version", "(not packaged)") + " on Java "
+                + Runtime.version());
+    }
+
+    private ExitCode ask(
+            OperatorTarget target,
+            Function<OperatorClient, Either<String, String>> request,
+            boolean raw,
+            Function<JsonNode, String> text) {
+        return reach(target, request)
+                .flatMap(body -> raw ? Either.right(body) : json(body).map(text))
+                .fold(this::fail, this::succeed);
+    }
+
+    private static Either<String, JsonNode> json(String body) {
+        try {
+            return Either.right(MAPPER.readTree(body));
+        } catch (JsonProcessingException e) {
+            return Either.left("the daemon's answer is not JSON: " + e.getOriginalMessage());
+        }
+    }
+
+    private static Either<String, String> reach(
+            OperatorTarget target, Function<OperatorClient, Either<String, String>> request) {
+        Either<String, String> address =
+                switch (target) {
+                    case OperatorTarget.Address given -> Either.right(given.address());
+                    case OperatorTarget.SettingsFile given ->
+                        readSettings(given.file()).map(Settings::operatorAddress);
+                };
+        return address.flatMap(known -> {
+            try (OperatorClient client = OperatorClient.open(known)) {
+                return request.apply(client);
+            }
+        });
+    }
+
+    private static Either<String, Settings> readSettings(Path file) {
+        return SettingsReader.read(file).mapLeft(problems -> prefixed(file, problems.text()));
+    }
+
+    private static Either<String, Sheet> readSheet(Path file) {
+        return readBytes(file)
+                .flatMap(bytes -> SheetParser.parse(bytes).mapLeft(problems -> prefixed(file, problems.text())));
+    }
+
+    private static Either<String, byte[]> readBytes(Path file) {
+        try {
+            return Either.right(Files.readAllBytes(file));
+        } catch (IOException e) {
+            return Either.left(file + ": cannot be read: " + e.getClass().getSimpleName());
+        }
+    }
+
+    private static String prefixed(Path file, String lines) {
+        return file + ": " + lines.replace("\n", "\n" + file + ": ");
+    }
+
+    private ExitCode succeed(String text) {
+        console.output().println(text.stripTrailing());
+        return ExitCode.OK;
+    }
+
+    private ExitCode fail(String text) {
+        console.errors().println(text.stripTrailing());
+        return ExitCode.FAILED;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/cli/package-info.java
@@ -0,0 +1,5 @@
+/** The subcommands of the executable. */
+@NullMarked
+package org.plantainwharf.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/plantainwharf/log/EventLog.java
@@ -0,0 +1,115 @@
+package org.plantainwharf.log;
+
+import java.util.Locale;
+import java.util.Set;
+
+import com.google.common.flogger.FluentLogger;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.identity.RequestId;
+
+/**
+ * Writes one event a line as {@code event=NAME name=value ...}. Values are quoted where they hold a blank, a quote, an
+ * equals sign or a control character. Values under names that stand for secrets or bodies are withheld. Thread-safe.
+ */
+public final class EventLog {
+    private static final Set<String> WITHHELD =
+            Set.of("authorization", "key", "account_key", "body", "prompt", "answer", "content");
+    private static final int LONGEST_VALUE = 400;
+
+    private final FluentLogger logger;
+
+    private EventLog(FluentLogger logger) {
+        this.logger = logger;
+    }
+
+    /** Returns a log that writes under the name of a class's own logger. */
+    public static EventLog of(FluentLogger logger) {
+        return new EventLog(logger);
+    }
+
+    /** Writes an event with names and values in turn. */
+    public void info(String event, Object... namesAndValues) {
+        logger.atInfo().log("%s", line(event, namesAndValues));
+    }
+
+    /** Writes an event that somebody may have to look into. */
+    public void warning(String event, Object... namesAndValues) {
+        logger.atWarning().log("%s", line(event, namesAndValues));
+    }
+
+    /** Writes an event that stops some work. The cause becomes two more values, so that the event stays on one line. */
+    public void severe(String event, Throwable cause, Object... namesAndValues) {
+        logger.atSevere().log("%s", line(event, namesAndValues) + cause(cause));
+    }
+
+    /** Writes that a request ended with a failure. */
+    public void failure(String event, RequestId request, Failure failure) {
+        info(
+                event,
+                "request",
+                request,
+                "kind",
+                failure.kind().code(),
+                "ran",
+                failure.ran(),
+                "message",
+                failure.message());
+    }
+
+    /** Returns the line of an event. */
+    static String line(String event, Object... namesAndValues) {
+        if (namesAndValues.length % 2 != 0) {
+            throw new IllegalArgumentException("names and values must come in pairs");
+        }
+        StringBuilder line = new StringBuilder("event=").append(value(event));
+        for (int index = 0; index < namesAndValues.length; index += 2) {
+            String name = String.valueOf(namesAndValues[index]);
+            boolean withheld = WITHHELD.contains(name.toLowerCase(Locale.ROOT));
+            line.append(' ')
+                    .append(name)
+                    .append('=')
+                    .append(withheld ? "withheld" : value(String.valueOf(namesAndValues[index + 1])));
+        }
+        return line.toString();
+    }
+
+    private static String cause(Throwable cause) {
+        StackTraceElement[] trace = cause.getStackTrace();
+        String place = trace.length == 0 ? "unknown" : trace[0].toString();
+        return " cause=" + value(cause.toString()) + " at=" + value(place);
+    }
+
+    private static String value(String text) {
+        String bounded = text.length() <= LONGEST_VALUE ? text : text.substring(0, LONGEST_VALUE) + "...";
+        boolean plain = !bounded.isEmpty()
+                && bounded.chars()
+                        .noneMatch(character -> character <= ' '
+                                || character == '"'
+                                || character == '='
+                                || character == '\\'
+                                || Character.isISOControl(character)
+                                || Character.isWhitespace(character));
+        if (plain) {
+            return bounded;
+        }
+        StringBuilder quoted = new StringBuilder("\"");
+        bounded.chars().forEach(character -> {
+            switch (character) {
+                case '"' -> quoted.append("\\\"");
+                case '\\' -> quoted.append("\\\\");
+                case '\n' -> quoted.append("\\n");
+                case '\r' -> quoted.append("\\r");
+                case '\t' -> quoted.append("\\t");
+                default -> {
+                    // Line and paragraph separators would break a line in some viewers.
+                    if (Character.isISOControl(character) || character == 0x2028 || character == 0x2029) {
+                        quoted.append(String.format("\\u%04x", character));
+                    } else {
+                        quoted.append((char) character);
+                    }
+                }
+            }
+        });
+        return quoted.append('"').toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/log/package-info.java
@@ -0,0 +1,5 @@
+/** Structured log lines. */
+@NullMarked
+package org.plantainwharf.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/plantainwharf/metric/package-info.java
@@ -0,0 +1,5 @@
+/** Counters of the daemon. */
+@NullMarked
+package org.plantainwharf.metric;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/test/java/org/plantainwharf/cli/CommandLineTest.java
@@ -0,0 +1,96 @@
+package org.plantainwharf.cli;
+
+import java.nio.file.Path;
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against command lines that are misread or refused without saying how to write them. */
+class CommandLineTest {
+    private static final OperatorTarget ADDRESS = new OperatorTarget.Address("127.0.0.1:1");
+
+    private static Subcommand parsed(String line) {
+        Either<String, Subcommand> result = CommandLine.parse(line.split(" "));
+        assertTrue(result.isRight(), () -> result.getLeft());
+        return result.get();
+    }
+
+    @Nested
+    class RightLine {
+        @Test
+        void becomesASubcommand() {
+            Path file = Path.of("f");
+            assertEquals(new Subcommand.Serve(file), parsed("serve --settings f"));
+            assertEquals(new Subcommand.SettingsCheck(List.of(file, Path.of("g"))), parsed("settings check f g"));
+            assertEquals(new Subcommand.SheetCheck(List.of(file)), parsed("sheet check f"));
+            assertEquals(new Subcommand.SheetDiff(file, Path.of("g")), parsed("sheet diff f g"));
+            assertEquals(new Subcommand.SheetApply(ADDRESS, file), parsed("sheet apply --operator 127.0.0.1:1 f"));
+            assertEquals(new Subcommand.SheetApply(ADDRESS, file), parsed("sheet apply f --operator=127.0.0.1:1"));
+            assertEquals(new Subcommand.SheetShow(ADDRESS, true), parsed("sheet show --json --operator 127.0.0.1:1"));
+            assertEquals(new Subcommand.SheetKey(), parsed("sheet key"));
+            assertEquals(
+                    new Subcommand.Status(new OperatorTarget.SettingsFile(file), false), parsed("status --settings f"));
+            assertEquals(new Subcommand.Drain(ADDRESS), parsed("drain --operator 127.0.0.1:1"));
+            assertEquals(new Subcommand.Version(), parsed("version"));
+        }
+
+        @ParameterizedTest
+        @EnumSource(SubcommandName.class)
+        void withHelpShowsTheUsageOfEachSubcommand(SubcommandName name) {
+            String words = name.usage().replaceFirst("plantainwharf ", "").replaceAll(" (--|[A-Z]).*", "");
+            Subcommand.Help help = assertInstanceOf(Subcommand.Help.class, parsed(words + " --help"));
+            assertTrue(help.text().contains(name.usage()), help::text);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"--help", "-h", "help"})
+        void forHelpListsEverySubcommand(String line) {
+            Subcommand.Help help = assertInstanceOf(Subcommand.Help.class, parsed(line));
+            for (SubcommandName name : SubcommandName.values()) {
+                assertTrue(help.text().contains(name.usage()), help::text);
+            }
+        }
+    }
+
+    @Nested
+    class WrongLine {
+        @ParameterizedTest
+        @CsvSource(delimiter = '|', textBlock = """
+                launch                            | unknown subcommand: launch
+                sheet                             | unknown subcommand: sheet
+                sheet burn                        | unknown subcommand: sheet burn
+                serve                             | --settings is missing
+                serve --setings f                 | setings is not a recognized option
+                serve --settings                  | requires an argument
+                serve --settings f g              | unexpected argument: g
+                sheet diff f                      | a file is missing
+                sheet diff f g h                  | unexpected argument: h
+                sheet apply f                     | either --operator or --settings
+                sheet apply --operator 127.0.0.1:1| a file is missing
+                status --operator a --settings f  | either --operator or --settings
+                status                            | either --operator or --settings
+                version now                       | unexpected argument: now
+                """)
+        void isRefusedWithUsage(String line, String message) {
+            Either<String, Subcommand> result = CommandLine.parse(line.split(" "));
+            assertTrue(result.isLeft(), line);
+            assertTrue(result.getLeft().contains(message), result::getLeft);
+            assertTrue(result.getLeft().contains("usage: plantainwharf"), result::getLeft);
+        }
+
+        @Test
+        void withoutAnyArgumentIsRefused() {
+            assertTrue(CommandLine.parse().isLeft());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/cli/SubcommandRunnerTest.java
@@ -0,0 +1,269 @@
+package org.plantainwharf.cli;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.plantainwharf.sheet.SheetDigest;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against subcommands that report success for a failure, or print to the wrong stream. */
+class SubcommandRunnerTest {
+    private static final String SHEET = "examples/klamerka/sheet.csv";
+
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+    private ExitCode run(String input, String... arguments) {
+        Console console = new Console(
+                new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
+                new PrintStream(output, true, StandardCharsets.UTF_8),
+                new PrintStream(errors, true, StandardCharsets.UTF_8));
+        return SubcommandRunner.run(console, arguments);
+    }
+
+    private String output() {
+        return output.toString(StandardCharsets.UTF_8);
+    }
+
+    private String errors() {
+        return errors.toString(StandardCharsets.UTF_8);
+    }
+
+    @Nested
+    class Checks {
+        @Test
+        void acceptTheExamples() {
+            assertEquals(ExitCode.OK, run("", "sheet", "check", SHEET, "examples/kegelbond/sheet.csv"));
+            assertEquals(ExitCode.OK, run("", "settings", "check", "examples/klamerka/settings/klamerka-a1.json"));
+            assertEquals("", errors());
+            assertEquals(3, output().lines().count());
+        }
+
+        @Test
+        void failWhenOneOfSeveralFilesIsWrong() {
+            assertEquals(ExitCode.FAILED, run("", "sheet", "check", "README.md", SHEET));
+            assertTrue(errors().contains("README.md: row 1"), errors());
+            assertTrue(output().contains(SHEET + ": ok, version 1"), output());
+        }
+
+        @Test
+        void failForAMissingFile() {
+            assertEquals(ExitCode.FAILED, run("", "sheet", "check", "absent.csv"));
+            assertEquals(ExitCode.FAILED, run("", "settings", "check", "absent.json"));
+            assertTrue(errors().contains("absent.csv") && errors().contains("absent.json"), errors());
+        }
+
+        @Test
+        void warnOfVotersThatDoNotSurviveTheLossOfAZone(@TempDir Path folder) throws Exception {
+            Path file = folder.resolve("one.json");
+            Files.writeString(file, """
+                    {"host": "a", "zone": "z", "hostClass": "s", "callerAddress": "127.0.0.1:0",
+                     "operatorAddress": "127.0.0.1:0", "peerAddress": "127.0.0.1:0", "dataFolder": "d",
+                     "hosts": [{"host": "a", "zone": "z", "peerAddress": "127.0.0.1:0", "voter": true}]}
+                    """);
+            assertEquals(ExitCode.OK, run("", "settings", "check", file.toString()));
+            assertTrue(errors().contains("losing availability zone z leaves 0 of 1"), errors());
+        }
+    }
+
+    @Nested
+    class Usage {
+        @Test
+        void isPrintedToStandardErrorWithStatusTwo() {
+            assertEquals(2, run("", "launch").status());
+            assertEquals("", output());
+            assertTrue(errors().contains("usage:"), errors());
+        }
+
+        @Test
+        void isPrintedToStandardOutputOnRequest() {
+            assertEquals(0, run("", "status", "--help").status());
+            assertTrue(output().contains("--operator"), output());
+        }
+    }
+
+    @Nested
+    class Key {
+        @Test
+        void becomesTheDigestThatSheetsHold() {
+            assertEquals(ExitCode.OK, run("floor-key\n", "sheet", "key"));
+            assertEquals(SheetDigest.ofKey("floor-key"), output().strip());
+        }
+
+        @Test
+        void mustNotBeEmptyOrPadded() {
+            assertEquals(ExitCode.FAILED, run("", "sheet", "key"));
+            assertEquals(ExitCode.FAILED, run(" floor-key\n", "sheet", "key"));
+            assertFalse(errors().contains("floor-key"));
+        }
+    }
+
+    @Nested
+    class Difference {
+        @Test
+        void isShownRowByRow(@TempDir Path folder) throws Exception {
+            Path changed = folder.resolve("changed.csv");
+            Files.writeString(
+                    changed,
+                    Files.readString(Path.of(SHEET))
+                            .replace("version;1", "version;2")
+                            .replace("shop-floor;", "workshop;")
+                            .replace("report;60 000;", "report;90 000;"));
+            assertEquals(ExitCode.OK, run("", "sheet", "diff", SHEET, changed.toString()));
+            assertEquals("version 1 -> 2", output().lines().findFirst().orElseThrow());
+            assertTrue(output().contains("removed account shop-floor"), output());
+            assertTrue(output().contains("added   account workshop"), output());
+            assertTrue(output().contains("changed rank report: latency target ms 60000 -> 90000"), output());
+        }
+    }
+
+    @Nested
+    class Daemon {
+        private final Server server = new Server();
+        private final List<String> requests = new ArrayList<>();
+        private int status = 200;
+        private String answer = "";
+        private String address = "";
+
+        @BeforeEach
+        void start() throws Exception {
+            ServerConnector connector = new ServerConnector(server);
+            connector.setHost("127.0.0.1");
+            server.addConnector(connector);
+            server.setHandler(new Handler.Abstract() {
+                @Override
+                public boolean handle(Request request, Response response, Callback callback) throws Exception {
+                    String body = Content.Source.asString(request);
+                    requests.add(request.getMethod() + " " + Request.getPathInContext(request) + " " + body.length());
+                    response.setStatus(status);
+                    response.write(true, StandardCharsets.UTF_8.encode(answer), callback);
+                    return true;
+                }
+            });
+            server.start();
+            address = "127.0.0.1:" + connector.getLocalPort();
+        }
+
+        @AfterEach
+        void stop() throws Exception {
+            server.stop();
+        }
+
+        @Test
+        void receivesTheSheetAsItIs() throws Exception {
+            answer = "version 1 is accepted";
+            assertEquals(ExitCode.OK, run("", "sheet", "apply", "--operator", address, SHEET));
+            assertEquals("version 1 is accepted", output().strip());
+            int characters = Files.readString(Path.of(SHEET)).length();
+            assertEquals(List.of("POST /admin/sheet " + characters), requests);
+        }
+
+        @Test
+        void receivesNoSheetThatIsWrong() {
+            assertEquals(ExitCode.FAILED, run("", "sheet", "apply", "--operator", address, "README.md"));
+            assertEquals(List.of(), requests);
+        }
+
+        @Test
+        void showsItsRefusalWithItsCode() {
+            status = 409;
+            answer = "{\"error\":{\"code\":\"sheet_version_conflict\",\"message\":\"version 1 is in force\"}}";
+            assertEquals(ExitCode.FAILED, run("", "sheet", "apply", "--operator", address, SHEET));
+            assertTrue(errors().contains("sheet_version_conflict: version 1 is in force"), errors());
+            assertEquals("", output());
+        }
+
+        @Test
+        void isDrained() {
+            answer = "drain started";
+            assertEquals(ExitCode.OK, run("", "drain", "--operator", address));
+            assertEquals(List.of("POST /admin/drain 0"), requests);
+        }
+
+        @Test
+        void givesAReadableStatus() {
+            answer = """
+                    {"host":"a1","zone":"a","phase":"serving","configurationVersion":7,"configurationDigest":"0f3a",
+                     "behind":true,"liveCalls":3,
+                     "hosts":[{"host":"a1","zone":"a","linked":true,"draining":false,"configurationVersion":7,"silentMillis":0},
+                      {"host":"b1","zone":"b","linked":true,"draining":true,"configurationVersion":6,"silentMillis":120},
+                      {"host":"c1","zone":"c","linked":false,"draining":false,"configurationVersion":0,"silentMillis":-1}],
+                     "servers":[{"server":"engine-1","zone":"a","hostClass":"big","condition":"serving","slots":8,"running":2,
+                      "queued":1,"inFlight":1}],
+                     "groups":[{"group":0,"leader":"b1","leading":false,"term":3,"commitIndex":9,"appliedIndex":9,"voting":true}],
+                     "counters":{"errors.draining":4,"retries.connect_failed":2,"front.requests":9}}
+                    """;
+            assertEquals(ExitCode.OK, run("", "status", "--operator", address));
+            String text = output().replaceAll(" +", " ");
+            assertTrue(text.contains("Host a1 in zone a is serving with 3 live calls"), text);
+            assertTrue(text.contains("configuration version 7") && text.contains("behind:"), text);
+            assertTrue(text.contains("b1 b draining 6 (older than 7) 120 ms ago"), text);
+            assertTrue(text.contains("c1 c not linked none never"), text);
+            assertTrue(text.contains("engine-1 a big serving 8 2 1 1"), text);
+            assertTrue(text.contains("0 b1 3 9 9 votes"), text);
+            assertTrue(text.contains("draining 4") && text.contains("connect_failed 2"), text);
+            assertFalse(text.contains("front.requests"), text);
+        }
+
+        @Test
+        void givesItsStatusUnchangedOnRequest() {
+            answer = "{\"host\": \"a1\"}";
+            assertEquals(ExitCode.OK, run("", "status", "--json", "--operator", address));
+            assertEquals(answer, output().strip());
+        }
+
+        @Test
+        void showsItsSheet() {
+            answer = """
+                    {"version":7,"digest":"0f3a","accounts":[{"name":"floor","weight":1.5,"ranks":["order","stock"]}],
+                     "routes":[]}
+                    """;
+            assertEquals(ExitCode.OK, run("", "sheet", "show", "--operator", address));
+            assertTrue(output().contains("Sheet version 7, digest 0f3a"), output());
+            assertTrue(output().replaceAll(" +", " ").contains("floor 1.5 order stock"), output());
+        }
+
+        @Test
+        void whoseAnswerIsNotJsonIsAFailure() {
+            answer = "<html>";
+            assertEquals(ExitCode.FAILED, run("", "status", "--operator", address));
+        }
+
+        @Test
+        void thatCannotBeReachedIsAFailure() throws Exception {
+            String closed;
+            try (ServerSocket socket = new ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
+                closed = "127.0.0.1:" + socket.getLocalPort();
+            }
+            assertEquals(ExitCode.FAILED, run("", "status", "--operator", closed));
+            assertTrue(errors().contains("no answer from " + closed), errors());
+        }
+
+        @Test
+        void withAWrongAddressIsAFailure() {
+            assertEquals(ExitCode.FAILED, run("", "status", "--operator", "not an address"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/examples/ExamplesTest.java
@@ -0,0 +1,104 @@
+package org.plantainwharf.examples;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.settings.Settings;
+import org.plantainwharf.settings.SettingsReader;
+import org.plantainwharf.settings.SettingsRules;
+import org.plantainwharf.sheet.Rank;
+import org.plantainwharf.sheet.Sheet;
+import org.plantainwharf.sheet.csv.SheetParser;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against examples that the product itself would refuse. */
+class ExamplesTest {
+    private static final Path EXAMPLES = Path.of("examples");
+
+    private static List<Settings> settings(String firm) throws IOException {
+        List<Settings> settings = new ArrayList<>();
+        try (Stream<Path> files = Files.list(EXAMPLES.resolve(firm).resolve("settings"))) {
+            for (Path file : files.sorted().toList()) {
+                settings.add(SettingsReader.read(file)
+                        .getOrElseThrow(problems -> new AssertionError(file + ": " + problems.text())));
+            }
+        }
+        return settings;
+    }
+
+    private static Sheet sheet(String firm) throws IOException {
+        return SheetParser.parse(Files.readAllBytes(EXAMPLES.resolve(firm).resolve("sheet.csv")))
+                .getOrElseThrow(problems -> new AssertionError(problems.text()));
+    }
+
+    @Nested
+    class SettingsOfAFirm {
+        @ParameterizedTest
+        @ValueSource(strings = {"klamerka", "kegelbond"})
+        void describeEightDaemonsInFourZones(String firm) throws IOException {
+            List<Settings> all = settings(firm);
+            assertEquals(8, all.size());
+            assertEquals(4, all.stream().map(Settings::zone).distinct().count());
+            Set<String> addresses = new HashSet<>();
+            for (Settings one : all) {
+                assertEquals(all.get(0).hosts(), one.hosts(), "every daemon has the same list");
+                assertTrue(addresses.add(one.callerAddress()));
+                assertTrue(addresses.add(one.operatorAddress()));
+                assertTrue(addresses.add(one.peerAddress()));
+            }
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"klamerka", "kegelbond"})
+        void spreadFiveVotersSoThatAnyZoneMayBeLost(String firm) throws IOException {
+            for (Settings one : settings(firm)) {
+                assertEquals(List.of(), SettingsRules.warnings(one));
+            }
+            Map<AvailabilityZone, Long> voters = settings(firm).get(0).hosts().stream()
+                    .filter(Settings.HostEntry::voter)
+                    .collect(Collectors.groupingBy(Settings.HostEntry::zone, Collectors.counting()));
+            assertEquals(
+                    List.of(1L, 1L, 1L, 2L), voters.values().stream().sorted().toList());
+        }
+    }
+
+    @Nested
+    class SheetOfAFirm {
+        @ParameterizedTest
+        @ValueSource(strings = {"klamerka", "kegelbond"})
+        void hasFiveAccountsThreeRanksAndBudgetsForEveryZone(String firm) throws IOException {
+            Sheet sheet = sheet(firm);
+            assertEquals(5, sheet.accounts().size());
+            assertEquals(3, sheet.ranks().size());
+            assertEquals(
+                    settings(firm).stream().map(Settings::zone).collect(Collectors.toSet()),
+                    sheet.budgets().stream().map(budget -> budget.zone()).collect(Collectors.toSet()));
+            assertTrue(sheet.routes().values().stream().anyMatch(route -> !route.repeatable()));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"klamerka", "kegelbond"})
+        void givesMoreWorthToMoreUrgentRanks(String firm) throws IOException {
+            List<Rank> byTarget = sheet(firm).ranks().values().stream()
+                    .sorted(java.util.Comparator.comparingLong(Rank::latencyTargetMillis))
+                    .toList();
+            for (int index = 1; index < byTarget.size(); index++) {
+                assertTrue(byTarget.get(index - 1).worth() > byTarget.get(index).worth());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/log/package-info.java
@@ -0,0 +1,5 @@
+/** Log lines. */
+@NullMarked
+package org.plantainwharf.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/test/java/org/plantainwharf/metric/CountersTest.java
@@ -0,0 +1,40 @@
+package org.plantainwharf.metric;
+
+import com.codahale.metrics.MetricRegistry;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.plantainwharf.effect.CountEffect;
+import org.plantainwharf.error.ErrorKind;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against refusals that are not counted or not visible. */
+class CountersTest {
+    @Nested
+    class NewCounters {
+        @ParameterizedTest
+        @EnumSource(ErrorKind.class)
+        void showZeroForEachErrorKind(ErrorKind kind) {
+            MetricRegistry registry = new MetricRegistry();
+            Counters.create(registry);
+            assertTrue(registry.getCounters().containsKey(kind.metricName()));
+        }
+    }
+
+    @Nested
+    class Effects {
+        @Test
+        void addTheirAmount() {
+            Counters counters = Counters.create(new MetricRegistry());
+            counters.execute(CountEffect.one(ErrorKind.DRAINING.metricName()));
+            counters.execute(new CountEffect(ErrorKind.DRAINING.metricName(), 4));
+            counters.execute(CountEffect.one("retries.connect_failed"));
+            assertEquals(5, counters.count(ErrorKind.DRAINING.metricName()));
+            assertEquals(1, counters.count("retries.connect_failed"));
+            assertEquals(0, counters.count("unknown"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/metric/package-info.java
@@ -0,0 +1,5 @@
+/** Counters. */
+@NullMarked
+package org.plantainwharf.metric;
+
+import org.jspecify.annotations.NullMarked;
