--- a/src/main/java/org/plantainwharf/cli/CommandLine.java
+++ b/src/main/java/org/plantainwharf/cli/CommandLine.java
@@ -72,6 +72,11 @@
                 yield acceptTarget(parser);
             }
             case SETTINGS_CHECK, SHEET_CHECK, SHEET_DIFF, SHEET_KEY, VERSION -> parser;
+            case STAND_IN_ENGINE, STAND_IN_SERVICE -> {
+                // The stand-ins read their own options from the arguments.
+                parser.allowsUnrecognizedOptions();
+                yield parser;
+            }
         };
     }
 
@@ -110,6 +115,8 @@
                         .flatMap(none -> target(options, target -> new Subcommand.Status(target, options.has(JSON))));
             case DRAIN -> noFiles(options).flatMap(none -> target(options, Subcommand.Drain::new));
             case VERSION -> noFiles(options).map(none -> new Subcommand.Version());
+            case STAND_IN_ENGINE -> Either.right(new Subcommand.StandInEngine(unread(options)));
+            case STAND_IN_SERVICE -> Either.right(new Subcommand.StandInService(unread(options)));
         };
     }
 
@@ -129,6 +136,10 @@
         return String.valueOf(values.get(values.size() - 1));
     }
 
+    private static List<String> unread(OptionSet options) {
+        return options.nonOptionArguments().stream().map(String::valueOf).toList();
+    }
+
     private static Either<String, List<Path>> noFiles(OptionSet options) {
         return files(options, 0, 0);
     }
@@ -157,7 +168,7 @@
     private static String overview(String group) {
         StringBuilder text = new StringBuilder("usage: plantainwharf SUBCOMMAND ...; each has --help\n");
         for (SubcommandName name : SubcommandName.values()) {
-            if (name.usage().startsWith(("plantainwharf " + group).strip())) {
+            if (!name.hidden() && name.usage().startsWith(("plantainwharf " + group).strip())) {
                 text.append(String.format("  %-58s %s%n", name.usage(), name.description()));
             }
         }
--- a/src/main/java/org/plantainwharf/cli/ExitCode.java
+++ b/src/main/java/org/plantainwharf/cli/ExitCode.java
@@ -15,6 +15,11 @@
         this.status = status;
     }
 
+    /** Returns the code with this number; any unknown number is a failure. */
+    static ExitCode of(int status) {
+        return status == OK.status ? OK : status == USAGE.status ? USAGE : FAILED;
+    }
+
     /** Returns the number for the shell. */
     public int status() {
         return status;
--- a/src/main/java/org/plantainwharf/cli/StatusText.java
+++ b/src/main/java/org/plantainwharf/cli/StatusText.java
@@ -86,9 +86,9 @@
         for (JsonNode server : status.path("servers")) {
             int[] counts = zones.computeIfAbsent(server.path("zone").asText(), zone -> new int[4]);
             counts[2]++;
-            counts[3] += server.path("condition").asText().equals("serving") ? 1 : 0;
+            counts[3] += server.path("condition").asText().equals("available") ? 1 : 0;
         }
-        TextTable table = TextTable.withHeader("zone", "daemons", "linked", "servers", "serving");
+        TextTable table = TextTable.withHeader("zone", "daemons", "linked", "servers", "available");
         zones.forEach((zone, counts) -> table.add(
                 zone,
                 String.valueOf(counts[0]),
--- a/src/main/java/org/plantainwharf/cli/Subcommand.java
+++ b/src/main/java/org/plantainwharf/cli/Subcommand.java
@@ -45,6 +45,22 @@
     /** Prints the version. */
     record Version() implements Subcommand {}
 
+    /** Runs a stand-in of a model engine; for scripts and tests. */
+    record StandInEngine(List<String> arguments) implements Subcommand {
+        /** Copies the list. */
+        public StandInEngine {
+            arguments = List.copyOf(arguments);
+        }
+    }
+
+    /** Runs a stand-in of a plain service; for scripts and tests. */
+    record StandInService(List<String> arguments) implements Subcommand {
+        /** Copies the list. */
+        public StandInService {
+            arguments = List.copyOf(arguments);
+        }
+    }
+
     /** Prints help. */
     record Help(String text) implements Subcommand {}
 }
--- a/src/main/java/org/plantainwharf/cli/SubcommandName.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandName.java
@@ -15,7 +15,9 @@
     SHEET_KEY("sheet key", "", "read an account key from standard input and print its digest for the sheet"),
     STATUS("status", "--operator ADDRESS [--json]", "show daemons, backend servers, refusals and retries"),
     DRAIN("drain", "--operator ADDRESS", "start a planned stop of one daemon"),
-    VERSION("version", "", "print the version");
+    VERSION("version", "", "print the version"),
+    STAND_IN_ENGINE("stand-in-engine", "OPTION...", "run a stand-in of a model engine"),
+    STAND_IN_SERVICE("stand-in-service", "OPTION...", "run a stand-in of a plain service");
 
     private final String words;
     private final String synopsis;
@@ -35,6 +37,23 @@
                 .findFirst();
     }
 
+    /** Says whether the overview leaves it out: the stand-ins are for scripts and tests. */
+    boolean hidden() {
+        return switch (this) {
+            case STAND_IN_ENGINE, STAND_IN_SERVICE -> true;
+            case SERVE,
+                    SETTINGS_CHECK,
+                    SHEET_CHECK,
+                    SHEET_DIFF,
+                    SHEET_APPLY,
+                    SHEET_SHOW,
+                    SHEET_KEY,
+                    STATUS,
+                    DRAIN,
+                    VERSION -> false;
+        };
+    }
+
     /** Returns the number of arguments that the name takes. */
     int wordCount() {
         return wordList().size();
--- a/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -23,6 +23,8 @@
 import org.plantainwharf.sheet.SheetDifference;
 import org.plantainwharf.sheet.SheetDigest;
 import org.plantainwharf.sheet.csv.SheetParser;
+import org.plantainwharf.standin.StandInEngine;
+import org.plantainwharf.standin.StandInService;
 
 /** Carries out subcommands. Results go to standard output, everything else to standard error. Used by one thread. */
 public final class SubcommandRunner {
@@ -61,6 +63,10 @@
                 ask(status.target(), client -> client.get("/admin/status"), status.json(), StatusText::of);
             case Subcommand.Drain drain -> drain(drain.target());
             case Subcommand.Version version -> version();
+            case Subcommand.StandInEngine standIn ->
+                ExitCode.of(StandInEngine.run(standIn.arguments().toArray(String[]::new)));
+            case Subcommand.StandInService standIn ->
+                ExitCode.of(StandInService.run(standIn.arguments().toArray(String[]::new)));
             case Subcommand.Help help -> succeed(help.text());
         };
     }
