Keep released requests with their order

A lost owner mark was ruled out first: marking again did not change the failure. Change: an order keeps the requests that gave it up and ignores their intents; a release carries its time so that expiry does not drop it early.

--- a/src/main/java/org/plantainwharf/codec/CommandMapping.java
+++ b/src/main/java/org/plantainwharf/codec/CommandMapping.java
@@ -60,7 +60,8 @@
                         .setRequest(intent.request().value())
                         .setWallClockMillis(intent.wallClockMillis()));
             case Command.ReleaseIntent release ->
-                wire.setReleaseIntent(reference(release.account(), release.key(), release.request()));
+                wire.setReleaseIntent(reference(release.account(), release.key(), release.request())
+                        .setWallClockMillis(release.wallClockMillis()));
             case Command.LoseOutcome lose -> wire.setLoseOutcome(reference(lose.account(), lose.key(), lose.request()));
             case Command.RecordOutcome outcome ->
                 wire.setRecordOutcome(PeerProtocol.RecordOutcome.newBuilder()
@@ -106,12 +107,12 @@
         return wire.build();
     }
 
-    private static PeerProtocol.IntentReference reference(AccountName account, IdempotencyKey key, RequestId request) {
+    private static PeerProtocol.IntentReference.Builder reference(
+            AccountName account, IdempotencyKey key, RequestId request) {
         return PeerProtocol.IntentReference.newBuilder()
                 .setAccount(account.value())
                 .setKey(key.value())
-                .setRequest(request.value())
-                .build();
+                .setRequest(request.value());
     }
 
     static Command decode(PeerProtocol.Command wire) {
@@ -174,7 +175,10 @@
 
     private static Command release(PeerProtocol.IntentReference wire) {
         return new Command.ReleaseIntent(
-                AccountName.of(wire.getAccount()), IdempotencyKey.of(wire.getKey()), RequestId.of(wire.getRequest()));
+                AccountName.of(wire.getAccount()),
+                IdempotencyKey.of(wire.getKey()),
+                RequestId.of(wire.getRequest()),
+                wire.getWallClockMillis());
     }
 
     private static Command lose(PeerProtocol.IntentReference wire) {
--- a/src/main/java/org/plantainwharf/record/OrderController.java
+++ b/src/main/java/org/plantainwharf/record/OrderController.java
@@ -250,7 +250,7 @@
             int group = RecordGroups.groupOf(
                     call.account(), order.key(), board.settings().recordGroups());
             Command command = refused.failure().ran() == Ran.NO
-                    ? new Command.ReleaseIntent(call.account(), order.key(), call.id())
+                    ? new Command.ReleaseIntent(call.account(), order.key(), call.id(), board.wallClockMillis())
                     : new Command.LoseOutcome(call.account(), order.key(), call.id());
             Proposals.propose(board, effects, group, command, new PendingProposal.Notice(group, command));
         }
--- a/src/main/java/org/plantainwharf/replicated/Command.java
+++ b/src/main/java/org/plantainwharf/replicated/Command.java
@@ -79,7 +79,8 @@
             implements Recording {}
 
     /** Gives an intent back: its owner sent no byte and will send none. */
-    record ReleaseIntent(AccountName account, IdempotencyKey key, RequestId request) implements Recording {}
+    record ReleaseIntent(AccountName account, IdempotencyKey key, RequestId request, long wallClockMillis)
+            implements Recording {}
 
     /** Records that a call may have run and that its outcome will not be known. */
     record LoseOutcome(AccountName account, IdempotencyKey key, RequestId request) implements Recording {}
--- a/src/main/java/org/plantainwharf/replicated/StateRecord.java
+++ b/src/main/java/org/plantainwharf/replicated/StateRecord.java
@@ -38,9 +38,25 @@
     record HostStart(String token, AvailabilityZone zone, HostClass hostClass, boolean finished, String platformHost)
             implements StateRecord {}
 
-    /** A call that may not be repeated. */
-    record Order(AccountName account, IdempotencyKey key, String contentDigest, OrderState state, long wallClockMillis)
-            implements StateRecord {}
+    /**
+     * A call that may not be repeated.
+     *
+     * @param releasedRequests requests that will never send it, so that a delayed duplicate of their intent, or an
+     *     intent that its own release overtook, cannot reserve it for an owner that has given up
+     */
+    record Order(
+            AccountName account,
+            IdempotencyKey key,
+            String contentDigest,
+            OrderState state,
+            Set<RequestId> releasedRequests,
+            long wallClockMillis)
+            implements StateRecord {
+        /** Copies the set. */
+        public Order {
+            releasedRequests = Set.copyOf(releasedRequests);
+        }
+    }
 
     /** Accepted long work. */
     record Work(
@@ -58,8 +74,8 @@
         /** Its owner may send it or has sent it. */
         record Reserved(HostId owner, long ownerIncarnation, RequestId request) implements OrderState {}
 
-        /** Its owner gave it back without sending it; another request may reserve it, the same one may not. */
-        record Released(RequestId request) implements OrderState {}
+        /** Nothing of it was sent; another request may reserve it. */
+        record Released() implements OrderState {}
 
         /** It ran; this is its answer. */
         record Finished(RequestId request, int httpStatus, Content answer) implements OrderState {}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/record/OrderScheduleTest.java
@@ -0,0 +1,113 @@
+package org.plantainwharf.record;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.stream.LongStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.plantainwharf.call.CallEntry;
+import org.plantainwharf.call.CallState;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.Query;
+import org.plantainwharf.replicated.QueryResult;
+import org.plantainwharf.replicated.StateMachine;
+import org.plantainwharf.replicated.StateRecord;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards the promises on orders: at most one run, a truthful "not run", and one answer for each key. */
+class OrderScheduleTest {
+    private static final int SEEDS = 200;
+
+    @Property(tries = SEEDS, seed = "20261204")
+    void noKeyRunsTwiceAndNoCallerIsToldAnUntruth(@ForAll @LongRange(min = 0, max = Integer.MAX_VALUE) long seed) {
+        OrderSchedule schedule = OrderSchedule.run(seed);
+        assertEquals(List.of(), schedule.violations(), () -> "seed " + seed);
+        assertTrue(schedule.keysRun() > 0, () -> "seed " + seed);
+    }
+
+    @Nested
+    class BrokenVariantsAreCaught {
+        private boolean anySeedFails(java.util.function.LongFunction<OrderSchedule> run) {
+            return LongStream.range(0, SEEDS)
+                    .anyMatch(seed -> !run.apply(seed).violations().isEmpty());
+        }
+
+        @Test
+        void sendingWithoutACommittedIntent() {
+            Controller withoutIntent = (event, board, nowNanos, effects) -> {
+                @Nullable CallEntry entry = board.calls().pollRecording();
+                while (entry != null) {
+                    board.calls().advance(entry, new CallState.Ready(nowNanos));
+                    entry = board.calls().pollRecording();
+                }
+            };
+            assertTrue(anySeedFails(seed -> OrderSchedule.run(seed, RecordState.create(), List.of(withoutIntent))));
+        }
+
+        @Test
+        void makingALostKeyRunnableAgain() {
+            assertTrue(anySeedFails(
+                    seed -> OrderSchedule.run(seed, new ReleasingState(), List.of(IntakeController.create()))));
+        }
+
+        @Test
+        void leavingIntentsOfLostOwnersOpen() {
+            assertTrue(anySeedFails(
+                    seed -> OrderSchedule.run(seed, new ForgettingState(), List.of(IntakeController.create()))));
+        }
+    }
+
+    /** Passes every command on, but for those that a subclass replaces. */
+    private abstract static class ChangedState implements StateMachine {
+        private final RecordState state = RecordState.create();
+
+        @Override
+        public CommandResult apply(Command command) {
+            return state.apply(Objects.requireNonNull(replace(command)));
+        }
+
+        abstract Command replace(Command command);
+
+        @Override
+        public QueryResult answer(Query query) {
+            return state.answer(query);
+        }
+
+        @Override
+        public List<StateRecord> records() {
+            return state.records();
+        }
+
+        @Override
+        public void restore(List<StateRecord> records) {
+            state.restore(records);
+        }
+    }
+
+    /** Treats an unknown outcome as if nothing had been sent. */
+    private static final class ReleasingState extends ChangedState {
+        @Override
+        Command replace(Command command) {
+            return command instanceof Command.LoseOutcome lose
+                    ? new Command.ReleaseIntent(lose.account(), lose.key(), lose.request(), 0)
+                    : command;
+        }
+    }
+
+    /** Ignores that owners were lost. */
+    private static final class ForgettingState extends ChangedState {
+        @Override
+        Command replace(Command command) {
+            return command instanceof Command.MarkOwnerLost ? new Command.NoOperation() : command;
+        }
+    }
+}
