Test the HTTP fronts through real connections and flush answers at a stop

A stop closed connections after waiting a second for idle ones and did not wait for answers that were being written. It now waits for these only.

--- a/src/main/java/org/plantainwharf/front/CallerFront.java
+++ b/src/main/java/org/plantainwharf/front/CallerFront.java
@@ -1,6 +1,7 @@
 package org.plantainwharf.front;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
@@ -8,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -44,6 +46,8 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    private static final long FLUSH_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final Settings settings;
     private final Clock clock;
     private final Supplier<BoardView> view;
@@ -99,14 +103,38 @@
         return exchanges.size();
     }
 
-    /** Stops listening and closes all connections, also those that still wait for an answer. */
+    /** Writes out the answers that are decided, within a second, then closes all connections and stops listening. */
     public void stop() {
+        answering.shutdown();
+        try {
+            answering.awaitTermination(FLUSH_LIMIT_NANOS, TimeUnit.NANOSECONDS);
+            awaitFlushed();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         try {
             listener.stop();
         } catch (Exception e) {
             LOGGER.atWarning().withCause(e).log("event=caller_front_stop_failed");
         }
-        answering.shutdown();
+    }
+
+    private void awaitFlushed() throws InterruptedException {
+        long end = clock.nowNanos() + FLUSH_LIMIT_NANOS;
+        synchronized (exchanges) {
+            long left = FLUSH_LIMIT_NANOS;
+            while (left > 0 && exchanges.values().stream().anyMatch(HttpExchange::isFlushing)) {
+                TimeUnit.NANOSECONDS.timedWait(exchanges, left);
+                left = end - clock.nowNanos();
+            }
+        }
+    }
+
+    private void forget(RequestId id) {
+        synchronized (exchanges) {
+            exchanges.remove(id);
+            exchanges.notifyAll();
+        }
     }
 
     @Override
@@ -169,12 +197,7 @@
             metrics.counter("front.requests").inc();
             RequestId id = RequestId.of(UUID.randomUUID().toString());
             HttpExchange exchange = HttpExchange.create(
-                    id,
-                    request,
-                    response,
-                    callback,
-                    () -> events.post(new CallEvent.CallerLeft(id)),
-                    () -> exchanges.remove(id));
+                    id, request, response, callback, () -> events.post(new CallEvent.CallerLeft(id)), () -> forget(id));
             @Nullable String path = request.getHttpURI().getDecodedPath();
             Either<Failure, CallTarget> target = CallTarget.parse(request.getMethod(), path == null ? "" : path);
             if (target.isRight() && target.get() instanceof CallTarget.Health) {
@@ -199,8 +222,8 @@
             // Watched only now, so that the control thread never hears of a caller's end before its request.
             exchange.watchCaller();
         } else {
-            exchanges.remove(id);
-            refuse(exchange, Failure.of(ErrorKind.ENTRY_QUEUE_FULL).withRetryAfter(java.time.Duration.ofSeconds(1)));
+            forget(id);
+            refuse(exchange, Failure.of(ErrorKind.ENTRY_QUEUE_FULL).withRetryAfter(Duration.ofSeconds(1)));
         }
     }
 
--- a/src/main/java/org/plantainwharf/front/HttpExchange.java
+++ b/src/main/java/org/plantainwharf/front/HttpExchange.java
@@ -1,7 +1,6 @@
 package org.plantainwharf.front;
 
 import java.io.ByteArrayOutputStream;
-import java.io.EOFException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -9,6 +8,7 @@
 
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -208,6 +208,11 @@
         answer(failure.kind().httpStatus(), Content.of("application/json", utf8(json)));
     }
 
+    /** Says whether the answer is decided but not all of it is written. */
+    synchronized boolean isFlushing() {
+        return progress instanceof Progress.Ended && !completed;
+    }
+
     private static byte[] utf8(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
@@ -251,7 +256,7 @@
 
     /** The caller left while nothing was being written. */
     private void left() {
-        lost(new EOFException("caller left"));
+        lost(new EofException("caller left"));
     }
 
     private void lost(Throwable cause) {
--- a/src/main/java/org/plantainwharf/front/HttpListener.java
+++ b/src/main/java/org/plantainwharf/front/HttpListener.java
@@ -62,7 +62,8 @@
         server.addConnector(connector);
         server.setHandler(handler);
         server.setErrorHandler(JsonErrorHandler.create(bounds.maximumHeaderBytes()));
-        server.setStopTimeout(1_000);
+        // A planned stop ends when nothing runs any more, so connections are closed without waiting for their callers.
+        server.setStopTimeout(0);
         return new HttpListener(server, connector);
     }
 
--- a/src/main/java/org/plantainwharf/standin/StandInEngine.java
+++ b/src/main/java/org/plantainwharf/standin/StandInEngine.java
@@ -80,7 +80,7 @@
      *
      * @param halt run instead of ending the process when it is told to crash
      */
-    static StandInEngine start(Runnable halt, String... arguments) {
+    public static StandInEngine start(Runnable halt, String... arguments) {
         return new StandInEngine(parser().parse(arguments), halt);
     }
 
@@ -113,7 +113,7 @@
     }
 
     /** Returns IP number and port. */
-    String address() {
+    public String address() {
         return http.address();
     }
 
@@ -122,7 +122,7 @@
     }
 
     /** Announces that it leaves, finishes what runs and stops. */
-    void leave() {
+    public void leave() {
         leaving = true;
         announcer.announce();
         StandInProcess.awaitIdle(() -> runs.runningCount() + runs.waitingCount() == 0, LEAVE_LIMIT_MILLIS);
--- a/src/main/java/org/plantainwharf/standin/StandInService.java
+++ b/src/main/java/org/plantainwharf/standin/StandInService.java
@@ -70,7 +70,7 @@
      *
      * @param halt run instead of ending the process when it is told to crash
      */
-    static StandInService start(Runnable halt, String... arguments) {
+    public static StandInService start(Runnable halt, String... arguments) {
         return new StandInService(parser().parse(arguments), halt);
     }
 
@@ -89,7 +89,7 @@
     }
 
     /** Returns IP number and port. */
-    String address() {
+    public String address() {
         return http.address();
     }
 
@@ -98,12 +98,12 @@
     }
 
     /** Returns how often a key was run. */
-    int runsOf(String key) {
+    public int runsOf(String key) {
         return runs.getOrDefault(key, 0);
     }
 
     /** Announces that it leaves, finishes what runs and stops. */
-    void leave() {
+    public void leave() {
         leaving = true;
         announcer.announce();
         StandInProcess.awaitIdle(() -> running.get() == 0, LEAVE_LIMIT_MILLIS);
--- /dev/null
+++ b/src/test/java/org/plantainwharf/backend/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the client towards backend servers. */
+@NullMarked
+package org.plantainwharf.backend;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/test/java/org/plantainwharf/front/CallerFrontTest.java
@@ -0,0 +1,505 @@
+package org.plantainwharf.front;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.plantainwharf.backend.AnswerSink;
+import org.plantainwharf.board.BoardView;
+import org.plantainwharf.call.Call;
+import org.plantainwharf.call.CallKind;
+import org.plantainwharf.call.Content;
+import org.plantainwharf.control.Clock;
+import org.plantainwharf.drain.DrainPhase;
+import org.plantainwharf.effect.CallEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.error.Ran;
+import org.plantainwharf.event.CallEvent;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Drives the caller front through real HTTP. */
+class CallerFrontTest {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String CHAT = "/v1/chat/completions";
+    private static final String GOOD_CHAT =
+            "{\"model\":\"small\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
+
+    private final RecordingEvents events = RecordingEvents.create();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private volatile BoardView view = Fixture.view(new DrainPhase.Serving());
+    private final CallerFront front =
+            CallerFront.create(Fixture.settings(), Clock.system(), () -> view, events, metrics);
+    private final HttpClient http =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    @BeforeEach
+    void start() {
+        front.start();
+    }
+
+    @AfterEach
+    void stop() {
+        front.stop();
+        http.close();
+    }
+
+    private HttpRequest.Builder request(String method, String path, String body) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + front.port() + path))
+                .timeout(Duration.ofSeconds(10))
+                .method(method, body.isEmpty() ? BodyPublishers.noBody() : BodyPublishers.ofString(body));
+    }
+
+    private HttpRequest.Builder chat(String body) {
+        return request("POST", CHAT, body).header("Authorization", "Bearer mill-key");
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(HttpRequest.Builder request) {
+        return http.sendAsync(request.build(), BodyHandlers.ofString());
+    }
+
+    private static JsonNode json(HttpResponse<String> response) throws IOException {
+        return JSON.readTree(response.body());
+    }
+
+    private void assertFailure(ErrorKind kind, HttpResponse<String> response) throws IOException {
+        JsonNode error = json(response).path("error");
+        assertEquals(kind.httpStatus(), response.statusCode(), response.body());
+        assertEquals(kind.code(), error.path("code").asText());
+        assertEquals(kind.retryable(), error.path("retry").asBoolean());
+        assertEquals(
+                kind.ran().name().toLowerCase(java.util.Locale.ROOT),
+                error.path("ran").asText());
+        assertEquals(
+                error.path("ran").asText(),
+                response.headers().firstValue("X-Ran").orElse(""));
+        assertEquals(
+                error.path("request_id").asText(),
+                response.headers().firstValue("X-Request-Id").orElse(""));
+        assertFalse(error.path("message").asText().isBlank());
+    }
+
+    /** Returns a client whose connection is already HTTP/2, since a request with a body cannot upgrade one. */
+    private HttpClient http2() throws Exception {
+        HttpClient client =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_2).build();
+        HttpResponse<String> health = client.send(request("GET", "/health", "").build(), BodyHandlers.ofString());
+        assertEquals(HttpClient.Version.HTTP_2, health.version());
+        return client;
+    }
+
+    /** One bad request and the row of the error table it must get. */
+    record BadInput(
+            String name, ErrorKind expected, String method, String path, Map<String, String> headers, String body) {
+        static BadInput chat(String name, ErrorKind expected, String body) {
+            return new BadInput(name, expected, "POST", CHAT, Map.of("Authorization", "Bearer mill-key"), body);
+        }
+
+        static BadInput of(String name, ErrorKind expected, String call, String... headers) {
+            Map<String, String> map = new java.util.HashMap<>(Map.of("Authorization", "Bearer mill-key"));
+            for (int index = 0; index < headers.length; index += 2) {
+                map.put(headers[index], headers[index + 1]);
+            }
+            String[] parts = call.split(" ");
+            return new BadInput(name, expected, parts[0], parts[1], map, parts[0].equals("POST") ? GOOD_CHAT : "");
+        }
+
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    static Stream<BadInput> badInputs() {
+        String message = "\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]";
+        return Stream.of(
+                BadInput.chat("cut-off JSON", ErrorKind.MALFORMED_JSON, "{\"model\":"),
+                BadInput.chat("text after JSON", ErrorKind.MALFORMED_JSON, GOOD_CHAT + " x"),
+                BadInput.chat("deeply nested JSON", ErrorKind.MALFORMED_JSON, "[".repeat(3_000)),
+                BadInput.chat("a list", ErrorKind.REQUEST_INVALID, "[]"),
+                BadInput.chat("null", ErrorKind.REQUEST_INVALID, "null"),
+                BadInput.chat("no model", ErrorKind.REQUEST_INVALID, "{" + message + "}"),
+                BadInput.chat("blank model", ErrorKind.REQUEST_INVALID, "{\"model\":\" \"," + message + "}"),
+                BadInput.chat("model as number", ErrorKind.REQUEST_INVALID, "{\"model\":3," + message + "}"),
+                BadInput.chat("no messages", ErrorKind.REQUEST_INVALID, "{\"model\":\"small\",\"messages\":[]}"),
+                BadInput.chat(
+                        "message as text", ErrorKind.REQUEST_INVALID, "{\"model\":\"small\",\"messages\":[\"x\"]}"),
+                BadInput.chat(
+                        "no tokens",
+                        ErrorKind.REQUEST_INVALID,
+                        "{\"model\":\"small\",\"max_tokens\":0," + message + "}"),
+                BadInput.chat(
+                        "too many tokens",
+                        ErrorKind.REQUEST_INVALID,
+                        "{\"model\":\"small\",\"max_tokens\":99999999999," + message + "}"),
+                BadInput.chat(
+                        "stream as text",
+                        ErrorKind.REQUEST_INVALID,
+                        "{\"model\":\"small\",\"stream\":\"yes\"," + message + "}"),
+                BadInput.chat("body too large", ErrorKind.BODY_TOO_LARGE, "x".repeat(Fixture.BODY_BYTES + 1)),
+                BadInput.of("GET on chat", ErrorKind.METHOD_NOT_ALLOWED, "GET " + CHAT),
+                BadInput.of("DELETE on work", ErrorKind.METHOD_NOT_ALLOWED, "DELETE /v1/work/1"),
+                BadInput.of("unknown path", ErrorKind.UNKNOWN_ROUTE, "GET /nothing"),
+                BadInput.of("unknown route", ErrorKind.UNKNOWN_ROUTE, "POST /v1/services/none"),
+                BadInput.of("empty route", ErrorKind.UNKNOWN_ROUTE, "POST /v1/services/"),
+                BadInput.of("odd work id", ErrorKind.WORK_NOT_FOUND, "GET /v1/work/a.b"),
+                BadInput.of("no scheme", ErrorKind.UNAUTHENTICATED, "POST " + CHAT, "Authorization", "mill-key"),
+                BadInput.of("wrong key", ErrorKind.UNAUTHENTICATED, "POST " + CHAT, "Authorization", "Bearer none"),
+                BadInput.of("empty key", ErrorKind.UNAUTHENTICATED, "POST " + CHAT, "Authorization", "Bearer "),
+                BadInput.of("unknown rank", ErrorKind.RANK_NOT_ALLOWED, "POST " + CHAT, "X-Rank", "none"),
+                BadInput.of(
+                        "rank of others",
+                        ErrorKind.RANK_NOT_ALLOWED,
+                        "POST " + CHAT,
+                        "Authorization",
+                        "Bearer yard-key",
+                        "X-Rank",
+                        "urgent"),
+                BadInput.of(
+                        "route's rank of others",
+                        ErrorKind.RANK_NOT_ALLOWED,
+                        "POST /v1/services/stock",
+                        "Authorization",
+                        "Bearer yard-key"),
+                BadInput.of("no key", ErrorKind.IDEMPOTENCY_KEY_MISSING, "POST /v1/services/order"),
+                BadInput.of(
+                        "long key",
+                        ErrorKind.IDEMPOTENCY_KEY_INVALID,
+                        "POST /v1/services/order",
+                        "Idempotency-Key",
+                        "k".repeat(201)),
+                BadInput.of(
+                        "key with space",
+                        ErrorKind.IDEMPOTENCY_KEY_INVALID,
+                        "POST /v1/services/order",
+                        "Idempotency-Key",
+                        "a b"),
+                BadInput.of("huge header", ErrorKind.HEADERS_TOO_LARGE, "POST " + CHAT, "X-Filler", "x".repeat(5_000)));
+    }
+
+    @Nested
+    class BadInputs {
+        @ParameterizedTest
+        @MethodSource("org.plantainwharf.front.CallerFrontTest#badInputs")
+        void getTheirErrorAndNothingElseIsAffected(BadInput input) throws Exception {
+            HttpRequest.Builder request = request(input.method(), input.path(), input.body());
+            input.headers().forEach(request::setHeader);
+            assertFailure(input.expected(), send(request).get());
+            assertTrue(events.isEmpty(), "a refused request must not reach the control thread");
+            assertGoodCallStillWorks();
+        }
+
+        @Test
+        void repeatedHeadersAreRefusedSinceEitherCouldCount() throws Exception {
+            HttpRequest.Builder request =
+                    chat(GOOD_CHAT).header("X-Rank", "urgent").header("X-Rank", "long");
+            assertFailure(ErrorKind.REQUEST_INVALID, send(request).get());
+        }
+
+        @Test
+        void aBodyWithoutDeclaredLengthIsBoundedToo() throws Exception {
+            HttpRequest.Builder request = chat("").POST(
+                            BodyPublishers.ofInputStream(() -> new java.io.ByteArrayInputStream(new byte[5_000])));
+            assertFailure(ErrorKind.BODY_TOO_LARGE, send(request).get());
+        }
+
+        @Test
+        void aMalformedHttpMessageGetsTheSameErrorForm() throws Exception {
+            try (Socket socket = new Socket("127.0.0.1", front.port())) {
+                socket.getOutputStream().write("POST  /x HTTP/1.1\r\nHost\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                assertTrue(answer.startsWith("HTTP/1.1 400"), answer);
+                assertTrue(answer.contains("\"code\":\"request_invalid\""), answer);
+            }
+        }
+
+        private void assertGoodCallStillWorks() throws Exception {
+            CompletableFuture<HttpResponse<String>> response = send(chat(GOOD_CHAT));
+            Call call = events.next(CallEvent.CallArrived.class).call();
+            front.execute(new CallEffect.AnswerCall(call.id(), 200, text("fine")));
+            assertEquals("fine", response.get().body());
+        }
+    }
+
+    private static Content text(String value) {
+        return Content.of("text/plain", value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Nested
+    class Failures {
+        @ParameterizedTest
+        @EnumSource(ErrorKind.class)
+        void ofEveryKindReachTheCallerAsTheTableSays(ErrorKind kind) throws Exception {
+            CompletableFuture<HttpResponse<String>> response = send(chat(GOOD_CHAT));
+            Call call = events.next(CallEvent.CallArrived.class).call();
+            front.execute(new CallEffect.FailCall(call.id(), Failure.of(kind, "one", "two")));
+            assertFailure(kind, response.get());
+        }
+
+        @Test
+        void carryAMorePreciseStatementOnWhetherTheCallRan() throws Exception {
+            CompletableFuture<HttpResponse<String>> response = send(chat(GOOD_CHAT));
+            Call call = events.next(CallEvent.CallArrived.class).call();
+            Failure failure =
+                    Failure.of(ErrorKind.SERVER_FAILED, "x").withRan(Ran.YES).withRetryAfter(Duration.ofMillis(1_200));
+            front.execute(new CallEffect.FailCall(call.id(), failure));
+            assertEquals("yes", response.get().headers().firstValue("X-Ran").orElse(""));
+            assertEquals("2", response.get().headers().firstValue("Retry-After").orElse(""));
+            assertFalse(json(response.get()).path("error").path("retry").asBoolean());
+        }
+
+        @Test
+        void aFullEventQueueRefusesWithoutRunning() throws Exception {
+            events.setFull(true);
+            assertFailure(ErrorKind.ENTRY_QUEUE_FULL, send(chat(GOOD_CHAT)).get());
+            assertEquals(0, front.openExchanges());
+        }
+    }
+
+    @Nested
+    class Intake {
+        @Test
+        void keepsPromptTokensAndPrefixesOfAModelCall() throws Exception {
+            String prompt = "x".repeat(600);
+            send(
+                    chat("{\"model\":\"small\",\"max_tokens\":7,\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\""
+                                    + prompt + "\"}]}")
+                            .header("X-Rank", "urgent"));
+            Call call = events.next(CallEvent.CallArrived.class).call();
+            CallKind.Model model = (CallKind.Model) call.kind();
+            assertEquals(7, model.maximumTokens());
+            assertEquals(606 / 4, model.promptTokens());
+            assertEquals(2, model.prefixBlocks().size());
+            assertTrue(model.stream());
+            assertEquals(Duration.ofSeconds(5).toNanos(), call.deadlineNanos() - call.arrivedNanos());
+        }
+
+        @Test
+        void aChangedFirstBlockChangesAllLaterHashes() {
+            byte[] first = "a".repeat(600).getBytes(StandardCharsets.UTF_8);
+            byte[] second = first.clone();
+            second[0] = 'b';
+            assertEquals(java.util.Set.of(), new java.util.HashSet<>(PrefixBlocks.hashes(first)) {
+                private static final long serialVersionUID = 1L;
+
+                {
+                    retainAll(PrefixBlocks.hashes(second));
+                }
+            });
+        }
+
+        @Test
+        void aCallThatNamesNoRankGetsTheLeastUrgent() throws Exception {
+            send(chat(GOOD_CHAT));
+            assertEquals(
+                    "long",
+                    events.next(CallEvent.CallArrived.class).call().rank().value());
+        }
+
+        @Test
+        void onlyTheSheetDecidesWhetherARouteMayRepeat() throws Exception {
+            send(request("POST", "/v1/services/stock", "x")
+                    .header("Authorization", "Bearer mill-key")
+                    .header("Idempotency-Key", "k"));
+            assertTrue(events.next(CallEvent.CallArrived.class).call().kind() instanceof CallKind.Service);
+            send(request("POST", "/v1/services/order", "x")
+                    .header("Authorization", "Bearer mill-key")
+                    .header("Idempotency-Key", "k"));
+            assertTrue(events.next(CallEvent.CallArrived.class).call().kind() instanceof CallKind.Order);
+        }
+
+        @Test
+        void sameBodiesOfDifferentAccountsHaveDifferentFingerprints() throws Exception {
+            send(chat(GOOD_CHAT));
+            send(request("POST", CHAT, GOOD_CHAT).header("Authorization", "Bearer yard-key"));
+            Call first = events.next(CallEvent.CallArrived.class).call();
+            Call second = events.next(CallEvent.CallArrived.class).call();
+            assertFalse(first.fingerprint().equals(second.fingerprint()));
+        }
+    }
+
+    @Nested
+    class Work {
+        @Test
+        void isAcceptedFoundAndFetchedByItsId() throws Exception {
+            CompletableFuture<HttpResponse<String>> accepted =
+                    send(request("POST", "/v1/work", GOOD_CHAT).header("Authorization", "Bearer mill-key"));
+            Call call = events.next(CallEvent.CallArrived.class).call();
+            front.execute(new CallEffect.AcceptCall(call.id()));
+            assertEquals(202, accepted.get().statusCode());
+            String id = json(accepted.get()).path("id").asText();
+            assertEquals(call.id().value(), id);
+
+            CompletableFuture<HttpResponse<String>> state =
+                    send(request("GET", "/v1/work/" + id, "").header("Authorization", "Bearer mill-key"));
+            CallEvent.WorkAsked asked = events.next(CallEvent.WorkAsked.class);
+            assertFalse(asked.wantsAnswer());
+            front.execute(new CallEffect.ReportFinished(asked.ask(), asked.work(), 200, 5, "abc"));
+            assertEquals("finished", json(state.get()).path("state").asText());
+
+            CompletableFuture<HttpResponse<String>> result =
+                    send(request("GET", "/v1/work/" + id + "/result", "").header("Authorization", "Bearer mill-key"));
+            assertTrue(events.next(CallEvent.WorkAsked.class).wantsAnswer());
+            assertFalse(result.isDone());
+        }
+    }
+
+    @Nested
+    class Streams {
+        private CompletableFuture<HttpResponse<String>> response = new CompletableFuture<>();
+
+        private Call begin(HttpClient client) {
+            response = client.sendAsync(chat(GOOD_CHAT).build(), BodyHandlers.ofString());
+            Call call = events.next(CallEvent.CallArrived.class).call();
+            AnswerSink sink = front.sink(call.id()).orElseThrow();
+            sink.begin(200, "text/event-stream");
+            sink.write("data: 1\n\n".getBytes(StandardCharsets.UTF_8), () -> {});
+            return call;
+        }
+
+        @Test
+        void endWithDoneOnlyWhenFinished() throws Exception {
+            front.execute(new CallEffect.FinishStream(begin(http).id()));
+            assertEquals("data: 1\n\ndata: [DONE]\n\n", response.get().body());
+        }
+
+        @Test
+        void thatFailEndWithAnErrorEventAndWithoutDone() throws Exception {
+            Call call = begin(http);
+            front.execute(new CallEffect.FailCall(call.id(), Failure.of(ErrorKind.DEADLINE_EXCEEDED)));
+            String body = response.get().body();
+            assertTrue(
+                    body.startsWith("data: 1\n\nevent: error\ndata: {\"error\":{\"code\":\"deadline_exceeded\""), body);
+            assertFalse(body.contains("[DONE]"));
+        }
+
+        @Test
+        void takeNoBytesAfterTheirEnd() throws Exception {
+            Call call = begin(http);
+            AnswerSink sink = front.sink(call.id()).orElseThrow();
+            front.execute(new CallEffect.FinishStream(call.id()));
+            response.get();
+            sink.write("data: late\n\n".getBytes(StandardCharsets.UTF_8), () -> {});
+            assertFalse(response.get().body().contains("late"));
+            assertTrue(front.sink(call.id()).isEmpty());
+        }
+
+        @Test
+        void workOverHttp2OnTheSamePort() throws Exception {
+            try (HttpClient second = http2()) {
+                front.execute(new CallEffect.FinishStream(begin(second).id()));
+                assertEquals(HttpClient.Version.HTTP_2, response.get().version());
+                assertEquals("data: 1\n\ndata: [DONE]\n\n", response.get().body());
+            }
+        }
+
+        @Test
+        void gatheredAnswersThatFailAreReplacedByTheError() throws Exception {
+            CompletableFuture<HttpResponse<String>> answer = send(chat(GOOD_CHAT));
+            Call call = events.next(CallEvent.CallArrived.class).call();
+            AnswerSink sink = front.sink(call.id()).orElseThrow();
+            sink.begin(200, "application/json");
+            sink.write("{\"half\":".getBytes(StandardCharsets.UTF_8), () -> {});
+            front.execute(new CallEffect.FailCall(call.id(), Failure.of(ErrorKind.ANSWER_TRUNCATED)));
+            assertFailure(ErrorKind.ANSWER_TRUNCATED, answer.get());
+        }
+    }
+
+    @Nested
+    class CallersWhoLeave {
+        private Socket open() throws IOException {
+            Socket socket = new Socket("127.0.0.1", front.port());
+            OutputStream out = socket.getOutputStream();
+            out.write(("POST " + CHAT + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer mill-key\r\nContent-Length: "
+                            + GOOD_CHAT.length() + "\r\n\r\n" + GOOD_CHAT)
+                    .getBytes(StandardCharsets.US_ASCII));
+            return socket;
+        }
+
+        @Test
+        void areNoticedWhileNothingIsWritten() throws Exception {
+            Socket socket = open();
+            Call call = events.next(CallEvent.CallArrived.class).call();
+            socket.close();
+            assertEquals(call.id(), events.next(CallEvent.CallerLeft.class).request());
+            assertEquals(Optional.empty(), front.sink(call.id()));
+        }
+
+        @Test
+        void areNoticedOverHttp2() throws Exception {
+            HttpClient second = http2();
+            second.sendAsync(chat(GOOD_CHAT).build(), BodyHandlers.ofString());
+            Call call = events.next(CallEvent.CallArrived.class).call();
+            second.shutdownNow();
+            assertEquals(call.id(), events.next(CallEvent.CallerLeft.class).request());
+        }
+
+        @Test
+        void areNotConfusedWithCallersWhoSendTheirNextRequestEarly() throws Exception {
+            try (Socket socket = open()) {
+                Call first = events.next(CallEvent.CallArrived.class).call();
+                String next = "GET /health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+                socket.getOutputStream().write(next.getBytes(StandardCharsets.US_ASCII));
+                front.execute(new CallEffect.AnswerCall(first.id(), 200, text("first")));
+                InputStream in = socket.getInputStream();
+                String answers = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+                assertTrue(answers.contains("first"), answers);
+                assertTrue(answers.endsWith("ok\n"), answers);
+                assertTrue(events.isEmpty());
+            }
+        }
+    }
+
+    @Nested
+    class Health {
+        private HttpResponse<String> ask() throws Exception {
+            return send(request("GET", "/health", "")).get();
+        }
+
+        @Test
+        void failsFromTheFirstMomentOfAPlannedStop() throws Exception {
+            assertEquals(200, ask().statusCode());
+            view = Fixture.view(new DrainPhase.Announcing(0));
+            assertEquals(503, ask().statusCode());
+            CompletableFuture<HttpResponse<String>> call = send(chat(GOOD_CHAT));
+            front.execute(new CallEffect.AnswerCall(
+                    events.next(CallEvent.CallArrived.class).call().id(), 200, text("taken")));
+            assertEquals(200, call.get().statusCode());
+            view = Fixture.view(new DrainPhase.Finishing(0));
+            assertFailure(ErrorKind.DRAINING, send(chat(GOOD_CHAT)).get());
+        }
+
+        @Test
+        void failsWithoutConfiguration() throws Exception {
+            view = new BoardView(Optional.empty(), false, new DrainPhase.Serving(), 0);
+            assertFailure(ErrorKind.CONFIGURATION_MISSING, ask());
+            assertFailure(ErrorKind.CONFIGURATION_MISSING, send(chat(GOOD_CHAT)).get());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/front/RecordingEvents.java
@@ -0,0 +1,66 @@
+package org.plantainwharf.front;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.control.EventSink;
+import org.plantainwharf.event.Event;
+
+/** Keeps posted events in order for a test. Thread-safe. */
+public final class RecordingEvents implements EventSink {
+    private static final long LIMIT_SECONDS = 10;
+
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private volatile boolean full;
+
+    private RecordingEvents() {}
+
+    /** Returns a sink that takes everything. */
+    public static RecordingEvents create() {
+        return new RecordingEvents();
+    }
+
+    /** Makes the sink refuse what may be refused. */
+    public void setFull(boolean value) {
+        full = value;
+    }
+
+    @Override
+    public boolean offer(Event event) {
+        return !full && events.add(event);
+    }
+
+    @Override
+    public void post(Event event) {
+        events.add(event);
+    }
+
+    /** Waits for the next event. */
+    public Event next() {
+        try {
+            @Nullable Event event = events.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+            if (event == null) {
+                throw new AssertionError("no event within " + LIMIT_SECONDS + " s");
+            }
+            return event;
+        } catch (InterruptedException e) {
+            throw new AssertionError("interrupted", e);
+        }
+    }
+
+    /** Waits for the next event of a type; drops others before it. */
+    public <T extends Event> T next(Class<T> type) {
+        Event event = next();
+        while (!type.isInstance(event)) {
+            event = next();
+        }
+        return type.cast(event);
+    }
+
+    /** Returns whether no event waits. */
+    public boolean isEmpty() {
+        return events.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/standin/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the stand-ins. */
+@NullMarked
+package org.plantainwharf.standin;
+
+import org.jspecify.annotations.NullMarked;
