--- /dev/null
+++ b/src/test/java/org/plantainwharf/backend/ScriptedServer.java
@@ -0,0 +1,138 @@
+package org.plantainwharf.backend;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.jspecify.annotations.Nullable;
+
+/** A server that answers each request with bytes that a test wrote down. Thread-safe. */
+final class ScriptedServer implements AutoCloseable {
+    private static final Pattern LENGTH = Pattern.compile("content-length: *(\\d+)");
+
+    private final ServerSocket socket;
+    private final Script script;
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
+
+    /** Answers one request; the connection is closed when it returns false. */
+    @FunctionalInterface
+    interface Script {
+        boolean answer(Received received, OutputStream out) throws IOException, InterruptedException;
+    }
+
+    /**
+     * One request.
+     *
+     * @param connection counts the connections, from 1
+     */
+    record Received(int connection, String head, String body) {
+        String header(String name) {
+            Matcher matcher = Pattern.compile("(?i)^" + name + ": *(.*)$", Pattern.MULTILINE)
+                    .matcher(head);
+            return matcher.find() ? matcher.group(1).trim() : "";
+        }
+
+        /** Returns status line and headers that echo the identity of the request. */
+        String echo(int status, String... headers) {
+            return "HTTP/1.1 " + status + " X\r\nX-Request-Id: " + header("X-Request-Id") + "\r\nX-Attempt: "
+                    + header("X-Attempt") + "\r\n" + String.join("\r\n", headers) + "\r\n\r\n";
+        }
+    }
+
+    private ScriptedServer(ServerSocket socket, Script script) {
+        this.socket = socket;
+        this.script = script;
+    }
+
+    static ScriptedServer start(Script script) throws IOException {
+        ScriptedServer server = new ScriptedServer(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()), script);
+        daemon(server::accept);
+        return server;
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task, "scripted-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + socket.getLocalPort();
+    }
+
+    int connections() {
+        return connections.size();
+    }
+
+    private void accept() {
+        while (!socket.isClosed()) {
+            try {
+                Socket connection = socket.accept();
+                connections.add(connection);
+                int number = connections.size();
+                daemon(() -> serve(connection, number));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket connection, int number) {
+        try (connection) {
+            InputStream in = new BufferedInputStream(connection.getInputStream());
+            @Nullable Received received = read(in, number);
+            while (received != null && script.answer(received, connection.getOutputStream())) {
+                connection.getOutputStream().flush();
+                received = read(in, number);
+            }
+        } catch (IOException | InterruptedException e) {
+            // The client closed the connection or the test has ended.
+            return;
+        }
+    }
+
+    private static @Nullable Received read(InputStream in, int number) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int value = in.read();
+            if (value < 0) {
+                return null;
+            }
+            head.write(value);
+        }
+        String text = head.toString(StandardCharsets.ISO_8859_1);
+        Matcher length = LENGTH.matcher(text.toLowerCase(Locale.ROOT));
+        byte[] body = in.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
+        return new Received(number, text, new String(body, StandardCharsets.UTF_8));
+    }
+
+    static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    /** Writes one chunk of a chunked body. */
+    static void chunk(OutputStream out, String text) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        write(out, Integer.toHexString(bytes.length) + "\r\n" + text + "\r\n");
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+}
