Compare a sheet file with the sheet in force; count retry reasons from 0

Cause: before an operator applies a sheet, what matters is what it changes on the system, not in yesterday's file; a retry reason that never occurred was invisible.

--- a/src/main/java/org/plantainwharf/cli/CommandLine.java
+++ b/src/main/java/org/plantainwharf/cli/CommandLine.java
@@ -66,12 +66,12 @@
         parser.acceptsAll(List.of("h", HELP), "show this help").forHelp();
         return switch (name) {
             case SERVE -> acceptSettings(parser, "settings of the daemon, JSON");
-            case SHEET_APPLY, DRAIN -> acceptTarget(parser);
+            case SHEET_APPLY, SHEET_DIFF, DRAIN -> acceptTarget(parser);
             case SHEET_SHOW, STATUS -> {
                 parser.accepts(JSON, "print the daemon's answer unchanged");
                 yield acceptTarget(parser);
             }
-            case SETTINGS_CHECK, SHEET_CHECK, SHEET_DIFF, SHEET_KEY, VERSION -> parser;
+            case SETTINGS_CHECK, SHEET_CHECK, SHEET_KEY, VERSION -> parser;
             case STAND_IN_ENGINE, STAND_IN_SERVICE -> {
                 // The stand-ins read their own options from the arguments.
                 parser.allowsUnrecognizedOptions();
@@ -101,7 +101,12 @@
                                 : Either.left("option --settings is missing"));
             case SETTINGS_CHECK -> files(options, 1, Integer.MAX_VALUE).map(Subcommand.SettingsCheck::new);
             case SHEET_CHECK -> files(options, 1, Integer.MAX_VALUE).map(Subcommand.SheetCheck::new);
-            case SHEET_DIFF -> files(options, 2, 2).map(files -> new Subcommand.SheetDiff(files.get(0), files.get(1)));
+            case SHEET_DIFF ->
+                options.has(OPERATOR) || options.has(SETTINGS)
+                        ? files(options, 1, 1)
+                                .flatMap(files -> target(
+                                        options, target -> new Subcommand.SheetDiffInForce(target, files.get(0))))
+                        : files(options, 2, 2).map(files -> new Subcommand.SheetDiff(files.get(0), files.get(1)));
             case SHEET_APPLY ->
                 files(options, 1, 1)
                         .flatMap(files -> target(options, target -> new Subcommand.SheetApply(target, files.get(0))));
--- /dev/null
+++ b/src/main/java/org/plantainwharf/cli/SheetAnswer.java
@@ -0,0 +1,82 @@
+package org.plantainwharf.cli;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostClass;
+import org.plantainwharf.identity.RankName;
+import org.plantainwharf.identity.RouteName;
+import org.plantainwharf.sheet.Budget;
+import org.plantainwharf.sheet.ClientAccount;
+import org.plantainwharf.sheet.Rank;
+import org.plantainwharf.sheet.Route;
+import org.plantainwharf.sheet.Sheet;
+
+/**
+ * Reads a daemon's answer about the sheet in force. The answer holds no key digests, so they are taken from the sheet
+ * to compare with; only the digest of the whole content then shows that a key differs. Stateless; thread-safe.
+ */
+final class SheetAnswer {
+    private static final String NAME = "name";
+
+    private SheetAnswer() {}
+
+    /** Returns the sheet in force with the key digests of another sheet. */
+    static Sheet read(JsonNode answer, Sheet other) {
+        Map<AccountName, ClientAccount> accounts = new HashMap<>();
+        for (JsonNode node : answer.path("accounts")) {
+            AccountName name = AccountName.of(node.path(NAME).asText());
+            ClientAccount same = other.accounts().get(name);
+            Set<RankName> ranks = new HashSet<>();
+            node.path("ranks").forEach(rank -> ranks.add(RankName.of(rank.asText())));
+            accounts.put(
+                    name,
+                    new ClientAccount(
+                            name,
+                            same == null ? "" : same.keyDigest(),
+                            node.path("weight").asDouble(),
+                            node.path("requests_per_second").asDouble(),
+                            ranks));
+        }
+        Map<RankName, Rank> ranks = new HashMap<>();
+        for (JsonNode node : answer.path("ranks")) {
+            RankName name = RankName.of(node.path(NAME).asText());
+            ranks.put(
+                    name,
+                    new Rank(
+                            name,
+                            node.path("latency_target_ms").asLong(),
+                            node.path("deadline_ms").asLong(),
+                            node.path("worth").asDouble(),
+                            node.path("floor").asDouble()));
+        }
+        Map<RouteName, Route> routes = new HashMap<>();
+        for (JsonNode node : answer.path("routes")) {
+            RouteName name = RouteName.of(node.path(NAME).asText());
+            routes.put(
+                    name,
+                    new Route(
+                            name,
+                            RankName.of(node.path("rank").asText()),
+                            node.path("repeatable").asBoolean()));
+        }
+        List<Budget> budgets = new ArrayList<>();
+        for (JsonNode node : answer.path("budgets")) {
+            budgets.add(new Budget(
+                    AvailabilityZone.of(node.path("zone").asText()),
+                    HostClass.of(node.path("host_class").asText()),
+                    node.path("price_per_hour").asDouble(),
+                    node.path("maximum_per_hour").asDouble(),
+                    node.path("reclaimable").asBoolean()));
+        }
+        return new Sheet(
+                answer.path("version").asLong(), answer.path("digest").asText(), accounts, ranks, routes, budgets);
+    }
+}
--- a/src/main/java/org/plantainwharf/cli/SheetText.java
+++ b/src/main/java/org/plantainwharf/cli/SheetText.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.plantainwharf.sheet.Sheet;
 import org.plantainwharf.sheet.SheetChange;
 import org.plantainwharf.sheet.SheetDifference;
 
@@ -53,6 +54,16 @@
         return text.toString();
     }
 
+    /** Returns the text of what differs from the sheet in force, whose key digests are not known here. */
+    static String ofInForce(Sheet inForce, Sheet after) {
+        SheetDifference difference = SheetDifference.between(inForce, after);
+        if (difference.isEmpty() && !inForce.digest().equals(after.digest())) {
+            return "version " + inForce.version() + " -> " + after.version()
+                    + "\nchanged the key of one account or more; everything else is equal\n";
+        }
+        return of(difference);
+    }
+
     private static String table(JsonNode rows) {
         if (rows.isEmpty()) {
             return "";
--- a/src/main/java/org/plantainwharf/cli/StatusText.java
+++ b/src/main/java/org/plantainwharf/cli/StatusText.java
@@ -9,6 +9,7 @@
 final class StatusText {
     private static final String REFUSALS = "errors.";
     private static final String RETRIES = "retries.";
+    private static final String RECOMPUTED = "tokens.recomputed.";
 
     private StatusText() {}
 
@@ -20,7 +21,8 @@
                 + servers(status)
                 + logs(status)
                 + counters(status, "Refusals by reason", REFUSALS)
-                + counters(status, "Retries by reason", RETRIES);
+                + counters(status, "Retries by reason", RETRIES)
+                + counters(status, "Recomputed tokens by reason", RECOMPUTED);
     }
 
     private static String summary(JsonNode status) {
--- a/src/main/java/org/plantainwharf/cli/Subcommand.java
+++ b/src/main/java/org/plantainwharf/cli/Subcommand.java
@@ -27,6 +27,9 @@
     /** Compares two sheet files. */
     record SheetDiff(Path before, Path after) implements Subcommand {}
 
+    /** Compares the sheet in force with a sheet file. */
+    record SheetDiffInForce(OperatorTarget target, Path after) implements Subcommand {}
+
     /** Puts a sheet in force. */
     record SheetApply(OperatorTarget target, Path file) implements Subcommand {}
 
--- a/src/main/java/org/plantainwharf/cli/SubcommandName.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandName.java
@@ -9,7 +9,10 @@
     SERVE("serve", "--settings FILE", "run a daemon until SIGTERM, then stop gracefully"),
     SETTINGS_CHECK("settings check", "FILE...", "check settings files"),
     SHEET_CHECK("sheet check", "FILE...", "check sheet files"),
-    SHEET_DIFF("sheet diff", "BEFORE AFTER", "show what differs between two sheet files"),
+    SHEET_DIFF(
+            "sheet diff",
+            "[--operator ADDRESS | BEFORE] AFTER",
+            "show what differs from the sheet in force or from a file"),
     SHEET_APPLY("sheet apply", "--operator ADDRESS FILE", "put a sheet in force"),
     SHEET_SHOW("sheet show", "--operator ADDRESS [--json]", "show the sheet in force"),
     SHEET_KEY("sheet key", "", "read an account key from standard input and print its digest for the sheet"),
--- a/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -55,6 +55,7 @@
             case Subcommand.SettingsCheck check -> settingsCheck(check.files());
             case Subcommand.SheetCheck check -> sheetCheck(check.files());
             case Subcommand.SheetDiff diff -> sheetDiff(diff);
+            case Subcommand.SheetDiffInForce diff -> sheetDiffInForce(diff);
             case Subcommand.SheetApply apply -> sheetApply(apply);
             case Subcommand.SheetShow show ->
                 ask(show.target(), client -> client.get("/admin/sheet"), show.json(), SheetText::of);
@@ -114,6 +115,14 @@
                 .fold(this::fail, difference -> succeed(SheetText.of(difference)));
     }
 
+    private ExitCode sheetDiffInForce(Subcommand.SheetDiffInForce diff) {
+        return readSheet(diff.after())
+                .flatMap(after -> reach(diff.target(), client -> client.get("/admin/sheet"))
+                        .flatMap(SubcommandRunner::json)
+                        .map(answer -> SheetText.ofInForce(SheetAnswer.read(answer, after), after)))
+                .fold(this::fail, this::succeed);
+    }
+
     private ExitCode sheetApply(Subcommand.SheetApply apply) {
         // Checked here first, so that all problems are shown with the file's name even when no daemon can be reached.
         return readSheet(apply.file())
--- a/src/test/java/org/plantainwharf/cli/CommandLineTest.java
+++ b/src/test/java/org/plantainwharf/cli/CommandLineTest.java
@@ -34,6 +34,7 @@
             assertEquals(new Subcommand.SettingsCheck(List.of(file, Path.of("g"))), parsed("settings check f g"));
             assertEquals(new Subcommand.SheetCheck(List.of(file)), parsed("sheet check f"));
             assertEquals(new Subcommand.SheetDiff(file, Path.of("g")), parsed("sheet diff f g"));
+            assertEquals(new Subcommand.SheetDiffInForce(ADDRESS, file), parsed("sheet diff --operator 127.0.0.1:1 f"));
             assertEquals(new Subcommand.SheetApply(ADDRESS, file), parsed("sheet apply --operator 127.0.0.1:1 f"));
             assertEquals(new Subcommand.SheetApply(ADDRESS, file), parsed("sheet apply f --operator=127.0.0.1:1"));
             assertEquals(new Subcommand.SheetShow(ADDRESS, true), parsed("sheet show --json --operator 127.0.0.1:1"));
@@ -47,7 +48,7 @@
         @ParameterizedTest
         @EnumSource(SubcommandName.class)
         void withHelpShowsTheUsageOfEachSubcommand(SubcommandName name) {
-            String words = name.usage().replaceFirst("plantainwharf ", "").replaceAll(" (--|[A-Z]).*", "");
+            String words = name.usage().replaceFirst("plantainwharf ", "").replaceAll(" (--|\\[|[A-Z]).*", "");
             Subcommand.Help help = assertInstanceOf(Subcommand.Help.class, parsed(words + " --help"));
             assertTrue(help.text().contains(name.usage()), help::text);
         }
--- a/src/test/java/org/plantainwharf/cli/SubcommandRunnerTest.java
+++ b/src/test/java/org/plantainwharf/cli/SubcommandRunnerTest.java
@@ -245,6 +245,37 @@
             assertTrue(output().replaceAll(" +", " ").contains("floor 1.5 order stock"), output());
         }
 
+        private String inForce(String stockWorth) throws Exception {
+            StringBuilder accounts = new StringBuilder();
+            for (String row :
+                    Files.readString(Path.of(SHEET)).split("\\[ranks]")[0].split("\r\n")) {
+                String[] cells = row.split(";");
+                if (cells.length == 5 && cells[1].length() == 64) {
+                    accounts.append(accounts.isEmpty() ? "" : ",")
+                            .append("{\"name\":\"" + cells[0] + "\",\"weight\":" + cells[2].replace(',', '.')
+                                    + ",\"requests_per_second\":" + cells[3].replace(',', '.') + ",\"ranks\":[\""
+                                    + cells[4].replace(" ", "\",\"") + "\"]}");
+                }
+            }
+            return """
+                    {"version":1,"digest":"0f3a","accounts":[%s],"ranks":[
+                     {"name":"stock","latency_target_ms":400,"deadline_ms":2000,"worth":%s,"floor":0.35}],
+                     "routes":[{"name":"stock-lookup","rank":"stock","repeatable":true}],
+                     "budgets":[{"zone":"zone-a","host_class":"service-small","price_per_hour":0.045,
+                      "maximum_per_hour":0.1,"reclaimable":true}]}
+                    """.formatted(accounts, stockWorth);
+        }
+
+        @Test
+        void isComparedWithASheetFile() throws Exception {
+            answer = inForce("19.5");
+            assertEquals(ExitCode.OK, run("", "sheet", "diff", "--operator", address, SHEET));
+            assertTrue(output().contains("changed rank stock: worth 19.5 -> 20.0"), output());
+            assertTrue(output().contains("added   rank order"), output());
+            assertFalse(output().contains("account"), output());
+            assertFalse(output().contains("stock-lookup"), output());
+        }
+
         @Test
         void whoseAnswerIsNotJsonIsAFailure() {
             answer = "<html>";
--- a/src/test/java/org/plantainwharf/metric/CountersTest.java
+++ b/src/test/java/org/plantainwharf/metric/CountersTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.plantainwharf.effect.CountEffect;
 import org.plantainwharf.error.ErrorKind;
 
@@ -24,6 +25,27 @@
         }
     }
 
+    @Nested
+    class RetryReasons {
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "connect_failed",
+                    "refused",
+                    "refused_leaving",
+                    "server_error",
+                    "connection_lost",
+                    "connection_silent",
+                    "answer_crossed",
+                    "answer_truncated"
+                })
+        void showZero(String code) {
+            MetricRegistry registry = new MetricRegistry();
+            Counters.create(registry);
+            assertTrue(registry.getCounters().containsKey("retries." + code));
+        }
+    }
+
     @Nested
     class Effects {
         @Test
