Add membership and the registry of backend servers

Cause: hosts must stop using a leaving server within 5 s, whatever delays, frozen relays and cuts between zones do.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/membership/MembershipController.java
@@ -0,0 +1,170 @@
+package org.plantainwharf.membership;
+
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.drain.DrainPhase;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.settings.Settings;
+
+/**
+ * Keeps track of the other daemons: sends heartbeats over every link, closes a link that went silent, and records what
+ * each daemon says of itself. A member counts as linked only between its connection and the first of silence and
+ * disconnection. Used by the control thread only.
+ */
+public final class MembershipController implements Controller {
+    static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /**
+     * Ticks come every 50 ms. A gap of ten means that this process was paused, so that heartbeats of the others wait
+     * unread and their silence must not be counted.
+     */
+    static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Tokens start below 2^40, which keeps them short on the wire. */
+    private static final long FIRST_TOKEN_BOUND = 1L << 40;
+
+    private MembershipController() {}
+
+    /** Returns a controller. */
+    public static MembershipController create() {
+        return new MembershipController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case TimerEvent.Tick tick -> tick(board, nowNanos, effects);
+            case PeerEvent peer -> peer(peer, board, nowNanos);
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case ReplicationEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private static void peer(PeerEvent event, Board board, long nowNanos) {
+        MembershipSection section = board.membership();
+        switch (event) {
+            case PeerEvent.PeerConnected connected -> {
+                section.put(new Member(
+                        connected.peer(), connected.zone(), connected.incarnation(), true, nowNanos, false, 0));
+                section.setReceivedToken(connected.peer(), 0);
+            }
+            case PeerEvent.PeerDisconnected disconnected ->
+                section.member(disconnected.peer())
+                        .filter(member -> member.linked() && member.incarnation() == disconnected.incarnation())
+                        .ifPresent(member -> unlink(section, member));
+            case PeerEvent.PeerMessageReceived received ->
+                section.member(received.peer())
+                        .filter(member -> member.linked() && member.incarnation() == received.incarnation())
+                        .ifPresent(member -> heard(section, member, received.message(), nowNanos));
+        }
+    }
+
+    private static void heard(MembershipSection section, Member member, PeerMessage message, long nowNanos) {
+        boolean draining = member.draining();
+        long configurationVersion = member.configurationVersion();
+        if (message instanceof PeerMessage.Heartbeat heartbeat) {
+            draining = heartbeat.draining();
+            configurationVersion = heartbeat.configurationVersion();
+            section.setReceivedToken(member.host(), Math.max(heartbeat.token(), section.receivedToken(member.host())));
+        }
+        section.put(new Member(
+                member.host(), member.zone(), member.incarnation(), true, nowNanos, draining, configurationVersion));
+    }
+
+    private static void unlink(MembershipSection section, Member member) {
+        section.put(new Member(
+                member.host(),
+                member.zone(),
+                member.incarnation(),
+                false,
+                member.lastHeardNanos(),
+                member.draining(),
+                member.configurationVersion()));
+        section.setReceivedToken(member.host(), 0);
+    }
+
+    private static void tick(Board board, long nowNanos, Effects effects) {
+        MembershipSection section = board.membership();
+        HeartbeatLog heartbeats = begun(board, nowNanos);
+        if (nowNanos - section.lastTickNanos() >= PAUSE_NANOS) {
+            section.setResumedNanos(nowNanos);
+            effects.count("membership.pauses");
+        }
+        section.setLastTickNanos(nowNanos);
+        closeSilentLinks(board, nowNanos, effects);
+        if (nowNanos - section.nextHeartbeatNanos() >= 0) {
+            section.setNextHeartbeatNanos(nowNanos + HEARTBEAT_NANOS);
+            sendHeartbeats(board, heartbeats.next(nowNanos), effects);
+        }
+    }
+
+    private static HeartbeatLog begun(Board board, long nowNanos) {
+        MembershipSection section = board.membership();
+        @Nullable HeartbeatLog heartbeats = section.heartbeats();
+        if (heartbeats == null) {
+            heartbeats = HeartbeatLog.startingAt(1 + board.random().nextLong(FIRST_TOKEN_BOUND));
+            section.begin(heartbeats, nowNanos);
+            for (Settings.HostEntry entry : board.settings().hosts()) {
+                if (!entry.host().equals(section.self())
+                        && section.member(entry.host()).isEmpty()) {
+                    section.put(new Member(entry.host(), entry.zone(), 0, false, nowNanos, false, 0));
+                }
+            }
+        }
+        return heartbeats;
+    }
+
+    private static void closeSilentLinks(Board board, long nowNanos, Effects effects) {
+        MembershipSection section = board.membership();
+        long limitNanos =
+                TimeUnit.MILLISECONDS.toNanos(board.settings().timings().linkSilenceMillis());
+        if (nowNanos - section.resumedNanos() < limitNanos) {
+            return;
+        }
+        for (Member member : section.members().stream().toList()) {
+            if (member.linked() && nowNanos - member.lastHeardNanos() >= limitNanos) {
+                effects.add(new PeerEffect.CloseLink(member.host()));
+                effects.count("membership.silent_links");
+                unlink(section, member);
+            }
+        }
+    }
+
+    private static void sendHeartbeats(Board board, long token, Effects effects) {
+        MembershipSection section = board.membership();
+        boolean draining = !(board.drain().phase() instanceof DrainPhase.Serving);
+        for (Member member : section.members()) {
+            if (member.linked()) {
+                HostId host = member.host();
+                effects.add(new PeerEffect.SendToPeer(
+                        host,
+                        new PeerMessage.Heartbeat(
+                                token,
+                                section.receivedToken(host),
+                                board.configuration().version(),
+                                draining)));
+            }
+        }
+    }
+}
--- a/src/main/java/org/plantainwharf/server/Announcement.java
+++ b/src/main/java/org/plantainwharf/server/Announcement.java
@@ -28,4 +28,14 @@
         ServerKind kind,
         int slots,
         LoadReport load,
-        boolean leaving) {}
+        boolean leaving) {
+    /** Says whether this announcement was made after another one of the same server. */
+    public boolean isNewerThan(Announcement other) {
+        return incarnation != other.incarnation ? incarnation > other.incarnation : sequence > other.sequence;
+    }
+
+    /** Returns this announcement with the statement that the server is leaving. */
+    public Announcement asLeaving() {
+        return new Announcement(server, incarnation, sequence, address, zone, hostClass, kind, slots, load, true);
+    }
+}
--- a/src/main/java/org/plantainwharf/server/ServerEntry.java
+++ b/src/main/java/org/plantainwharf/server/ServerEntry.java
@@ -7,6 +7,7 @@
 /** What this host knows of one backend server. Owned by the control thread. */
 public final class ServerEntry {
     private Announcement announcement;
+    private boolean leased;
     private long leaseUntilNanos;
     private long reportedAtNanos;
     private boolean silent;
@@ -39,7 +40,7 @@
 
     /** Says whether the server may get new work at this time. */
     public boolean acceptsNewWork(long nowNanos) {
-        return !announcement.leaving() && !silent && nowNanos - leaseUntilNanos < 0;
+        return !announcement.leaving() && !silent && leaseValid(nowNanos);
     }
 
     /** Says whether the server can run such a call. */
@@ -61,7 +62,12 @@
                 && engine.models().contains(model.model());
     }
 
-    /** Returns until when the server's own statement allows new work. */
+    /** Says whether the server's own statement, leaving aside its condition, is valid at this time. */
+    public boolean leaseValid(long nowNanos) {
+        return leased && nowNanos - leaseUntilNanos < 0;
+    }
+
+    /** Returns until when the server's own statement allows new work; meaningless before the first lease. */
     public long leaseUntilNanos() {
         return leaseUntilNanos;
     }
@@ -94,15 +100,37 @@
 
     /** Takes a newer announcement and a lease. For the server controller. */
     public void renew(Announcement newer, long leaseUntil, long nowNanos) {
-        announcement = newer;
+        update(newer, nowNanos);
+        leased = true;
         leaseUntilNanos = leaseUntil;
+    }
+
+    /** Takes a newer announcement and keeps the lease as it is. */
+    void update(Announcement newer, long nowNanos) {
+        announcement = newer;
         reportedAtNanos = nowNanos;
         sentSinceReport = 0;
     }
 
+    /** Moves the end of the lease to a later time; an earlier one changes nothing. */
+    void extendLease(long leaseUntil) {
+        if (!leased || leaseUntil - leaseUntilNanos > 0) {
+            leased = true;
+            leaseUntilNanos = leaseUntil;
+        }
+    }
+
+    /** Marks the server as leaving, which lasts until a newer incarnation, and ends its lease. */
+    void leave(long nowNanos) {
+        announcement = announcement.asLeaving();
+        endLease(nowNanos);
+    }
+
     /** Ends the lease at once. For the server controller. */
     public void endLease(long nowNanos) {
-        leaseUntilNanos = nowNanos;
+        if (leaseValid(nowNanos)) {
+            leaseUntilNanos = nowNanos;
+        }
     }
 
     /** Records whether the server answers probes. For the server controller. */
--- /dev/null
+++ b/src/test/java/org/plantainwharf/membership/MembershipControllerTest.java
@@ -0,0 +1,177 @@
+package org.plantainwharf.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.ControlCycle;
+import org.plantainwharf.drain.DrainPhase;
+import org.plantainwharf.effect.Effect;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostClass;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.settings.Settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against links that stay open in silence, wrongly closed links and heartbeats dated too late. */
+class MembershipControllerTest {
+    private static final long MILLI = 1_000_000;
+    private static final HostId SELF = HostId.of("host-1");
+    private static final HostId PEER = HostId.of("host-2");
+    private static final AvailabilityZone ZONE = AvailabilityZone.of("zone-1");
+
+    private final Board board = Board.create(
+            new Settings(
+                    SELF,
+                    ZONE,
+                    HostClass.of("small"),
+                    "127.0.0.1:0",
+                    "127.0.0.1:0",
+                    "127.0.0.1:0",
+                    Optional.empty(),
+                    List.of(
+                            new Settings.HostEntry(SELF, ZONE, "127.0.0.1:1", false),
+                            new Settings.HostEntry(PEER, ZONE, "127.0.0.1:1", false)),
+                    1,
+                    Settings.Timings.defaults(),
+                    Settings.Bounds.defaults()),
+            1,
+            1);
+    private final ControlCycle cycle = ControlCycle.create(board, List.of(MembershipController.create()));
+    private long nowMillis = -40_000;
+
+    private List<Effect> handle(Event event) {
+        return cycle.run(event, nowMillis * MILLI, 0);
+    }
+
+    /** Lets time pass in ticks of 50 ms and returns the effects of the peer links. */
+    private List<PeerEffect> pass(long millis) {
+        List<PeerEffect> effects = new ArrayList<>();
+        for (long end = nowMillis + millis; nowMillis < end; nowMillis += 50) {
+            handle(new TimerEvent.Tick()).stream()
+                    .filter(PeerEffect.class::isInstance)
+                    .map(PeerEffect.class::cast)
+                    .forEach(effects::add);
+        }
+        return effects;
+    }
+
+    private static List<PeerMessage.Heartbeat> heartbeats(List<PeerEffect> effects) {
+        return effects.stream()
+                .filter(PeerEffect.SendToPeer.class::isInstance)
+                .map(effect -> (PeerMessage.Heartbeat) ((PeerEffect.SendToPeer) effect).message())
+                .toList();
+    }
+
+    private void hear(long incarnation, long token, long version, boolean draining) {
+        handle(new PeerEvent.PeerMessageReceived(
+                PEER, incarnation, new PeerMessage.Heartbeat(token, 0, version, draining)));
+    }
+
+    private Member peer() {
+        return board.membership().member(PEER).orElseThrow();
+    }
+
+    @BeforeEach
+    void connect() {
+        pass(100);
+        handle(new PeerEvent.PeerConnected(PEER, ZONE, 5));
+    }
+
+    @Nested
+    class Heartbeats {
+        @Test
+        void areSentFourTimesASecondToLinkedDaemons() {
+            assertEquals(4, heartbeats(pass(1_000)).size());
+            handle(new PeerEvent.PeerDisconnected(PEER, 5));
+            assertEquals(0, pass(1_000).size());
+        }
+
+        @Test
+        void echoTheNewestTokenOfThePresentLink() {
+            hear(5, 70, 0, false);
+            hear(5, 69, 0, false);
+            assertEquals(70, heartbeats(pass(250)).getFirst().echoedToken());
+            handle(new PeerEvent.PeerConnected(PEER, ZONE, 6));
+            assertEquals(0, heartbeats(pass(250)).getFirst().echoedToken());
+        }
+
+        @Test
+        void canBeDatedForEightSeconds() {
+            long sentMillis = nowMillis + 200;
+            long token = heartbeats(pass(300)).getFirst().token();
+            MembershipSection section = board.membership();
+            Optional<Long> sent = section.heartbeatSentNanos(PEER, token);
+            assertTrue(sent.isPresent() && sent.get() <= sentMillis * MILLI);
+            assertEquals(Optional.empty(), section.heartbeatSentNanos(PEER, token + 1));
+            assertEquals(Optional.empty(), section.heartbeatSentNanos(PEER, 0));
+            assertEquals(Optional.empty(), section.heartbeatSentNanos(HostId.of("stranger"), token));
+            pass(8_500);
+            assertEquals(Optional.empty(), section.heartbeatSentNanos(PEER, token));
+        }
+
+        @Test
+        void tellOfAPlannedStop() {
+            board.drain().enter(new DrainPhase.Announcing(0));
+            assertTrue(heartbeats(pass(250)).getFirst().draining());
+        }
+    }
+
+    @Nested
+    class Members {
+        @Test
+        void sayWhatTheirHeartbeatsSaid() {
+            hear(5, 70, 12, true);
+            assertEquals(12, peer().configurationVersion());
+            assertTrue(peer().draining());
+        }
+
+        @Test
+        void ofAnotherIncarnationAreNotTouchedByLateEvents() {
+            handle(new PeerEvent.PeerConnected(PEER, ZONE, 6));
+            handle(new PeerEvent.PeerDisconnected(PEER, 5));
+            hear(5, 70, 12, true);
+            assertTrue(peer().linked());
+            assertEquals(0, peer().configurationVersion());
+        }
+    }
+
+    @Nested
+    class Silence {
+        @Test
+        void closesTheLinkOnce() {
+            hear(5, 1, 0, false);
+            assertEquals(List.of(), closes(pass(1_500)));
+            assertEquals(List.of(new PeerEffect.CloseLink(PEER)), closes(pass(2_000)));
+            assertFalse(peer().linked());
+        }
+
+        @Test
+        void isNotCountedWhileThisProcessWasPaused() {
+            hear(5, 1, 0, false);
+            nowMillis += 3_000;
+            assertEquals(List.of(), closes(pass(50)), "heartbeats wait unread behind the tick");
+            hear(5, 2, 0, false);
+            assertEquals(List.of(), closes(pass(1_500)));
+            assertEquals(List.of(new PeerEffect.CloseLink(PEER)), closes(pass(100)));
+        }
+
+        private static List<PeerEffect> closes(List<PeerEffect> effects) {
+            return effects.stream()
+                    .filter(PeerEffect.CloseLink.class::isInstance)
+                    .toList();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/server/SimulatedFleet.java
@@ -0,0 +1,347 @@
+package org.plantainwharf.server;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import org.plantainwharf.effect.Effect;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.effect.ServerEffect;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostClass;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.RouteName;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.settings.Settings;
+
+/**
+ * Several daemons and backend servers on a virtual clock. Announcements, their answers and relayed leases are delayed,
+ * lost and duplicated; hosts freeze; zones are cut from each other. Every run of a seed is the same.
+ */
+final class SimulatedFleet {
+    static final long MILLI = 1_000_000;
+    static final long LEASE_NANOS = 3_000 * MILLI;
+    static final long LEAVING_BOUND_NANOS = 5_000 * MILLI;
+
+    private static final long STEP_NANOS = 50 * MILLI;
+    private static final long ANNOUNCE_NANOS = 1_000 * MILLI;
+    private static final int HOSTS = 4;
+    private static final int SERVERS = 2;
+
+    /** How likely each fault is in one step of a run with faults. */
+    private static final double FAULT_RATE = 0.01;
+
+    /** Something that happens later, unless its link closed meanwhile. */
+    private record Delivery(long atNanos, int linkEpoch, Event event) {}
+
+    private record Link(HostId from, HostId to) {}
+
+    /** A backend server as the outside sees it. */
+    private static final class Announcer {
+        private final ServerId server;
+        private final Map<HostId, Long> tokens = new HashMap<>();
+        private final Map<Long, Long> lastValidNanos = new HashMap<>();
+        private long incarnation = 1;
+        private long sequence;
+        private long nextNanos;
+        private boolean leaving;
+        private long leavingNanos;
+
+        private Announcer(ServerId server) {
+            this.server = server;
+        }
+    }
+
+    private final Random random;
+    private final boolean faults;
+    private final double slowRate;
+    private final double lossRate;
+    private final List<SimulatedHost> hosts = new ArrayList<>();
+    private final List<Announcer> announcers = new ArrayList<>();
+    private final Map<Link, Deque<Delivery>> links = new HashMap<>();
+    private final Map<Set<HostId>, Integer> epochs = new HashMap<>();
+    private final Map<Set<HostId>, Long> reopenNanos = new HashMap<>();
+    private final Map<Long, Announcer> tickets = new HashMap<>();
+    private final List<Runnable> due = new ArrayList<>();
+    private final List<Long> dueNanos = new ArrayList<>();
+    private final List<String> violations = new ArrayList<>();
+    private int observations;
+    private long cutUntilNanos = Long.MIN_VALUE;
+    private AvailabilityZone cutZone = AvailabilityZone.of("none");
+    private long lastTicket;
+    private long nowNanos;
+
+    SimulatedFleet(long seed, boolean faults, LeaseStart leaseStart) {
+        this.random = new Random(seed);
+        this.faults = faults;
+        this.slowRate = faults ? random.nextDouble() * 0.7 : 0;
+        this.lossRate = faults ? random.nextDouble() * 0.7 : 0;
+        List<Settings.HostEntry> entries = new ArrayList<>();
+        for (int index = 0; index < HOSTS; index++) {
+            entries.add(new Settings.HostEntry(
+                    HostId.of("host-" + index), AvailabilityZone.of("zone-" + index % 3), "127.0.0.1:1", false));
+        }
+        for (Settings.HostEntry entry : entries) {
+            hosts.add(new SimulatedHost(entry.host(), entries, leaseStart, random.nextLong() / 4, random.nextLong()));
+        }
+        for (int index = 0; index < SERVERS; index++) {
+            announcers.add(new Announcer(ServerId.of("server-" + index)));
+        }
+        for (SimulatedHost one : hosts) {
+            for (SimulatedHost other : hosts) {
+                if (one != other) {
+                    links.put(new Link(one.host(), other.host()), new ArrayDeque<>());
+                    reopenNanos.put(Set.of(one.host(), other.host()), 0L);
+                    epochs.put(Set.of(one.host(), other.host()), 0);
+                }
+            }
+        }
+    }
+
+    /** Runs for a time and returns what was violated. */
+    List<String> run(long forNanos) {
+        for (long end = nowNanos + forNanos; nowNanos < end; nowNanos += STEP_NANOS) {
+            if (faults) {
+                injectFaults();
+            }
+            openLinks();
+            announcers.forEach(this::announce);
+            runDue();
+            deliver();
+            for (SimulatedHost host : hosts) {
+                host.step(nowNanos).forEach(effect -> carryOut(host, effect));
+                check(host);
+            }
+        }
+        return violations;
+    }
+
+    /** Returns how often a host would have sent new work to a server. */
+    int observations() {
+        return observations;
+    }
+
+    /** Says whether every host would send new work to every server now. */
+    boolean everyServerAcceptedEverywhere() {
+        return hosts.stream().allMatch(host -> announcers.stream()
+                .allMatch(announcer -> host.acceptsNewWork(announcer.server, nowNanos)));
+    }
+
+    /** Lets a server say that it is leaving. */
+    void leave(int server) {
+        Announcer announcer = announcers.get(server);
+        announcer.leaving = true;
+        announcer.leavingNanos = nowNanos;
+        announcer.nextNanos = nowNanos;
+    }
+
+    private void injectFaults() {
+        if (random.nextDouble() < FAULT_RATE) {
+            hosts.get(random.nextInt(HOSTS)).freezeUntil(nowNanos + random.nextLong(6_000) * MILLI);
+        }
+        if (random.nextDouble() < FAULT_RATE) {
+            cutZone = hosts.get(random.nextInt(HOSTS)).zone();
+            cutUntilNanos = nowNanos + random.nextLong(8_000) * MILLI;
+        }
+        if (random.nextDouble() < FAULT_RATE / 2) {
+            int server = random.nextInt(SERVERS);
+            if (announcers.get(server).leaving) {
+                restart(announcers.get(server));
+            } else {
+                leave(server);
+            }
+        }
+    }
+
+    private static void restart(Announcer announcer) {
+        announcer.incarnation++;
+        announcer.sequence = 0;
+        announcer.leaving = false;
+        announcer.tokens.clear();
+    }
+
+    private boolean cut(HostId one, HostId other) {
+        return nowNanos < cutUntilNanos
+                && zone(one).equals(cutZone) != zone(other).equals(cutZone);
+    }
+
+    private AvailabilityZone zone(HostId host) {
+        return find(host).zone();
+    }
+
+    private SimulatedHost find(HostId host) {
+        return hosts.stream()
+                .filter(candidate -> candidate.host().equals(host))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private long delayNanos() {
+        boolean slow = random.nextDouble() < slowRate;
+        return (slow ? random.nextLong(8_000) : 1 + random.nextLong(5)) * MILLI;
+    }
+
+    private void later(long delayNanos, Runnable action) {
+        dueNanos.add(nowNanos + delayNanos);
+        due.add(action);
+    }
+
+    private void runDue() {
+        for (int index = 0; index < due.size(); ) {
+            if (dueNanos.get(index) <= nowNanos) {
+                dueNanos.remove(index);
+                due.remove(index).run();
+            } else {
+                index++;
+            }
+        }
+    }
+
+    private void announce(Announcer announcer) {
+        if (nowNanos < announcer.nextNanos) {
+            return;
+        }
+        announcer.nextNanos = nowNanos + ANNOUNCE_NANOS / 2 + random.nextLong(ANNOUNCE_NANOS / 2);
+        announcer.sequence++;
+        if (!announcer.leaving) {
+            announcer.lastValidNanos.put(announcer.incarnation, nowNanos);
+        }
+        SimulatedHost host = hosts.get(random.nextInt(HOSTS));
+        Announcement announcement = new Announcement(
+                announcer.server,
+                announcer.incarnation,
+                announcer.sequence,
+                "127.0.0.1:1",
+                host.zone(),
+                HostClass.of("large"),
+                new ServerKind.PlainService(Set.of(RouteName.of("orders"))),
+                4,
+                LoadReport.idle(),
+                announcer.leaving);
+        long token = announcer.tokens.getOrDefault(host.host(), 0L);
+        int copies = random.nextDouble() < lossRate ? random.nextInt(3) : 1;
+        for (int copy = 0; copy < copies; copy++) {
+            lastTicket++;
+            long ticket = lastTicket;
+            tickets.put(ticket, announcer);
+            later(delayNanos(), () -> host.receive(new ServerEvent.ServerAnnounced(announcement, token, ticket)));
+        }
+    }
+
+    private void carryOut(SimulatedHost host, Effect effect) {
+        if (effect instanceof ServerEffect.AnswerAnnouncement answer) {
+            Announcer announcer = Objects.requireNonNull(tickets.remove(answer.ticket()));
+            later(delayNanos(), () -> announcer.tokens.put(host.host(), answer.token()));
+        } else if (effect instanceof PeerEffect.CloseLink close) {
+            closeLink(host.host(), close.peer());
+        } else if (effect instanceof PeerEffect.SendToPeer send) {
+            Deque<Delivery> link = queue(host.host(), send.peer());
+            boolean lost = random.nextDouble() < lossRate / 4;
+            if (!lost && isOpen(host.host(), send.peer())) {
+                long at = nowNanos + delayNanos();
+                Delivery last = link.peekLast();
+                link.add(new Delivery(
+                        last == null ? at : Math.max(at, last.atNanos()),
+                        epoch(host.host(), send.peer()),
+                        new PeerEvent.PeerMessageReceived(
+                                host.host(), host.board().membership().incarnation(), send.message())));
+            }
+        }
+    }
+
+    private Deque<Delivery> queue(HostId from, HostId to) {
+        return Objects.requireNonNull(links.get(new Link(from, to)));
+    }
+
+    private int epoch(HostId one, HostId other) {
+        return Objects.requireNonNull(epochs.get(Set.of(one, other)));
+    }
+
+    private boolean isOpen(HostId one, HostId other) {
+        return !reopenNanos.containsKey(Set.of(one, other));
+    }
+
+    private void closeLink(HostId one, HostId other) {
+        if (isOpen(one, other)) {
+            epochs.merge(Set.of(one, other), 1, Integer::sum);
+            reopenNanos.put(Set.of(one, other), nowNanos + random.nextLong(1_000) * MILLI);
+            report(one, other, false);
+            report(other, one, false);
+        }
+    }
+
+    private void openLinks() {
+        for (Map.Entry<Set<HostId>, Long> pair : List.copyOf(reopenNanos.entrySet())) {
+            List<HostId> ends = pair.getKey().stream()
+                    .sorted(java.util.Comparator.comparing(HostId::value))
+                    .toList();
+            if (pair.getValue() <= nowNanos && !cut(ends.get(0), ends.get(1))) {
+                reopenNanos.remove(pair.getKey());
+                report(ends.get(0), ends.get(1), true);
+                report(ends.get(1), ends.get(0), true);
+            }
+        }
+    }
+
+    private void report(HostId to, HostId about, boolean open) {
+        long incarnation = find(about).board().membership().incarnation();
+        find(to).receive(
+                        open
+                                ? new PeerEvent.PeerConnected(about, zone(about), incarnation)
+                                : new PeerEvent.PeerDisconnected(about, incarnation));
+    }
+
+    private void deliver() {
+        for (SimulatedHost from : hosts) {
+            for (SimulatedHost to : hosts) {
+                if (from != to && !cut(from.host(), to.host())) {
+                    Deque<Delivery> link = queue(from.host(), to.host());
+                    while (!link.isEmpty() && link.peek().atNanos() <= nowNanos) {
+                        Delivery delivery = link.remove();
+                        if (delivery.linkEpoch() == epoch(from.host(), to.host())) {
+                            to.receive(delivery.event());
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    private void check(SimulatedHost host) {
+        if (host.frozen(nowNanos)) {
+            return;
+        }
+        for (Announcer announcer : announcers) {
+            Optional<ServerEntry> entry = host.board().servers().server(announcer.server);
+            if (entry.isEmpty()) {
+                continue;
+            }
+            long incarnation = entry.get().announcement().incarnation();
+            if (host.acceptsNewWork(announcer.server, nowNanos)) {
+                observations++;
+                if (announcer.leaving
+                        && incarnation == announcer.incarnation
+                        && nowNanos - announcer.leavingNanos > LEAVING_BOUND_NANOS) {
+                    violations.add(host.host() + " sends new work to " + announcer.server + " at " + nowNanos / MILLI
+                            + " ms, which left at " + announcer.leavingNanos / MILLI + " ms");
+                }
+            }
+            long stated =
+                    Objects.requireNonNull(announcer.lastValidNanos.getOrDefault(incarnation, Long.MIN_VALUE / 2));
+            host.leaseEnd(entry.get(), nowNanos)
+                    .filter(end -> end > stated + LEASE_NANOS)
+                    .ifPresent(end -> violations.add(host.host() + " holds a lease of " + announcer.server + " until "
+                            + end / MILLI + " ms, which was last stated at " + stated / MILLI + " ms"));
+        }
+    }
+}
