--- a/src/main/java/org/plantainwharf/membership/MembershipSection.java
+++ b/src/main/java/org/plantainwharf/membership/MembershipSection.java
@@ -1,26 +1,26 @@
 package org.plantainwharf.membership;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 
+import org.jspecify.annotations.Nullable;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.HostId;
 
 /** Daemons and their links. Written by the controllers of this package. Owned by the control thread. */
 public final class MembershipSection {
-    /** Eight seconds of heartbeats; leases between daemons are valid for 3 s at most. */
-    private static final int REMEMBERED_HEARTBEATS = 32;
-
     private final HostId self;
     private final AvailabilityZone zone;
     private final long incarnation;
     private final Map<HostId, Member> members = new LinkedHashMap<>();
-
-    private final Map<HostId, Map<Long, Long>> sentHeartbeats = new LinkedHashMap<>();
-    private final Map<HostId, Long> receivedTokens = new LinkedHashMap<>();
+    private final Map<HostId, Long> receivedTokens = new HashMap<>();
+    private @Nullable HeartbeatLog heartbeats;
+    private long nextHeartbeatNanos;
+    private long lastTickNanos;
+    private long resumedNanos;
 
     private MembershipSection(HostId self, AvailabilityZone zone, long incarnation) {
         this.self = self;
@@ -48,7 +48,7 @@
         return incarnation;
     }
 
-    /** Returns the other daemons. */
+    /** Returns the other daemons; those never heard have incarnation 0. */
     public Collection<Member> members() {
         return members.values();
     }
@@ -58,41 +58,66 @@
         return Optional.ofNullable(members.get(host));
     }
 
+    /**
+     * Returns when this host sent the heartbeat that another host echoes, on this host's monotonic clock; empty when
+     * the token is unknown, older than eight seconds or from an earlier process. Whatever the other host states along
+     * with the token was stated after this time.
+     */
+    public Optional<Long> heartbeatSentNanos(HostId host, long token) {
+        return heartbeats == null || !members.containsKey(host) ? Optional.empty() : heartbeats.sentNanos(token);
+    }
+
+    /** Returns the newest heartbeat token received over the present link, to be echoed; 0 for none. */
+    public long receivedToken(HostId host) {
+        return receivedTokens.getOrDefault(host, 0L);
+    }
+
     /** Adds or replaces another daemon. For the membership controller. */
     public void put(Member member) {
         members.put(member.host(), member);
     }
 
-    /** Records a heartbeat that this host sent. For the membership controller. */
-    public void heartbeatSent(HostId peer, long token, long nowNanos) {
-        Map<Long, Long> tokens = sentHeartbeats.computeIfAbsent(peer, key -> new LinkedHashMap<>());
-        tokens.put(token, nowNanos);
-        if (tokens.size() > REMEMBERED_HEARTBEATS) {
-            tokens.remove(tokens.keySet().iterator().next());
-        }
+    /** Records the newest token received from a host, 0 when its link is gone. For the membership controller. */
+    void setReceivedToken(HostId host, long token) {
+        receivedTokens.put(host, token);
     }
 
-    /**
-     * Returns when this host sent a heartbeat to another daemon, on this host's monotonic clock. Empty for a token that
-     * is too old or was sent by another incarnation.
-     */
-    public OptionalLong heartbeatSentNanos(HostId peer, long token) {
-        Long sent = sentHeartbeats.getOrDefault(peer, Map.of()).get(token);
-        return sent == null ? OptionalLong.empty() : OptionalLong.of(sent);
+    /** Returns the log of sent heartbeats, or null before the first tick. */
+    @Nullable
+    HeartbeatLog heartbeats() {
+        return heartbeats;
+    }
+
+    /** Begins to send heartbeats. For the membership controller. */
+    void begin(HeartbeatLog log, long nowNanos) {
+        heartbeats = log;
+        nextHeartbeatNanos = nowNanos;
+        lastTickNanos = nowNanos;
+        resumedNanos = nowNanos;
+    }
+
+    long nextHeartbeatNanos() {
+        return nextHeartbeatNanos;
+    }
+
+    void setNextHeartbeatNanos(long value) {
+        nextHeartbeatNanos = value;
+    }
+
+    long lastTickNanos() {
+        return lastTickNanos;
     }
 
-    /** Says whether any heartbeat to another daemon was recorded. */
-    public boolean hasSentHeartbeats(HostId peer) {
-        return sentHeartbeats.containsKey(peer);
+    void setLastTickNanos(long value) {
+        lastTickNanos = value;
     }
 
-    /** Records the token of a heartbeat that arrived. For the membership controller. */
-    public void heartbeatReceived(HostId peer, long token) {
-        receivedTokens.put(peer, token);
+    /** Returns when this process last went on after a pause of its own. */
+    long resumedNanos() {
+        return resumedNanos;
     }
 
-    /** Returns the newest token received from another daemon, 0 for none. */
-    public long newestReceivedToken(HostId peer) {
-        return receivedTokens.getOrDefault(peer, 0L);
+    void setResumedNanos(long value) {
+        resumedNanos = value;
     }
 }
