--- a/src/main/java/org/plantainwharf/limit/LimitController.java
+++ b/src/main/java/org/plantainwharf/limit/LimitController.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.call.Call;
@@ -169,24 +169,23 @@
             effects.add(new PeerEffect.SendToPeer(
                     peer,
                     new PeerMessage.LimitGrant(
-                            board.membership().newestReceivedToken(peer), LimitShares.VALIDITY.toMillis(), grant)));
+                            board.membership().receivedToken(peer), LimitShares.VALIDITY.toMillis(), grant)));
         }
     }
 
     /**
      * Dates a grant from the time at which this host sent the heartbeat that the grant returns, which is before the
      * leader made the grant. A grant of an unknown heartbeat is dropped, because it may have been delayed for any time.
-     * Only while no heartbeats to the leader are recorded at all, validity counts from receipt.
      */
     private static void receiveGrant(
             HostId peer, PeerMessage.LimitGrant grant, Board board, long nowNanos, Effects effects) {
-        OptionalLong sent = board.membership().heartbeatSentNanos(peer, grant.echoedToken());
-        if (sent.isEmpty() && board.membership().hasSentHeartbeats(peer)) {
+        Optional<Long> sent = board.membership().heartbeatSentNanos(peer, grant.echoedToken());
+        if (sent.isEmpty()) {
             effects.count("limits.undated_grants_dropped");
             return;
         }
         long validMillis = Math.min(grant.validMillis(), LimitShares.VALIDITY.toMillis());
-        takeGrant(grant.requestsPerSecond(), sent.orElse(nowNanos) + validMillis * 1_000_000, board, nowNanos);
+        takeGrant(grant.requestsPerSecond(), sent.get() + validMillis * 1_000_000, board, nowNanos);
     }
 
     /** Replaces the leased shares, unless a grant that ends later was taken already. */
