--- a/src/main/java/org/plantainwharf/cli/Subcommand.java
+++ b/src/main/java/org/plantainwharf/cli/Subcommand.java
@@ -27,6 +27,9 @@
     /** Compares two sheet files. */
     record SheetDiff(Path before, Path after) implements Subcommand {}
 
+    /** Compares the sheet in force with a sheet file. */
+    record SheetDiffInForce(OperatorTarget target, Path after) implements Subcommand {}
+
     /** Puts a sheet in force. */
     record SheetApply(OperatorTarget target, Path file) implements Subcommand {}
 
@@ -45,6 +48,22 @@
     /** Prints the version. */
     record Version() implements Subcommand {}
 
+    /** Runs a stand-in of a model engine; for scripts and tests. */
+    record StandInEngine(List<String> arguments) implements Subcommand {
+        /** Copies the list. */
+        public StandInEngine {
+            arguments = List.copyOf(arguments);
+        }
+    }
+
+    /** Runs a stand-in of a plain service; for scripts and tests. */
+    record StandInService(List<String> arguments) implements Subcommand {
+        /** Copies the list. */
+        public StandInService {
+            arguments = List.copyOf(arguments);
+        }
+    }
+
     /** Prints help. */
     record Help(String text) implements Subcommand {}
 }
