Quarantine requests that crash servers

A request that crashes each server that runs it was repeated and resent without end. Lost connections are now checked against the server's next incarnation or ended lease. Requests that ran together become suspects and run alone; two full counts, replicated in the control group, quarantine the content for 30 minutes, and calls that wait with it are refused. Leases of limits keep idle accounts reported for 30 s, so that a caller who comes back finds more than the safe share.

--- a/src/main/java/org/plantainwharf/limit/LimitController.java
+++ b/src/main/java/org/plantainwharf/limit/LimitController.java
@@ -43,8 +43,11 @@
     /** Demand is reported somewhat higher than seen, so that a share can grow. */
     private static final double DEMAND_MARGIN = 1.2;
 
-    /** Demand below this many requests per second is no longer reported. */
-    private static final double LEAST_DEMAND = 0.01;
+    /**
+     * Accounts without traffic are reported this long, with the demand they have: what no host needs is divided evenly
+     * between the hosts that report, so that a caller who comes back finds more than the safe share.
+     */
+    private static final long INTEREST_NANOS = 30_000_000_000L;
 
     private LimitController() {}
 
@@ -90,7 +93,8 @@
         }
         section.arrivals().merge(account.name(), 1.0, Double::sum);
         double rate = section.usableRate(account.name(), account.requestsPerSecond(), hosts(board), nowNanos);
-        TokenBucket bucket = section.bucket(account.name(), nowNanos);
+        TokenBucket bucket = section.bucket(
+                account.name(), LimitShares.safeRate(account.requestsPerSecond(), hosts(board)), nowNanos);
         bucket.refill(rate, nowNanos);
         if (!bucket.tryTake()) {
             section.setRefusal(call.id(), bucket.untilNext(rate));
@@ -107,7 +111,7 @@
             return;
         }
         if (section.demandNanos() != Long.MIN_VALUE) {
-            measureDemand(section, (nowNanos - section.demandNanos()) / 1e9);
+            measureDemand(section, (nowNanos - section.demandNanos()) / 1e9, nowNanos);
         }
         section.setDemandNanos(nowNanos);
         HostId self = board.membership().self();
@@ -127,14 +131,18 @@
         }
     }
 
-    private static void measureDemand(LimitSection section, double seconds) {
+    private static void measureDemand(LimitSection section, double seconds, long nowNanos) {
         Map<AccountName, Double> demand = section.demand();
-        section.arrivals().keySet().forEach(account -> demand.putIfAbsent(account, 0.0));
+        section.arrivals().keySet().forEach(account -> {
+            demand.putIfAbsent(account, 0.0);
+            section.seenNanos().put(account, nowNanos);
+        });
         demand.replaceAll((account, old) -> {
             double seen = DEMAND_MARGIN * section.arrivals().getOrDefault(account, 0.0) / seconds;
             return old + DEMAND_SMOOTHING * (seen - old);
         });
-        demand.values().removeIf(rate -> rate < LEAST_DEMAND);
+        section.seenNanos().values().removeIf(nanos -> nowNanos - nanos > INTEREST_NANOS);
+        demand.keySet().retainAll(section.seenNanos().keySet());
         section.arrivals().clear();
     }
 
--- a/src/main/java/org/plantainwharf/limit/LimitSection.java
+++ b/src/main/java/org/plantainwharf/limit/LimitSection.java
@@ -18,6 +18,7 @@
     private final Map<AccountName, Lease> leases = new HashMap<>();
     private final Map<AccountName, Double> arrivals = new HashMap<>();
     private final Map<AccountName, Double> demand = new HashMap<>();
+    private final Map<AccountName, Long> seenNanos = new HashMap<>();
     private final LimitLedger ledger = LimitLedger.create();
     private long demandNanos = Long.MIN_VALUE;
     private @Nullable RequestId refused;
@@ -55,8 +56,8 @@
         retryAfter = delay;
     }
 
-    TokenBucket bucket(AccountName account, long nowNanos) {
-        return buckets.computeIfAbsent(account, key -> TokenBucket.create(nowNanos));
+    TokenBucket bucket(AccountName account, double safeRate, long nowNanos) {
+        return buckets.computeIfAbsent(account, key -> TokenBucket.create(safeRate, nowNanos));
     }
 
     /** Returns all buckets; they are refilled before a lease changes. */
@@ -72,6 +73,11 @@
         return arrivals;
     }
 
+    /** Returns when each account with demand last sent a call, to half a second. */
+    Map<AccountName, Long> seenNanos() {
+        return seenNanos;
+    }
+
     Map<AccountName, Double> demand() {
         return demand;
     }
--- a/src/main/java/org/plantainwharf/limit/TokenBucket.java
+++ b/src/main/java/org/plantainwharf/limit/TokenBucket.java
@@ -7,16 +7,17 @@
     /** Seconds of the rate that may be saved up; a bucket always holds one call. */
     private static final double BURST_SECONDS = 1;
 
-    private double tokens = 1;
+    private double tokens;
     private long updatedNanos;
 
-    private TokenBucket(long nowNanos) {
+    private TokenBucket(double tokens, long nowNanos) {
+        this.tokens = tokens;
         this.updatedNanos = nowNanos;
     }
 
-    /** Returns a bucket with one token: a host that restarts often must not gain a burst each time. */
-    static TokenBucket create(long nowNanos) {
-        return new TokenBucket(nowNanos);
+    /** Returns a bucket that holds what the safe share allows to save up. */
+    static TokenBucket create(double safeRate, long nowNanos) {
+        return new TokenBucket(Math.max(1, safeRate * BURST_SECONDS), nowNanos);
     }
 
     /** Adds what the rate gave since the last update. To be called with the rate that was valid until now. */
--- /dev/null
+++ b/src/main/java/org/plantainwharf/quarantine/PossibleCrash.java
@@ -0,0 +1,60 @@
+package org.plantainwharf.quarantine;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.Fingerprint;
+import org.plantainwharf.identity.ServerId;
+
+/**
+ * Connections lost to one process of a backend server, until it is known whether the process crashed. Owned by the
+ * control thread.
+ */
+final class PossibleCrash {
+    private final ServerId server;
+    private final long incarnation;
+    private final AvailabilityZone zone;
+    private final boolean alone;
+    private final long sinceNanos;
+    private final Set<Fingerprint> lost = new LinkedHashSet<>();
+
+    private PossibleCrash(ServerId server, long incarnation, AvailabilityZone zone, boolean alone, long sinceNanos) {
+        this.server = server;
+        this.incarnation = incarnation;
+        this.zone = zone;
+        this.alone = alone;
+        this.sinceNanos = sinceNanos;
+    }
+
+    static PossibleCrash create(
+            ServerId server, long incarnation, AvailabilityZone zone, boolean alone, long sinceNanos) {
+        return new PossibleCrash(server, incarnation, zone, alone, sinceNanos);
+    }
+
+    ServerId server() {
+        return server;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    AvailabilityZone zone() {
+        return zone;
+    }
+
+    /** Says whether nothing else ran on the server when the first connection was lost, as far as reported. */
+    boolean alone() {
+        return alone;
+    }
+
+    long sinceNanos() {
+        return sinceNanos;
+    }
+
+    /** Returns the requests whose connections were lost. */
+    Set<Fingerprint> lost() {
+        return lost;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/quarantine/QuarantineController.java
@@ -0,0 +1,266 @@
+package org.plantainwharf.quarantine;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.board.CallEnding;
+import org.plantainwharf.call.CallEntry;
+import org.plantainwharf.call.CallKind;
+import org.plantainwharf.call.CallState;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.AttemptProblem;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.Fingerprint;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.routing.Placement;
+import org.plantainwharf.server.ServerEntry;
+
+/**
+ * Finds requests that crash backend servers. A crash is a lost connection to a process that then turns out to be gone:
+ * its server announces another incarnation, or its lease ends without notice of a reclaim. A request that was alone on
+ * the server gets a full count. Requests that ran together each get a partial count, which only makes them suspects:
+ * they then run alone, so that a neighbour is not blamed. Two full counts quarantine the content.
+ *
+ * <p>Counts are replicated in the control group, so that sending the request to another host, or under another request
+ * id, does not help. Stateless; its state is the {@link QuarantineSection}. Used by the control thread only.
+ */
+public final class QuarantineController implements Controller {
+    private static final int CONTROL_GROUP = 0;
+    private static final double FULL_SHARE = 1;
+
+    /** Marks a suspect. So small that the partial counts of half an hour never make up a full count. */
+    private static final double PARTIAL_SHARE = 0.001;
+
+    /** Time after which a server that still holds its lease under the same incarnation has not crashed. */
+    private static final long GRACE_NANOS = 2_000_000_000;
+
+    private static final long PROPOSE_AGAIN_NANOS = 2_000_000_000;
+
+    /** Notice of a reclaim comes seconds before it. */
+    private static final long RECLAIM_NANOS = 300_000_000_000L;
+
+    private QuarantineController() {}
+
+    /** Returns a controller. */
+    public static QuarantineController create() {
+        return new QuarantineController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case AttemptEvent attempt -> handleAttempt(attempt, board, nowNanos);
+            case ServerEvent server -> resolve(board, nowNanos, effects);
+            case ReplicationEvent replication -> handleReplication(replication, board, effects);
+            case PlatformEvent platform -> handlePlatform(platform, board, nowNanos);
+            case TimerEvent timer -> {
+                resolve(board, nowNanos, effects);
+                proposeAgain(board, nowNanos, effects);
+            }
+            case CallEvent call -> {}
+            case PeerEvent peer -> {}
+            case StorageEvent storage -> {}
+            case OperatorEvent operator -> {}
+        }
+    }
+
+    private static void handleAttempt(AttemptEvent event, Board board, long nowNanos) {
+        switch (event) {
+            case AttemptEvent.AttemptFailed failed -> {
+                if (failed.problem() instanceof AttemptProblem.ConnectionLost) {
+                    board.routing()
+                            .placement(failed.attempt())
+                            .ifPresent(placement -> lost(placement, board, nowNanos));
+                }
+            }
+            case AttemptEvent.AttemptCompleted completed ->
+                board.routing()
+                        .placement(completed.attempt())
+                        .filter(Placement::suspect)
+                        .ifPresent(placement ->
+                                board.quarantine().clear(placement.call().fingerprint(), board.wallClockMillis()));
+            case AttemptEvent.AttemptSent sent -> {}
+            case AttemptEvent.FirstTokenReceived first -> {}
+            case AttemptEvent.TokensReceived tokens -> {}
+        }
+    }
+
+    private static void lost(Placement placement, Board board, long nowNanos) {
+        QuarantineSection section = board.quarantine();
+        ServerEntry entry = placement.entry();
+        PossibleCrash crash = section.possible(entry.server(), placement.incarnation());
+        if (crash == null) {
+            crash = PossibleCrash.create(
+                    entry.server(), placement.incarnation(), entry.zone(), placement.isAloneOnServer(), nowNanos);
+            section.possible().add(crash);
+        }
+        crash.lost().add(placement.call().fingerprint());
+    }
+
+    private static void resolve(Board board, long nowNanos, Effects effects) {
+        QuarantineSection section = board.quarantine();
+        if (section.possible().isEmpty()) {
+            return;
+        }
+        List<PossibleCrash> crashed = new ArrayList<>();
+        List<PossibleCrash> cleared = new ArrayList<>();
+        for (PossibleCrash possible : section.possible()) {
+            @Nullable
+            ServerEntry entry = board.servers().server(possible.server()).orElse(null);
+            boolean leaving = entry != null
+                    && entry.announcement().incarnation() == possible.incarnation()
+                    && entry.announcement().leaving();
+            if (leaving || section.reclaimed().containsKey(possible.server())) {
+                effects.count("quarantine.reclaims_ignored");
+                cleared.add(possible);
+            } else if (entry != null && entry.announcement().incarnation() != possible.incarnation()) {
+                crashed.add(possible);
+            } else if (entry == null || nowNanos - entry.leaseUntilNanos() >= 0) {
+                boolean zoneLost = zoneLost(possible, board, nowNanos);
+                (zoneLost ? cleared : crashed).add(possible);
+                effects.count(zoneLost ? "quarantine.zone_losses_ignored" : "quarantine.leases_ended");
+            } else if (nowNanos - possible.sinceNanos() > lease(board) + GRACE_NANOS) {
+                cleared.add(possible);
+            }
+        }
+        section.possible().removeAll(cleared);
+        section.possible().removeAll(crashed);
+        crashed.forEach(crash -> report(crash, board, nowNanos, effects));
+    }
+
+    /**
+     * Says whether the zone went and not the server: another server of the zone lost its lease as well, and this
+     * request did not run there. A platform that reclaims a zone may lose its notices.
+     */
+    private static boolean zoneLost(PossibleCrash possible, Board board, long nowNanos) {
+        QuarantineSection section = board.quarantine();
+        for (ServerEntry other : board.servers().servers()) {
+            boolean gone = other.zone().equals(possible.zone())
+                    && !other.server().equals(possible.server())
+                    && nowNanos - other.leaseUntilNanos() >= 0
+                    && nowNanos - other.leaseUntilNanos() < lease(board) + GRACE_NANOS;
+            PossibleCrash sameTime =
+                    section.possible(other.server(), other.announcement().incarnation());
+            boolean sharesRequest = sameTime != null && sameTime.lost().stream().anyMatch(possible.lost()::contains);
+            boolean blamed = section.blames(other.server(), possible.lost());
+            if (gone && !sharesRequest && !blamed) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static long lease(Board board) {
+        return board.settings().timings().serverLeaseMillis() * 1_000_000;
+    }
+
+    private static void report(PossibleCrash crash, Board board, long nowNanos, Effects effects) {
+        boolean full = crash.alone() && crash.lost().size() == 1;
+        effects.count(full ? "quarantine.full_counts" : "quarantine.partial_counts");
+        for (Fingerprint fingerprint : crash.lost()) {
+            String reportId = reportId(crash.server(), crash.incarnation(), fingerprint);
+            Command.ReportCrash report = new Command.ReportCrash(
+                    reportId, fingerprint, full ? FULL_SHARE : PARTIAL_SHARE, board.wallClockMillis());
+            board.quarantine().open().put(reportId, report);
+            propose(report, effects);
+        }
+        board.quarantine().setProposedNanos(nowNanos);
+    }
+
+    /** Returns an id that is equal on all hosts whose calls with this content were lost in the same crash. */
+    private static String reportId(ServerId server, long incarnation, Fingerprint fingerprint) {
+        return server.value() + "/" + incarnation + "/" + fingerprint.value();
+    }
+
+    private static void propose(Command.ReportCrash report, Effects effects) {
+        effects.post(new ReplicationEvent.ProposalRequested("crash/" + report.reportId(), CONTROL_GROUP, report));
+    }
+
+    /** Proposes reports again that are not committed: the majority may have been out of reach. */
+    private static void proposeAgain(Board board, long nowNanos, Effects effects) {
+        QuarantineSection section = board.quarantine();
+        boolean due =
+                section.proposedNanos() == Long.MIN_VALUE || nowNanos - section.proposedNanos() >= PROPOSE_AGAIN_NANOS;
+        if (due) {
+            section.setProposedNanos(nowNanos);
+            section.expire(board.wallClockMillis());
+            section.reclaimed().values().removeIf(nanos -> nowNanos - nanos > RECLAIM_NANOS);
+            section.open().values().forEach(report -> propose(report, effects));
+        }
+    }
+
+    private static void handleReplication(ReplicationEvent event, Board board, Effects effects) {
+        switch (event) {
+            case ReplicationEvent.EntryApplied applied -> {
+                if (applied.group() == CONTROL_GROUP && applied.command() instanceof Command.ReportCrash report) {
+                    copyCounts(board);
+                    refuseWaiting(report.fingerprint(), board, effects);
+                } else if (applied.group() == CONTROL_GROUP && applied.command() instanceof Command.Expire) {
+                    copyCounts(board);
+                }
+            }
+            case ReplicationEvent.StateReplaced replaced -> {
+                if (replaced.group() == CONTROL_GROUP) {
+                    copyCounts(board);
+                }
+            }
+            case ReplicationEvent.ProposalRequested requested -> {}
+            case ReplicationEvent.ProposalDecided decided -> {}
+            case ReplicationEvent.ProposalFailed failed -> {}
+            case ReplicationEvent.QueryRequested requested -> {}
+            case ReplicationEvent.QueryAnswered answered -> {}
+            case ReplicationEvent.QueryFailed failed -> {}
+            case ReplicationEvent.LeadershipChanged changed -> {}
+        }
+    }
+
+    private static void copyCounts(Board board) {
+        board.quarantine().setCommitted(board.configuration().state().crashes());
+    }
+
+    /** Refuses calls with a content that is quarantined now; an order that has its intent is only held back. */
+    private static void refuseWaiting(Fingerprint fingerprint, Board board, Effects effects) {
+        if (!board.quarantine().isQuarantined(fingerprint, board.wallClockMillis())) {
+            return;
+        }
+        List<CallEntry> waiting = board.calls().calls().stream()
+                .filter(entry -> entry.call().fingerprint().equals(fingerprint))
+                .filter(entry -> entry.state() instanceof CallState.Queued
+                        || (entry.state() instanceof CallState.Ready
+                                && !(entry.call().kind() instanceof CallKind.Order)))
+                .toList();
+        for (CallEntry entry : waiting) {
+            CallEnding.fail(
+                    board,
+                    effects,
+                    entry,
+                    Failure.of(ErrorKind.REQUEST_QUARANTINED)
+                            .withRan(board.retry().ranSoFar(entry.call().id())));
+        }
+    }
+
+    private static void handlePlatform(PlatformEvent event, Board board, long nowNanos) {
+        switch (event) {
+            case PlatformEvent.ServerReclaimNoticed noticed ->
+                board.quarantine().reclaimed().put(noticed.server(), nowNanos);
+            case PlatformEvent.HostReclaimNoticed noticed -> {}
+            case PlatformEvent.HostStarted started -> {}
+            case PlatformEvent.HostStartRefused refused -> {}
+        }
+    }
+}
--- a/src/main/java/org/plantainwharf/quarantine/QuarantineSection.java
+++ b/src/main/java/org/plantainwharf/quarantine/QuarantineSection.java
@@ -1,9 +1,40 @@
 package org.plantainwharf.quarantine;
 
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
 import org.plantainwharf.identity.Fingerprint;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.StateRecord;
 
-/** Suspect requests and quarantined fingerprints. Written by the controllers of this package. Owned by the control thread. */
+/**
+ * Suspect requests and quarantined fingerprints. Crash counts are replicated in the control group; this section holds a
+ * copy, and the reports that are not committed yet. Written by the controllers of this package. Owned by the control
+ * thread.
+ */
 public final class QuarantineSection {
+    /** Full counts that quarantine a request. */
+    private static final double FULL_COUNTS = 2;
+
+    static final long QUARANTINE_MILLIS = 30 * 60 * 1_000;
+
+    /** Open losses after which a request waits until it is known whether it crashed those servers. */
+    private static final int OPEN_LOSSES = 2;
+
+    private final Map<Fingerprint, StateRecord.Crashes> committed = new HashMap<>();
+    private final Map<String, Command.ReportCrash> open = new LinkedHashMap<>();
+    private final Map<Fingerprint, Long> clearedMillis = new HashMap<>();
+    private final List<PossibleCrash> possible = new ArrayList<>();
+    private final Map<ServerId, Long> reclaimed = new HashMap<>();
+    private long proposedNanos = Long.MIN_VALUE;
+
     private QuarantineSection() {}
 
     /** Returns an empty section. */
@@ -13,16 +44,129 @@
 
     /** Says whether calls with this content are refused. */
     public boolean isQuarantined(Fingerprint fingerprint, long wallClockMillis) {
-        return false;
+        double count = 0;
+        StateRecord.Crashes known = committed.get(fingerprint);
+        if (known != null && recent(known.lastMillis(), wallClockMillis)) {
+            count = known.count();
+        }
+        for (Command.ReportCrash report : open.values()) {
+            boolean counted = known != null && known.reportIds().contains(report.reportId());
+            if (report.fingerprint().equals(fingerprint)
+                    && !counted
+                    && recent(report.wallClockMillis(), wallClockMillis)) {
+                count += report.share();
+            }
+        }
+        return count >= FULL_COUNTS;
     }
 
     /** Says whether calls with this content must run alone on a server. */
-    public boolean isSuspect(Fingerprint fingerprint, long nowNanos) {
-        return false;
+    public boolean isSuspect(Fingerprint fingerprint, long wallClockMillis) {
+        long last = Long.MIN_VALUE;
+        StateRecord.Crashes known = committed.get(fingerprint);
+        if (known != null) {
+            last = known.lastMillis();
+        }
+        for (Command.ReportCrash report : open.values()) {
+            if (report.fingerprint().equals(fingerprint)) {
+                last = Math.max(last, report.wallClockMillis());
+            }
+        }
+        Long cleared = clearedMillis.get(fingerprint);
+        return last != Long.MIN_VALUE && recent(last, wallClockMillis) && (cleared == null || cleared < last);
+    }
+
+    /**
+     * Says whether calls with this content must not be sent now: because it is open whether they crashed several
+     * servers, or because they are quarantined.
+     */
+    public boolean holds(Fingerprint fingerprint, long wallClockMillis) {
+        int losses = 0;
+        for (PossibleCrash crash : possible) {
+            if (crash.lost().contains(fingerprint)) {
+                losses++;
+            }
+        }
+        return losses >= OPEN_LOSSES || isQuarantined(fingerprint, wallClockMillis);
+    }
+
+    /** Returns the number of quarantined contents. */
+    public int quarantined(long wallClockMillis) {
+        return (int) committed.keySet().stream()
+                .filter(fingerprint -> isQuarantined(fingerprint, wallClockMillis))
+                .count();
     }
 
-    /** Says whether calls with this content must wait, because it is open whether they crashed servers. */
-    public boolean holds(Fingerprint fingerprint, long nowNanos) {
+    /** Says whether a crash of this server was reported for one of these contents. */
+    boolean blames(ServerId server, Set<Fingerprint> fingerprints) {
+        String prefix = server.value() + "/";
+        for (Command.ReportCrash report : open.values()) {
+            if (fingerprints.contains(report.fingerprint()) && report.reportId().startsWith(prefix)) {
+                return true;
+            }
+        }
+        for (Fingerprint fingerprint : fingerprints) {
+            StateRecord.Crashes known = committed.get(fingerprint);
+            if (known != null && known.reportIds().stream().anyMatch(id -> id.startsWith(prefix))) {
+                return true;
+            }
+        }
         return false;
     }
+
+    /** Takes over the replicated counts. */
+    void setCommitted(Collection<StateRecord.Crashes> records) {
+        committed.clear();
+        for (StateRecord.Crashes crashes : records) {
+            committed.put(crashes.fingerprint(), crashes);
+            crashes.reportIds().forEach(open::remove);
+        }
+    }
+
+    /** Returns reports that are not known to be committed. */
+    Map<String, Command.ReportCrash> open() {
+        return open;
+    }
+
+    /** Records that a suspect ran alone to its end. */
+    void clear(Fingerprint fingerprint, long wallClockMillis) {
+        clearedMillis.put(fingerprint, wallClockMillis);
+    }
+
+    List<PossibleCrash> possible() {
+        return possible;
+    }
+
+    @Nullable
+    PossibleCrash possible(ServerId server, long incarnation) {
+        for (PossibleCrash crash : possible) {
+            if (crash.server().equals(server) && crash.incarnation() == incarnation) {
+                return crash;
+            }
+        }
+        return null;
+    }
+
+    /** Returns when each server was announced to be reclaimed. */
+    Map<ServerId, Long> reclaimed() {
+        return reclaimed;
+    }
+
+    long proposedNanos() {
+        return proposedNanos;
+    }
+
+    void setProposedNanos(long value) {
+        proposedNanos = value;
+    }
+
+    /** Forgets what no longer counts. */
+    void expire(long wallClockMillis) {
+        open.values().removeIf(report -> !recent(report.wallClockMillis(), wallClockMillis));
+        clearedMillis.values().removeIf(millis -> !recent(millis, wallClockMillis));
+    }
+
+    private static boolean recent(long millis, long wallClockMillis) {
+        return wallClockMillis - millis < QUARANTINE_MILLIS;
+    }
 }
--- a/src/main/java/org/plantainwharf/retry/AttemptController.java
+++ b/src/main/java/org/plantainwharf/retry/AttemptController.java
@@ -102,7 +102,11 @@
             case CallState.Queued queued -> CallEnding.fail(board, effects, entry, gone.withRan(Ran.NO));
             case CallState.Ready ready -> {
                 if (!order) {
-                    CallEnding.fail(board, effects, entry, gone.withRan(ranSoFar(entry, board)));
+                    CallEnding.fail(
+                            board,
+                            effects,
+                            entry,
+                            gone.withRan(board.retry().ranSoFar(entry.call().id())));
                 }
             }
             case CallState.Running running -> {
@@ -318,9 +322,4 @@
                 ? Failure.of(ErrorKind.RETRY_BUDGET_EXHAUSTED, history.reason()).withRan(history.ran())
                 : Failure.of(ErrorKind.DEADLINE_EXCEEDED).withRan(history.ran());
     }
-
-    private static Ran ranSoFar(CallEntry entry, Board board) {
-        CallHistory history = board.retry().histories().get(entry.call().id());
-        return history == null ? Ran.NO : history.ran();
-    }
 }
--- a/src/main/java/org/plantainwharf/retry/RetrySection.java
+++ b/src/main/java/org/plantainwharf/retry/RetrySection.java
@@ -8,6 +8,7 @@
 import java.util.PriorityQueue;
 
 import org.jspecify.annotations.Nullable;
+import org.plantainwharf.error.Ran;
 import org.plantainwharf.identity.AttemptId;
 import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.identity.ServerId;
@@ -51,6 +52,12 @@
         return history == null ? null : history.reason();
     }
 
+    /** Says whether any attempt of a live call that ended so far may have run. */
+    public Ran ranSoFar(RequestId request) {
+        CallHistory history = histories.get(request);
+        return history == null ? Ran.NO : history.ran();
+    }
+
     /** Returns the number of calls that wait for the retry budget. */
     public int heldCalls() {
         return held.size();
--- a/src/main/java/org/plantainwharf/routing/Placement.java
+++ b/src/main/java/org/plantainwharf/routing/Placement.java
@@ -76,6 +76,14 @@
         return suspect;
     }
 
+    /**
+     * Says whether nothing else runs on the server, as far as this host knows: calls of other hosts are known from the
+     * server's load reports only.
+     */
+    public boolean isAloneOnServer() {
+        return track.load() <= 1;
+    }
+
     ServerTrack track() {
         return track;
     }
--- a/src/main/java/org/plantainwharf/routing/RoutingController.java
+++ b/src/main/java/org/plantainwharf/routing/RoutingController.java
@@ -118,7 +118,7 @@
     private static void placeOrWait(CallEntry entry, Board board, long nowNanos, Effects effects) {
         Call call = entry.call();
         boolean held = board.retry().holds(call.id(), nowNanos)
-                || board.quarantine().holds(call.fingerprint(), nowNanos)
+                || board.quarantine().holds(call.fingerprint(), board.wallClockMillis())
                 || nowNanos - call.deadlineNanos() >= 0;
         Choice choice = held ? null : choose(call, board, nowNanos);
         if (choice == null) {
@@ -132,7 +132,7 @@
         Call call = entry.call();
         ServerTrack track = choice.track();
         AttemptId attempt = entry.nextAttempt();
-        boolean suspect = board.quarantine().isSuspect(call.fingerprint(), nowNanos);
+        boolean suspect = board.quarantine().isSuspect(call.fingerprint(), board.wallClockMillis());
         board.routing().putPlacement(Placement.create(attempt, call, track, choice.cachedTokens(), suspect, nowNanos));
         track.entry().attemptStarted();
         track.setLastUsedNanos(nowNanos);
@@ -210,7 +210,7 @@
         Destination destination = Destination.of(call.kind());
         List<ServerTrack> servers = section.servers(destination);
         Map<ServerId, Integer> held = section.hints().heldBlocks(prefixBlocks(call.kind()));
-        boolean suspect = board.quarantine().isSuspect(call.fingerprint(), nowNanos);
+        boolean suspect = board.quarantine().isSuspect(call.fingerprint(), board.wallClockMillis());
         @Nullable Sheet sheet = board.configuration().inForce().orElse(null);
         if (sheet == null) {
             return null;
--- a/src/test/java/org/plantainwharf/decision/DecisionHarness.java
+++ b/src/test/java/org/plantainwharf/decision/DecisionHarness.java
@@ -15,15 +15,19 @@
 import org.plantainwharf.call.Content;
 import org.plantainwharf.call.Origin;
 import org.plantainwharf.control.ControlCycle;
+import org.plantainwharf.control.Controller;
 import org.plantainwharf.effect.AttemptEffect;
 import org.plantainwharf.effect.CallEffect;
 import org.plantainwharf.effect.CountEffect;
 import org.plantainwharf.effect.Effect;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.AttemptProblem;
 import org.plantainwharf.event.CallEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.AccountName;
@@ -36,6 +40,9 @@
 import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.identity.RouteName;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.limit.LimitController;
+import org.plantainwharf.quarantine.QuarantineController;
+import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.retry.AttemptController;
 import org.plantainwharf.routing.RoutingController;
 import org.plantainwharf.server.Announcement;
@@ -68,11 +75,19 @@
     private long nowNanos = 1_000_000_000L;
     private long wallClockMillis = 1_700_000_000_000L;
     private long sequence;
+    private boolean majority = true;
 
     private DecisionHarness(Settings settings) {
         this.board = Board.create(settings, 1, 42);
         this.cycle = ControlCycle.create(
-                board, List.of(AdmissionController.create(), AttemptController.create(), RoutingController.create()));
+                board,
+                List.of(
+                        new ControlGroup(),
+                        LimitController.create(),
+                        QuarantineController.create(),
+                        AdmissionController.create(),
+                        AttemptController.create(),
+                        RoutingController.create()));
     }
 
     /** Returns a host without servers and with the sheet of {@link #sheet}. */
@@ -256,4 +271,25 @@
                 .mapToLong(effect -> ((CountEffect) effect).amount())
                 .sum();
     }
+
+    /** Says whether proposals to the control group are committed; else they fail. */
+    public void setMajority(boolean value) {
+        majority = value;
+    }
+
+    /** Commits commands of the control group at once, as the group would. */
+    private final class ControlGroup implements Controller {
+        @Override
+        public void handle(Event event, Board on, long now, Effects result) {
+            if (event instanceof ReplicationEvent.ProposalRequested requested && requested.group() == 0) {
+                if (majority) {
+                    CommandResult applied = on.configuration().state().apply(requested.command());
+                    result.post(new ReplicationEvent.EntryApplied(0, 1, requested.command(), applied));
+                    result.post(new ReplicationEvent.ProposalDecided(requested.proposalId(), applied));
+                } else {
+                    result.post(new ReplicationEvent.ProposalFailed(requested.proposalId(), ErrorKind.NO_QUORUM));
+                }
+            }
+        }
+    }
 }
