--- a/src/main/java/org/plantainwharf/limit/LimitController.java
+++ b/src/main/java/org/plantainwharf/limit/LimitController.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.call.Call;
@@ -177,7 +177,7 @@
             effects.add(new PeerEffect.SendToPeer(
                     peer,
                     new PeerMessage.LimitGrant(
-                            board.membership().receivedToken(peer), LimitShares.VALIDITY.toMillis(), grant)));
+                            board.membership().newestReceivedToken(peer), LimitShares.VALIDITY.toMillis(), grant)));
         }
     }
 
@@ -187,13 +187,13 @@
      */
     private static void receiveGrant(
             HostId peer, PeerMessage.LimitGrant grant, Board board, long nowNanos, Effects effects) {
-        Optional<Long> sent = board.membership().heartbeatSentNanos(peer, grant.echoedToken());
+        OptionalLong sent = board.membership().heartbeatSentNanos(peer, grant.echoedToken());
         if (sent.isEmpty()) {
             effects.count("limits.undated_grants_dropped");
             return;
         }
         long validMillis = Math.min(grant.validMillis(), LimitShares.VALIDITY.toMillis());
-        takeGrant(grant.requestsPerSecond(), sent.get() + validMillis * 1_000_000, board, nowNanos);
+        takeGrant(grant.requestsPerSecond(), sent.getAsLong() + validMillis * 1_000_000, board, nowNanos);
     }
 
     /** Replaces the leased shares, unless a grant that ends later was taken already. */
--- a/src/test/java/org/plantainwharf/membership/MembershipControllerTest.java
+++ b/src/test/java/org/plantainwharf/membership/MembershipControllerTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -113,13 +114,16 @@
             long sentMillis = nowMillis + 200;
             long token = heartbeats(pass(300)).getFirst().token();
             MembershipSection section = board.membership();
-            Optional<Long> sent = section.heartbeatSentNanos(PEER, token);
-            assertTrue(sent.isPresent() && sent.get() <= sentMillis * MILLI);
-            assertEquals(Optional.empty(), section.heartbeatSentNanos(PEER, token + 1));
-            assertEquals(Optional.empty(), section.heartbeatSentNanos(PEER, 0));
-            assertEquals(Optional.empty(), section.heartbeatSentNanos(HostId.of("stranger"), token));
-            pass(8_500);
-            assertEquals(Optional.empty(), section.heartbeatSentNanos(PEER, token));
+            OptionalLong sent = section.heartbeatSentNanos(PEER, token);
+            assertTrue(sent.isPresent() && sent.getAsLong() <= sentMillis * MILLI);
+            assertEquals(OptionalLong.empty(), section.heartbeatSentNanos(PEER, token + 1));
+            assertEquals(OptionalLong.empty(), section.heartbeatSentNanos(PEER, 0));
+            assertEquals(OptionalLong.empty(), section.heartbeatSentNanos(HostId.of("stranger"), token));
+            for (int heartbeat = 1; heartbeat <= 34; heartbeat++) {
+                hear(5, heartbeat, 0, false);
+                pass(250);
+            }
+            assertEquals(OptionalLong.empty(), section.heartbeatSentNanos(PEER, token));
         }
 
         @Test
