Check the settings of several daemons against each other

Change: "settings check" with several files names those that differ in hosts or record groups; EventLog writes the innermost frames of a cause as one value.

--- a/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -7,7 +7,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Properties;
 import java.util.function.Function;
 
@@ -81,6 +83,7 @@
 
     private ExitCode settingsCheck(List<Path> files) {
         ExitCode exitCode = ExitCode.OK;
+        Map<String, Settings> settingsByFile = new LinkedHashMap<>();
         for (Path file : files) {
             Either<SettingsProblems, Settings> result = SettingsReader.read(file);
             if (result.isLeft()) {
@@ -89,9 +92,11 @@
                 SettingsRules.warnings(result.get())
                         .forEach(warning -> console.errors().println(file + ": warning: " + warning));
                 console.output().println(file + ": ok");
+                settingsByFile.put(file.toString(), result.get());
             }
         }
-        return exitCode;
+        List<String> conflicts = SettingsRules.conflicts(settingsByFile);
+        return conflicts.isEmpty() ? exitCode : fail(String.join("\n", conflicts));
     }
 
     private ExitCode sheetCheck(List<Path> files) {
--- a/src/main/java/org/plantainwharf/log/EventLog.java
+++ b/src/main/java/org/plantainwharf/log/EventLog.java
@@ -1,7 +1,9 @@
 package org.plantainwharf.log;
 
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
 import org.plantainwharf.error.Failure;
@@ -14,7 +16,8 @@
 public final class EventLog {
     private static final Set<String> WITHHELD =
             Set.of("authorization", "key", "account_key", "body", "prompt", "answer", "content");
-    private static final int LONGEST_VALUE = 400;
+    private static final int LONGEST_VALUE = 600;
+    private static final int TRACE_FRAMES = 5;
 
     private final FluentLogger logger;
 
@@ -37,7 +40,10 @@
         logger.atWarning().log("%s", line(event, namesAndValues));
     }
 
-    /** Writes an event that stops some work. The cause becomes two more values, so that the event stays on one line. */
+    /**
+     * Writes an event that stops some work. The cause and its innermost frames become two more values, so that the
+     * event stays on one line.
+     */
     public void severe(String event, Throwable cause, Object... namesAndValues) {
         logger.atSevere().log("%s", line(event, namesAndValues) + cause(cause));
     }
@@ -74,9 +80,11 @@
     }
 
     private static String cause(Throwable cause) {
-        StackTraceElement[] trace = cause.getStackTrace();
-        String place = trace.length == 0 ? "unknown" : trace[0].toString();
-        return " cause=" + value(cause.toString()) + " at=" + value(place);
+        String trace = Arrays.stream(cause.getStackTrace())
+                .limit(TRACE_FRAMES)
+                .map(frame -> frame.getClassName() + "." + frame.getMethodName() + ":" + frame.getLineNumber())
+                .collect(Collectors.joining(" < "));
+        return " cause=" + value(cause.toString()) + " at=" + value(trace);
     }
 
     private static String value(String text) {
--- a/src/main/java/org/plantainwharf/settings/SettingsRules.java
+++ b/src/main/java/org/plantainwharf/settings/SettingsRules.java
@@ -63,6 +63,35 @@
         return List.copyOf(warnings);
     }
 
+    /**
+     * Returns what differs between the settings of daemons of one system but must not, in the order of the files.
+     *
+     * @param settingsByFile settings with the name of their file
+     */
+    public static List<String> conflicts(Map<String, Settings> settingsByFile) {
+        List<String> conflicts = new ArrayList<>();
+        Map<HostId, String> fileByHost = new HashMap<>();
+        Map.Entry<String, Settings> first = null;
+        for (Map.Entry<String, Settings> file : settingsByFile.entrySet()) {
+            String other = fileByHost.putIfAbsent(file.getValue().host(), file.getKey());
+            if (other != null) {
+                conflicts.add(file.getKey() + ": host " + file.getValue().host() + " is also that of " + other);
+            }
+            if (first == null) {
+                first = file;
+                continue;
+            }
+            if (!Set.copyOf(first.getValue().hosts())
+                    .equals(Set.copyOf(file.getValue().hosts()))) {
+                conflicts.add(file.getKey() + ": hosts differ from those in " + first.getKey());
+            }
+            if (first.getValue().recordGroups() != file.getValue().recordGroups()) {
+                conflicts.add(file.getKey() + ": recordGroups differs from that in " + first.getKey());
+            }
+        }
+        return List.copyOf(conflicts);
+    }
+
     private static void checkListenAddresses(Settings settings, List<SettingsProblem> problems) {
         Map<String, String> keyByAddress = new HashMap<>();
         checkListenAddress("callerAddress", settings.callerAddress(), keyByAddress, problems);
--- a/src/test/java/org/plantainwharf/settings/SettingsReaderTest.java
+++ b/src/test/java/org/plantainwharf/settings/SettingsReaderTest.java
@@ -3,7 +3,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 import io.vavr.control.Either;
 import org.junit.jupiter.api.Nested;
@@ -192,6 +194,43 @@
         }
     }
 
+    /** Guards against daemons of one system that do not agree on who votes. */
+    @Nested
+    class SeveralDaemons {
+        private static final String SECOND = VALID.replace(
+                "{\"host\": \"a1\", \"zone\": \"a\", \"hostClass\"",
+                "{\"host\": \"b1\", \"zone\": \"b\", \"hostClass\"");
+
+        private static List<String> conflicts(String first, String second) {
+            Map<String, Settings> files = new LinkedHashMap<>();
+            files.put("one", SettingsReader.parse(first).get());
+            files.put("two", SettingsReader.parse(second).get());
+            return SettingsRules.conflicts(files);
+        }
+
+        @Test
+        void withTheSameHostsAgree() {
+            assertEquals(List.of(), conflicts(VALID, SECOND));
+        }
+
+        @Test
+        void withAnotherVoterConflict() {
+            String other = SECOND.replace("8023\", \"voter\": true", "8023\", \"voter\": false");
+            assertEquals(List.of("two: hosts differ from those in one"), conflicts(VALID, other));
+        }
+
+        @Test
+        void withOtherRecordGroupsConflict() {
+            String other = SECOND.replace("\"recordGroups\": 2", "\"recordGroups\": 3");
+            assertEquals(List.of("two: recordGroups differs from that in one"), conflicts(VALID, other));
+        }
+
+        @Test
+        void withOneNameConflict() {
+            assertEquals(List.of("two: host a1 is also that of one"), conflicts(VALID, VALID));
+        }
+    }
+
     @Nested
     class SettingsFile {
         @Test
