Let orders that never found a server end, and never grant a refused intent

Change: a refused intent is remembered like a released one; an order in Ready ends at its deadline with 'not run'.

--- a/src/main/java/org/plantainwharf/record/OrderController.java
+++ b/src/main/java/org/plantainwharf/record/OrderController.java
@@ -151,7 +151,13 @@
         }
         CallEntry entry = live.get();
         switch (result) {
-            case CommandResult.IntentGranted granted -> board.calls().advance(entry, new CallState.Ready(nowNanos));
+            case CommandResult.IntentGranted granted -> {
+                if (nowNanos - entry.call().deadlineNanos() >= 0) {
+                    CallEnding.fail(board, effects, entry, Failure.of(ErrorKind.QUEUE_TIMEOUT));
+                } else {
+                    board.calls().advance(entry, new CallState.Ready(nowNanos));
+                }
+            }
             case CommandResult.IntentFinished finished -> {
                 board.records().forgetIntent(request);
                 effects.count("orders.answered_from_record");
--- a/src/main/java/org/plantainwharf/record/RecordState.java
+++ b/src/main/java/org/plantainwharf/record/RecordState.java
@@ -110,11 +110,10 @@
         if (known == null) {
             return reserve(key, intent, Set.of());
         }
-        if (known.releasedRequests().contains(intent.request())) {
-            return new CommandResult.Ignored();
-        }
         if (known.state() instanceof OrderState.Released) {
-            return reserve(key, intent, known.releasedRequests());
+            return known.releasedRequests().contains(intent.request())
+                    ? new CommandResult.Ignored()
+                    : reserve(key, intent, known.releasedRequests());
         }
         if (known.state() instanceof OrderState.Expired) {
             return new CommandResult.IntentExpired();
@@ -123,10 +122,14 @@
             return new CommandResult.IntentReused();
         }
         return switch (known.state()) {
-            case OrderState.Reserved reserved ->
-                reserved.request().equals(intent.request())
-                        ? new CommandResult.IntentGranted()
-                        : new CommandResult.IntentRunning(reserved.request());
+            case OrderState.Reserved reserved -> {
+                if (reserved.request().equals(intent.request())) {
+                    yield new CommandResult.IntentGranted();
+                }
+                // This request is told that another one runs and gives up, so that it must never be granted later.
+                put(key, withReleased(known, reserved, intent.request(), known.wallClockMillis()));
+                yield new CommandResult.IntentRunning(reserved.request());
+            }
             case OrderState.Finished finished ->
                 new CommandResult.IntentFinished(finished.httpStatus(), finished.answer());
             case OrderState.Lost lost -> new CommandResult.IntentLost();
@@ -178,20 +181,18 @@
         if (!open) {
             return new CommandResult.Ignored();
         }
-        Set<RequestId> releasedRequests = new LinkedHashSet<>(known.releasedRequests());
-        releasedRequests.add(release.request());
-        put(
-                key,
-                new StateRecord.Order(
-                        known.account(),
-                        known.key(),
-                        known.contentDigest(),
-                        state,
-                        releasedRequests,
-                        release.wallClockMillis()));
+        put(key, withReleased(known, state, release.request(), release.wallClockMillis()));
         return new CommandResult.Done();
     }
 
+    private static StateRecord.Order withReleased(
+            StateRecord.Order order, OrderState state, RequestId request, long wallClockMillis) {
+        Set<RequestId> releasedRequests = new LinkedHashSet<>(order.releasedRequests());
+        releasedRequests.add(request);
+        return new StateRecord.Order(
+                order.account(), order.key(), order.contentDigest(), state, releasedRequests, wallClockMillis);
+    }
+
     private CommandResult loseOutcome(Command.LoseOutcome lose) {
         OrderKey key = new OrderKey(lose.account(), lose.key());
         StateRecord.@Nullable Order known = orders.get(key);
--- a/src/main/java/org/plantainwharf/retry/AttemptController.java
+++ b/src/main/java/org/plantainwharf/retry/AttemptController.java
@@ -290,13 +290,18 @@
         while (first != null && nowNanos - first.nanos() >= 0) {
             section.deadlines().remove();
             CallEntry entry = board.calls().call(first.request()).orElse(null);
-            if (entry != null && !(entry.call().kind() instanceof CallKind.Order)) {
+            if (entry != null && mayEnd(entry)) {
                 endOverdue(entry, board, effects);
             }
             first = section.deadlines().peek();
         }
     }
 
+    /** An order that was sent ends only with its outcome; one that still waits for a server was not sent. */
+    private static boolean mayEnd(CallEntry entry) {
+        return !(entry.call().kind() instanceof CallKind.Order) || entry.state() instanceof CallState.Ready;
+    }
+
     private static void endOverdue(CallEntry entry, Board board, Effects effects) {
         switch (entry.state()) {
             case CallState.Ready ready -> CallEnding.fail(board, effects, entry, overdueFailure(entry, board));
--- a/src/test/java/org/plantainwharf/record/OrderSchedule.java
+++ b/src/test/java/org/plantainwharf/record/OrderSchedule.java
@@ -73,6 +73,7 @@
     private final Map<String, Set<String>> answersByKey = new TreeMap<>();
     private final Map<String, String> keyOfRequest = new HashMap<>();
     private final Map<String, Boolean> settledByKey = new TreeMap<>();
+    private final List<String> history = new ArrayList<>();
     private long stepNumber;
     private long nowMillis;
     private int requests;
@@ -229,6 +230,29 @@
         }
     }
 
+    private CommandResult apply(Command command) {
+        CommandResult result = state.apply(command);
+        note(command + " -> " + result);
+        return result;
+    }
+
+    private void note(String line) {
+        history.add(nowMillis + " " + line);
+    }
+
+    /** Returns what happened to a key, for the message of a failed test. */
+    String history(String key) {
+        List<String> requestsOfKey = keyOfRequest.entrySet().stream()
+                .filter(entry -> entry.getValue().equals(key))
+                .map(entry -> "request=" + entry.getKey() + ",")
+                .toList();
+        return history.stream()
+                .filter(line -> line.contains("key=" + key + ",")
+                        || line.contains("MarkOwnerLost")
+                        || requestsOfKey.stream().anyMatch(line::contains))
+                .collect(java.util.stream.Collectors.joining("\n"));
+    }
+
     private void crash(Host host) {
         HostId owner = HostId.of("h" + host.number);
         long lost = host.incarnation;
@@ -240,7 +264,7 @@
     /** The leader notices the new incarnation, and marks again later in case an intent was delayed until then. */
     private void markLost(HostId owner, long incarnation, long atMillis) {
         at(atMillis, () -> {
-            state.apply(new Command.MarkOwnerLost(owner, incarnation));
+            apply(new Command.MarkOwnerLost(owner, incarnation));
             markLost(owner, incarnation, atMillis + 10_000);
         });
     }
@@ -276,6 +300,7 @@
                 settledByKey.put(key, true);
             }
             case CallEffect.FailCall failed -> {
+                note("told " + failed);
                 if (failed.failure().ran() == Ran.NO) {
                     toldNotRun.add(failed.request().value());
                 }
@@ -305,13 +330,13 @@
         if (!lost) {
             long delay = 1 + random.nextLong(faults ? 3_000 : 20);
             at(nowMillis + delay, () -> {
-                CommandResult result = state.apply(requested.command());
+                CommandResult result = apply(requested.command());
                 if (!answerLost && host.incarnation == incarnation && delay < PROPOSAL_LIMIT_MILLIS) {
                     deliver(host, new ReplicationEvent.ProposalDecided(requested.proposalId(), result));
                 }
             });
             if (faults && random.nextInt(4) == 0) {
-                at(nowMillis + delay + random.nextLong(10_000), () -> state.apply(requested.command()));
+                at(nowMillis + delay + random.nextLong(10_000), () -> apply(requested.command()));
             }
             if (!answerLost && delay < PROPOSAL_LIMIT_MILLIS) {
                 return;
--- a/src/test/java/org/plantainwharf/record/RecordStateTest.java
+++ b/src/test/java/org/plantainwharf/record/RecordStateTest.java
@@ -140,6 +140,13 @@
                                     release("r1"),
                                     intent("r2", "d")),
                             new Case("outcome of another request stored", IGNORED, intent("r1", "d"), outcome("r2")),
+                            new Case(
+                                    "delayed duplicate of a refused intent reserves a key released since",
+                                    IGNORED,
+                                    intent("r1", "d"),
+                                    intent("r2", "d"),
+                                    release("r1"),
+                                    intent("r2", "d")),
                             new Case(
                                     "release after the outcome",
                                     IGNORED,
