Add the replicated log protocol with random schedules of faults

The control group and the record groups need one agreed order of changes that survives lost hosts, lost disks and cut links. A voter change that replaces a lost disk needs a majority before and after it, and is confirmed by a second entry once the new voter has synced it, because a majority before and one after need not share a voter.

Replicas that acknowledge before sync, vote while a leader is heard, or vote without their disk are caught.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/FollowerLog.java
@@ -0,0 +1,107 @@
+package org.plantainwharf.consensus;
+
+import org.plantainwharf.effect.StorageEffect;
+import org.plantainwharf.message.ReplicaEntry;
+import org.plantainwharf.message.ReplicaMessage;
+
+/** Takes over the leader's log: entries and snapshots of the present term's leader. Owned by one replica. */
+final class FollowerLog {
+    private final ReplicaState state;
+    private final SnapshotReceiver receiver = SnapshotReceiver.create();
+
+    private FollowerLog(ReplicaState state) {
+        this.state = state;
+    }
+
+    static FollowerLog create(ReplicaState state) {
+        return new FollowerLog(state);
+    }
+
+    void append(ReplicaMessage.AppendRequest request, ReplicaOutput output) {
+        ReplicaLog log = state.log();
+        long previous = request.previousIndex();
+        // What lies before the base is committed, so the leader's log has the same.
+        if (previous >= log.baseIndex() && log.term(previous) != request.previousTerm()) {
+            answer(request, false, goOnFrom(previous), output);
+            return;
+        }
+        for (ReplicaEntry entry : request.entries()) {
+            if (entry.index() <= log.baseIndex()) {
+                continue;
+            }
+            if (entry.index() <= log.lastIndex() && log.term(entry.index()) != entry.term()) {
+                truncateFrom(entry.index());
+            }
+            if (entry.index() > log.lastIndex()) {
+                state.append(entry);
+            }
+        }
+        long match = Math.max(log.baseIndex(), previous + request.entries().size());
+        state.commitUpTo(Math.min(request.commitIndex(), match));
+        answer(request, true, match, output);
+    }
+
+    void receive(ReplicaMessage.SnapshotChunk chunk, ReplicaOutput output) {
+        if (chunk.lastIndex() <= state.commitIndex()) {
+            // Entries after the commit index may differ from the leader's, so they are not acknowledged here.
+            state.writes()
+                    .send(
+                            chunk.sender().host(),
+                            new ReplicaMessage.AppendAnswer(
+                                    state.term(), state.self(), true, state.commitIndex(), chunk.round()),
+                            output);
+            return;
+        }
+        receiver.receive(chunk).ifPresent(snapshot -> install(snapshot, output));
+        state.writes()
+                .send(
+                        chunk.sender().host(),
+                        new ReplicaMessage.SnapshotAnswer(
+                                state.term(), state.self(), chunk.lastIndex(), receiver.received(), chunk.round()),
+                        output);
+    }
+
+    private void install(ReplicaSnapshot snapshot, ReplicaOutput output) {
+        state.install(snapshot, output);
+        if (!state.writes().failed()) {
+            output.write(new StorageEffect.WriteSnapshot(
+                    state.group(),
+                    snapshot.lastIndex(),
+                    snapshot.lastTerm(),
+                    snapshot.voters(),
+                    snapshot.records(),
+                    snapshot.lastIndex() + 1));
+        }
+    }
+
+    private void truncateFrom(long index) {
+        if (index <= state.commitIndex()) {
+            throw new IllegalStateException("leader contradicts committed entry " + index);
+        }
+        state.log().truncateFrom(index);
+        state.writes().truncateFrom(index);
+    }
+
+    /** Returns the last index that may agree: before the conflicting term, but nothing committed is in doubt. */
+    private long goOnFrom(long previous) {
+        ReplicaLog log = state.log();
+        long index = Math.min(previous, log.lastIndex());
+        long conflicting = log.term(index);
+        if (previous > log.lastIndex()) {
+            return Math.max(index, state.commitIndex());
+        }
+        while (index > state.commitIndex() && log.term(index) == conflicting) {
+            index--;
+        }
+        return Math.max(index, state.commitIndex());
+    }
+
+    private void answer(ReplicaMessage.AppendRequest request, boolean accepted, long matchIndex, ReplicaOutput output) {
+        state.writes()
+                .send(
+                        request.sender().host(),
+                        new ReplicaMessage.AppendAnswer(
+                                state.term(), state.self(), accepted, matchIndex, request.round()),
+                        output);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/Leadership.java
@@ -0,0 +1,289 @@
+package org.plantainwharf.consensus;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.message.ReplicaEntry;
+import org.plantainwharf.message.ReplicaMessage;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.VoterId;
+
+/**
+ * A replica's work as leader of one term: sends entries and snapshots, decides what is committed and how long the lease
+ * lasts. At most one message with content is under way to each member; heartbeats repeat it, so a lost one costs one
+ * heartbeat period. Owned by one replica.
+ */
+final class Leadership implements Role {
+    private final ReplicaState state;
+    private final Map<VoterId, Progress> progress = new LinkedHashMap<>();
+    private final TreeMap<Long, Long> roundSendNanos = new TreeMap<>();
+    private final long firstIndex;
+    private final long startedNanos;
+    private long round;
+    private long lastRoundNanos;
+
+    private Leadership(ReplicaState state, long nowNanos) {
+        this.state = state;
+        this.firstIndex = state.log().lastIndex() + 1;
+        this.startedNanos = nowNanos;
+    }
+
+    /** Begins a term with an entry that commits those of earlier terms. */
+    static Leadership begin(ReplicaState state, Command first, long nowNanos, ReplicaOutput output) {
+        Leadership leadership = new Leadership(state, nowNanos);
+        leadership.append(first);
+        leadership.beginRound(nowNanos, output);
+        return leadership;
+    }
+
+    /** Says whether an entry of this term is committed, so that everything committed before is known here. */
+    boolean complete() {
+        return state.commitIndex() >= firstIndex;
+    }
+
+    /** Returns the end of the lease, or the smallest value before the first one. */
+    long leaseUntilNanos(long nowNanos) {
+        long contact = majorityContactNanos(nowNanos);
+        return contact == Long.MIN_VALUE ? contact : contact + state.options().leaseNanos();
+    }
+
+    /** Returns the send time of the newest round that a majority answered, or the smallest value. */
+    long majorityContactNanos(long nowNanos) {
+        return state.configuration().agreedValue(voter -> {
+            @Nullable Progress member = progress.get(voter);
+            return voter.equals(state.self()) ? nowNanos : member == null ? Long.MIN_VALUE : member.leaseNanos();
+        });
+    }
+
+    /** Says whether no majority answered for the length of a lease. */
+    boolean lostMajority(long nowNanos) {
+        long contact = Math.max(startedNanos, majorityContactNanos(nowNanos));
+        return nowNanos - contact > state.options().leaseNanos();
+    }
+
+    /** Returns members with disk that are not voters but whose copy is caught up and synced. */
+    Set<VoterId> caughtUpLearners() {
+        Set<VoterId> learners = new LinkedHashSet<>(progress.keySet());
+        learners.removeAll(state.configuration().members());
+        learners.removeIf(learner -> !caughtUp(learner));
+        return learners;
+    }
+
+    void tick(long nowNanos, ReplicaOutput output) {
+        Set<VoterId> members = state.configuration().members();
+        progress.entrySet()
+                .removeIf(entry -> !members.contains(entry.getKey())
+                        && nowNanos - entry.getValue().lastHeardNanos()
+                                > 2 * state.options().silenceNanos());
+        if (nowNanos - lastRoundNanos >= state.options().heartbeatNanos()) {
+            beginRound(nowNanos, output);
+        }
+    }
+
+    /** Starts to copy the log to a disk that may become a voter. */
+    void addLearner(VoterId learner, long nowNanos, ReplicaOutput output) {
+        Progress known = progress.get(learner);
+        if (known == null) {
+            known = Progress.create(state.log().lastIndex() + 1, nowNanos);
+            progress.put(learner, known);
+            send(learner, known, output);
+        }
+        known.heard(nowNanos);
+    }
+
+    void propose(Command command, ReplicaOutput output) {
+        Optional<ProposalRefusal> refusal = refusal(command);
+        if (refusal.isPresent()) {
+            output.refuse(refusal.get());
+            return;
+        }
+        output.appended(append(command));
+        sendNews(output);
+        advanceCommit(output);
+    }
+
+    void onAppendAnswer(ReplicaMessage.AppendAnswer answer, long nowNanos, ReplicaOutput output) {
+        @Nullable Progress member = heard(answer.sender(), answer.round(), nowNanos);
+        if (member == null) {
+            // The host lost its disk: it answers what was sent to its old identity.
+            addLearner(answer.sender(), nowNanos, output);
+        } else if (answer.accepted()) {
+            member.matched(answer.matchIndex());
+            advanceCommit(output);
+            sendNews(output);
+        } else if (member.refused(answer.matchIndex())) {
+            send(answer.sender(), member, output);
+        }
+    }
+
+    void onSnapshotAnswer(ReplicaMessage.SnapshotAnswer answer, long nowNanos, ReplicaOutput output) {
+        @Nullable Progress member = heard(answer.sender(), answer.round(), nowNanos);
+        if (member != null && answer.lastIndex() == state.log().snapshot().lastIndex()) {
+            member.snapshotReceived(answer.lastIndex(), answer.received());
+            send(answer.sender(), member, output);
+        }
+    }
+
+    /** Commits what a majority has synced. Entries of earlier terms are committed by one of this term only. */
+    void advanceCommit(ReplicaOutput output) {
+        long agreed = state.configuration().agreedValue(this::matchIndex);
+        if (agreed > state.commitIndex() && state.log().term(agreed) == state.term()) {
+            state.commitUpTo(agreed);
+            sendNews(output);
+        }
+        confirmChange(output);
+    }
+
+    /**
+     * Appends the second entry of a committed change once the added voter has synced the first. So when the second is
+     * committed, every voter knows that it votes, and the group survives the loss of another disk.
+     */
+    private void confirmChange(ReplicaOutput output) {
+        VoterConfiguration current = state.configuration();
+        if (complete()
+                && current.changeIndex() <= state.commitIndex()
+                && !state.log().confirmed()
+                && state.log().addedByNewestChange().stream()
+                        .allMatch(voter -> matchIndex(voter) >= current.changeIndex())) {
+            append(new Command.ChangeVoters(current.voters()));
+            sendNews(output);
+        }
+    }
+
+    private long append(Command command) {
+        long index = state.log().lastIndex() + 1;
+        state.append(ReplicaEntry.of(index, state.term(), command));
+        return index;
+    }
+
+    /** Returns the most caught-up other voter if it has the whole log. */
+    Optional<VoterId> successor() {
+        return state.configuration().voters().stream()
+                .filter(voter -> !voter.equals(state.self()))
+                .filter(voter -> matchIndex(voter) == state.log().lastIndex())
+                .max(java.util.Comparator.comparingLong(voter -> leaseNanos(voter)));
+    }
+
+    private long leaseNanos(VoterId voter) {
+        @Nullable Progress member = progress.get(voter);
+        return member == null ? Long.MIN_VALUE : member.leaseNanos();
+    }
+
+    private long matchIndex(VoterId voter) {
+        if (voter.equals(state.self())) {
+            return state.writes().syncedIndex();
+        }
+        @Nullable Progress member = progress.get(voter);
+        return member == null ? 0 : member.match();
+    }
+
+    private boolean caughtUp(VoterId voter) {
+        return voter.hasDisk() && matchIndex(voter) >= state.commitIndex();
+    }
+
+    private Optional<ProposalRefusal> refusal(Command command) {
+        if (state.resigned()) {
+            return Optional.of(ProposalRefusal.RESIGNING);
+        }
+        return command instanceof Command.ChangeVoters change ? changeRefusal(change.voters()) : Optional.empty();
+    }
+
+    private Optional<ProposalRefusal> changeRefusal(Set<VoterId> next) {
+        VoterConfiguration current = state.configuration();
+        Set<VoterId> added = new HashSet<>(next);
+        added.removeAll(current.voters());
+        Set<VoterId> removed = new HashSet<>(current.voters());
+        removed.removeAll(next);
+        // A change that removes the voter added last need not wait for it: that voter may be lost already.
+        boolean waits = !state.log().confirmed()
+                && state.log().addedByNewestChange().stream().noneMatch(removed::contains);
+        if (!complete()) {
+            return Optional.of(ProposalRefusal.TERM_NOT_COMMITTED);
+        } else if (current.changeIndex() > state.commitIndex() || waits) {
+            return Optional.of(ProposalRefusal.CHANGE_IN_PROGRESS);
+        } else if (next.isEmpty() || added.size() > 1 || removed.size() > 1) {
+            return Optional.of(ProposalRefusal.CHANGE_TOO_LARGE);
+        } else if (!added.stream().allMatch(this::caughtUp)) {
+            return Optional.of(ProposalRefusal.NOT_CAUGHT_UP);
+        }
+        return Optional.empty();
+    }
+
+    private @Nullable Progress heard(VoterId sender, long answeredRound, long nowNanos) {
+        @Nullable Progress member = progress.get(sender);
+        if (member != null) {
+            member.heard(nowNanos);
+            @Nullable Long sendNanos = roundSendNanos.get(answeredRound);
+            if (sendNanos != null) {
+                member.answeredRound(sendNanos);
+            }
+        }
+        return member;
+    }
+
+    private void beginRound(long nowNanos, ReplicaOutput output) {
+        round++;
+        lastRoundNanos = nowNanos;
+        roundSendNanos.put(round, nowNanos);
+        roundSendNanos
+                .values()
+                .removeIf(sent -> nowNanos - sent > state.options().leaseNanos());
+        for (VoterId voter : state.configuration().members()) {
+            // An earlier identity of this host cannot answer any more.
+            if (!voter.host().equals(state.self().host())) {
+                progress.computeIfAbsent(
+                        voter, absent -> Progress.create(state.log().lastIndex() + 1, nowNanos));
+            }
+        }
+        progress.forEach((voter, member) -> send(voter, member, output));
+    }
+
+    private void sendNews(ReplicaOutput output) {
+        progress.forEach((voter, member) -> {
+            boolean news = member.next() <= state.log().lastIndex() || member.sentCommit() < state.commitIndex();
+            if (news && !member.outstanding()) {
+                send(voter, member, output);
+            }
+        });
+    }
+
+    private void send(VoterId member, Progress known, ReplicaOutput output) {
+        // The founding entry must be on disk first: a founder that crashes before may found anew in the same term.
+        if (state.writes().syncedIndex() < 1) {
+            return;
+        }
+        ReplicaLog log = state.log();
+        long previous = known.next() - 1;
+        long previousTerm = log.term(previous);
+        if (previousTerm == ReplicaLog.UNKNOWN_TERM) {
+            ReplicaSnapshot snapshot = log.snapshot();
+            output.send(
+                    member.host(),
+                    SnapshotChunks.cut(
+                            snapshot,
+                            known.snapshotOffset(snapshot.lastIndex()),
+                            state.term(),
+                            state.self(),
+                            round,
+                            state.options().messageBytes()));
+            known.sent(true, state.commitIndex());
+            return;
+        }
+        ReplicaMessage.AppendRequest request = new ReplicaMessage.AppendRequest(
+                state.term(),
+                state.self(),
+                previous,
+                previousTerm,
+                log.slice(known.next(), log.lastIndex(), state.options().messageBytes()),
+                state.commitIndex(),
+                round);
+        output.send(member.host(), request);
+        known.sent(!request.entries().isEmpty(), state.commitIndex());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/MessageSizes.java
@@ -0,0 +1,63 @@
+package org.plantainwharf.consensus;
+
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.sheet.Sheet;
+
+/** Estimates encoded sizes, so that messages stay below the frame limit. Stateless. */
+final class MessageSizes {
+    private static final int FIXED = 256;
+    private static final int SHEET_ROW = 128;
+
+    private MessageSizes() {}
+
+    /** Returns an estimate in bytes. */
+    static int of(Command command) {
+        return FIXED
+                + switch (command) {
+                    case Command.ApplySheet apply -> of(apply.sheet());
+                    case Command.RecordOutcome outcome -> outcome.answer().length();
+                    case Command.AcceptWork work -> work.content().length();
+                    case Command.CompleteWork work -> work.answer().length();
+                    case Command.ChangeVoters change -> change.voters().size() * SHEET_ROW;
+                    case Command.NoOperation none -> 0;
+                    case Command.TakeFencingNumber take -> 0;
+                    case Command.ReportCrash report -> 0;
+                    case Command.RecordHostStart start -> 0;
+                    case Command.FinishHostStart finish -> 0;
+                    case Command.RecordIntent intent -> 0;
+                    case Command.ReleaseIntent release -> 0;
+                    case Command.MarkOwnerLost mark -> 0;
+                    case Command.AssignWork assign -> 0;
+                    case Command.Expire expire -> 0;
+                };
+    }
+
+    /** Returns an estimate in bytes. */
+    static int of(StateRecord record) {
+        return FIXED
+                + switch (record) {
+                    case StateRecord.SheetInForce sheet -> of(sheet.sheet());
+                    case StateRecord.Crashes crashes -> crashes.reportIds().size() * SHEET_ROW;
+                    case StateRecord.Order order ->
+                        order.state() instanceof StateRecord.OrderState.Finished finished
+                                ? finished.answer().length()
+                                : 0;
+                    case StateRecord.Work work ->
+                        work.content().length()
+                                + (work.state() instanceof StateRecord.WorkState.Finished finished
+                                        ? finished.answer().length()
+                                        : 0);
+                    case StateRecord.Fencing fencing -> 0;
+                    case StateRecord.HostStart start -> 0;
+                };
+    }
+
+    private static int of(Sheet sheet) {
+        return SHEET_ROW
+                * (sheet.accounts().size()
+                        + sheet.ranks().size()
+                        + sheet.routes().size()
+                        + sheet.budgets().size());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaLog.java
@@ -0,0 +1,188 @@
+package org.plantainwharf.consensus;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.plantainwharf.message.ReplicaEntry;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.VoterId;
+
+/**
+ * The entries that a replica holds in memory, with its newest snapshot. Entries are contiguous from the one after the
+ * base; of the base only index and term are known. Owned by one replica.
+ */
+final class ReplicaLog {
+    /** Term of an index that this log does not hold. */
+    static final long UNKNOWN_TERM = -1;
+
+    private final List<ReplicaEntry> entries = new ArrayList<>();
+    private final List<VoterPoint> points = new ArrayList<>();
+    private ReplicaSnapshot snapshot;
+    private long baseIndex;
+    private long baseTerm;
+
+    /** The voters from one index on. */
+    private record VoterPoint(long index, Set<VoterId> voters) {}
+
+    private ReplicaLog(ReplicaSnapshot snapshot) {
+        this.snapshot = snapshot;
+        this.baseIndex = snapshot.lastIndex();
+        this.baseTerm = snapshot.lastTerm();
+        if (snapshot.lastIndex() > 0) {
+            points.add(new VoterPoint(snapshot.lastIndex(), Set.copyOf(snapshot.voters())));
+        }
+    }
+
+    /** Returns the log that a disk held. */
+    static ReplicaLog recover(RecoveredGroup recovered) {
+        ReplicaLog log = new ReplicaLog(recovered.snapshot());
+        List<ReplicaEntry> rest = recovered.entries();
+        if (!rest.isEmpty() && rest.getFirst().index() <= log.baseIndex) {
+            log.baseIndex = rest.getFirst().index();
+            log.baseTerm = rest.getFirst().term();
+            rest = rest.subList(1, rest.size());
+        }
+        rest.forEach(log::append);
+        return log;
+    }
+
+    ReplicaSnapshot snapshot() {
+        return snapshot;
+    }
+
+    /** Returns the index before the first entry held; it and everything before it is committed. */
+    long baseIndex() {
+        return baseIndex;
+    }
+
+    long lastIndex() {
+        return baseIndex + entries.size();
+    }
+
+    long lastTerm() {
+        return entries.isEmpty() ? baseTerm : entries.getLast().term();
+    }
+
+    /** Returns the term of an index, or {@link #UNKNOWN_TERM}. */
+    long term(long index) {
+        if (index == baseIndex) {
+            return baseTerm;
+        }
+        return index > baseIndex && index <= lastIndex() ? entry(index).term() : UNKNOWN_TERM;
+    }
+
+    ReplicaEntry entry(long index) {
+        return entries.get((int) (index - baseIndex - 1));
+    }
+
+    /** Returns entries from one index to another, both included, up to a size but at least one. */
+    List<ReplicaEntry> slice(long from, long to, int maximumBytes) {
+        List<ReplicaEntry> slice = new ArrayList<>();
+        int bytes = 0;
+        for (long index = from; index <= to; index++) {
+            ReplicaEntry entry = entry(index);
+            bytes += MessageSizes.of(entry.command());
+            if (!slice.isEmpty() && bytes > maximumBytes) {
+                break;
+            }
+            slice.add(entry);
+        }
+        return slice;
+    }
+
+    void append(ReplicaEntry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalStateException("entry " + entry.index() + " does not follow " + lastIndex());
+        }
+        entries.add(entry);
+        if (entry.command() instanceof Command.ChangeVoters change && entry.index() > snapshot.lastIndex()) {
+            points.add(new VoterPoint(entry.index(), change.voters()));
+        }
+    }
+
+    /** Drops entries from an index on. */
+    void truncateFrom(long index) {
+        entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+        points.removeIf(point -> point.index() >= index);
+    }
+
+    /** Keeps a snapshot of applied entries and drops those before {@code keepFrom}. */
+    void compact(ReplicaSnapshot taken, long keepFrom) {
+        long newBase = Math.max(baseIndex, keepFrom - 1);
+        long newBaseTerm = term(newBase);
+        entries.subList(0, (int) (newBase - baseIndex)).clear();
+        baseIndex = newBase;
+        baseTerm = newBaseTerm;
+        replaceSnapshot(taken);
+    }
+
+    /** Replaces the log up to a snapshot's last index. Entries after it stay if the log agrees with the snapshot. */
+    void install(ReplicaSnapshot installed) {
+        if (term(installed.lastIndex()) == installed.lastTerm()) {
+            entries.subList(0, (int) (installed.lastIndex() - baseIndex)).clear();
+        } else {
+            entries.clear();
+            points.clear();
+        }
+        baseIndex = installed.lastIndex();
+        baseTerm = installed.lastTerm();
+        replaceSnapshot(installed);
+    }
+
+    /** Returns the voters at an index that is committed. */
+    List<VoterId> votersAt(long index) {
+        Set<VoterId> voters = Set.of();
+        for (VoterPoint point : points) {
+            if (point.index() <= index) {
+                voters = point.voters();
+            }
+        }
+        return List.copyOf(voters);
+    }
+
+    /** Returns whose agreement is needed, given what is known to be committed. */
+    VoterConfiguration configuration(long commitIndex) {
+        if (points.isEmpty()) {
+            return VoterConfiguration.none();
+        }
+        VoterPoint newest = points.getLast();
+        Set<VoterId> previous = points.size() > 1 && newest.index() > commitIndex
+                ? points.get(points.size() - 2).voters()
+                : Set.of();
+        return new VoterConfiguration(newest.voters(), previous, newest.index());
+    }
+
+    /** Says whether the newest change is confirmed by a second entry with the same voters, or needs none. */
+    boolean confirmed() {
+        return points.size() < 2
+                || points.getLast()
+                        .voters()
+                        .equals(points.get(points.size() - 2).voters());
+    }
+
+    /** Returns the identities that the newest change added, as far as the log still shows it. */
+    Set<VoterId> addedByNewestChange() {
+        for (VoterPoint point : points.reversed()) {
+            if (!point.voters().equals(points.getLast().voters())) {
+                Set<VoterId> added = new HashSet<>(points.getLast().voters());
+                added.removeAll(point.voters());
+                return added;
+            }
+        }
+        return Set.of();
+    }
+
+    private void replaceSnapshot(ReplicaSnapshot next) {
+        snapshot = next;
+        // The newest change inside the snapshot stays with its confirmation and what was before: it tells what was
+        // added.
+        while (points.size() > 3 && points.get(3).index() <= next.lastIndex()) {
+            points.removeFirst();
+        }
+        if (points.isEmpty()) {
+            points.add(new VoterPoint(next.lastIndex(), Set.copyOf(next.voters())));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaOptions.java
@@ -0,0 +1,56 @@
+package org.plantainwharf.consensus;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Periods, in nanoseconds, and sizes of the protocol. Immutable.
+ *
+ * @param heartbeatNanos time between heartbeat rounds of a leader
+ * @param leaseNanos validity of a lease from the send time of its round
+ * @param refusalNanos time after hearing a leader during which votes are refused; must exceed the lease by the drift of
+ *     two clocks
+ * @param electionMinimumNanos shortest time without a leader before an election
+ * @param electionMaximumNanos longest such time
+ * @param tailEntries entries kept before a snapshot, so that a follower that lags a little needs no snapshot
+ * @param messageBytes estimated bytes of entries or records in one message; a frame may have 4 MiB
+ * @param renewNanos period at which a learner repeats its request
+ * @param silenceNanos silence after which a learner changes its source
+ */
+public record ReplicaOptions(
+        long heartbeatNanos,
+        long leaseNanos,
+        long refusalNanos,
+        long electionMinimumNanos,
+        long electionMaximumNanos,
+        int tailEntries,
+        int messageBytes,
+        long renewNanos,
+        long silenceNanos) {
+    /** Returns the values of the design. */
+    public static ReplicaOptions defaults() {
+        return new ReplicaOptions(
+                TimeUnit.MILLISECONDS.toNanos(200),
+                TimeUnit.MILLISECONDS.toNanos(900),
+                TimeUnit.MILLISECONDS.toNanos(1_000),
+                TimeUnit.MILLISECONDS.toNanos(1_000),
+                TimeUnit.MILLISECONDS.toNanos(2_000),
+                64,
+                1 << 20,
+                TimeUnit.MILLISECONDS.toNanos(1_000),
+                TimeUnit.MILLISECONDS.toNanos(2_500));
+    }
+
+    /** Returns these options with another renewal period, to compare and to test. */
+    public ReplicaOptions withRenewNanos(long nanos) {
+        return new ReplicaOptions(
+                heartbeatNanos,
+                leaseNanos,
+                refusalNanos,
+                electionMinimumNanos,
+                electionMaximumNanos,
+                tailEntries,
+                messageBytes,
+                nanos,
+                silenceNanos);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaState.java
@@ -0,0 +1,181 @@
+package org.plantainwharf.consensus;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.ReplicaEntry;
+import org.plantainwharf.replicated.VoterId;
+
+/** State that a replica keeps in every role. Owned by one replica. */
+final class ReplicaState {
+    private final int group;
+    private final VoterId self;
+    private final List<HostId> founders;
+    private final ReplicaOptions options;
+    private final ReplicaLog log;
+    private final WriteQueue writes;
+    private final RandomGenerator random;
+    private long commitIndex;
+    private long handedOutIndex;
+    private long lastHeardNanos;
+    private long electionDeadlineNanos;
+    private boolean resigned;
+    private @Nullable HostId leader;
+
+    private ReplicaState(
+            int group,
+            VoterId self,
+            List<HostId> founders,
+            ReplicaOptions options,
+            RecoveredGroup recovered,
+            RandomGenerator random,
+            long nowNanos) {
+        this.group = group;
+        this.self = self;
+        this.founders = List.copyOf(founders);
+        this.options = options;
+        this.log = ReplicaLog.recover(recovered);
+        this.writes = WriteQueue.recover(group, recovered, log.lastIndex());
+        this.random = random;
+        this.commitIndex = recovered.snapshot().lastIndex();
+        this.handedOutIndex = commitIndex;
+        // A restarted voter no longer knows when it heard a leader, so it refuses votes as if that were now.
+        this.lastHeardNanos = nowNanos;
+        delayElection(nowNanos);
+    }
+
+    static ReplicaState recover(
+            int group,
+            VoterId self,
+            List<HostId> founders,
+            ReplicaOptions options,
+            RecoveredGroup recovered,
+            RandomGenerator random,
+            long nowNanos) {
+        return new ReplicaState(group, self, founders, options, recovered, random, nowNanos);
+    }
+
+    int group() {
+        return group;
+    }
+
+    VoterId self() {
+        return self;
+    }
+
+    List<HostId> founders() {
+        return founders;
+    }
+
+    /** Returns the one host that may found the group. */
+    HostId founder() {
+        return founders.stream().min(Comparator.comparing(HostId::value)).orElse(self.host());
+    }
+
+    ReplicaOptions options() {
+        return options;
+    }
+
+    ReplicaLog log() {
+        return log;
+    }
+
+    WriteQueue writes() {
+        return writes;
+    }
+
+    long term() {
+        return writes.term();
+    }
+
+    long commitIndex() {
+        return commitIndex;
+    }
+
+    VoterConfiguration configuration() {
+        return log.configuration(commitIndex);
+    }
+
+    /** Says whether this replica votes and acknowledges now. */
+    boolean voting() {
+        return !writes.failed() && configuration().includes(self);
+    }
+
+    boolean resigned() {
+        return resigned;
+    }
+
+    void resign() {
+        resigned = true;
+    }
+
+    Optional<HostId> leader() {
+        return Optional.ofNullable(leader);
+    }
+
+    void forgetLeader() {
+        leader = null;
+    }
+
+    void hear(HostId newLeader, long nowNanos) {
+        leader = newLeader;
+        lastHeardNanos = nowNanos;
+        delayElection(nowNanos);
+    }
+
+    long lastHeardNanos() {
+        return lastHeardNanos;
+    }
+
+    boolean heardLeaderRecently(long nowNanos) {
+        return nowNanos - lastHeardNanos < options.refusalNanos();
+    }
+
+    void delayElection(long nowNanos) {
+        electionDeadlineNanos =
+                nowNanos + random.nextLong(options.electionMinimumNanos(), options.electionMaximumNanos());
+    }
+
+    boolean electionDue(long nowNanos) {
+        return nowNanos - electionDeadlineNanos >= 0;
+    }
+
+    /** Says whether another log holds at least what this one holds. */
+    boolean upToDate(long lastIndex, long lastTerm) {
+        return lastTerm > log.lastTerm() || lastTerm == log.lastTerm() && lastIndex >= log.lastIndex();
+    }
+
+    void append(ReplicaEntry entry) {
+        log.append(entry);
+        writes.append(entry);
+    }
+
+    void commitUpTo(long index) {
+        commitIndex = Math.max(commitIndex, index);
+    }
+
+    /** Replaces state and log by a snapshot of committed entries. */
+    void install(ReplicaSnapshot snapshot, ReplicaOutput output) {
+        log.install(snapshot);
+        writes.install(snapshot.lastIndex());
+        commitUpTo(snapshot.lastIndex());
+        handedOutIndex = snapshot.lastIndex();
+        output.install(snapshot);
+    }
+
+    /** Hands out the entries that became committed. */
+    void handOut(ReplicaOutput output) {
+        while (handedOutIndex < commitIndex) {
+            handedOutIndex++;
+            output.commit(log.entry(handedOutIndex));
+        }
+    }
+
+    long handedOutIndex() {
+        return handedOutIndex;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/SnapshotChunks.java
@@ -0,0 +1,40 @@
+package org.plantainwharf.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.plantainwharf.message.ReplicaMessage.SnapshotChunk;
+import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.replicated.VoterId;
+
+/** Cuts snapshots into messages. Stateless. */
+final class SnapshotChunks {
+    private SnapshotChunks() {}
+
+    /** Returns the chunk from an offset on, with at least one record if any is left. */
+    static SnapshotChunk cut(
+            ReplicaSnapshot snapshot, int offset, long term, VoterId sender, long round, int maximumBytes) {
+        List<StateRecord> records = new ArrayList<>();
+        int bytes = 0;
+        int end = offset;
+        while (end < snapshot.records().size()) {
+            StateRecord record = snapshot.records().get(end);
+            bytes += MessageSizes.of(record);
+            if (!records.isEmpty() && bytes > maximumBytes) {
+                break;
+            }
+            records.add(record);
+            end++;
+        }
+        return new SnapshotChunk(
+                term,
+                sender,
+                snapshot.lastIndex(),
+                snapshot.lastTerm(),
+                snapshot.voters(),
+                offset,
+                records,
+                end == snapshot.records().size(),
+                round);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/consensus/RandomSchedule.java
@@ -0,0 +1,193 @@
+package org.plantainwharf.consensus;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainwharf.bench.VirtualGroup;
+import org.plantainwharf.bench.VirtualNode;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.replicated.Command;
+
+/**
+ * Drives real replicas through faults chosen by a seed: loss, delay, duplication, reordering, partitions, crash,
+ * restart, lost disk, failed write, hand-over, clock drift up to 5%. A disk is lost only while the repair of the one
+ * before is complete: the protocol promises nothing for a second lost disk before that.
+ */
+final class RandomSchedule {
+    private static final double DRIFT = 0.05;
+    private static final int ACTIONS = 120;
+
+    private final SplittableRandom random;
+    private final ReplicaInvariants invariants = new ReplicaInvariants();
+    private final VirtualGroup group;
+    private final Fault fault;
+    /** Most proposals at once; with few of them a voter that was cut off is still up to date and may stand. */
+    private final int busy;
+
+    private long proposals;
+    private long incarnations = 100;
+
+    /** What is broken on purpose. */
+    enum Fault {
+        NONE,
+        /** Disks report writes as synced that are only begun. */
+        ACKNOWLEDGE_BEFORE_SYNC,
+        /** Voters vote at once although they hear a leader. */
+        VOTE_WHILE_LEADER_IS_HEARD,
+        /** An empty disk keeps its identity. */
+        VOTE_WITHOUT_DISK
+    }
+
+    /** A host lacks committed entries long after the last fault. */
+    static final class NotCaughtUp extends AssertionError {
+        private static final long serialVersionUID = 1;
+
+        NotCaughtUp(String text) {
+            super(text);
+        }
+    }
+
+    private RandomSchedule(long seed, Fault fault) {
+        this.random = new SplittableRandom(seed);
+        this.fault = fault;
+        this.busy = random.nextInt(3);
+        this.group = VirtualGroup.create(
+                seed,
+                random.nextBoolean() ? 5 : 3,
+                1,
+                DRIFT,
+                options(fault == Fault.VOTE_WHILE_LEADER_IS_HEARD),
+                invariants);
+        group.setSnapshotEntries(20);
+        if (fault == Fault.ACKNOWLEDGE_BEFORE_SYNC) {
+            group.reportSyncEarly();
+        }
+    }
+
+    /** Returns the product's times with a short log tail and small messages, so that snapshots go in chunks. */
+    private static ReplicaOptions options(boolean voteAtOnce) {
+        ReplicaOptions defaults = ReplicaOptions.defaults();
+        return new ReplicaOptions(
+                defaults.heartbeatNanos(),
+                defaults.leaseNanos(),
+                voteAtOnce ? 0 : defaults.refusalNanos(),
+                defaults.electionMinimumNanos(),
+                defaults.electionMaximumNanos(),
+                5,
+                600,
+                defaults.renewNanos(),
+                defaults.silenceNanos());
+    }
+
+    static RandomSchedule create(long seed, Fault fault) {
+        return new RandomSchedule(seed, fault);
+    }
+
+    /** Runs the schedule, then ends all faults and checks that everything committed is everywhere. */
+    void run() {
+        group.run(millis(6_000));
+        group.setSyncNanos(millis(1 + random.nextInt(60)));
+        for (int action = 0; action < ACTIONS; action++) {
+            act();
+            propose();
+            group.run(millis(20 + random.nextInt(600)));
+            propose();
+        }
+        group.network().heal();
+        group.network().setFaults(0, 0);
+        group.nodes().forEach(this::reboot);
+        for (int second = 0; second < 20; second++) {
+            group.run(millis(1_000));
+            propose();
+        }
+        group.run(millis(4_000));
+        for (VirtualNode node : group.nodes()) {
+            if (node.appliedIndex() < invariants.lastCommitted()) {
+                throw new NotCaughtUp(node.host() + " applied " + node.appliedIndex() + " of "
+                        + invariants.lastCommitted() + " committed entries; " + describe());
+            }
+        }
+    }
+
+    private String describe() {
+        return group.nodes().stream()
+                .map(node -> node.identity().text() + " " + node.status(group.nowNanos()) + " last index "
+                        + node.member()
+                                .map(member -> member instanceof Replica replica ? replica.lastIndex() : -1L)
+                                .orElse(-1L))
+                .toList()
+                .toString();
+    }
+
+    private void act() {
+        VirtualNode node = group.nodes().get(random.nextInt(group.nodes().size()));
+        switch (random.nextInt(12)) {
+            case 0, 1 -> group.crash(node);
+            case 2 -> group.network().isolate(node.host());
+            case 3 -> group.network().heal();
+            case 4 -> group.network().setFaults(random.nextDouble(0.3), random.nextDouble(0.3));
+            case 5 -> group.network().setDelay(millis(1), millis(2 + random.nextInt(300)));
+            case 6 -> loseDisk(node);
+            case 7 -> node.failNextWrite();
+            case 8 -> group.leader().ifPresent(leader -> group.step(leader, new ReplicaInput.Resigned()));
+            case 9 -> {
+                // Only one voter loses the leader, for longer than its election timeout.
+                group.leader().filter(leader -> leader != node).ifPresent(leader -> {
+                    group.network().cut(leader.host(), node.host());
+                    group.run(millis(2_500));
+                });
+            }
+            case 10 -> group.nodes().forEach(this::reboot);
+            default -> group.nodes().forEach(this::restart);
+        }
+        if (random.nextInt(3) == 0) {
+            restart(group.nodes().get(random.nextInt(group.nodes().size())));
+        }
+    }
+
+    private void restart(VirtualNode node) {
+        boolean stopped = node.member().isEmpty();
+        if (stopped || random.nextInt(4) == 0) {
+            reboot(node);
+        }
+    }
+
+    private void reboot(VirtualNode node) {
+        group.crash(node);
+        group.start(node);
+    }
+
+    private void loseDisk(VirtualNode node) {
+        List<HostId> intact = group.nodes().stream()
+                .filter(other -> invariants.repairedVoters().contains(other.identity()))
+                .map(VirtualNode::host)
+                .toList();
+        if (node.learner() || intact.size() < group.nodes().size() - 1) {
+            return;
+        }
+        group.crash(node);
+        if (fault == Fault.VOTE_WITHOUT_DISK) {
+            node.loseDisk(node.identity().diskIncarnation());
+        } else {
+            invariants.lose(node.identity());
+            node.loseDisk(incarnations++);
+        }
+        group.start(node);
+    }
+
+    private void propose() {
+        for (VirtualNode node : group.nodes()) {
+            if (node.member().orElse(null) instanceof Replica replica) {
+                VoterRepair.next(replica).ifPresent(change -> group.propose(node, change));
+                for (int count = random.nextInt(busy + 1); count > 0; count--) {
+                    group.propose(node, new Command.Expire(proposals++));
+                }
+            }
+        }
+    }
+
+    private static long millis(long count) {
+        return TimeUnit.MILLISECONDS.toNanos(count);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/consensus/ReplicaInvariants.java
@@ -0,0 +1,110 @@
+package org.plantainwharf.consensus;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.bench.VirtualGroup;
+import org.plantainwharf.bench.VirtualNode;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.ReplicaEntry;
+import org.plantainwharf.message.ReplicaMessage;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.VoterId;
+
+/** Checks after every step that the members of a group kept the rules of the protocol. Not thread-safe. */
+final class ReplicaInvariants implements VirtualGroup.Watcher {
+    private final TreeMap<Long, ReplicaEntry> committed = new TreeMap<>();
+    private final Map<Long, HostId> leaders = new HashMap<>();
+    private final Map<String, HostId> votes = new HashMap<>();
+    private final Set<VoterId> lost = new HashSet<>();
+
+    /** A broken rule. */
+    static final class Violation extends AssertionError {
+        private static final long serialVersionUID = 1;
+
+        Violation(String rule) {
+            super(rule);
+        }
+    }
+
+    /** Records that an identity's disk is gone. */
+    void lose(VoterId identity) {
+        lost.add(identity);
+    }
+
+    long lastCommitted() {
+        return committed.isEmpty() ? 0 : committed.lastKey();
+    }
+
+    /** Returns the voters after the newest change if its repair is complete, else nobody. */
+    Set<VoterId> repairedVoters() {
+        List<Set<VoterId>> changes = new ArrayList<>();
+        for (ReplicaEntry entry : committed.values()) {
+            if (entry.command() instanceof Command.ChangeVoters change) {
+                changes.add(change.voters());
+            }
+        }
+        boolean complete =
+                changes.size() == 1 || changes.size() > 1 && changes.getLast().equals(changes.get(changes.size() - 2));
+        return complete ? changes.getLast() : Set.of();
+    }
+
+    @Override
+    public void onSend(VirtualNode from, ReplicaOutput.Outgoing outgoing) {
+        switch (outgoing.message()) {
+            case ReplicaMessage.VoteRequest request -> vote(request.sender(), request.term(), from.host());
+            case ReplicaMessage.VoteAnswer answer -> {
+                if (answer.granted()) {
+                    vote(answer.sender(), answer.term(), outgoing.host());
+                }
+            }
+            default -> {}
+        }
+    }
+
+    private void vote(VoterId voter, long term, HostId candidate) {
+        if (lost.contains(voter)) {
+            throw new Violation("an empty disk votes as " + voter.text());
+        }
+        @Nullable HostId earlier = votes.put(voter.text() + " in term " + term, candidate);
+        if (earlier != null && !earlier.equals(candidate)) {
+            throw new Violation(voter.text() + " votes twice in term " + term);
+        }
+    }
+
+    @Override
+    public void onCommit(VirtualNode node, ReplicaEntry entry) {
+        @Nullable ReplicaEntry earlier = committed.putIfAbsent(entry.index(), entry);
+        if (earlier != null && !earlier.equals(entry)) {
+            throw new Violation("index " + entry.index() + " is committed as " + earlier + " and as " + entry);
+        }
+    }
+
+    @Override
+    public void onStep(VirtualGroup group, VirtualNode node, ReplicaOutput output) {
+        long now = group.nowNanos();
+        GroupStatus status = node.status(now).orElseThrow();
+        if (output.counts().contains("consensus.elections_won")) {
+            @Nullable HostId earlier = leaders.put(status.term(), node.host());
+            if (earlier != null && !earlier.equals(node.host())) {
+                throw new Violation("two leaders in term " + status.term());
+            }
+        }
+        if (status.holdsLease(node.localNanos(now))) {
+            for (VirtualNode other : group.nodes()) {
+                if (other != node
+                        && other.status(now)
+                                .filter(theirs -> theirs.holdsLease(other.localNanos(now)))
+                                .isPresent()) {
+                    throw new Violation("leases of " + node.host() + " and " + other.host() + " overlap");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/consensus/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the replicated log protocol. */
+@NullMarked
+package org.plantainwharf.consensus;
+
+import org.jspecify.annotations.NullMarked;
