--- a/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -17,6 +17,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.vavr.control.Either;
+import org.plantainwharf.daemon.Daemon;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.settings.SettingsProblems;
 import org.plantainwharf.settings.SettingsReader;
@@ -77,10 +78,37 @@
     private ExitCode serve(Path file) {
         return readSettings(file).fold(this::fail, settings -> {
             SettingsRules.warnings(settings).forEach(warning -> console.errors().println("warning: " + warning));
-            return fail("this build has no daemon");
+            return Daemon.start(settings).fold(failure -> fail(failure.message()), this::serveUntilStopped);
         });
     }
 
+    /** Serves until a signal or an operator asks for a stop, which ends no request early. */
+    private ExitCode serveUntilStopped(Daemon daemon) {
+        Thread hook = new Thread(() -> stopOnSignal(daemon), "stop-on-signal");
+        Runtime.getRuntime().addShutdownHook(hook);
+        try {
+            daemon.awaitStop();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return fail("interrupted while serving");
+        }
+        return ExitCode.OK;
+    }
+
+    private static void stopOnSignal(Daemon daemon) {
+        if (daemon.isStopped()) {
+            return;
+        }
+        daemon.drain();
+        try {
+            daemon.awaitClosed();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        // A graceful stop is a success, while the virtual machine would report the signal.
+        Runtime.getRuntime().halt(0);
+    }
+
     private ExitCode settingsCheck(List<Path> files) {
         ExitCode exitCode = ExitCode.OK;
         Map<String, Settings> settingsByFile = new LinkedHashMap<>();
--- a/src/main/java/org/plantainwharf/consensus/MessageSizes.java
+++ b/src/main/java/org/plantainwharf/consensus/MessageSizes.java
@@ -27,8 +27,10 @@
                     case Command.FinishHostStart finish -> 0;
                     case Command.RecordIntent intent -> 0;
                     case Command.ReleaseIntent release -> 0;
+                    case Command.LoseOutcome lose -> 0;
                     case Command.MarkOwnerLost mark -> 0;
                     case Command.AssignWork assign -> 0;
+                    case Command.ReturnWork giveBack -> 0;
                     case Command.Expire expire -> 0;
                 };
     }
@@ -48,6 +50,7 @@
                                 + (work.state() instanceof StateRecord.WorkState.Finished finished
                                         ? finished.answer().length()
                                         : 0);
+                    case StateRecord.AcceptedSheet accepted -> 0;
                     case StateRecord.Fencing fencing -> 0;
                     case StateRecord.HostStart start -> 0;
                 };
--- /dev/null
+++ b/src/main/java/org/plantainwharf/daemon/Daemon.java
@@ -0,0 +1,245 @@
+package org.plantainwharf.daemon;
+
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import org.plantainwharf.admission.AdmissionController;
+import org.plantainwharf.backend.BackendClient;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.codec.PeerMessageCodec;
+import org.plantainwharf.codec.ProtobufRecordCodec;
+import org.plantainwharf.configuration.ConfigurationController;
+import org.plantainwharf.consensus.ConsensusController;
+import org.plantainwharf.consensus.ReplicaOptions;
+import org.plantainwharf.control.Clock;
+import org.plantainwharf.control.ControlCycle;
+import org.plantainwharf.control.ControlThread;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.control.EffectExecutor;
+import org.plantainwharf.drain.DrainController;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.front.CallerFront;
+import org.plantainwharf.front.OperatorFront;
+import org.plantainwharf.limit.LimitController;
+import org.plantainwharf.log.EventLog;
+import org.plantainwharf.membership.MembershipController;
+import org.plantainwharf.metric.Counters;
+import org.plantainwharf.quarantine.QuarantineController;
+import org.plantainwharf.record.IntakeController;
+import org.plantainwharf.record.OrderController;
+import org.plantainwharf.record.OwnershipController;
+import org.plantainwharf.record.WorkController;
+import org.plantainwharf.retry.AttemptController;
+import org.plantainwharf.routing.RoutingController;
+import org.plantainwharf.server.ServerController;
+import org.plantainwharf.settings.Settings;
+import org.plantainwharf.sheet.Sheet;
+import org.plantainwharf.sheet.csv.SheetParser;
+import org.plantainwharf.storage.StorageWriter;
+import org.plantainwharf.transport.PeerNetwork;
+
+/**
+ * One running daemon. Thread-safe.
+ *
+ * <p>Invariant: the control thread starts after every part it sends effects to, and stops before them.
+ */
+public final class Daemon implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(FluentLogger.forEnclosingClass());
+
+    /** Time for answers that are already written to reach their callers. */
+    private static final Duration FLUSH_LIMIT = Duration.ofSeconds(10);
+
+    private static final long FLUSH_POLL_MILLIS = 20;
+
+    private final Settings settings;
+    private final Parts parts;
+    private final CountDownLatch drained;
+    private final CountDownLatch closed = new CountDownLatch(1);
+
+    /** The threads and connections of a daemon. */
+    private record Parts(
+            ControlThread control,
+            CallerFront callers,
+            OperatorFront operators,
+            BackendClient backends,
+            PeerNetwork peers,
+            Optional<StorageWriter> storage) {}
+
+    private Daemon(Settings settings, Parts parts, CountDownLatch drained) {
+        this.settings = settings;
+        this.parts = parts;
+        this.drained = drained;
+    }
+
+    /** Starts a daemon, or says why it cannot start: a corrupt log, an unusable folder or an occupied address. */
+    public static Either<Failure, Daemon> start(Settings settings) {
+        EventRelay events = EventRelay.create();
+        if (settings.dataFolder().isEmpty()) {
+            return start(settings, events, Optional.empty());
+        }
+        return StorageWriter.open(Path.of(settings.dataFolder().get()), ProtobufRecordCodec.create(), events)
+                .flatMap(writer -> start(settings, events, Optional.of(writer)));
+    }
+
+    private static Either<Failure, Daemon> start(
+            Settings settings, EventRelay events, Optional<StorageWriter> storage) {
+        Clock clock = Clock.system();
+        SecureRandom random = new SecureRandom();
+        long incarnation = random.nextLong(1, Long.MAX_VALUE);
+        MetricRegistry metrics = new MetricRegistry();
+        Board board = Board.create(settings, incarnation, random.nextLong());
+        ConsensusController consensus = ConsensusController.create(
+                settings,
+                storage.map(StorageWriter::diskIncarnation).orElse(0L),
+                group -> storage.orElseThrow().recover(group),
+                group -> group == 0
+                        ? board.configuration().state()
+                        : board.records().state(group),
+                ReplicaOptions.defaults(),
+                new SplittableRandom(random.nextLong()),
+                clock.nowNanos());
+        ControlCycle cycle = ControlCycle.create(board, controllers(consensus));
+        CountDownLatch drained = new CountDownLatch(1);
+        AtomicReference<EffectExecutor> dispatcher = new AtomicReference<>(effect -> {});
+        ControlThread control = ControlThread.create(
+                cycle,
+                clock,
+                effect -> dispatcher.get().execute(effect),
+                settings.bounds().eventQueueCapacity());
+        CallerFront callers = CallerFront.create(settings, clock, control::view, control, metrics);
+        OperatorFront operators = OperatorFront.create(
+                settings,
+                control::view,
+                () -> StatusReport.write(control.status(), metrics),
+                Daemon::parseSheet,
+                control,
+                metrics);
+        BackendClient backends = BackendClient.create(settings, clock, control, callers, metrics);
+        PeerNetwork peers = PeerNetwork.create(settings, incarnation, PeerMessageCodec.create(), control, metrics);
+        dispatcher.set(EffectDispatcher.create(
+                callers, operators, backends, peers, storage, Counters.create(metrics), drained::countDown));
+        events.connect(control);
+        Parts parts = new Parts(control, callers, operators, backends, peers, storage);
+        Daemon daemon = new Daemon(settings, parts, drained);
+        return daemon.listen().map(none -> daemon);
+    }
+
+    private static List<Controller> controllers(ConsensusController consensus) {
+        List<Controller> controllers = new ArrayList<>();
+        controllers.add(MembershipController.create());
+        controllers.add(ServerController.create());
+        controllers.add(consensus);
+        controllers.add(ConfigurationController.create());
+        controllers.add(DrainController.create());
+        controllers.add(LimitController.create());
+        controllers.add(QuarantineController.create());
+        controllers.add(AdmissionController.create());
+        controllers.add(IntakeController.create());
+        controllers.add(OrderController.create());
+        controllers.add(WorkController.create());
+        controllers.add(OwnershipController.create());
+        controllers.add(AttemptController.create());
+        controllers.add(RoutingController.create());
+        return controllers;
+    }
+
+    private static Either<Failure, Sheet> parseSheet(byte[] bytes) {
+        return SheetParser.parse(bytes).mapLeft(problems -> Failure.of(ErrorKind.SHEET_INVALID, problems.text()));
+    }
+
+    private Either<Failure, Integer> listen() {
+        try {
+            parts.operators().start();
+            parts.callers().start();
+        } catch (IllegalStateException e) {
+            close();
+            return Either.left(Failure.of(ErrorKind.SETTINGS_INVALID, e.getMessage()));
+        }
+        parts.control().start();
+        Either<Failure, Integer> listening = parts.peers().start();
+        if (listening.isLeft()) {
+            close();
+        } else {
+            LOG.info(
+                    "daemon_started",
+                    "host",
+                    settings.host(),
+                    "zone",
+                    settings.zone(),
+                    "callers",
+                    parts.callers().port(),
+                    "operators",
+                    parts.operators().port(),
+                    "peers",
+                    parts.peers().port());
+        }
+        return listening;
+    }
+
+    /** Returns the port for callers. */
+    public int callerPort() {
+        return parts.callers().port();
+    }
+
+    /** Returns the port for operators and backend servers. */
+    public int operatorPort() {
+        return parts.operators().port();
+    }
+
+    /** Starts a graceful stop; {@link #awaitStop} returns once it is done. */
+    public void drain() {
+        parts.control().post(new OperatorEvent.DrainRequested(0));
+    }
+
+    /** Waits until a graceful stop is done, flushes answers and closes every part. */
+    public void awaitStop() throws InterruptedException {
+        drained.await();
+        long deadline = System.nanoTime() + FLUSH_LIMIT.toNanos();
+        while (parts.callers().openExchanges() > 0 && System.nanoTime() - deadline < 0) {
+            TimeUnit.MILLISECONDS.sleep(FLUSH_POLL_MILLIS);
+        }
+        close();
+    }
+
+    /** Says whether every part is closed. */
+    public boolean isStopped() {
+        return closed.getCount() == 0;
+    }
+
+    /** Waits until every part is closed. */
+    public void awaitClosed() throws InterruptedException {
+        closed.await();
+    }
+
+    /** Closes every part at once, without a graceful stop. */
+    @Override
+    public void close() {
+        try {
+            parts.control().stop();
+            parts.callers().stop();
+            parts.operators().stop();
+            parts.backends().close();
+            parts.peers().close();
+            if (parts.storage().isPresent()) {
+                parts.storage().get().close();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LOG.info("daemon_stopped", "host", settings.host());
+        closed.countDown();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/daemon/EffectDispatcher.java
@@ -0,0 +1,111 @@
+package org.plantainwharf.daemon;
+
+import java.util.Optional;
+
+import com.google.common.flogger.FluentLogger;
+import org.plantainwharf.backend.BackendClient;
+import org.plantainwharf.control.EffectExecutor;
+import org.plantainwharf.effect.AlarmEffect;
+import org.plantainwharf.effect.AttemptEffect;
+import org.plantainwharf.effect.CallEffect;
+import org.plantainwharf.effect.CountEffect;
+import org.plantainwharf.effect.Effect;
+import org.plantainwharf.effect.OperatorEffect;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.effect.PlatformEffect;
+import org.plantainwharf.effect.ProcessEffect;
+import org.plantainwharf.effect.ServerEffect;
+import org.plantainwharf.effect.StorageEffect;
+import org.plantainwharf.front.CallerFront;
+import org.plantainwharf.front.OperatorFront;
+import org.plantainwharf.log.EventLog;
+import org.plantainwharf.metric.Counters;
+import org.plantainwharf.storage.StorageWriter;
+import org.plantainwharf.transport.PeerNetwork;
+
+/**
+ * Hands each effect to the part that carries it out. Called on the control thread; every part returns at once.
+ */
+final class EffectDispatcher implements EffectExecutor {
+    private static final EventLog LOG = EventLog.of(FluentLogger.forEnclosingClass());
+
+    private final CallerFront callers;
+    private final OperatorFront operators;
+    private final BackendClient backends;
+    private final PeerNetwork peers;
+    private final Optional<StorageWriter> storage;
+    private final Counters counters;
+    private final Runnable exit;
+
+    private EffectDispatcher(
+            CallerFront callers,
+            OperatorFront operators,
+            BackendClient backends,
+            PeerNetwork peers,
+            Optional<StorageWriter> storage,
+            Counters counters,
+            Runnable exit) {
+        this.callers = callers;
+        this.operators = operators;
+        this.backends = backends;
+        this.peers = peers;
+        this.storage = storage;
+        this.counters = counters;
+        this.exit = exit;
+    }
+
+    /** Returns a dispatcher; {@code exit} must return at once. */
+    static EffectDispatcher create(
+            CallerFront callers,
+            OperatorFront operators,
+            BackendClient backends,
+            PeerNetwork peers,
+            Optional<StorageWriter> storage,
+            Counters counters,
+            Runnable exit) {
+        return new EffectDispatcher(callers, operators, backends, peers, storage, counters, exit);
+    }
+
+    @Override
+    public void execute(Effect effect) {
+        switch (effect) {
+            case CallEffect call -> callers.execute(call);
+            case AttemptEffect attempt -> backends.execute(attempt);
+            case PeerEffect peer -> peers.execute(peer);
+            case ServerEffect.AnswerAnnouncement answer -> operators.execute(answer);
+            case ServerEffect server -> backends.execute(server);
+            case StorageEffect write -> storage.ifPresent(writer -> writer.execute(write));
+            case OperatorEffect operator -> operators.execute(operator);
+            case PlatformEffect platform -> executePlatform(platform);
+            case AlarmEffect alarm -> executeAlarm(alarm);
+            case CountEffect count -> counters.execute(count);
+            case ProcessEffect.ExitGracefully graceful -> exit.run();
+        }
+    }
+
+    /** No platform interface is configured today, so orders to it are only logged. */
+    private void executePlatform(PlatformEffect effect) {
+        switch (effect) {
+            case PlatformEffect.StartHost start ->
+                LOG.info(
+                        "host_start_wanted",
+                        "token",
+                        start.token(),
+                        "zone",
+                        start.zone(),
+                        "hostClass",
+                        start.hostClass());
+            case PlatformEffect.StopHost stop -> LOG.info("host_stop_wanted", "host", stop.platformHost());
+        }
+    }
+
+    private void executeAlarm(AlarmEffect effect) {
+        switch (effect) {
+            case AlarmEffect.RaiseAlarm raise -> {
+                counters.execute(CountEffect.one("alarms.raised"));
+                LOG.warning("alarm_raised", "promise", raise.promise(), "text", raise.text());
+            }
+            case AlarmEffect.ClearAlarm clear -> LOG.info("alarm_cleared", "promise", clear.promise());
+        }
+    }
+}
