Add the consensus controller and the storage writer

Controllers ask for commits and reads by events; the consensus controller runs the replicas, applies committed entries to the state machines, and carries requests to the leader with resends under the same id and a limit of 2 s.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusController.java
@@ -0,0 +1,236 @@
+package org.plantainwharf.consensus;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.IntFunction;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.message.ReplicaMessage;
+import org.plantainwharf.replicated.QueryResult;
+import org.plantainwharf.replicated.StateMachine;
+import org.plantainwharf.replicated.VoterId;
+import org.plantainwharf.settings.Settings;
+
+/**
+ * Runs this host's members of all replicated logs, applies what is committed, and carries proposals and reads to the
+ * leaders. Writes {@code ConsensusSection} only. A host whose data folder or voter setting is missing is a learner of
+ * group 0 and keeps track of the leaders of the others.
+ */
+public final class ConsensusController implements Controller {
+    private final Map<Integer, GroupDriver> drivers;
+    private final RequestDesk desk;
+    private boolean started;
+    private boolean resigned;
+
+    private ConsensusController(Map<Integer, GroupDriver> drivers, List<HostId> voters) {
+        this.drivers = drivers;
+        this.desk = RequestDesk.create(drivers, voters);
+    }
+
+    /**
+     * Returns a controller for groups 0 to {@code settings.recordGroups()}.
+     *
+     * @param diskIncarnation identity of this host's disk, 0 without one
+     * @param recovered what the disk holds of each group; not called without a disk
+     * @param machines gives each group's empty state machine
+     * @param random source of election timeouts
+     */
+    public static ConsensusController create(
+            Settings settings,
+            long diskIncarnation,
+            IntFunction<RecoveredGroup> recovered,
+            IntFunction<StateMachine> machines,
+            ReplicaOptions options,
+            RandomGenerator random,
+            long nowNanos) {
+        List<HostId> voters = settings.hosts().stream()
+                .filter(Settings.HostEntry::voter)
+                .map(Settings.HostEntry::host)
+                .toList();
+        boolean voter = diskIncarnation != 0 && voters.contains(settings.host());
+        VoterId self = VoterId.of(settings.host(), voter ? diskIncarnation : 0);
+        Map<Integer, GroupDriver> drivers = new TreeMap<>();
+        for (int group = 0; group <= settings.recordGroups(); group++) {
+            if (voter) {
+                RecoveredGroup content = recovered.apply(group);
+                StateMachine machine = machines.apply(group);
+                if (content.snapshot().lastIndex() > 0) {
+                    machine.restore(content.snapshot().records());
+                }
+                Replica replica = Replica.recover(group, self, voters, options, content, random, nowNanos);
+                drivers.put(
+                        group,
+                        GroupDriver.create(
+                                group, replica, machine, content.snapshot().lastIndex()));
+            } else if (group == 0) {
+                Learner learner = Learner.create(group, self, voters, options, nowNanos);
+                drivers.put(group, GroupDriver.create(group, learner, machines.apply(group), 0));
+            } else {
+                Learner learner = Learner.ofStatus(group, self, voters, options, nowNanos);
+                drivers.put(group, GroupDriver.create(group, learner, null, 0));
+            }
+        }
+        return new ConsensusController(drivers, voters);
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        if (!started) {
+            started = true;
+            drivers.values().forEach(driver -> driver.announceRestored(effects));
+        }
+        switch (event) {
+            case PeerEvent peer -> onPeer(peer, board, nowNanos, effects);
+            case StorageEvent storage -> onStorage(storage, board, nowNanos, effects);
+            case ReplicationEvent replication -> onReplication(replication, board, nowNanos, effects);
+            case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
+            case CallEvent call -> {}
+            case AttemptEvent attempt -> {}
+            case ServerEvent server -> {}
+            case OperatorEvent operator -> {}
+            case PlatformEvent platform -> {}
+        }
+    }
+
+    private void onTick(Board board, long nowNanos, Effects effects) {
+        if (board.drain().refusesCalls() && !resigned) {
+            resigned = true;
+            stepAll(new ReplicaInput.Resigned(), board, nowNanos, effects);
+        }
+        stepAll(new ReplicaInput.Ticked(), board, nowNanos, effects);
+        drivers.values().forEach(driver -> driver.repairVoters(board, nowNanos, effects));
+        desk.tick(board, nowNanos, effects);
+    }
+
+    private void stepAll(ReplicaInput input, Board board, long nowNanos, Effects effects) {
+        drivers.values().forEach(driver -> driver.step(input, board, nowNanos, effects));
+    }
+
+    private void onStorage(StorageEvent event, Board board, long nowNanos, Effects effects) {
+        @Nullable GroupDriver driver = drivers.get(event.group());
+        if (driver == null) {
+            return;
+        }
+        ReplicaInput input =
+                switch (event) {
+                    case StorageEvent.WriteSynced synced -> new ReplicaInput.WriteSynced(synced.writeNumber());
+                    case StorageEvent.WriteFailed failed -> new ReplicaInput.WriteFailed();
+                    case StorageEvent.SnapshotSynced synced -> new ReplicaInput.SnapshotSynced(synced.lastIndex());
+                };
+        driver.step(input, board, nowNanos, effects);
+    }
+
+    private void onReplication(ReplicationEvent event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ReplicationEvent.ProposalRequested requested ->
+                desk.submit(
+                        new PendingRequest.Change(requested.proposalId(), requested.group(), requested.command()),
+                        board,
+                        nowNanos,
+                        effects);
+            case ReplicationEvent.QueryRequested requested ->
+                desk.submit(
+                        new PendingRequest.Read(requested.queryId(), requested.group(), requested.query()),
+                        board,
+                        nowNanos,
+                        effects);
+            case ReplicationEvent.ProposalDecided decided -> desk.finish(decided.proposalId());
+            case ReplicationEvent.QueryAnswered answered -> desk.finish(answered.queryId());
+            case ReplicationEvent.ProposalFailed failed -> {}
+            case ReplicationEvent.QueryFailed failed -> {}
+            case ReplicationEvent.EntryApplied applied -> {}
+            case ReplicationEvent.StateReplaced replaced -> {}
+            case ReplicationEvent.LeadershipChanged changed -> {}
+        }
+    }
+
+    private void onPeer(PeerEvent event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case PeerEvent.PeerConnected connected -> {}
+            case PeerEvent.PeerDisconnected disconnected -> {}
+            case PeerEvent.PeerMessageReceived received ->
+                onMessage(received.peer(), received.message(), board, nowNanos, effects);
+        }
+    }
+
+    private void onMessage(HostId peer, PeerMessage message, Board board, long nowNanos, Effects effects) {
+        switch (message) {
+            case PeerMessage.Replication replication ->
+                onReplicaMessage(peer, replication.group(), replication.message(), board, nowNanos, effects);
+            case PeerMessage.Propose propose -> {
+                @Nullable GroupDriver driver = drivers.get(propose.group());
+                if (driver == null
+                        || !driver.propose(
+                                propose.proposalId(), propose.command(), Optional.of(peer), board, nowNanos, effects)) {
+                    reject(peer, propose.proposalId(), propose.group(), board, effects);
+                }
+            }
+            case PeerMessage.Ask ask -> {
+                Optional<QueryResult> result = Optional.ofNullable(drivers.get(ask.group()))
+                        .flatMap(driver -> driver.answer(ask.query(), nowNanos));
+                if (result.isPresent()) {
+                    effects.add(new PeerEffect.SendToPeer(peer, new PeerMessage.Answer(ask.queryId(), result.get())));
+                } else {
+                    reject(peer, ask.queryId(), ask.group(), board, effects);
+                }
+            }
+            case PeerMessage.ProposeDecided decided ->
+                desk.answered(
+                        decided.proposalId(),
+                        peer,
+                        new ReplicationEvent.ProposalDecided(decided.proposalId(), decided.result()),
+                        effects);
+            case PeerMessage.Answer answer ->
+                desk.answered(
+                        answer.queryId(),
+                        peer,
+                        new ReplicationEvent.QueryAnswered(answer.queryId(), answer.result()),
+                        effects);
+            case PeerMessage.Rejected rejected ->
+                desk.rejected(rejected.correlationId(), peer, rejected.leader(), board, nowNanos, effects);
+            case PeerMessage.Heartbeat heartbeat -> {}
+            case PeerMessage.ServerLeases leases -> {}
+            case PeerMessage.LimitDemand demand -> {}
+            case PeerMessage.LimitGrant grant -> {}
+        }
+    }
+
+    private void onReplicaMessage(
+            HostId peer, int group, ReplicaMessage message, Board board, long nowNanos, Effects effects) {
+        @Nullable GroupDriver driver = drivers.get(group);
+        if (driver == null || !message.sender().host().equals(peer)) {
+            effects.count("consensus.messages_refused");
+            return;
+        }
+        driver.step(new ReplicaInput.Received(message), board, nowNanos, effects);
+    }
+
+    private static void reject(HostId peer, String id, int group, Board board, Effects effects) {
+        effects.add(new PeerEffect.SendToPeer(
+                peer,
+                new PeerMessage.Rejected(
+                        id,
+                        ErrorKind.NO_QUORUM_NOT_RUN,
+                        board.consensus().group(group).leader())));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/GroupDriver.java
@@ -0,0 +1,198 @@
+package org.plantainwharf.consensus;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.message.ReplicaEntry;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.Query;
+import org.plantainwharf.replicated.QueryResult;
+import org.plantainwharf.replicated.StateMachine;
+
+/**
+ * One group on this host: its member of the protocol, its copy of the state, and the proposals that wait to be
+ * applied. Owned by the consensus controller.
+ */
+final class GroupDriver {
+    private final int group;
+    private final GroupMember member;
+    private final @Nullable StateMachine machine;
+    private final Map<Long, Waiting> waiting = new TreeMap<>();
+    private final Map<String, Long> indexes = new HashMap<>();
+    private long restoredIndex;
+    private long leadingTerm;
+
+    /** A proposal appended here; {@code origin} is absent for one of this host. Immutable. */
+    private record Waiting(String proposalId, long term, Optional<HostId> origin) {}
+
+    private GroupDriver(int group, GroupMember member, @Nullable StateMachine machine, long restoredIndex) {
+        this.group = group;
+        this.member = member;
+        this.machine = machine;
+        this.restoredIndex = restoredIndex;
+    }
+
+    /** Returns a driver whose state machine already holds the state after {@code restoredIndex}. */
+    static GroupDriver create(int group, GroupMember member, @Nullable StateMachine machine, long restoredIndex) {
+        return new GroupDriver(group, member, machine, restoredIndex);
+    }
+
+    /** Tells the other controllers of the state that the disk held; to be called once, before any step. */
+    void announceRestored(Effects effects) {
+        if (restoredIndex > 0) {
+            effects.post(new ReplicationEvent.StateReplaced(group, restoredIndex));
+        }
+    }
+
+    /** Gives an input to the member and carries out what it asks for. */
+    ReplicaOutput step(ReplicaInput input, Board board, long nowNanos, Effects effects) {
+        ReplicaOutput output = member.step(input, nowNanos);
+        carryOut(output, effects);
+        snapshotWhenDue(board, nowNanos, effects);
+        GroupStatus status = member.status(nowNanos);
+        board.consensus().put(status);
+        announceLeadership(status, effects);
+        return output;
+    }
+
+    /** Appends a proposal if this host leads. Returns false when it was refused. */
+    boolean propose(
+            String proposalId, Command command, Optional<HostId> origin, Board board, long nowNanos, Effects effects) {
+        if (joinWaiting(proposalId, origin, board, nowNanos)) {
+            return true;
+        }
+        ReplicaOutput output = member.step(new ReplicaInput.Proposed(command), nowNanos);
+        if (output.appendedIndex() > 0) {
+            long term = member.status(nowNanos).term();
+            waiting.put(output.appendedIndex(), new Waiting(proposalId, term, origin));
+            indexes.put(proposalId, output.appendedIndex());
+        }
+        carryOut(output, effects);
+        snapshotWhenDue(board, nowNanos, effects);
+        board.consensus().put(member.status(nowNanos));
+        return output.refusal().isEmpty();
+    }
+
+    /** Forgets a proposal of this host that ended otherwise; it may still be applied. */
+    void abandon(String proposalId) {
+        @Nullable Long index = indexes.get(proposalId);
+        if (index != null
+                && waiting.get(index) instanceof Waiting proposal
+                && proposal.origin().isEmpty()) {
+            waiting.remove(index);
+            indexes.remove(proposalId);
+        }
+    }
+
+    /** Says whether this proposal was sent again before it was applied; the answer goes to the newest sender. */
+    private boolean joinWaiting(String proposalId, Optional<HostId> origin, Board board, long nowNanos) {
+        @Nullable Long index = indexes.get(proposalId);
+        if (index == null || !(waiting.get(index) instanceof Waiting earlier)) {
+            return false;
+        }
+        GroupStatus status = member.status(nowNanos);
+        boolean stillLeads = status.term() == earlier.term()
+                && status.leader().equals(Optional.of(board.settings().host()));
+        if (stillLeads) {
+            waiting.put(index, new Waiting(proposalId, earlier.term(), origin));
+        } else {
+            waiting.remove(index);
+            indexes.remove(proposalId);
+        }
+        return stillLeads;
+    }
+
+    /** Answers a read if this host holds the lease and has applied everything committed when it began. */
+    Optional<QueryResult> answer(Query query, long nowNanos) {
+        return machine != null && member.status(nowNanos).holdsLease(nowNanos)
+                ? Optional.of(machine.answer(query))
+                : Optional.empty();
+    }
+
+    /** Proposes the change that brings a host back whose disk was lost, if one is due. */
+    void repairVoters(Board board, long nowNanos, Effects effects) {
+        if (member instanceof Replica replica) {
+            VoterRepair.next(replica)
+                    .ifPresent(change -> step(new ReplicaInput.Proposed(change), board, nowNanos, effects));
+        }
+    }
+
+    private void carryOut(ReplicaOutput output, Effects effects) {
+        output.counts().forEach(effects::count);
+        output.writes().forEach(effects::add);
+        output.messages()
+                .forEach(outgoing -> effects.add(new PeerEffect.SendToPeer(
+                        outgoing.host(), new PeerMessage.Replication(group, outgoing.message()))));
+        output.installed().ifPresent(snapshot -> restore(snapshot, effects));
+        output.committed().forEach(entry -> apply(entry, effects));
+    }
+
+    private void restore(ReplicaSnapshot snapshot, Effects effects) {
+        if (machine != null) {
+            machine.restore(snapshot.records());
+        }
+        waiting.keySet().removeIf(index -> index <= snapshot.lastIndex());
+        indexes.values().removeIf(index -> index <= snapshot.lastIndex());
+        effects.post(new ReplicationEvent.StateReplaced(group, snapshot.lastIndex()));
+    }
+
+    private void apply(ReplicaEntry entry, Effects effects) {
+        if (machine == null) {
+            return;
+        }
+        CommandResult result = machine.apply(entry.command());
+        effects.post(new ReplicationEvent.EntryApplied(group, entry.index(), entry.command(), result));
+        @Nullable Waiting proposal = waiting.remove(entry.index());
+        if (proposal == null) {
+            return;
+        }
+        indexes.remove(proposal.proposalId());
+        if (proposal.term() != entry.term()) {
+            // Another leader's entry took this place; the proposer sends again.
+            effects.count("consensus.proposals_overwritten");
+        } else if (proposal.origin().isPresent()) {
+            effects.add(new PeerEffect.SendToPeer(
+                    proposal.origin().get(), new PeerMessage.ProposeDecided(proposal.proposalId(), result)));
+        } else {
+            effects.post(new ReplicationEvent.ProposalDecided(proposal.proposalId(), result));
+        }
+    }
+
+    private void snapshotWhenDue(Board board, long nowNanos, Effects effects) {
+        if (machine != null
+                && member instanceof Replica replica
+                && replica.status(nowNanos).appliedIndex() - replica.snapshotIndex()
+                        >= board.settings().bounds().snapshotEntries()) {
+            effects.count("consensus.snapshots_taken");
+            carryOut(member.step(new ReplicaInput.SnapshotTaken(machine.records()), nowNanos), effects);
+        }
+    }
+
+    private void announceLeadership(GroupStatus status, Effects effects) {
+        long term = status.leading() ? status.term() : 0;
+        if (term == leadingTerm) {
+            return;
+        }
+        if (leadingTerm != 0) {
+            effects.post(new ReplicationEvent.LeadershipChanged(group, leadingTerm, false));
+        }
+        if (term != 0) {
+            effects.post(new ReplicationEvent.LeadershipChanged(group, term, true));
+        } else {
+            // Another leader decides these; their proposers send again.
+            waiting.clear();
+            indexes.clear();
+        }
+        leadingTerm = term;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/RequestDesk.java
@@ -0,0 +1,165 @@
+package org.plantainwharf.consensus;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.identity.HostId;
+
+/**
+ * Requests of this host's controllers on their way to the leaders. Each is sent to the known leader, here or elsewhere,
+ * again with the same id when no answer comes, and ends with exactly one result or failure event. Owned by the
+ * consensus controller.
+ */
+final class RequestDesk {
+    static final long LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+    /** Longer than a commit takes, so that few are sent twice, and short enough for some attempts within the limit. */
+    private static final long RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+    private static final int MAXIMUM_REDIRECTS = 4;
+
+    private final Map<String, Tracked> requests = new LinkedHashMap<>();
+    private final Map<Integer, HostId> knownLeaders = new HashMap<>();
+    private final Map<Integer, GroupDriver> drivers;
+    private final List<HostId> voters;
+    private int rotation;
+
+    private record Tracked(PendingRequest request, long deadlineNanos, long nextSendNanos, int redirects) {}
+
+    private RequestDesk(Map<Integer, GroupDriver> drivers, List<HostId> voters) {
+        this.drivers = drivers;
+        this.voters = List.copyOf(voters);
+    }
+
+    static RequestDesk create(Map<Integer, GroupDriver> drivers, List<HostId> voters) {
+        return new RequestDesk(drivers, voters);
+    }
+
+    /** Takes a request. One that is already under way is left alone. */
+    void submit(PendingRequest request, Board board, long nowNanos, Effects effects) {
+        if (!requests.containsKey(request.id())) {
+            Tracked tracked = new Tracked(request, nowNanos + LIMIT_NANOS, nowNanos + RESEND_NANOS, 0);
+            requests.put(request.id(), tracked);
+            dispatch(request, board, nowNanos, effects);
+        }
+    }
+
+    /** Ends a request that has its result. */
+    void finish(String id) {
+        @Nullable Tracked tracked = requests.remove(id);
+        if (tracked != null) {
+            abandon(tracked.request());
+        }
+    }
+
+    /** Ends a request with the result that another host gave. */
+    void answered(String id, HostId leader, ReplicationEvent result, Effects effects) {
+        @Nullable Tracked tracked = requests.get(id);
+        if (tracked == null) {
+            effects.count("consensus.answers_late");
+            return;
+        }
+        knownLeaders.put(tracked.request().group(), leader);
+        effects.post(result);
+    }
+
+    /** Tries the leader that the refusing host named; otherwise the next resend tries another host. */
+    void rejected(String id, HostId from, Optional<HostId> leader, Board board, long nowNanos, Effects effects) {
+        @Nullable Tracked tracked = requests.get(id);
+        if (tracked == null) {
+            return;
+        }
+        effects.count("consensus.requests_rejected");
+        int group = tracked.request().group();
+        if (from.equals(knownLeaders.get(group))) {
+            knownLeaders.remove(group);
+        }
+        if (leader.isPresent() && !leader.get().equals(from) && tracked.redirects() < MAXIMUM_REDIRECTS) {
+            knownLeaders.put(group, leader.get());
+            requests.put(
+                    id,
+                    new Tracked(
+                            tracked.request(),
+                            tracked.deadlineNanos(),
+                            nowNanos + RESEND_NANOS,
+                            tracked.redirects() + 1));
+            send(tracked.request(), leader.get(), board, nowNanos, effects);
+        }
+    }
+
+    /** Sends again what is overdue and fails what is past its limit. */
+    void tick(Board board, long nowNanos, Effects effects) {
+        for (Tracked tracked : new ArrayList<>(requests.values())) {
+            PendingRequest request = tracked.request();
+            if (nowNanos - tracked.deadlineNanos() >= 0) {
+                requests.remove(request.id());
+                abandon(request);
+                effects.count("consensus.requests_timed_out");
+                effects.post(request.failed(ErrorKind.NO_QUORUM));
+            } else if (nowNanos - tracked.nextSendNanos() >= 0) {
+                effects.count("consensus.requests_resent");
+                requests.put(request.id(), new Tracked(request, tracked.deadlineNanos(), nowNanos + RESEND_NANOS, 0));
+                knownLeaders.remove(request.group());
+                dispatch(request, board, nowNanos, effects);
+            }
+        }
+    }
+
+    private void abandon(PendingRequest request) {
+        @Nullable GroupDriver driver = drivers.get(request.group());
+        if (driver != null) {
+            driver.abandon(request.id());
+        }
+    }
+
+    private void dispatch(PendingRequest request, Board board, long nowNanos, Effects effects) {
+        HostId self = board.settings().host();
+        Optional<HostId> leader = board.consensus().group(request.group()).leader();
+        HostId target = leader.or(() -> Optional.ofNullable(knownLeaders.get(request.group())))
+                .or(() -> nextVoter(self))
+                .orElse(self);
+        send(request, target, board, nowNanos, effects);
+    }
+
+    private void send(PendingRequest request, HostId target, Board board, long nowNanos, Effects effects) {
+        if (target.equals(board.settings().host())) {
+            handleHere(request, board, nowNanos, effects);
+        } else {
+            effects.add(new PeerEffect.SendToPeer(target, request.message()));
+        }
+    }
+
+    private void handleHere(PendingRequest request, Board board, long nowNanos, Effects effects) {
+        @Nullable GroupDriver driver = drivers.get(request.group());
+        if (driver == null) {
+            return;
+        }
+        switch (request) {
+            case PendingRequest.Change change ->
+                driver.propose(change.id(), change.command(), Optional.empty(), board, nowNanos, effects);
+            case PendingRequest.Read read ->
+                driver.answer(read.query(), nowNanos)
+                        .ifPresent(result -> effects.post(new ReplicationEvent.QueryAnswered(read.id(), result)));
+        }
+    }
+
+    private Optional<HostId> nextVoter(HostId self) {
+        List<HostId> others =
+                voters.stream().filter(voter -> !voter.equals(self)).toList();
+        if (others.isEmpty()) {
+            return Optional.empty();
+        }
+        rotation = (rotation + 1) % others.size();
+        return Optional.of(others.get(rotation));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/storage/LogSteps.java
@@ -0,0 +1,149 @@
+package org.plantainwharf.storage;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.plantainwharf.consensus.ReplicaSnapshot;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.ReplicaEntry;
+import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.replicated.VoterId;
+
+/** Payloads of log and snapshot records; entries and state records come from the codec. Immutable. */
+final class LogSteps {
+    private static final byte TERM = 1;
+    private static final byte TRUNCATE = 2;
+    private static final byte ENTRY = 3;
+
+    private final RecordCodec codec;
+
+    /** One record of a log file. */
+    sealed interface Step {
+        /** Term and vote from here on. */
+        record Term(long term, String vote) implements Step {}
+
+        /** Entries from this index on do not count any more. */
+        record Truncate(long index) implements Step {}
+
+        /** One more entry. */
+        record Entry(ReplicaEntry entry) implements Step {}
+    }
+
+    /** Writes one payload. */
+    private interface Content {
+        void write(DataOutputStream output) throws IOException;
+    }
+
+    private LogSteps(RecordCodec codec) {
+        this.codec = codec;
+    }
+
+    static LogSteps create(RecordCodec codec) {
+        return new LogSteps(codec);
+    }
+
+    byte[] term(long term, String vote) {
+        return payload(output -> {
+            output.writeByte(TERM);
+            output.writeLong(term);
+            output.writeUTF(vote);
+        });
+    }
+
+    byte[] truncate(long index) {
+        return payload(output -> {
+            output.writeByte(TRUNCATE);
+            output.writeLong(index);
+        });
+    }
+
+    byte[] entry(ReplicaEntry entry) {
+        return payload(output -> {
+            output.writeByte(ENTRY);
+            output.write(codec.encodeEntry(entry));
+        });
+    }
+
+    Either<Failure, Step> read(byte[] payload) {
+        try (DataInputStream input = new DataInputStream(new ByteArrayInputStream(payload))) {
+            byte kind = input.readByte();
+            if (kind == TERM) {
+                return Either.right(new Step.Term(input.readLong(), input.readUTF()));
+            } else if (kind == TRUNCATE) {
+                return Either.right(new Step.Truncate(input.readLong()));
+            } else if (kind == ENTRY) {
+                return codec.decodeEntry(Arrays.copyOfRange(payload, 1, payload.length))
+                        .map(Step.Entry::new);
+            }
+            return Either.left(Failure.of(ErrorKind.STORAGE_FAILED, "unknown record kind " + kind));
+        } catch (IOException e) {
+            return Either.left(Failure.of(ErrorKind.STORAGE_FAILED, e));
+        }
+    }
+
+    List<byte[]> snapshot(ReplicaSnapshot snapshot) {
+        List<byte[]> payloads = new ArrayList<>();
+        payloads.add(payload(output -> {
+            output.writeLong(snapshot.lastIndex());
+            output.writeLong(snapshot.lastTerm());
+            output.writeInt(snapshot.records().size());
+            output.writeInt(snapshot.voters().size());
+            for (VoterId voter : snapshot.voters()) {
+                output.writeUTF(voter.host().value());
+                output.writeLong(voter.diskIncarnation());
+            }
+        }));
+        snapshot.records().forEach(record -> payloads.add(codec.encodeRecord(record)));
+        return payloads;
+    }
+
+    Either<Failure, ReplicaSnapshot> readSnapshot(List<byte[]> payloads) {
+        if (payloads.isEmpty()) {
+            return Either.left(Failure.of(ErrorKind.STORAGE_FAILED, "snapshot without header"));
+        }
+        try (DataInputStream input = new DataInputStream(new ByteArrayInputStream(payloads.getFirst()))) {
+            long lastIndex = input.readLong();
+            long lastTerm = input.readLong();
+            int recordCount = input.readInt();
+            int voterCount = input.readInt();
+            List<VoterId> voters = new ArrayList<>();
+            for (int index = 0; index < voterCount; index++) {
+                voters.add(VoterId.of(HostId.of(input.readUTF()), input.readLong()));
+            }
+            if (recordCount != payloads.size() - 1) {
+                return Either.left(Failure.of(ErrorKind.STORAGE_FAILED, "snapshot without all records"));
+            }
+            List<StateRecord> records = new ArrayList<>();
+            for (byte[] payload : payloads.subList(1, payloads.size())) {
+                Either<Failure, StateRecord> record = codec.decodeRecord(payload);
+                if (record.isLeft()) {
+                    return Either.left(record.getLeft());
+                }
+                records.add(record.get());
+            }
+            return Either.right(new ReplicaSnapshot(lastIndex, lastTerm, voters, records));
+        } catch (IOException e) {
+            return Either.left(Failure.of(ErrorKind.STORAGE_FAILED, e));
+        }
+    }
+
+    private static byte[] payload(Content content) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream output = new DataOutputStream(bytes)) {
+            content.write(output);
+        } catch (IOException e) {
+            throw new UncheckedIOException("memory cannot fail", e);
+        }
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/storage/RealFiles.java
@@ -0,0 +1,106 @@
+package org.plantainwharf.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+/** Real files. Files that were appended to stay open. Used by one thread at a time. */
+final class RealFiles implements FileAccess {
+    private final Map<Path, FileChannel> channels = new HashMap<>();
+
+    private RealFiles() {}
+
+    static RealFiles create() {
+        return new RealFiles();
+    }
+
+    @Override
+    public void append(Path file, ByteBuffer bytes) throws IOException {
+        FileChannel channel = channel(file);
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+    }
+
+    @Override
+    public void force(Path file) throws IOException {
+        channel(file).force(true);
+    }
+
+    @Override
+    public void writeWhole(Path file, ByteBuffer bytes) throws IOException {
+        try (FileChannel channel = FileChannel.open(
+                file, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
+            }
+            channel.force(true);
+        }
+    }
+
+    @Override
+    public void rename(Path from, Path to) throws IOException {
+        closeChannel(to);
+        Files.move(from, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Path folder = to.toAbsolutePath().getParent();
+        if (folder != null) {
+            try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+                channel.force(true);
+            }
+        }
+    }
+
+    @Override
+    public void truncate(Path file, long length) throws IOException {
+        closeChannel(file);
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
+            channel.truncate(length);
+            channel.force(true);
+        }
+    }
+
+    @Override
+    public byte[] read(Path file) throws IOException {
+        return Files.exists(file) ? Files.readAllBytes(file) : new byte[0];
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (FileChannel channel : channels.values()) {
+            channel.close();
+        }
+        channels.clear();
+    }
+
+    private FileChannel channel(Path file) throws IOException {
+        @Nullable FileChannel channel = channels.get(file);
+        if (channel == null) {
+            boolean created = !Files.exists(file);
+            channel = FileChannel.open(
+                    file, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND);
+            channels.put(file, channel);
+            Path folder = file.toAbsolutePath().getParent();
+            if (created && folder != null) {
+                try (FileChannel parent = FileChannel.open(folder, StandardOpenOption.READ)) {
+                    parent.force(true);
+                }
+            }
+        }
+        return channel;
+    }
+
+    private void closeChannel(Path file) throws IOException {
+        @Nullable FileChannel channel = channels.remove(file);
+        if (channel != null) {
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/storage/StorageWriter.java
@@ -0,0 +1,259 @@
+package org.plantainwharf.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.consensus.RecoveredGroup;
+import org.plantainwharf.control.EventSink;
+import org.plantainwharf.effect.StorageEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.StorageEvent;
+
+/**
+ * Writes the replicated logs of one host to its data folder, on one thread of its own. Log writes that wait while a
+ * sync runs are written together and synced once for each group. After the first failed write nothing is written any
+ * more: what the disk then holds is unknown, so every write is reported as failed until a restart.
+ *
+ * <p>Thread-safe: {@link #execute} may be called from any thread and returns at once. The queue needs no bound: a group
+ * has at most one log write under way.
+ */
+public final class StorageWriter {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Pattern GROUP_FILE = Pattern.compile("group-(\\d{1,6})\\.(log|snapshot)");
+    private static final String IDENTITY = "identity";
+
+    private final Path folder;
+    private final RecordCodec codec;
+    private final EventSink sink;
+    private final FileAccess files;
+    private final long diskIncarnation;
+    private final Map<Integer, GroupFiles> groups;
+    private final BlockingQueue<Task> queue = new LinkedBlockingQueue<>();
+    private final Thread thread = new Thread(this::run, "storage");
+    private @Nullable String failure;
+
+    /** What the thread is asked for. */
+    private sealed interface Task {
+        /** A write. */
+        record Write(StorageEffect effect) implements Task {}
+
+        /** The end, after everything asked for before. */
+        record Close() implements Task {}
+    }
+
+    private StorageWriter(
+            Path folder,
+            RecordCodec codec,
+            EventSink sink,
+            FileAccess files,
+            long diskIncarnation,
+            Map<Integer, GroupFiles> groups) {
+        this.folder = folder;
+        this.codec = codec;
+        this.sink = sink;
+        this.files = files;
+        this.diskIncarnation = diskIncarnation;
+        this.groups = groups;
+    }
+
+    /**
+     * Opens a data folder, reads all groups in it and starts the thread. An empty folder gets a new identity.
+     *
+     * @return {@code LOG_CORRUPT} for a damaged file, {@code STORAGE_FAILED} if the folder cannot be used
+     */
+    public static Either<Failure, StorageWriter> open(Path folder, RecordCodec codec, EventSink sink) {
+        return open(folder, codec, sink, FileAccess.real());
+    }
+
+    static Either<Failure, StorageWriter> open(Path folder, RecordCodec codec, EventSink sink, FileAccess files) {
+        try {
+            Files.createDirectories(folder);
+            Map<Integer, GroupFiles> groups = new TreeMap<>();
+            for (int group : groupsIn(folder)) {
+                Either<Failure, GroupFiles> opened = GroupFiles.open(folder, group, codec, files);
+                if (opened.isLeft()) {
+                    return Either.left(opened.getLeft());
+                }
+                groups.put(group, opened.get());
+            }
+            return identity(folder, files, groups.isEmpty()).map(incarnation -> {
+                StorageWriter writer = new StorageWriter(folder, codec, sink, files, incarnation, groups);
+                writer.thread.start();
+                return writer;
+            });
+        } catch (IOException e) {
+            return Either.left(Failure.of(ErrorKind.STORAGE_FAILED, e));
+        }
+    }
+
+    /** Asks for a write; its result is posted to the sink. */
+    public void execute(StorageEffect effect) {
+        queue.add(new Task.Write(effect));
+    }
+
+    /** Returns what the folder held of a group when it was opened. To be called before the group's first write. */
+    public RecoveredGroup recover(int group) {
+        @Nullable GroupFiles known = groups.get(group);
+        return known == null ? RecoveredGroup.empty() : known.content();
+    }
+
+    /** Returns the random number that identifies this disk; never 0. */
+    public long diskIncarnation() {
+        return diskIncarnation;
+    }
+
+    /** Ends the thread after the writes asked for so far and closes the files. */
+    public void close() throws InterruptedException {
+        queue.add(new Task.Close());
+        thread.join();
+    }
+
+    private static Set<Integer> groupsIn(Path folder) throws IOException {
+        Set<Integer> numbers = new LinkedHashSet<>();
+        try (Stream<Path> paths = Files.list(folder)) {
+            for (Path path : paths.sorted().toList()) {
+                Matcher matcher = GROUP_FILE.matcher(String.valueOf(path.getFileName()));
+                if (matcher.matches()) {
+                    numbers.add(Integer.parseInt(matcher.group(1)));
+                }
+            }
+        }
+        return numbers;
+    }
+
+    private static Either<Failure, Long> identity(Path folder, FileAccess files, boolean empty) throws IOException {
+        Path file = folder.resolve(IDENTITY);
+        byte[] bytes = files.read(file);
+        if (bytes.length > 0) {
+            Records.Content content = Records.decode(bytes);
+            if (content.payloads().size() != 1 || content.payloads().getFirst().length != Long.BYTES) {
+                return Either.left(Failure.of(ErrorKind.LOG_CORRUPT, IDENTITY, 0));
+            }
+            return Either.right(ByteBuffer.wrap(content.payloads().getFirst()).getLong());
+        }
+        if (!empty) {
+            // Logs without identity would vote under a new one; that is never right.
+            return Either.left(Failure.of(ErrorKind.LOG_CORRUPT, IDENTITY, 0));
+        }
+        SecureRandom random = new SecureRandom();
+        long incarnation = 0;
+        while (incarnation == 0) {
+            incarnation = random.nextLong();
+        }
+        byte[] payload = ByteBuffer.allocate(Long.BYTES).putLong(incarnation).array();
+        Path beside = folder.resolve(IDENTITY + ".new");
+        files.writeWhole(beside, Records.encode(List.of(payload)));
+        files.rename(beside, file);
+        return Either.right(incarnation);
+    }
+
+    private void run() {
+        boolean open = true;
+        while (open) {
+            try {
+                List<Task> tasks = new ArrayList<>();
+                tasks.add(queue.take());
+                queue.drainTo(tasks);
+                open = !tasks.contains(new Task.Close());
+                process(tasks.stream()
+                        .filter(Task.Write.class::isInstance)
+                        .map(task -> ((Task.Write) task).effect())
+                        .toList());
+            } catch (InterruptedException e) {
+                LOGGER.atWarning().log("event=storage_interrupted");
+            }
+        }
+        try {
+            files.close();
+        } catch (IOException e) {
+            LOGGER.atWarning().withCause(e).log("event=storage_close_failed");
+        }
+    }
+
+    /** Writes in order: log writes up to the next snapshot together, then the snapshot. */
+    private void process(List<StorageEffect> effects) {
+        Map<Integer, List<StorageEffect.WriteLog>> logs = new LinkedHashMap<>();
+        for (StorageEffect effect : effects) {
+            switch (effect) {
+                case StorageEffect.WriteLog write ->
+                    logs.computeIfAbsent(write.group(), group -> new ArrayList<>())
+                            .add(write);
+                case StorageEffect.WriteSnapshot write -> {
+                    writeLogs(logs);
+                    logs.clear();
+                    writeSnapshot(write);
+                }
+            }
+        }
+        writeLogs(logs);
+    }
+
+    private void writeLogs(Map<Integer, List<StorageEffect.WriteLog>> logs) {
+        try {
+            if (failure == null) {
+                for (Map.Entry<Integer, List<StorageEffect.WriteLog>> entry : logs.entrySet()) {
+                    files(entry.getKey()).append(entry.getValue());
+                }
+                for (int group : logs.keySet()) {
+                    files(group).force();
+                }
+            }
+        } catch (IOException | RuntimeException e) {
+            fail(e);
+        }
+        logs.forEach((group, writes) -> report(
+                group, new StorageEvent.WriteSynced(group, writes.getLast().writeNumber())));
+    }
+
+    private void writeSnapshot(StorageEffect.WriteSnapshot write) {
+        try {
+            if (failure == null) {
+                files(write.group()).writeSnapshot(write);
+            }
+        } catch (IOException | RuntimeException e) {
+            fail(e);
+        }
+        report(write.group(), new StorageEvent.SnapshotSynced(write.group(), write.lastIndex()));
+    }
+
+    private void fail(Exception cause) {
+        LOGGER.atSevere().withCause(cause).log("event=storage_failed");
+        failure = String.valueOf(cause.getMessage());
+    }
+
+    private void report(int group, StorageEvent success) {
+        sink.post(failure == null ? success : new StorageEvent.WriteFailed(group, failure));
+    }
+
+    private GroupFiles files(int group) throws IOException {
+        @Nullable GroupFiles known = groups.get(group);
+        if (known != null) {
+            return known;
+        }
+        Either<Failure, GroupFiles> created = GroupFiles.open(folder, group, codec, files);
+        if (created.isLeft()) {
+            throw new IOException(created.getLeft().message());
+        }
+        groups.put(group, created.get());
+        return created.get();
+    }
+}
