--- a/src/main/java/org/plantainwharf/consensus/ConsensusController.java
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusController.java
@@ -212,6 +212,8 @@
             case PeerMessage.ServerLeases leases -> {}
             case PeerMessage.LimitDemand demand -> {}
             case PeerMessage.LimitGrant grant -> {}
+            case PeerMessage.WorkAssigned assigned -> {}
+            case PeerMessage.WorkTaken taken -> {}
         }
     }
 
--- a/src/main/java/org/plantainwharf/daemon/Daemon.java
+++ b/src/main/java/org/plantainwharf/daemon/Daemon.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
@@ -117,7 +118,7 @@
         ControlThread control = ControlThread.create(
                 cycle,
                 clock,
-                effect -> dispatcher.get().execute(effect),
+                effect -> Objects.requireNonNull(dispatcher.get()).execute(effect),
                 settings.bounds().eventQueueCapacity());
         CallerFront callers = CallerFront.create(settings, clock, control::view, control, metrics);
         OperatorFront operators = OperatorFront.create(
@@ -166,7 +167,7 @@
             parts.callers().start();
         } catch (IllegalStateException e) {
             close();
-            return Either.left(Failure.of(ErrorKind.SETTINGS_INVALID, e.getMessage()));
+            return Either.left(Failure.of(ErrorKind.SETTINGS_INVALID, String.valueOf(e.getMessage())));
         }
         parts.control().start();
         Either<Failure, Integer> listening = parts.peers().start();
