--- a/src/test/java/org/plantainwharf/backend/BackendClientTest.java
+++ b/src/test/java/org/plantainwharf/backend/BackendClientTest.java
@@ -503,25 +503,31 @@
 
         @Test
         void leavePooledConnectionsToTheSameServerUnused() throws Exception {
+            CountDownLatch bothOpen = new CountDownLatch(2);
             try (ScriptedServer server = ScriptedServer.start((request, out) -> {
                 if (request.head().contains("/v1/load")) {
                     ScriptedServer.write(
                             out, "HTTP/1.1 200 X\r\nContent-Length: 25\r\n\r\n{\"request_running\":false}");
                     return false;
                 }
-                if (request.connection() == 1 && request.header("X-Request-Id").equals("b")) {
+                if (request.header("X-Request-Id").equals("silent") && request.connection() <= 2) {
                     return true;
                 }
+                bothOpen.countDown();
+                bothOpen.await();
                 ScriptedServer.write(out, request.echo(200, "Content-Length: 2") + "ok");
                 return true;
             })) {
                 collect(stock("a"), server.address());
+                collect(stock("b"), server.address());
+                events.next(AttemptEvent.AttemptCompleted.class);
                 events.next(AttemptEvent.AttemptCompleted.class);
-                start(stock("b"), 1, server.address(), new AnswerHandling.Collect(1 << 16), 100);
+                Call call = stock("silent");
+                start(call, 1, server.address(), new AnswerHandling.Collect(1 << 16), 100);
                 assertInstanceOf(AttemptProblem.ConnectionSilent.class, problem());
-                start(stock("b"), 2, server.address(), new AnswerHandling.Collect(1 << 16), SILENCE_MILLIS);
+                start(call, 2, server.address(), new AnswerHandling.Collect(1 << 16), SILENCE_MILLIS);
                 events.next(AttemptEvent.AttemptCompleted.class);
-                assertEquals(3, server.connections());
+                assertEquals(4, server.connections(), "two silent ones, one for the probe, one new");
             }
         }
 
