Add capacity: host starts and engine orders by the control leader

Cause: hosts are reclaimed in waves and starts are refused; a change of leader must neither lose nor double a start, and an engine must not obey a leader that was replaced. Change: CapacityController with Placement by price, refusals and reclaims, starts committed before they are ordered, engine orders with fencing number and lease, load turns.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/capacity/CapacityController.java
@@ -0,0 +1,288 @@
+package org.plantainwharf.capacity;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.consensus.GroupStatus;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PlatformEffect;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.server.Announcement;
+import org.plantainwharf.server.ServerEntry;
+import org.plantainwharf.sheet.Sheet;
+
+/**
+ * Orders hosts and engine states. Only the leader of the control group acts, while it holds its lease and after it took
+ * a fencing number for its term.
+ *
+ * <p>A host start is committed with a token before it is ordered, and the platform starts at most one host for a token.
+ * A new leader finds the open starts in the replicated state and orders them again under the same tokens, so a start is
+ * neither lost nor doubled by a change of leader. Used by the control thread only.
+ */
+public final class CapacityController implements Controller {
+    private static final int CONTROL_GROUP = 0;
+    private static final long REVIEW_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** The platform may lose an order; the token makes a second one harmless. */
+    private static final long REPEAT_START_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    private static final long REPEAT_PROPOSAL_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** A host that started counts as capacity for this long before its server must have announced itself. */
+    private static final long BOOT_NANOS = TimeUnit.MILLISECONDS.toNanos(2 * HostDemand.HOST_START_MILLIS);
+
+    /** A burst of calls that is over in seconds needs no host, which takes minutes to start. */
+    private static final long SHORTAGE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** Starts that may be open at once: a wave of reclaims must not turn into a wave of refusals. */
+    private static final int OPEN_STARTS = 8;
+
+    private CapacityController() {}
+
+    /** Returns a controller. */
+    public static CapacityController create() {
+        return new CapacityController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ReplicationEvent replication -> replication(replication, board, nowNanos, effects);
+            case PlatformEvent platform -> platform(platform, board, nowNanos, effects);
+            case ServerEvent server -> server(server, board, nowNanos, effects);
+            case TimerEvent.Tick tick -> tick(board, nowNanos, effects);
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case PeerEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+        }
+    }
+
+    private static void replication(ReplicationEvent event, Board board, long nowNanos, Effects effects) {
+        CapacitySection section = board.capacity();
+        switch (event) {
+            case ReplicationEvent.LeadershipChanged changed -> {
+                if (changed.group() == CONTROL_GROUP) {
+                    section.lead(
+                            changed.leading()
+                                    ? Optional.of(new CapacitySection.Leadership(changed.term(), 0, nowNanos))
+                                    : Optional.empty());
+                    if (changed.leading()) {
+                        propose(
+                                "fencing/" + board.membership().self() + "/" + changed.term(),
+                                new Command.TakeFencingNumber(board.membership().self(), changed.term()),
+                                board,
+                                nowNanos,
+                                effects);
+                    }
+                }
+            }
+            case ReplicationEvent.ProposalDecided decided -> {
+                CapacitySection.Pending pending = section.pending().remove(decided.proposalId());
+                if (pending != null && decided.result() instanceof CommandResult.FencingNumber fencing) {
+                    section.leadership().ifPresent(known -> section.setFencingNumber(known, fencing.number()));
+                }
+            }
+            // Commands may be applied twice, so an undecided one is simply proposed again by the next review.
+            case ReplicationEvent.ProposalFailed ignored -> {}
+            case ReplicationEvent.ProposalRequested ignored -> {}
+            case ReplicationEvent.QueryRequested ignored -> {}
+            case ReplicationEvent.QueryAnswered ignored -> {}
+            case ReplicationEvent.QueryFailed ignored -> {}
+            case ReplicationEvent.EntryApplied applied -> {
+                if (applied.command() instanceof Command.FinishHostStart finish
+                        && !finish.platformHost().isEmpty()) {
+                    // Every host notes it, so that the next leader counts hosts that still boot.
+                    section.finishedStarts().values().removeIf(finished -> nowNanos - finished >= BOOT_NANOS);
+                    section.finishedStarts().put(finish.token(), nowNanos);
+                }
+            }
+            case ReplicationEvent.StateReplaced ignored -> {}
+        }
+    }
+
+    private static void propose(String proposalId, Command command, Board board, long nowNanos, Effects effects) {
+        board.capacity().pending().put(proposalId, new CapacitySection.Pending(command, nowNanos));
+        effects.post(new ReplicationEvent.ProposalRequested(proposalId, CONTROL_GROUP, command));
+    }
+
+    private static void platform(PlatformEvent event, Board board, long nowNanos, Effects effects) {
+        CapacitySection section = board.capacity();
+        switch (event) {
+            case PlatformEvent.HostStarted started -> {
+                effects.count("capacity.hosts_started");
+                openStart(started.token(), board).ifPresent(start -> section.history(place(start), nowNanos)
+                        .started());
+                finish(started.token(), started.platformHost(), board, nowNanos, effects);
+            }
+            case PlatformEvent.HostStartRefused refused -> {
+                effects.count("capacity.starts_refused");
+                section.history(new Place(refused.zone(), refused.hostClass()), nowNanos)
+                        .refused(nowNanos, board.random());
+                finish(refused.token(), "", board, nowNanos, effects);
+            }
+            case PlatformEvent.ServerReclaimNoticed notice ->
+                board.servers().server(notice.server()).ifPresent(entry -> {
+                    Announcement announcement = entry.announcement();
+                    section.history(new Place(announcement.zone(), announcement.hostClass()), nowNanos)
+                            .reclaimed(nowNanos);
+                });
+            case PlatformEvent.HostReclaimNoticed ignored -> {}
+        }
+    }
+
+    private static void finish(String token, String platformHost, Board board, long nowNanos, Effects effects) {
+        if (board.capacity().leadership().isPresent()) {
+            propose("finish/" + token, new Command.FinishHostStart(token, platformHost), board, nowNanos, effects);
+        }
+    }
+
+    private static void server(ServerEvent event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ServerEvent.EngineOrderAnswered answered -> EngineOrders.answered(answered, board, nowNanos, effects);
+            case ServerEvent.ServerAnnounced ignored -> {}
+            case ServerEvent.ProbeFinished ignored -> {}
+            case ServerEvent.CacheChanged ignored -> {}
+        }
+    }
+
+    private static void tick(Board board, long nowNanos, Effects effects) {
+        CapacitySection section = board.capacity();
+        GroupStatus control = board.consensus().group(CONTROL_GROUP);
+        boolean due = section.lastReviewNanos().isEmpty()
+                || nowNanos - section.lastReviewNanos().getAsLong() >= REVIEW_NANOS;
+        if (!due || section.leadership().isEmpty() || !control.holdsLease(nowNanos)) {
+            return;
+        }
+        section.setLastReviewNanos(nowNanos);
+        proposeAgain(board, nowNanos, effects);
+        CapacitySection.Leadership leadership = section.leadership().get();
+        if (leadership.fencingNumber() == 0) {
+            return;
+        }
+        orderOpenStarts(board, nowNanos, effects);
+        board.configuration()
+                .inForce()
+                .ifPresent(sheet -> startMissingHosts(sheet, leadership, board, nowNanos, effects));
+        EngineOrders.review(board, leadership, control.leaseUntilNanos(), nowNanos, effects);
+    }
+
+    private static void proposeAgain(Board board, long nowNanos, Effects effects) {
+        for (Map.Entry<String, CapacitySection.Pending> entry :
+                List.copyOf(board.capacity().pending().entrySet())) {
+            if (nowNanos - entry.getValue().sentNanos() >= REPEAT_PROPOSAL_NANOS) {
+                propose(entry.getKey(), entry.getValue().command(), board, nowNanos, effects);
+            }
+        }
+    }
+
+    private static Optional<StateRecord.HostStart> openStart(String token, Board board) {
+        return openStarts(board).stream()
+                .filter(start -> start.token().equals(token))
+                .findFirst();
+    }
+
+    private static List<StateRecord.HostStart> openStarts(Board board) {
+        return board.configuration().state().hostStarts().stream()
+                .filter(start -> !start.finished())
+                .toList();
+    }
+
+    private static Place place(StateRecord.HostStart start) {
+        return new Place(start.zone(), start.hostClass());
+    }
+
+    /** Orders every committed start that has no result, whoever committed it. */
+    private static void orderOpenStarts(Board board, long nowNanos, Effects effects) {
+        CapacitySection section = board.capacity();
+        for (StateRecord.HostStart start : openStarts(board)) {
+            Long ordered = section.orderedStarts().get(start.token());
+            boolean finishing = section.pending().containsKey("finish/" + start.token());
+            if (!finishing && (ordered == null || nowNanos - ordered >= REPEAT_START_NANOS)) {
+                section.orderedStarts().put(start.token(), nowNanos);
+                effects.count("capacity.starts_ordered");
+                effects.add(new PlatformEffect.StartHost(start.token(), start.zone(), start.hostClass()));
+            }
+        }
+    }
+
+    private static void startMissingHosts(
+            Sheet sheet, CapacitySection.Leadership leadership, Board board, long nowNanos, Effects effects) {
+        CapacitySection section = board.capacity();
+        section.finishedStarts().values().removeIf(finished -> nowNanos - finished >= BOOT_NANOS);
+        Map<Place, Integer> hosts = hostsByPlace(board, nowNanos);
+        int open = openStarts(board).size();
+        for (CapacitySection.Pending pending : section.pending().values()) {
+            if (pending.command() instanceof Command.RecordHostStart start
+                    && openStart(start.token(), board).isEmpty()) {
+                hosts.merge(new Place(start.zone(), start.hostClass()), 1, Integer::sum);
+                open++;
+            }
+        }
+        int wanted = HostDemand.wantedHosts(board, sheet, nowNanos);
+        section.setWantedHosts(wanted);
+        int present = hosts.values().stream().mapToInt(Integer::intValue).sum();
+        if (!section.shortFor(SHORTAGE_NANOS, present < wanted, nowNanos)) {
+            return;
+        }
+        for (; present < wanted && open < OPEN_STARTS; present++, open++) {
+            Optional<Place> place = Placement.choose(sheet.budgets(), hosts, section.histories(), nowNanos);
+            if (place.isEmpty()) {
+                effects.count("capacity.no_place");
+                return;
+            }
+            hosts.merge(place.get(), 1, Integer::sum);
+            // The fencing number belongs to one term of one leader, so no other leader makes the same token.
+            String token = "start/" + leadership.fencingNumber() + "/" + section.nextStart();
+            propose(
+                    "record/" + token,
+                    new Command.RecordHostStart(
+                            token, place.get().zone(), place.get().hostClass()),
+                    board,
+                    nowNanos,
+                    effects);
+        }
+    }
+
+    /** Counts hosts that run, start or have started without a word of their server yet. */
+    private static Map<Place, Integer> hostsByPlace(Board board, long nowNanos) {
+        Map<Place, Integer> hosts = new HashMap<>();
+        for (ServerEntry entry : board.servers().servers()) {
+            if (entry.leaseValid(nowNanos) && !entry.announcement().leaving()) {
+                hosts.merge(
+                        new Place(
+                                entry.announcement().zone(),
+                                entry.announcement().hostClass()),
+                        1,
+                        Integer::sum);
+            }
+        }
+        for (StateRecord.HostStart start : board.configuration().state().hostStarts()) {
+            boolean booting = board.capacity().finishedStarts().containsKey(start.token())
+                    && board.servers().servers().stream()
+                            .noneMatch(entry -> entry.server().value().equals(start.platformHost()));
+            if (!start.finished() || booting) {
+                hosts.merge(place(start), 1, Integer::sum);
+            }
+        }
+        return hosts;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/capacity/EngineOrders.java
@@ -0,0 +1,136 @@
+package org.plantainwharf.capacity;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.call.CallEntry;
+import org.plantainwharf.call.CallKind;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.ServerEffect;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.identity.ModelName;
+import org.plantainwharf.server.ServerEntry;
+import org.plantainwharf.server.ServerKind;
+
+/**
+ * Orders models for engines that hold none. An order states the whole set of models, is sent again until the engine
+ * reads back exactly this set, and carries the fencing number of the leader's term. Loads take turns, because the
+ * weight store is limited. Stateless; works on the capacity section.
+ */
+final class EngineOrders {
+    /** The weight store delivers one model in about this time; a second load would slow down both. */
+    static final long LOAD_TURN_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+    /**
+     * An engine that ignores fencing numbers obeys any leader, so a new one waits until the lease of the one before has
+     * ended (900 ms) and a process that froze right after its check of the lease has woken up (3 s).
+     */
+    static final long UNFENCED_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_900);
+
+    private static final long REPEAT_ORDER_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    private EngineOrders() {}
+
+    static void answered(ServerEvent.EngineOrderAnswered event, Board board, long nowNanos, Effects effects) {
+        CapacitySection section = board.capacity();
+        EngineOrder order = section.engineOrders().get(event.server());
+        boolean mine = section.leadership()
+                .filter(known -> known.fencingNumber() == event.fencingNumber())
+                .isPresent();
+        if (order == null || !mine) {
+            return;
+        }
+        if (order.matches(event.stateReadBack())) {
+            section.engineOrders().put(event.server(), order.confirm());
+        } else {
+            effects.count(event.accepted() ? "capacity.engine_states_wrong" : "capacity.engine_orders_refused");
+        }
+    }
+
+    /** Sends the orders that are due, each valid only as long as the lease. */
+    static void review(
+            Board board, CapacitySection.Leadership leadership, long validUntilNanos, long nowNanos, Effects effects) {
+        CapacitySection section = board.capacity();
+        section.engineOrders()
+                .keySet()
+                .removeIf(server -> board.servers().server(server).isEmpty());
+        for (ServerEntry entry : board.servers().servers()) {
+            if (!entry.acceptsNewWork(nowNanos)
+                    || !(entry.announcement().kind() instanceof ServerKind.ModelEngine engine)
+                    || (!engine.checksFencing() && nowNanos - leadership.sinceNanos() < UNFENCED_WAIT_NANOS)) {
+                continue;
+            }
+            EngineOrder order = section.engineOrders().get(entry.server());
+            if (order != null && order.incarnation() == entry.announcement().incarnation()) {
+                if (!order.confirmed() && nowNanos - order.orderedNanos() >= REPEAT_ORDER_NANOS) {
+                    send(entry, order.sentAgain(nowNanos), leadership, validUntilNanos, board, effects);
+                }
+            } else if (engine.models().isEmpty() && loadTurn(section, nowNanos)) {
+                neededModel(board, nowNanos).ifPresent(model -> {
+                    section.setLastLoadNanos(nowNanos);
+                    EngineOrder first =
+                            new EngineOrder(entry.announcement().incarnation(), Set.of(model), nowNanos, false);
+                    send(entry, first, leadership, validUntilNanos, board, effects);
+                });
+            }
+        }
+    }
+
+    private static boolean loadTurn(CapacitySection section, long nowNanos) {
+        return section.lastLoadNanos().isEmpty()
+                || nowNanos - section.lastLoadNanos().getAsLong() >= LOAD_TURN_NANOS;
+    }
+
+    private static void send(
+            ServerEntry entry,
+            EngineOrder order,
+            CapacitySection.Leadership leadership,
+            long validUntilNanos,
+            Board board,
+            Effects effects) {
+        board.capacity().engineOrders().put(entry.server(), order);
+        effects.count("capacity.engine_orders");
+        effects.add(new ServerEffect.OrderModels(
+                entry.server(),
+                entry.announcement().address(),
+                order.models(),
+                leadership.fencingNumber(),
+                validUntilNanos));
+    }
+
+    /** Returns the model with the most work for each engine that holds it or is to hold it. */
+    private static Optional<ModelName> neededModel(Board board, long nowNanos) {
+        Map<ModelName, Integer> work = new HashMap<>();
+        Map<ModelName, Integer> engines = new HashMap<>();
+        for (ServerEntry entry : board.servers().servers()) {
+            if (entry.acceptsNewWork(nowNanos)
+                    && entry.announcement().kind() instanceof ServerKind.ModelEngine engine) {
+                for (ModelName model : engine.models()) {
+                    engines.merge(model, 1, Integer::sum);
+                    work.merge(model, entry.estimatedLoad(), Integer::sum);
+                }
+            }
+        }
+        for (EngineOrder order : board.capacity().engineOrders().values()) {
+            if (!order.confirmed()) {
+                order.models().forEach(model -> engines.merge(model, 1, Integer::sum));
+            }
+        }
+        for (CallEntry call : board.calls().calls()) {
+            switch (call.call().kind()) {
+                case CallKind.Model model -> work.merge(model.model(), 1, Integer::sum);
+                case CallKind.LongWork longWork -> work.merge(longWork.model().model(), 1, Integer::sum);
+                case CallKind.Service ignored -> {}
+                case CallKind.Order ignored -> {}
+            }
+        }
+        return work.keySet().stream()
+                .max(java.util.Comparator.comparingDouble((ModelName model) ->
+                                (1.0 + work.getOrDefault(model, 0)) / (0.5 + engines.getOrDefault(model, 0)))
+                        .thenComparing(ModelName::value));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/capacity/Place.java
@@ -0,0 +1,7 @@
+package org.plantainwharf.capacity;
+
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostClass;
+
+/** Where a host can be started: a host class in an availability zone. Immutable. */
+record Place(AvailabilityZone zone, HostClass hostClass) {}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/capacity/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of hosts and engine orders. */
+@NullMarked
+package org.plantainwharf.capacity;
+
+import org.jspecify.annotations.NullMarked;
