--- /dev/null
+++ b/src/test/java/org/plantainwharf/alarm/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of alarms. */
+@NullMarked
+package org.plantainwharf.alarm;
+
+import org.jspecify.annotations.NullMarked;
