--- a/src/main/java/org/plantainwharf/board/StatusView.java
+++ b/src/main/java/org/plantainwharf/board/StatusView.java
@@ -1,5 +1,6 @@
 package org.plantainwharf.board;
 
+import java.util.Comparator;
 import java.util.List;
 
 import org.plantainwharf.configuration.ConfigurationSection;
@@ -91,6 +92,7 @@
                 List.copyOf(board.membership().members()),
                 board.servers().servers().stream()
                         .map(entry -> ServerStatus.of(entry, nowNanos))
+                        .sorted(Comparator.comparing(ServerStatus::server))
                         .toList(),
                 List.copyOf(board.consensus().groups()),
                 board.calls().size(),
--- a/src/main/java/org/plantainwharf/daemon/Daemon.java
+++ b/src/main/java/org/plantainwharf/daemon/Daemon.java
@@ -16,8 +16,10 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import org.plantainwharf.admission.AdmissionController;
+import org.plantainwharf.alarm.AlarmController;
 import org.plantainwharf.backend.BackendClient;
 import org.plantainwharf.board.Board;
+import org.plantainwharf.capacity.CapacityController;
 import org.plantainwharf.codec.PeerMessageCodec;
 import org.plantainwharf.codec.ProtobufRecordCodec;
 import org.plantainwharf.configuration.ConfigurationController;
@@ -154,6 +156,8 @@
         controllers.add(OwnershipController.create());
         controllers.add(AttemptController.create());
         controllers.add(RoutingController.create());
+        controllers.add(CapacityController.create());
+        controllers.add(AlarmController.create());
         return controllers;
     }
 
