--- a/src/main/java/org/plantainwharf/bench/package-info.java
+++ b/src/main/java/org/plantainwharf/bench/package-info.java
@@ -1,4 +1,6 @@
-/** Drives the decision code on a virtual clock against small fakes and prints what it measures. */
+/**
+ * Drives the decision code and the replicated log on a virtual clock against small fakes and prints what it measures.
+ */
 @NullMarked
 package org.plantainwharf.bench;
 
--- a/src/main/java/org/plantainwharf/membership/MembershipSection.java
+++ b/src/main/java/org/plantainwharf/membership/MembershipSection.java
@@ -21,6 +21,11 @@
 
     private final Map<HostId, Map<Long, Long>> sentHeartbeats = new LinkedHashMap<>();
     private final Map<HostId, Long> receivedTokens = new LinkedHashMap<>();
+    private boolean begun;
+    private long nextToken;
+    private long nextHeartbeatNanos;
+    private long lastTickNanos;
+    private long resumedNanos;
 
     private MembershipSection(HostId self, AvailabilityZone zone, long incarnation) {
         this.self = self;
@@ -74,7 +79,8 @@
 
     /**
      * Returns when this host sent a heartbeat to another daemon, on this host's monotonic clock. Empty for a token that
-     * is too old or was sent by another incarnation.
+     * is too old or was sent by another incarnation. Whatever the other daemon states along with the token was stated
+     * after this time, so validity counted from it never ends too late.
      */
     public OptionalLong heartbeatSentNanos(HostId peer, long token) {
         Long sent = sentHeartbeats.getOrDefault(peer, Map.of()).get(token);
@@ -91,8 +97,57 @@
         receivedTokens.put(peer, token);
     }
 
-    /** Returns the newest token received from another daemon, 0 for none. */
+    /** Returns the newest token received over the present link to another daemon, 0 for none. */
     public long newestReceivedToken(HostId peer) {
         return receivedTokens.getOrDefault(peer, 0L);
     }
+
+    boolean begun() {
+        return begun;
+    }
+
+    /**
+     * Begins to send heartbeats.
+     *
+     * @param firstToken drawn at random at each start of the process, so that an echo of a token from before a restart
+     *     is not taken for a token of this process
+     */
+    void begin(long firstToken, long nowNanos) {
+        begun = true;
+        nextToken = firstToken;
+        nextHeartbeatNanos = nowNanos;
+        lastTickNanos = nowNanos;
+        resumedNanos = nowNanos;
+    }
+
+    long takeToken() {
+        long token = nextToken;
+        nextToken++;
+        return token;
+    }
+
+    long nextHeartbeatNanos() {
+        return nextHeartbeatNanos;
+    }
+
+    void setNextHeartbeatNanos(long value) {
+        nextHeartbeatNanos = value;
+    }
+
+    long lastTickNanos() {
+        return lastTickNanos;
+    }
+
+    void setLastTickNanos(long value) {
+        lastTickNanos = value;
+    }
+
+    /** Returns when this process last went on after a pause of its own. */
+    long resumedNanos() {
+        return resumedNanos;
+    }
+
+    void setResumedNanos(long value) {
+        resumedNanos = value;
+    }
 }
--- a/src/main/java/org/plantainwharf/record/OrderController.java
+++ b/src/main/java/org/plantainwharf/record/OrderController.java
@@ -151,7 +151,13 @@
         }
         CallEntry entry = live.get();
         switch (result) {
-            case CommandResult.IntentGranted granted -> board.calls().advance(entry, new CallState.Ready(nowNanos));
+            case CommandResult.IntentGranted granted -> {
+                if (nowNanos - entry.call().deadlineNanos() >= 0) {
+                    CallEnding.fail(board, effects, entry, Failure.of(ErrorKind.QUEUE_TIMEOUT));
+                } else {
+                    board.calls().advance(entry, new CallState.Ready(nowNanos));
+                }
+            }
             case CommandResult.IntentFinished finished -> {
                 board.records().forgetIntent(request);
                 effects.count("orders.answered_from_record");
@@ -250,7 +256,7 @@
             int group = RecordGroups.groupOf(
                     call.account(), order.key(), board.settings().recordGroups());
             Command command = refused.failure().ran() == Ran.NO
-                    ? new Command.ReleaseIntent(call.account(), order.key(), call.id())
+                    ? new Command.ReleaseIntent(call.account(), order.key(), call.id(), board.wallClockMillis())
                     : new Command.LoseOutcome(call.account(), order.key(), call.id());
             Proposals.propose(board, effects, group, command, new PendingProposal.Notice(group, command));
         }
--- a/src/test/java/org/plantainwharf/limit/LimitFleet.java
+++ b/src/test/java/org/plantainwharf/limit/LimitFleet.java
@@ -20,6 +20,8 @@
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.membership.Member;
+import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.settings.Settings;
 
@@ -41,7 +43,6 @@
     private final double loss;
     private final long maximumDelayNanos;
     private long nowNanos;
-    private long tokens;
     private long deliveries;
     private int leader = -1;
     private long leaderUntilNanos = Long.MAX_VALUE;
@@ -69,7 +70,7 @@
             double drift = 1 + maximumDrift * (2 * random.nextDouble() - 1);
             hosts.add(new Host(
                     own.host(),
-                    ControlCycle.create(board, List.of(LimitController.create())),
+                    ControlCycle.create(board, List.of(MembershipController.create(), LimitController.create())),
                     random.nextLong(1L << 40),
                     drift));
         }
@@ -127,7 +128,7 @@
                 DecisionHarness calls = DecisionHarness.withoutSheet();
                 run(host, new CallEvent.CallArrived(calls.modelCall("r", ACCOUNT.value(), "urgent")));
             }
-            sendHeartbeats(host);
+            openLinks(host);
             run(host, new TimerEvent.Tick());
         }
     }
@@ -149,12 +150,20 @@
         return host.cycle().board().limits().usableRate(ACCOUNT, LIMIT, hosts.size(), host.clock(nowNanos));
     }
 
-    private void sendHeartbeats(Host from) {
+    /** Opens links again that the membership controller closed after silence. */
+    private void openLinks(Host from) {
         for (Host to : hosts) {
-            if (to != from) {
-                tokens++;
-                from.cycle().board().membership().heartbeatSent(to.id(), tokens, from.clock(nowNanos));
-                send(from, to, new PeerMessage.Heartbeat(tokens, 0, 1, false));
+            boolean linked = from.cycle()
+                    .board()
+                    .membership()
+                    .member(to.id())
+                    .map(Member::linked)
+                    .orElse(false);
+            if (to != from && !linked) {
+                run(
+                        from,
+                        new PeerEvent.PeerConnected(
+                                to.id(), to.cycle().board().membership().zone(), 1));
             }
         }
     }
@@ -167,15 +176,7 @@
     }
 
     private void deliver(Delivery delivery) {
-        if (delivery.message() instanceof PeerMessage.Heartbeat heartbeat) {
-            delivery.to()
-                    .cycle()
-                    .board()
-                    .membership()
-                    .heartbeatReceived(delivery.from().id(), heartbeat.token());
-        } else {
-            run(delivery.to(), new PeerEvent.PeerMessageReceived(delivery.from().id(), 1, delivery.message()));
-        }
+        run(delivery.to(), new PeerEvent.PeerMessageReceived(delivery.from().id(), 1, delivery.message()));
     }
 
     private void run(Host host, Event event) {
