--- a/src/main/java/org/plantainwharf/cli/StatusText.java
+++ b/src/main/java/org/plantainwharf/cli/StatusText.java
@@ -9,6 +9,7 @@
 final class StatusText {
     private static final String REFUSALS = "errors.";
     private static final String RETRIES = "retries.";
+    private static final String RECOMPUTED = "tokens.recomputed.";
 
     private StatusText() {}
 
@@ -20,7 +21,8 @@
                 + servers(status)
                 + logs(status)
                 + counters(status, "Refusals by reason", REFUSALS)
-                + counters(status, "Retries by reason", RETRIES);
+                + counters(status, "Retries by reason", RETRIES)
+                + counters(status, "Recomputed tokens by reason", RECOMPUTED);
     }
 
     private static String summary(JsonNode status) {
@@ -86,9 +88,9 @@
         for (JsonNode server : status.path("servers")) {
             int[] counts = zones.computeIfAbsent(server.path("zone").asText(), zone -> new int[4]);
             counts[2]++;
-            counts[3] += server.path("condition").asText().equals("serving") ? 1 : 0;
+            counts[3] += server.path("condition").asText().equals("available") ? 1 : 0;
         }
-        TextTable table = TextTable.withHeader("zone", "daemons", "linked", "servers", "serving");
+        TextTable table = TextTable.withHeader("zone", "daemons", "linked", "servers", "available");
         zones.forEach((zone, counts) -> table.add(
                 zone,
                 String.valueOf(counts[0]),
--- a/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -23,6 +23,8 @@
 import org.plantainwharf.sheet.SheetDifference;
 import org.plantainwharf.sheet.SheetDigest;
 import org.plantainwharf.sheet.csv.SheetParser;
+import org.plantainwharf.standin.StandInEngine;
+import org.plantainwharf.standin.StandInService;
 
 /** Carries out subcommands. Results go to standard output, everything else to standard error. Used by one thread. */
 public final class SubcommandRunner {
@@ -53,6 +55,7 @@
             case Subcommand.SettingsCheck check -> settingsCheck(check.files());
             case Subcommand.SheetCheck check -> sheetCheck(check.files());
             case Subcommand.SheetDiff diff -> sheetDiff(diff);
+            case Subcommand.SheetDiffInForce diff -> sheetDiffInForce(diff);
             case Subcommand.SheetApply apply -> sheetApply(apply);
             case Subcommand.SheetShow show ->
                 ask(show.target(), client -> client.get("/admin/sheet"), show.json(), SheetText::of);
@@ -61,6 +64,10 @@
                 ask(status.target(), client -> client.get("/admin/status"), status.json(), StatusText::of);
             case Subcommand.Drain drain -> drain(drain.target());
             case Subcommand.Version version -> version();
+            case Subcommand.StandInEngine standIn ->
+                ExitCode.of(StandInEngine.run(standIn.arguments().toArray(String[]::new)));
+            case Subcommand.StandInService standIn ->
+                ExitCode.of(StandInService.run(standIn.arguments().toArray(String[]::new)));
             case Subcommand.Help help -> succeed(help.text());
         };
     }
@@ -108,6 +115,14 @@
                 .fold(this::fail, difference -> succeed(SheetText.of(difference)));
     }
 
+    private ExitCode sheetDiffInForce(Subcommand.SheetDiffInForce diff) {
+        return readSheet(diff.after())
+                .flatMap(after -> reach(diff.target(), client -> client.get("/admin/sheet"))
+                        .flatMap(SubcommandRunner::json)
+                        .map(answer -> SheetText.ofInForce(SheetAnswer.read(answer, after), after)))
+                .fold(this::fail, this::succeed);
+    }
+
     private ExitCode sheetApply(Subcommand.SheetApply apply) {
         // Checked here first, so that all problems are shown with the file's name even when no daemon can be reached.
         return readSheet(apply.file())
