Repeat a reclaim while the server goes on to announce itself

Cause: a reclaimed server may not know of its notice; a host that missed the relayed notice used it for as long as it announced itself. Change: an announcement of a server that is leaving by a notice is relayed as leaving again. Result: the new test fails without the change's second relay and passes with it; whole check passes with 762 tests.

--- a/src/main/java/org/plantainwharf/server/ServerController.java
+++ b/src/main/java/org/plantainwharf/server/ServerController.java
@@ -100,11 +100,17 @@
         if (until.isEmpty()) {
             effects.count(event.returnedToken() == 0 ? "servers.first_announcements" : "servers.unknown_tokens");
         }
-        if (merge(announcement, until, board, nowNanos, effects)) {
+        boolean told = merge(announcement, until, board, nowNanos, effects);
+        // A reclaimed server may not know of its notice and go on to announce itself to hosts that missed it too.
+        boolean leaving = section.server(announcement.server())
+                .map(ServerEntry::announcement)
+                .filter(newest -> newest.leaving() && newest.incarnation() == announcement.incarnation())
+                .isPresent();
+        if (told || leaving) {
             track.changed(section.nextChange());
-            if (announcement.leaving()) {
-                track.leaving(nowNanos);
-            }
+        }
+        if (leaving) {
+            track.leaving(nowNanos);
         }
         long token = nextToken(board);
         track.issued(token, announcement.incarnation(), nowNanos);
--- a/src/test/java/org/plantainwharf/server/ServerControllerTest.java
+++ b/src/test/java/org/plantainwharf/server/ServerControllerTest.java
@@ -291,6 +291,19 @@
             assertEquals(List.of(), relayedAt(start + 3_000));
         }
 
+        @Test
+        void reclaimIsRepeatedWhileTheServerAnnouncesItself() {
+            connect();
+            giveLease();
+            hearHeartbeat();
+            handle(new PlatformEvent.ServerReclaimNoticed(SERVER, 30_000));
+            assertEquals(List.of(new ServerLease(announcement(1, 2, true), 0)), relayedAt(nowMillis + 250));
+            nowMillis += 10_000;
+            hearHeartbeat();
+            announce(announcement(1, 9, false), 0);
+            assertEquals(List.of(new ServerLease(announcement(1, 9, true), 0)), relayedAt(nowMillis + 250));
+        }
+
         @Test
         void relayedLeasesAreNotRelayedAgain() {
             connect();
