Let LinkBench run from the command line

Cause: the figures are wanted without writing a program. Change: a main method that exits with the status of run.

--- a/src/main/java/org/plantainwharf/bench/LinkBench.java
+++ b/src/main/java/org/plantainwharf/bench/LinkBench.java
@@ -79,6 +79,11 @@
         this.repeats = repeats;
     }
 
+    /** Runs the benchmark and exits with its status. */
+    public static void main(String[] arguments) {
+        System.exit(run(arguments));
+    }
+
     /** Runs the benchmark and returns the exit code: 0 ok, 1 failed, 2 usage. */
     public static int run(String[] arguments) {
         return run(arguments, System.out, System.err);
