--- /dev/null
+++ b/src/test/java/org/plantainwharf/fleet/Fleet.java
@@ -0,0 +1,338 @@
+package org.plantainwharf.fleet;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.plantainwharf.record.Digests;
+
+/**
+ * Five daemons in four zones, four of them with a disk (one in each zone), two stand-in engines and an order service, each a process of
+ * its own. Not thread-safe, but for {@link #send}.
+ */
+final class Fleet implements AutoCloseable {
+    static final List<String> HOSTS = List.of("a1", "a2", "b1", "c1", "d1");
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String KEY = "fleet-account-key";
+    private static final Duration START_LIMIT = Duration.ofSeconds(40);
+
+    private final Path folder;
+    private final Map<String, Integer> ports = new LinkedHashMap<>();
+    private final Map<String, Process> processes = new LinkedHashMap<>();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2))
+            .build();
+
+    private Fleet(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Starts all processes and waits until every daemon has the first sheet and knows every server. */
+    static Fleet start(Path folder) throws IOException, InterruptedException {
+        Fleet fleet = new Fleet(folder);
+        fleet.pickPorts();
+        for (String host : HOSTS) {
+            fleet.startDaemon(host);
+        }
+        fleet.startEngine("engine1", "a", "a1", "a2");
+        fleet.startEngine("engine2", "b", "b1", "c1");
+        fleet.startService("service1", "c", "c1", "d1");
+        fleet.awaitTrue("first sheet", () -> fleet.applySheet("a1", 1, 1_000).statusCode() == 200);
+        for (String host : HOSTS) {
+            fleet.awaitTrue("servers on " + host, () -> fleet.knowsServers(host, 3));
+        }
+        return fleet;
+    }
+
+    private void pickPorts() throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<String> names = new ArrayList<>(List.of("engine1", "engine2", "service1"));
+        for (String host : HOSTS) {
+            names.addAll(List.of(host + "/callers", host + "/operators", host + "/peers"));
+        }
+        for (String name : names) {
+            ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+            sockets.add(socket);
+            ports.put(name, socket.getLocalPort());
+        }
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private String address(String name) {
+        return "127.0.0.1:" + Objects.requireNonNull(ports.get(name));
+    }
+
+    /** Starts a daemon, again after it ended. */
+    void startDaemon(String host) throws IOException {
+        StringBuilder hosts = new StringBuilder();
+        for (String other : HOSTS) {
+            hosts.append(hosts.isEmpty() ? "" : ",")
+                    .append("{\"host\":\"%s\",\"zone\":\"%s\",\"peerAddress\":\"%s\",\"voter\":%s}"
+                            .formatted(other, other.substring(0, 1), address(other + "/peers"), isVoter(other)));
+        }
+        String disk = isVoter(host) ? "\"dataFolder\":\"%s\",".formatted(folder.resolve(host)) : "";
+        String settings = ("{\"host\":\"%s\",\"zone\":\"%s\",\"hostClass\":\"entry\",\"callerAddress\":\"%s\","
+                        + "\"operatorAddress\":\"%s\",\"peerAddress\":\"%s\",%s"
+                        + "\"timings\":{\"drainNoticeMillis\":500},\"hosts\":[%s]}")
+                .formatted(
+                        host,
+                        host.substring(0, 1),
+                        address(host + "/callers"),
+                        address(host + "/operators"),
+                        address(host + "/peers"),
+                        disk,
+                        hosts);
+        Files.createDirectories(folder.resolve(host));
+        Path file = folder.resolve(host + ".json");
+        Files.writeString(file, settings);
+        launch(host, "serve", "--settings", file.toString());
+    }
+
+    private static boolean isVoter(String host) {
+        return !host.equals("a2");
+    }
+
+    private void startEngine(String server, String zone, String first, String second) throws IOException {
+        launch(
+                server,
+                "stand-in-engine",
+                "--server",
+                server,
+                "--zone",
+                zone,
+                "--port",
+                String.valueOf(ports.get(server)),
+                "--token-millis",
+                "20",
+                "--operators",
+                address(first + "/operators") + "," + address(second + "/operators"));
+    }
+
+    private void startService(String server, String zone, String first, String second) throws IOException {
+        launch(
+                server,
+                "stand-in-service",
+                "--server",
+                server,
+                "--zone",
+                zone,
+                "--port",
+                String.valueOf(ports.get(server)),
+                "--routes",
+                "orders,stock",
+                "--operators",
+                address(first + "/operators") + "," + address(second + "/operators"));
+    }
+
+    private void launch(String name, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx192m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                Objects.requireNonNull(System.getProperty("java.class.path")),
+                "org.plantainwharf.Main"));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve(name + ".log").toFile()))
+                .start();
+        processes.put(name, process);
+    }
+
+    Process process(String name) {
+        return Objects.requireNonNull(processes.get(name));
+    }
+
+    /** Ends a process at once, as a crash does. */
+    void kill(String name) throws InterruptedException {
+        process(name).destroyForcibly().waitFor();
+    }
+
+    /** Asks a process to stop, as a planned stop does. */
+    void terminate(String name) {
+        process(name).destroy();
+    }
+
+    /** Freezes or continues a process. */
+    void signal(String name, String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, String.valueOf(process(name).pid()))
+                .start()
+                .waitFor();
+    }
+
+    HttpResponse<String> applySheet(String host, long version, long deadlineMillis) {
+        String digest = Digests.sha256(KEY.getBytes(StandardCharsets.UTF_8));
+        String sheet = """
+                version;%d
+                [accounts]
+                name;key digest;weight;requests per second;ranks
+                fleet;%s;1;1000;urgent report
+                [ranks]
+                name;latency target ms;deadline ms;worth;floor share
+                urgent;5 000;30 000;20;0,35
+                report;60 000;120 000;1;0,1
+                [routes]
+                name;rank;repeatable
+                stock;urgent;yes
+                orders;urgent;no
+                [budgets]
+                zone;host class;price per hour;maximum per hour;reclaimable
+                a;standard;0,5;%d;yes
+                """.formatted(version, digest, deadlineMillis);
+        return post(address(host + "/operators") + "/admin/sheet", "text/csv", sheet, Map.of());
+    }
+
+    JsonNode status(String host) {
+        try {
+            return JSON.readTree(
+                    get(address(host + "/operators") + "/admin/status").body());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private boolean knowsServers(String host, int count) {
+        int available = 0;
+        for (JsonNode server : status(host).path("servers")) {
+            available += server.path("condition").asText().equals("available") ? 1 : 0;
+        }
+        return available >= count && get(address(host + "/callers") + "/health").statusCode() == 200;
+    }
+
+    /** Returns the host that leads a group, as another host sees it; waits while there is none. */
+    String awaitLeader(String host, int group) throws InterruptedException {
+        awaitTrue("leader of group " + group, () -> !leader(host, group).isEmpty());
+        return leader(host, group);
+    }
+
+    private String leader(String host, int group) {
+        return status(host).path("groups").path(group).path("leader").asText();
+    }
+
+    HttpResponse<String> order(String host, String key, String body) {
+        return post(
+                address(host + "/callers") + "/v1/services/orders",
+                "application/json",
+                body,
+                Map.of("Idempotency-Key", key));
+    }
+
+    HttpResponse<String> stock(String host) {
+        return post(address(host + "/callers") + "/v1/services/stock", "application/json", "{\"item\":1}", Map.of());
+    }
+
+    HttpResponse<String> stream(String host, int tokens) {
+        return post(
+                address(host + "/callers") + "/v1/chat/completions", "application/json", chat(tokens, true), Map.of());
+    }
+
+    HttpResponse<String> acceptWork(String host, int tokens) {
+        return post(
+                address(host + "/callers") + "/v1/work",
+                "application/json",
+                chat(tokens, false),
+                Map.of("X-Rank", "report"));
+    }
+
+    HttpResponse<String> workResult(String host, String id) {
+        return get(address(host + "/callers") + "/v1/work/" + id + "/result");
+    }
+
+    static String workId(HttpResponse<String> accepted) throws IOException {
+        return JSON.readTree(accepted.body()).path("id").asText();
+    }
+
+    private static String chat(int tokens, boolean stream) {
+        return ("{\"model\":\"small\",\"stream\":%s,\"max_tokens\":%d,"
+                        + "\"messages\":[{\"role\":\"user\",\"content\":\"review\"}]}")
+                .formatted(stream, tokens);
+    }
+
+    /** Returns how often the order service ran a key of the account. */
+    int runs(String key) throws IOException {
+        return JSON.readTree(get(address("service1") + "/runs").body())
+                .path("fleet:" + key)
+                .asInt();
+    }
+
+    /** Switches a fault of a stand-in. */
+    void fault(String server, String json) {
+        post(address(server) + "/fault", "application/json", json, Map.of());
+    }
+
+    private HttpResponse<String> get(String url) {
+        return send(HttpRequest.newBuilder(URI.create("http://" + url)).GET(), Map.of());
+    }
+
+    private HttpResponse<String> post(String url, String mediaType, String body, Map<String, String> headers) {
+        return send(
+                HttpRequest.newBuilder(URI.create("http://" + url))
+                        .header("Content-Type", mediaType)
+                        .POST(HttpRequest.BodyPublishers.ofString(body)),
+                headers);
+    }
+
+    private HttpResponse<String> send(HttpRequest.Builder request, Map<String, String> headers) {
+        request.header("Authorization", "Bearer " + KEY).timeout(Duration.ofSeconds(60));
+        headers.forEach(request::header);
+        try {
+            return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Waits for a condition; a connection that is refused counts as not yet. */
+    void awaitTrue(String what, BooleanSupplier condition) throws InterruptedException {
+        long deadline = System.nanoTime() + START_LIMIT.toNanos();
+        while (true) {
+            try {
+                if (condition.getAsBoolean()) {
+                    return;
+                }
+            } catch (java.io.UncheckedIOException e) {
+                // The process does not listen yet.
+            }
+            if (System.nanoTime() - deadline >= 0) {
+                throw new AssertionError("no " + what + " within " + START_LIMIT + ", see " + folder);
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        for (Process process : processes.values()) {
+            process.destroyForcibly();
+        }
+        for (Process process : processes.values()) {
+            process.waitFor();
+        }
+    }
+}
