--- /dev/null
+++ b/src/main/java/org/plantainwharf/bench/StreamMeter.java
@@ -0,0 +1,67 @@
+package org.plantainwharf.bench;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.consensus.ReplicaOutput;
+import org.plantainwharf.message.ReplicaEntry;
+import org.plantainwharf.message.ReplicaMessage;
+
+/** Measures how learners receive entries. Not thread-safe. */
+final class StreamMeter implements VirtualGroup.Watcher {
+    private final Map<Long, Long> committedAt = new HashMap<>();
+    private final List<Long> delays = new ArrayList<>();
+    private @Nullable VirtualGroup group;
+    private long bytes;
+
+    private StreamMeter() {}
+
+    static StreamMeter create() {
+        return new StreamMeter();
+    }
+
+    void watch(VirtualGroup watched) {
+        group = watched;
+        delays.clear();
+        bytes = 0;
+    }
+
+    /** Returns the times from the first commitment of an entry to its application on a learner. */
+    List<Long> delays() {
+        return delays;
+    }
+
+    /** Returns the bytes to and from learners, by an estimate of 64 for a message and 256 for an entry. */
+    long bytes() {
+        return bytes;
+    }
+
+    @Override
+    public void onSend(VirtualNode from, ReplicaOutput.Outgoing outgoing) {
+        if (from.learner() || outgoing.host().value().startsWith("learner")) {
+            int entries = outgoing.message() instanceof ReplicaMessage.AppendRequest request
+                    ? request.entries().size()
+                    : 0;
+            bytes += 64 + 256L * entries;
+        }
+    }
+
+    @Override
+    public void onCommit(VirtualNode node, ReplicaEntry entry) {
+        if (group == null) {
+            return;
+        }
+        long now = group.nowNanos();
+        if (!node.learner()) {
+            committedAt.putIfAbsent(entry.index(), now);
+        } else if (committedAt.get(entry.index()) instanceof Long committed) {
+            delays.add(now - committed);
+        }
+    }
+
+    @Override
+    public void onStep(VirtualGroup stepped, VirtualNode node, ReplicaOutput output) {}
+}
--- a/src/main/java/org/plantainwharf/consensus/ReplicaOptions.java
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaOptions.java
@@ -15,6 +15,8 @@
  * @param messageBytes estimated bytes of entries or records in one message; a frame may have 4 MiB
  * @param renewNanos period at which a learner repeats its request
  * @param silenceNanos silence after which a learner changes its source
+ * @param subscriptionNanos time after a learner's request during which new entries are sent to it unasked, 0 to make
+ *     learners poll
  */
 public record ReplicaOptions(
         long heartbeatNanos,
@@ -25,7 +27,8 @@
         int tailEntries,
         int messageBytes,
         long renewNanos,
-        long silenceNanos) {
+        long silenceNanos,
+        long subscriptionNanos) {
     /** Returns the values of the design. */
     public static ReplicaOptions defaults() {
         return new ReplicaOptions(
@@ -37,11 +40,12 @@
                 64,
                 1 << 20,
                 TimeUnit.MILLISECONDS.toNanos(1_000),
+                TimeUnit.MILLISECONDS.toNanos(2_500),
                 TimeUnit.MILLISECONDS.toNanos(2_500));
     }
 
-    /** Returns these options with another renewal period, to compare and to test. */
-    public ReplicaOptions withRenewNanos(long nanos) {
+    /** Returns these options with another way to feed learners, to compare ways. */
+    public ReplicaOptions withLearners(long renewal, long subscription) {
         return new ReplicaOptions(
                 heartbeatNanos,
                 leaseNanos,
@@ -50,7 +54,8 @@
                 electionMaximumNanos,
                 tailEntries,
                 messageBytes,
-                nanos,
-                silenceNanos);
+                renewal,
+                silenceNanos,
+                subscription);
     }
 }
--- a/src/main/java/org/plantainwharf/consensus/StreamSource.java
+++ b/src/main/java/org/plantainwharf/consensus/StreamSource.java
@@ -41,7 +41,7 @@
         }
         long sent = send(learner, Math.min(afterIndex, state.commitIndex()), output);
         subscriptions.put(
-                learner, new Subscription(sent, nowNanos + state.options().silenceNanos()));
+                learner, new Subscription(sent, nowNanos + state.options().subscriptionNanos()));
     }
 
     void chunkReceived(ReplicaMessage.SnapshotAnswer answer, ReplicaOutput output) {
@@ -52,7 +52,7 @@
 
     /** Sends what became committed since the last call. */
     void publish(long nowNanos, ReplicaOutput output) {
-        subscriptions.values().removeIf(subscription -> nowNanos - subscription.untilNanos() > 0);
+        subscriptions.values().removeIf(subscription -> nowNanos - subscription.untilNanos() >= 0);
         subscriptions.replaceAll((learner, subscription) -> {
             boolean news = subscription.sentIndex() < state.commitIndex()
                     && state.log().term(subscription.sentIndex()) != ReplicaLog.UNKNOWN_TERM;
--- a/src/test/java/org/plantainwharf/consensus/RandomSchedule.java
+++ b/src/test/java/org/plantainwharf/consensus/RandomSchedule.java
@@ -77,7 +77,8 @@
                 5,
                 600,
                 defaults.renewNanos(),
-                defaults.silenceNanos());
+                defaults.silenceNanos(),
+                defaults.subscriptionNanos());
     }
 
     static RandomSchedule create(long seed, Fault fault) {
