--- a/src/main/java/org/plantainwharf/replicated/StateRecord.java
+++ b/src/main/java/org/plantainwharf/replicated/StateRecord.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 
+import org.plantainwharf.call.CallKind;
 import org.plantainwharf.call.Content;
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.AvailabilityZone;
@@ -18,6 +19,9 @@
     /** The sheet in force. */
     record SheetInForce(Sheet sheet) implements StateRecord {}
 
+    /** A sheet that was accepted earlier, so that a resend gets the same answer. */
+    record AcceptedSheet(long version, String digest) implements StateRecord {}
+
     /** The newest fencing number. */
     record Fencing(long number, HostId leader, long term) implements StateRecord {}
 
@@ -34,16 +38,32 @@
     record HostStart(String token, AvailabilityZone zone, HostClass hostClass, boolean finished, String platformHost)
             implements StateRecord {}
 
-    /** A call that may not be repeated. */
-    record Order(AccountName account, IdempotencyKey key, String contentDigest, OrderState state, long wallClockMillis)
-            implements StateRecord {}
+    /**
+     * A call that may not be repeated.
+     *
+     * @param releasedRequests requests that will never send it, so that a delayed duplicate of their intent, or an
+     *     intent that its own release overtook, cannot reserve it for an owner that has given up
+     */
+    record Order(
+            AccountName account,
+            IdempotencyKey key,
+            String contentDigest,
+            OrderState state,
+            Set<RequestId> releasedRequests,
+            long wallClockMillis)
+            implements StateRecord {
+        /** Copies the set. */
+        public Order {
+            releasedRequests = Set.copyOf(releasedRequests);
+        }
+    }
 
     /** Accepted long work. */
     record Work(
             AccountName account,
             RequestId request,
             RankName rank,
-            String model,
+            CallKind.Model model,
             Content content,
             WorkState state,
             long wallClockMillis)
@@ -54,11 +74,14 @@
         /** Its owner may send it or has sent it. */
         record Reserved(HostId owner, long ownerIncarnation, RequestId request) implements OrderState {}
 
+        /** Nothing of it was sent; another request may reserve it. */
+        record Released() implements OrderState {}
+
         /** It ran; this is its answer. */
         record Finished(RequestId request, int httpStatus, Content answer) implements OrderState {}
 
         /** Its owner is gone; it may have run. */
-        record Lost() implements OrderState {}
+        record Lost(RequestId request) implements OrderState {}
 
         /** Its answer is no longer kept; the key stays unusable. */
         record Expired() implements OrderState {}
