--- a/src/main/java/org/plantainwharf/membership/MembershipController.java
+++ b/src/main/java/org/plantainwharf/membership/MembershipController.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.TimeUnit;
 
-import org.jspecify.annotations.Nullable;
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.drain.DrainPhase;
@@ -67,7 +66,7 @@
             case PeerEvent.PeerConnected connected -> {
                 section.put(new Member(
                         connected.peer(), connected.zone(), connected.incarnation(), true, nowNanos, false, 0));
-                section.setReceivedToken(connected.peer(), 0);
+                section.heartbeatReceived(connected.peer(), 0);
             }
             case PeerEvent.PeerDisconnected disconnected ->
                 section.member(disconnected.peer())
@@ -86,7 +85,8 @@
         if (message instanceof PeerMessage.Heartbeat heartbeat) {
             draining = heartbeat.draining();
             configurationVersion = heartbeat.configurationVersion();
-            section.setReceivedToken(member.host(), Math.max(heartbeat.token(), section.receivedToken(member.host())));
+            section.heartbeatReceived(
+                    member.host(), Math.max(heartbeat.token(), section.newestReceivedToken(member.host())));
         }
         section.put(new Member(
                 member.host(), member.zone(), member.incarnation(), true, nowNanos, draining, configurationVersion));
@@ -101,12 +101,12 @@
                 member.lastHeardNanos(),
                 member.draining(),
                 member.configurationVersion()));
-        section.setReceivedToken(member.host(), 0);
+        section.heartbeatReceived(member.host(), 0);
     }
 
     private static void tick(Board board, long nowNanos, Effects effects) {
         MembershipSection section = board.membership();
-        HeartbeatLog heartbeats = begun(board, nowNanos);
+        begin(board, nowNanos);
         if (nowNanos - section.lastTickNanos() >= PAUSE_NANOS) {
             section.setResumedNanos(nowNanos);
             effects.count("membership.pauses");
@@ -115,24 +115,22 @@
         closeSilentLinks(board, nowNanos, effects);
         if (nowNanos - section.nextHeartbeatNanos() >= 0) {
             section.setNextHeartbeatNanos(nowNanos + HEARTBEAT_NANOS);
-            sendHeartbeats(board, heartbeats.next(nowNanos), effects);
+            sendHeartbeats(board, nowNanos, effects);
         }
     }
 
-    private static HeartbeatLog begun(Board board, long nowNanos) {
+    private static void begin(Board board, long nowNanos) {
         MembershipSection section = board.membership();
-        @Nullable HeartbeatLog heartbeats = section.heartbeats();
-        if (heartbeats == null) {
-            heartbeats = HeartbeatLog.startingAt(1 + board.random().nextLong(FIRST_TOKEN_BOUND));
-            section.begin(heartbeats, nowNanos);
-            for (Settings.HostEntry entry : board.settings().hosts()) {
-                if (!entry.host().equals(section.self())
-                        && section.member(entry.host()).isEmpty()) {
-                    section.put(new Member(entry.host(), entry.zone(), 0, false, nowNanos, false, 0));
-                }
+        if (section.begun()) {
+            return;
+        }
+        section.begin(1 + board.random().nextLong(FIRST_TOKEN_BOUND), nowNanos);
+        for (Settings.HostEntry entry : board.settings().hosts()) {
+            if (!entry.host().equals(section.self())
+                    && section.member(entry.host()).isEmpty()) {
+                section.put(new Member(entry.host(), entry.zone(), 0, false, nowNanos, false, 0));
             }
         }
-        return heartbeats;
     }
 
     private static void closeSilentLinks(Board board, long nowNanos, Effects effects) {
@@ -151,17 +149,19 @@
         }
     }
 
-    private static void sendHeartbeats(Board board, long token, Effects effects) {
+    private static void sendHeartbeats(Board board, long nowNanos, Effects effects) {
         MembershipSection section = board.membership();
+        long token = section.takeToken();
         boolean draining = !(board.drain().phase() instanceof DrainPhase.Serving);
         for (Member member : section.members()) {
             if (member.linked()) {
                 HostId host = member.host();
+                section.heartbeatSent(host, token, nowNanos);
                 effects.add(new PeerEffect.SendToPeer(
                         host,
                         new PeerMessage.Heartbeat(
                                 token,
-                                section.receivedToken(host),
+                                section.newestReceivedToken(host),
                                 board.configuration().version(),
                                 draining)));
             }
--- a/src/main/java/org/plantainwharf/server/ServerController.java
+++ b/src/main/java/org/plantainwharf/server/ServerController.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.plantainwharf.board.Board;
@@ -99,11 +100,17 @@
         if (until.isEmpty()) {
             effects.count(event.returnedToken() == 0 ? "servers.first_announcements" : "servers.unknown_tokens");
         }
-        if (merge(announcement, until, board, nowNanos, effects)) {
+        boolean told = merge(announcement, until, board, nowNanos, effects);
+        // A reclaimed server may not know of its notice and go on to announce itself to hosts that missed it too.
+        boolean leaving = section.server(announcement.server())
+                .map(ServerEntry::announcement)
+                .filter(newest -> newest.leaving() && newest.incarnation() == announcement.incarnation())
+                .isPresent();
+        if (told || leaving) {
             track.changed(section.nextChange());
-            if (announcement.leaving()) {
-                track.leaving(nowNanos);
-            }
+        }
+        if (leaving) {
+            track.leaving(nowNanos);
         }
         long token = nextToken(board);
         track.issued(token, announcement.incarnation(), nowNanos);
@@ -189,8 +196,9 @@
     }
 
     private void relayed(HostId relay, PeerMessage.ServerLeases message, Board board, long nowNanos, Effects effects) {
+        OptionalLong sent = board.membership().heartbeatSentNanos(relay, message.echoedToken());
         Optional<Long> start =
-                leaseStart.start(board.membership().heartbeatSentNanos(relay, message.echoedToken()), nowNanos);
+                leaseStart.start(sent.isPresent() ? Optional.of(sent.getAsLong()) : Optional.empty(), nowNanos);
         if (start.isEmpty()) {
             effects.count("servers.undated_relays");
         }
@@ -350,7 +358,7 @@
      */
     private static void relay(HostId host, List<ServerEntry> firstHand, Board board, long nowNanos, Effects effects) {
         ServerSection section = board.servers();
-        long token = board.membership().receivedToken(host);
+        long token = board.membership().newestReceivedToken(host);
         long relayed = section.relayedChange(host);
         if (token == 0) {
             return;
