Read bodies without the deprecated call and mark unneeded results

The call that read bodies is to be removed from Jetty, and Error Prone warned about results of aborts that nobody needs. Bodies are read through a promise, and the two aborts say why their result does not matter.

--- a/src/main/java/org/plantainwharf/backend/RunningAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/RunningAttempt.java
@@ -194,7 +194,7 @@
             }
         }
         if (aborted != null) {
-            aborted.abort(new IllegalStateException("attempt ended before it was sent"));
+            abort(aborted, "attempt ended before it was sent");
         } else {
             context.count("backend.attempts_sent");
             context.events().post(new AttemptEvent.AttemptSent(start.attempt()));
@@ -563,11 +563,17 @@
         }
         context.events().post(new AttemptEvent.AttemptFailed(start.attempt(), reported, tokens));
         if (aborted != null) {
-            aborted.abort(new IllegalStateException(reported.code()));
+            abort(aborted, reported.code());
         }
         return true;
     }
 
+    /** Closes the exchange; whether there was still anything to close does not matter. */
+    @SuppressWarnings("FutureReturnValueIgnored")
+    private static void abort(Request request, String reason) {
+        request.abort(new IllegalStateException(reason));
+    }
+
     private void markEnded() {
         ended = true;
         progress.endAttempt(number(), context.clock().nowNanos());
--- a/src/main/java/org/plantainwharf/backend/ServerExchanges.java
+++ b/src/main/java/org/plantainwharf/backend/ServerExchanges.java
@@ -84,12 +84,18 @@
         request.onRequestBegin(begun -> {
             if (context.clock().nowNanos() - order.validUntilNanos() > 0) {
                 context.count("backend.orders_expired");
-                begun.abort(new IllegalStateException("order is no longer valid"));
+                abort(begun);
             }
         });
         send(request, (status, answer) -> readBack(order, status == 200));
     }
 
+    /** Keeps a request from being written; its failure is reported to the listener that waits for the answer. */
+    @SuppressWarnings("FutureReturnValueIgnored")
+    private static void abort(Request request) {
+        request.abort(new IllegalStateException("order is no longer valid"));
+    }
+
     private void readBack(ServerEffect.OrderModels order, boolean accepted) {
         send(get(order.address(), "/v1/orders", TIMEOUT_MILLIS), (status, body) -> context.events()
                 .post(new ServerEvent.EngineOrderAnswered(
--- a/src/main/java/org/plantainwharf/front/RequestReader.java
+++ b/src/main/java/org/plantainwharf/front/RequestReader.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.util.Promise;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 
@@ -43,13 +44,19 @@
             onRead.accept(Either.left(Failure.of(ErrorKind.BODY_TOO_LARGE, maximumBytes)));
             return;
         }
-        Content.Source.asByteArrayAsync(request, maximumBytes).whenComplete((bytes, cause) -> {
-            if (cause == null) {
+        Content.Source.asByteArrayAsync(request, maximumBytes, new Promise.Invocable<>() {
+            @Override
+            public void succeeded(byte[] bytes) {
                 onRead.accept(Either.right(bytes));
-            } else if (cause instanceof IllegalStateException || cause.getCause() instanceof IllegalStateException) {
-                onRead.accept(Either.left(Failure.of(ErrorKind.BODY_TOO_LARGE, maximumBytes)));
-            } else {
-                onRead.accept(Either.left(Failure.of(ErrorKind.REQUEST_INVALID, "the body was cut off")));
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                // The reader reports a body beyond its bound as an illegal state, anything else as I/O.
+                onRead.accept(Either.left(
+                        cause instanceof IllegalStateException
+                                ? Failure.of(ErrorKind.BODY_TOO_LARGE, maximumBytes)
+                                : Failure.of(ErrorKind.REQUEST_INVALID, "the body was cut off")));
             }
         });
     }
--- a/src/main/java/org/plantainwharf/standin/StandInHttp.java
+++ b/src/main/java/org/plantainwharf/standin/StandInHttp.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** The HTTP server of a stand-in, with the faults that concern connections and the order to switch them. Thread-safe. */
@@ -96,11 +97,17 @@
                     request.getConnectionMetaData().getConnection().getEndPoint();
             seen.add(connection);
             request.addIdleTimeoutListener(timeout -> false);
-            Content.Source.asByteArrayAsync(request, MAXIMUM_BODY_BYTES).whenComplete((body, cause) -> {
-                if (cause != null) {
+            Content.Source.asByteArrayAsync(request, MAXIMUM_BODY_BYTES, new Promise.Invocable<>() {
+                @Override
+                public void succeeded(byte[] body) {
+                    if (!silenced.contains(connection)) {
+                        dispatch(StandInExchange.create(request, response, callback, body), request);
+                    }
+                }
+
+                @Override
+                public void failed(Throwable cause) {
                     callback.failed(cause);
-                } else if (!silenced.contains(connection)) {
-                    dispatch(StandInExchange.create(request, response, callback, body), request);
                 }
             });
             return true;
