--- a/src/main/java/org/plantainwharf/quarantine/QuarantineController.java
+++ b/src/main/java/org/plantainwharf/quarantine/QuarantineController.java
@@ -7,7 +7,6 @@
 import org.plantainwharf.board.Board;
 import org.plantainwharf.board.CallEnding;
 import org.plantainwharf.call.CallEntry;
-import org.plantainwharf.call.CallKind;
 import org.plantainwharf.call.CallState;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.effect.Effects;
@@ -233,16 +232,14 @@
         board.quarantine().setCommitted(board.configuration().state().crashes());
     }
 
-    /** Refuses calls with a content that is quarantined now; an order that has its intent is only held back. */
+    /** Refuses waiting calls with a content that is quarantined now; the record package gives back intents of orders. */
     private static void refuseWaiting(Fingerprint fingerprint, Board board, Effects effects) {
         if (!board.quarantine().isQuarantined(fingerprint, board.wallClockMillis())) {
             return;
         }
         List<CallEntry> waiting = board.calls().calls().stream()
                 .filter(entry -> entry.call().fingerprint().equals(fingerprint))
-                .filter(entry -> entry.state() instanceof CallState.Queued
-                        || (entry.state() instanceof CallState.Ready
-                                && !(entry.call().kind() instanceof CallKind.Order)))
+                .filter(entry -> entry.state() instanceof CallState.Queued || entry.state() instanceof CallState.Ready)
                 .toList();
         for (CallEntry entry : waiting) {
             CallEnding.fail(
--- a/src/test/java/org/plantainwharf/retry/AttemptControllerTest.java
+++ b/src/test/java/org/plantainwharf/retry/AttemptControllerTest.java
@@ -126,6 +126,20 @@
             assertTrue(harness.failure("o1").isEmpty(), "the record package ends the order");
         }
 
+        @Test
+        void endWithNotRunForAnOrderThatFoundNoServerInTime() {
+            stockServer("p1");
+            harness.arrive(order("o1"));
+            CallEntry entry = harness.board().calls().call(RequestId.of("o1")).orElseThrow();
+            harness.board().calls().advance(entry, new CallState.Ready(harness.nowNanos()));
+            harness.advanceMillis(50);
+            harness.fail(started("o1"), new AttemptProblem.ConnectFailed(), 0);
+            harness.board().servers().server(ServerId.of("p1")).orElseThrow().endLease(harness.nowNanos());
+            harness.advanceMillis(10_000);
+            assertEquals(Ran.NO, harness.failure("o1").orElseThrow().ran());
+            assertEquals(0, harness.board().calls().size());
+        }
+
         private void stockServer(String name) {
             harness.announce(
                     new Announcement(
