--- a/src/main/java/org/plantainwharf/server/ServerController.java
+++ b/src/main/java/org/plantainwharf/server/ServerController.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.plantainwharf.board.Board;
@@ -190,9 +189,8 @@
     }
 
     private void relayed(HostId relay, PeerMessage.ServerLeases message, Board board, long nowNanos, Effects effects) {
-        OptionalLong sent = board.membership().heartbeatSentNanos(relay, message.echoedToken());
         Optional<Long> start =
-                leaseStart.start(sent.isPresent() ? Optional.of(sent.getAsLong()) : Optional.empty(), nowNanos);
+                leaseStart.start(board.membership().heartbeatSentNanos(relay, message.echoedToken()), nowNanos);
         if (start.isEmpty()) {
             effects.count("servers.undated_relays");
         }
@@ -352,7 +350,7 @@
      */
     private static void relay(HostId host, List<ServerEntry> firstHand, Board board, long nowNanos, Effects effects) {
         ServerSection section = board.servers();
-        long token = board.membership().newestReceivedToken(host);
+        long token = board.membership().receivedToken(host);
         long relayed = section.relayedChange(host);
         if (token == 0) {
             return;
