--- a/src/main/java/org/plantainwharf/bench/FleetRun.java
+++ b/src/main/java/org/plantainwharf/bench/FleetRun.java
@@ -20,6 +20,7 @@
 import org.plantainwharf.call.Origin;
 import org.plantainwharf.consensus.GroupStatus;
 import org.plantainwharf.control.ControlCycle;
+import org.plantainwharf.control.Controller;
 import org.plantainwharf.effect.AttemptEffect;
 import org.plantainwharf.effect.CallEffect;
 import org.plantainwharf.effect.CountEffect;
@@ -42,7 +43,7 @@
 import org.plantainwharf.identity.RankName;
 import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.identity.ServerId;
-import org.plantainwharf.membership.Member;
+import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.server.Announcement;
 import org.plantainwharf.server.ServerEntry;
 import org.plantainwharf.server.ServerKind;
@@ -63,7 +64,6 @@
     private static final int SERVICE_SLOTS = 4;
     private static final double TICK_MILLIS = 50;
     private static final double ANNOUNCE_MILLIS = 1_000;
-    private static final double HEARTBEAT_MILLIS = 250;
     private static final double SAME_ZONE_MILLIS = 0.25;
     private static final double CACHE_REPORT_MILLIS = 200;
     private static final double RECLAIM_NOTICE_MILLIS = 2_000;
@@ -127,17 +127,15 @@
                     Settings.Bounds.defaults());
             Board board = Board.create(settings, 1, seed * 1_000 + hosts.size());
             board.configuration().putInForce(sheet);
-            for (Settings.HostEntry other : entries) {
-                if (!other.host().equals(entry.host())) {
-                    board.membership().put(new Member(other.host(), other.zone(), 1, true, clock.nowNanos(), false, 1));
-                }
-            }
-            hosts.add(new Host(entry.host(), entry.zone(), ControlCycle.create(board, policy.controllers())));
+            List<Controller> controllers = new ArrayList<>();
+            controllers.add(MembershipController.create());
+            controllers.addAll(policy.controllers());
+            hosts.add(new Host(entry.host(), entry.zone(), ControlCycle.create(board, controllers)));
         }
         buildServers();
+        connectHosts();
         hosts.forEach(this::leadOrFollow);
         run(hosts.getFirst(), new ReplicationEvent.LeadershipChanged(0, 1, true));
-        repeat(HEARTBEAT_MILLIS, this::heartbeats);
         for (int index = 0; index < hosts.size(); index++) {
             Host host = hosts.get(index);
             clock.after(
@@ -269,13 +267,11 @@
                         true));
     }
 
-    private void heartbeats() {
-        for (Host from : hosts) {
-            for (Host to : hosts) {
-                if (from != to) {
-                    sequence++;
-                    from.cycle().board().membership().heartbeatSent(to.id(), sequence, clock.nowNanos());
-                    to.cycle().board().membership().heartbeatReceived(from.id(), sequence);
+    private void connectHosts() {
+        for (Host host : hosts) {
+            for (Host peer : hosts) {
+                if (peer != host) {
+                    run(host, new PeerEvent.PeerConnected(peer.id(), peer.zone(), 1));
                 }
             }
         }
