Hide decided answers from writers and end stand-ins with status 0

A sink was still given out between the decision on an answer and the end of its last write, against its contract; takeNoBytesAfterTheirEnd failed once in that window. Decided answers are no longer given out. A stand-in that left gracefully on a signal reported the signal as its status (143 in a trial); it now ends with 0, which was not run again as a process.

--- a/src/main/java/org/plantainwharf/front/CallerFront.java
+++ b/src/main/java/org/plantainwharf/front/CallerFront.java
@@ -139,7 +139,9 @@
 
     @Override
     public Optional<AnswerSink> sink(RequestId request) {
-        return Optional.ofNullable(exchanges.get(request));
+        return Optional.ofNullable(exchanges.get(request))
+                .filter(exchange -> !exchange.isDecided())
+                .map(exchange -> exchange);
     }
 
     /** Tells a caller what became of its request. */
--- a/src/main/java/org/plantainwharf/front/HttpExchange.java
+++ b/src/main/java/org/plantainwharf/front/HttpExchange.java
@@ -208,6 +208,11 @@
         answer(failure.kind().httpStatus(), Content.of("application/json", utf8(json)));
     }
 
+    /** Says whether nothing can be added to the answer any more. */
+    synchronized boolean isDecided() {
+        return progress instanceof Progress.Ended;
+    }
+
     /** Says whether the answer is decided but not all of it is written. */
     synchronized boolean isFlushing() {
         return progress instanceof Progress.Ended && !completed;
--- a/src/main/java/org/plantainwharf/standin/StandInProcess.java
+++ b/src/main/java/org/plantainwharf/standin/StandInProcess.java
@@ -12,21 +12,20 @@
 
     private StandInProcess() {}
 
-    /** Waits until the process is told to end, then runs a task. */
+    /** Waits until the process is told to end, runs a task and ends the process with status 0, or 1 if it failed. */
     static int runUntilTold(Runnable leave) {
-        CountDownLatch left = new CountDownLatch(1);
-        CountDownLatch told = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            told.countDown();
+            int status = 1;
             try {
                 leave.run();
+                status = 0;
             } finally {
-                left.countDown();
+                // A process that ends by a signal would otherwise report the signal, also after a graceful end.
+                Runtime.getRuntime().halt(status);
             }
         }));
         try {
-            told.await();
-            left.await();
+            new CountDownLatch(1).await();
             return 0;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
