Ask every voter for a share of the limits where the leader is not known

Cause: a process test waited 40 s for a host without a disk to name the leader of the control group. Such a host follows the group through any voter and never knows which one leads, so it sent no demand either and stayed at its safe share. Ruled out: no leader existed; the voters named one in the same run. Change: demand goes to every voter while the leader is not known; only the leader under its lease answers. The process test takes the leader's name from a voter. A fleet whose start fails ends its processes.

--- a/src/main/java/org/plantainwharf/limit/LimitController.java
+++ b/src/main/java/org/plantainwharf/limit/LimitController.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.call.Call;
@@ -25,6 +26,7 @@
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.settings.Settings;
 import org.plantainwharf.sheet.ClientAccount;
 import org.plantainwharf.sheet.Sheet;
 
@@ -124,13 +126,20 @@
                     section.ledger().grant(self, section.demand(), limits(board), hosts(board), nowNanos);
             takeGrant(grant, nowNanos + LimitShares.VALIDITY.toNanos(), board, nowNanos);
         } else if (!control.leading()) {
-            control.leader()
-                    .filter(leader -> !leader.equals(self))
-                    .ifPresent(leader -> effects.add(
-                            new PeerEffect.SendToPeer(leader, new PeerMessage.LimitDemand(section.demand()))));
+            PeerMessage demand = new PeerMessage.LimitDemand(section.demand());
+            possibleLeaders(control, board)
+                    .filter(host -> !host.equals(self))
+                    .forEach(host -> effects.add(new PeerEffect.SendToPeer(host, demand)));
         }
     }
 
+    /** A host without a disk follows the control group through any voter, so it may not know which one leads. */
+    private static Stream<HostId> possibleLeaders(GroupStatus control, Board board) {
+        return control.leader().map(Stream::of).orElseGet(() -> board.settings().hosts().stream()
+                .filter(Settings.HostEntry::voter)
+                .map(Settings.HostEntry::host));
+    }
+
     private static void measureDemand(LimitSection section, double seconds, long nowNanos) {
         Map<AccountName, Double> demand = section.demand();
         section.arrivals().keySet().forEach(account -> {
--- a/src/test/java/org/plantainwharf/fleet/Fleet.java
+++ b/src/test/java/org/plantainwharf/fleet/Fleet.java
@@ -48,18 +48,30 @@
     /** Starts all processes and waits until every daemon has the first sheet and knows every server. */
     static Fleet start(Path folder) throws IOException, InterruptedException {
         Fleet fleet = new Fleet(folder);
-        fleet.pickPorts();
+        boolean ready = false;
+        try {
+            fleet.startAll();
+            ready = true;
+        } finally {
+            if (!ready) {
+                fleet.close();
+            }
+        }
+        return fleet;
+    }
+
+    private void startAll() throws IOException, InterruptedException {
+        pickPorts();
         for (String host : HOSTS) {
-            fleet.startDaemon(host);
+            startDaemon(host);
         }
-        fleet.startEngine("engine1", "a", "a1", "a2");
-        fleet.startEngine("engine2", "b", "b1", "c1");
-        fleet.startService("service1", "c", "c1", "d1");
-        fleet.awaitTrue("first sheet", () -> fleet.applySheet("a1", 1, 1_000).statusCode() == 200);
+        startEngine("engine1", "a", "a1", "a2");
+        startEngine("engine2", "b", "b1", "c1");
+        startService("service1", "c", "c1", "d1");
+        awaitTrue("first sheet", () -> applySheet("a1", 1, 1_000).statusCode() == 200);
         for (String host : HOSTS) {
-            fleet.awaitTrue("servers on " + host, () -> fleet.knowsServers(host, 3));
+            awaitTrue("servers on " + host, () -> knowsServers(host, 3));
         }
-        return fleet;
     }
 
     private void pickPorts() throws IOException {
--- a/src/test/java/org/plantainwharf/fleet/FleetTest.java
+++ b/src/test/java/org/plantainwharf/fleet/FleetTest.java
@@ -62,7 +62,7 @@
             long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - accepted);
             assertTrue(millis <= IN_FORCE_MILLIS, "in force after " + millis + " ms");
 
-            String leader = fleet.awaitLeader("a2", 0);
+            String leader = fleet.awaitLeader("b1", 0);
             fleet.kill(leader);
             String host = otherThan(leader);
             fleet.awaitTrue("a new leader", () -> fleet.applySheet(host, 3, 8).statusCode() == 200);
@@ -105,7 +105,7 @@
 
         @Test
         void runOnceWhenTheLeaderIsFrozenPastItsLease() throws Exception {
-            String leader = fleet.awaitLeader("a2", 1);
+            String leader = fleet.awaitLeader("b1", 1);
             String host = otherThan(leader);
             fleet.signal(leader, "STOP");
             fleet.awaitTrue(
--- a/src/test/java/org/plantainwharf/limit/LimitControllerTest.java
+++ b/src/test/java/org/plantainwharf/limit/LimitControllerTest.java
@@ -38,6 +38,17 @@
             assertTrue(fleet.usable(3) >= 0.75 * LimitFleet.LIMIT, "after the demand moved: " + fleet.usable(3));
         }
 
+        @Test
+        void reachAHostThatDoesNotKnowTheLeader() {
+            LimitFleet fleet = new LimitFleet(HOSTS, 1, 0, 2_000_000, 0);
+            fleet.lead(0);
+            fleet.hideLeaderFrom(2);
+            for (int step = 0; step < 200; step++) {
+                fleet.step(arrivalsAt(2, 10));
+            }
+            assertTrue(fleet.usable(2) >= 0.75 * LimitFleet.LIMIT, "the busy host: " + fleet.usable(2));
+        }
+
         @Test
         void fallToTheSafeShareWithoutALeader() {
             LimitFleet fleet = new LimitFleet(HOSTS, 1, 0, 2_000_000, 0);
--- a/src/test/java/org/plantainwharf/limit/LimitFleet.java
+++ b/src/test/java/org/plantainwharf/limit/LimitFleet.java
@@ -45,6 +45,7 @@
     private long nowNanos;
     private long deliveries;
     private int leader = -1;
+    private int unaware = -1;
     private long leaderUntilNanos = Long.MAX_VALUE;
 
     LimitFleet(int count, long seed, double loss, long maximumDelayNanos, double maximumDrift) {
@@ -76,6 +77,11 @@
         }
     }
 
+    /** Makes a host one that follows the control group without knowing its leader, as hosts without a disk do. */
+    void hideLeaderFrom(int host) {
+        unaware = host;
+    }
+
     /** Makes a host the leader; its predecessor's lease must have ended. */
     void lead(int host) {
         leader = host;
@@ -107,7 +113,7 @@
                     .consensus()
                     .put(new GroupStatus(
                             0,
-                            leader < 0
+                            leader < 0 || index == unaware
                                     ? Optional.empty()
                                     : Optional.of(hosts.get(leader).id()),
                             leads,
