Put no sheet in force after a restart before a leader was heard

Cause: a restarted voter put the state from its disk in force at once. That state may end before the sheet that the host had in force, since the commit index is not on the disk; the configuration went back until a leader was heard. Change: the first sheet after a restart waits until a leader was heard and everything known as committed is applied. Until then the health check says that the host has no configuration. Weighed: serving the old state when no leader is heard; refused, because a sheet must never go back.

--- a/src/main/java/org/plantainwharf/configuration/ConfigurationController.java
+++ b/src/main/java/org/plantainwharf/configuration/ConfigurationController.java
@@ -46,7 +46,10 @@
         switch (event) {
             case OperatorEvent operator -> handleOperator(operator, board, effects);
             case ReplicationEvent replication -> handleReplication(replication, board, effects);
-            case TimerEvent timer -> updateBehind(board, nowNanos);
+            case TimerEvent timer -> {
+                updateBehind(board, nowNanos);
+                putInForce(board);
+            }
             case CallEvent ignored -> {}
             case AttemptEvent ignored -> {}
             case PeerEvent ignored -> {}
@@ -99,8 +102,18 @@
         }
     }
 
+    /**
+     * Puts the newest committed sheet in force. After a restart this waits until a leader was heard: the state that the
+     * disk gives back may end before the sheet that this host had in force, and a sheet must never go back.
+     */
     private static void putInForce(Board board) {
-        board.configuration().state().sheet().ifPresent(board.configuration()::putInForce);
+        ConfigurationSection configuration = board.configuration();
+        GroupStatus control = board.consensus().group(CONTROL_GROUP);
+        boolean heard = control.voting() ? control.leader().isPresent() : control.lastContactNanos() != Long.MIN_VALUE;
+        boolean caughtUp = heard && control.commitIndex() > 0 && control.appliedIndex() >= control.commitIndex();
+        if (configuration.version() > 0 || caughtUp) {
+            configuration.state().sheet().ifPresent(configuration::putInForce);
+        }
     }
 
     private static Either<Failure, String> describe(CommandResult result) {
--- a/src/test/java/org/plantainwharf/fleet/Fleet.java
+++ b/src/test/java/org/plantainwharf/fleet/Fleet.java
@@ -65,8 +65,7 @@
         for (String host : HOSTS) {
             startDaemon(host);
         }
-        startEngine("engine1", "a", "a1", "a2");
-        startEngine("engine2", "b", "b1", "c1");
+        startEngines();
         startService("service1", "c", "c1", "d1");
         awaitTrue("first sheet", () -> applySheet("a1", 1, 1_000).statusCode() == 200);
         for (String host : HOSTS) {
@@ -124,6 +123,12 @@
         return !host.equals("a2");
     }
 
+    /** Starts both engines, again after they ended. */
+    void startEngines() throws IOException {
+        startEngine("engine1", "a", "a1", "a2");
+        startEngine("engine2", "b", "b1", "c1");
+    }
+
     private void startEngine(String server, String zone, String first, String second) throws IOException {
         launch(
                 server,
@@ -258,14 +263,17 @@
 
     HttpResponse<String> stream(String host, int tokens) {
         return post(
-                address(host + "/callers") + "/v1/chat/completions", "application/json", chat(tokens, true), Map.of());
+                address(host + "/callers") + "/v1/chat/completions",
+                "application/json",
+                body(tokens, true, "review"),
+                Map.of());
     }
 
     HttpResponse<String> acceptWork(String host, int tokens) {
         return post(
                 address(host + "/callers") + "/v1/work",
                 "application/json",
-                chat(tokens, false),
+                body(tokens, false, "review"),
                 Map.of("X-Rank", "report"));
     }
 
@@ -277,10 +285,18 @@
         return JSON.readTree(accepted.body()).path("id").asText();
     }
 
-    private static String chat(int tokens, boolean stream) {
+    HttpResponse<String> chat(String host, String text) {
+        return post(
+                address(host + "/callers") + "/v1/chat/completions",
+                "application/json",
+                body(5, false, text),
+                Map.of("X-Rank", "urgent"));
+    }
+
+    private static String body(int tokens, boolean stream, String text) {
         return ("{\"model\":\"small\",\"stream\":%s,\"max_tokens\":%d,"
-                        + "\"messages\":[{\"role\":\"user\",\"content\":\"review\"}]}")
-                .formatted(stream, tokens);
+                        + "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}")
+                .formatted(stream, tokens, text);
     }
 
     /** Returns how often the order service ran a key of the account. */
--- a/src/test/java/org/plantainwharf/fleet/FleetTest.java
+++ b/src/test/java/org/plantainwharf/fleet/FleetTest.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -25,6 +27,9 @@
 
     private static final long GRACEFUL_STOP_SECONDS = 30;
 
+    /** More than the entries between two snapshots. */
+    private static final int CHANGES = 300;
+
     @TempDir
     @SuppressWarnings("NullAway.Init")
     private Path folder;
@@ -72,6 +77,23 @@
             fleet.awaitTrue("version 3 on the restarted leader", () -> version(leader) == 3);
         }
 
+        @Test
+        void neverGoesBackOnAHostThatRestartsAfterHundredsOfChanges() throws Exception {
+            for (int version = 2; version <= CHANGES; version++) {
+                assertEquals(200, fleet.applySheet("a1", version, version).statusCode());
+            }
+            fleet.awaitTrue("the last version on b1", () -> version("b1") == CHANGES);
+            fleet.kill("b1");
+            fleet.startDaemon("b1");
+            Set<Long> seen = new TreeSet<>();
+            fleet.awaitTrue("the last version on b1 after its restart", () -> {
+                seen.add(version("b1"));
+                return seen.contains((long) CHANGES);
+            });
+            seen.remove(0L);
+            assertEquals(Set.of((long) CHANGES), seen);
+        }
+
         private long version(String host) {
             return fleet.status(host).path("configurationVersion").asLong();
         }
@@ -145,6 +167,30 @@
         }
     }
 
+    @Nested
+    class PoisonRequests {
+        @Test
+        void areRefusedOnEveryHostAfterTwoCrashesAndOthersAreNot() throws Exception {
+            for (String engine : List.of("engine1", "engine2")) {
+                fleet.fault(engine, "{\"kind\":\"crash\",\"marker\":\"POISON\"}");
+            }
+            fleet.chat("a1", "POISON");
+            fleet.awaitTrue(
+                    "two crashed engines",
+                    () -> !fleet.process("engine1").isAlive()
+                            && !fleet.process("engine2").isAlive());
+            fleet.startEngines();
+            for (String host : List.of("b1", "c1")) {
+                fleet.awaitTrue(
+                        "a refusal on " + host,
+                        () -> fleet.chat(host, "POISON").body().contains("request_quarantined"));
+                fleet.awaitTrue(
+                        "an answer on " + host,
+                        () -> fleet.chat(host, "harmless").statusCode() == 200);
+            }
+        }
+    }
+
     @Nested
     class PlannedStop {
         @Test
