Watch a caller before its request is handed over

Cause: the measurement of the path through one daemon stopped with status 500 in 2 of 3 runs. The front began to watch the caller after it had posted the request; a fast answer was complete by then, and the server used the request's objects for the next request of the connection already. Ruled out: a failing control thread or back end; neither logged anything, and the direct way never failed. Change: the caller is watched first, and a report that it left is kept until the request is handed over. No unit test provokes the race; PathBench does.

--- a/src/main/java/org/plantainwharf/bench/PathBench.java
+++ b/src/main/java/org/plantainwharf/bench/PathBench.java
@@ -19,6 +19,7 @@
 import java.util.UUID;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.sun.management.OperatingSystemMXBean;
 import org.plantainwharf.daemon.Daemon;
@@ -46,6 +47,7 @@
             .connectTimeout(Duration.ofSeconds(2))
             .build();
     private final PrintStream output;
+    private final AtomicInteger refused = new AtomicInteger();
 
     private PathBench(PrintStream output) {
         this.output = output;
@@ -84,7 +86,7 @@
         HttpRequest.Builder through = callThrough(daemon);
         Figures directly = measure(direct);
         Figures daemonFigures = measure(through);
-        output.println("way             median ms   95th ms   calls/s   processor us a call");
+        output.println("way             median ms   95th ms   calls/s   processor us a call  refused");
         print("direct", directly);
         print("through daemon", daemonFigures);
         output.printf(
@@ -97,17 +99,19 @@
         daemon.close();
     }
 
-    private record Figures(double medianMillis, double lateMillis, double callsPerSecond, double processorMicros) {}
+    private record Figures(
+            double medianMillis, double lateMillis, double callsPerSecond, double processorMicros, int refused) {}
 
     private void print(String way, Figures figures) {
         output.printf(
                 Locale.ROOT,
-                "%-15s %9.3f %9.3f %9.0f %21.0f%n",
+                "%-15s %9.3f %9.3f %9.0f %21.0f %8d%n",
                 way,
                 figures.medianMillis(),
                 figures.lateMillis(),
                 figures.callsPerSecond(),
-                figures.processorMicros());
+                figures.processorMicros(),
+                figures.refused());
     }
 
     private Figures measure(HttpRequest.Builder call) throws IOException, InterruptedException {
@@ -122,12 +126,18 @@
         }
         Arrays.sort(millis);
         parallel(call);
+        refused.set(0);
         long processor = processorNanos();
         long start = System.nanoTime();
         parallel(call);
         double seconds = (System.nanoTime() - start) / 1e9;
         double processorMicros = (processorNanos() - processor) / 1e3 / PARALLEL;
-        return new Figures(millis[SEQUENTIAL / 2], millis[SEQUENTIAL * 95 / 100], PARALLEL / seconds, processorMicros);
+        return new Figures(
+                millis[SEQUENTIAL / 2],
+                millis[SEQUENTIAL * 95 / 100],
+                PARALLEL / seconds,
+                processorMicros,
+                refused.get());
     }
 
     /** Sends calls with a bounded number in flight; the time of callers and server counts for both ways alike. */
@@ -136,16 +146,20 @@
         for (int count = 0; count < PARALLEL; count++) {
             inFlight.acquire();
             client.sendAsync(request(call), HttpResponse.BodyHandlers.discarding())
-                    .whenComplete((answer, problem) -> inFlight.release());
+                    .whenComplete((answer, problem) -> {
+                        if (answer == null || answer.statusCode() != 200) {
+                            refused.incrementAndGet();
+                        }
+                        inFlight.release();
+                    });
         }
         inFlight.acquire(CALLERS);
     }
 
     private void send(HttpRequest.Builder call) throws IOException, InterruptedException {
-        int status = client.send(request(call), HttpResponse.BodyHandlers.discarding())
-                .statusCode();
-        if (status != 200) {
-            throw new IllegalStateException("call answered " + status);
+        HttpResponse<String> answer = client.send(request(call), HttpResponse.BodyHandlers.ofString());
+        if (answer.statusCode() != 200) {
+            throw new IllegalStateException("call answered " + answer.statusCode() + ": " + answer.body());
         }
     }
 
--- a/src/main/java/org/plantainwharf/front/CallerFront.java
+++ b/src/main/java/org/plantainwharf/front/CallerFront.java
@@ -220,9 +220,12 @@
 
     private void submit(RequestId id, HttpExchange exchange, CallEvent event) {
         exchanges.put(id, exchange);
+        // Watched before the event is offered: its answer may be complete at once, and the server then uses the
+        // request's
+        // objects for the next request of the connection.
+        exchange.watchCaller();
         if (events.offer(event)) {
-            // Watched only now, so that the control thread never hears of a caller's end before its request.
-            exchange.watchCaller();
+            exchange.reportCallerLeaving();
         } else {
             forget(id);
             refuse(exchange, Failure.of(ErrorKind.ENTRY_QUEUE_FULL).withRetryAfter(Duration.ofSeconds(1)));
--- a/src/main/java/org/plantainwharf/front/HttpExchange.java
+++ b/src/main/java/org/plantainwharf/front/HttpExchange.java
@@ -55,6 +55,8 @@
     private final Deque<Write> queue = new ArrayDeque<>();
     private Progress progress = new Progress.Waiting();
     private boolean writing;
+    private boolean handedOver;
+    private boolean leftUnreported;
     private boolean completed;
 
     private HttpExchange(
@@ -264,6 +266,31 @@
         lost(new EofException("caller left"));
     }
 
+    /** Reports a caller's leaving from now on, and at once if it left before. For a request that was handed over. */
+    void reportCallerLeaving() {
+        boolean leftBefore;
+        synchronized (this) {
+            handedOver = true;
+            leftBefore = leftUnreported;
+            leftUnreported = false;
+        }
+        if (leftBefore) {
+            onLeft.run();
+        }
+    }
+
+    /** Keeps the report back until the request is handed over, so that nobody hears of its end before its arrival. */
+    private void leftEarly() {
+        boolean report;
+        synchronized (this) {
+            report = handedOver;
+            leftUnreported = !handedOver;
+        }
+        if (report) {
+            onLeft.run();
+        }
+    }
+
     private void lost(Throwable cause) {
         boolean early;
         Deque<Write> dropped;
@@ -280,7 +307,7 @@
         stopWatching();
         onEnd.run();
         if (early) {
-            onLeft.run();
+            leftEarly();
         }
         dropped.forEach(write -> write.taken().run());
         callback.failed(cause);
