Write control failures on one line and import what is used

Cause: a failure on the control thread printed a stack trace over many lines, against one event a line; some classes were named with their packages in the middle of the code. Change: EventLog in the control thread; imports. Result: compiles with formatter, linter and nullness checks.

--- a/src/main/java/org/plantainwharf/alarm/AlarmSection.java
+++ b/src/main/java/org/plantainwharf/alarm/AlarmSection.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.RankName;
@@ -78,7 +79,7 @@
         return watches.entrySet().stream()
                 .filter(entry -> entry.getValue().raised())
                 .map(Map.Entry::getKey)
-                .collect(java.util.stream.Collectors.toUnmodifiableSet());
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     BurnWindow service(RankName rank, long nowNanos) {
--- a/src/main/java/org/plantainwharf/capacity/EngineOrders.java
+++ b/src/main/java/org/plantainwharf/capacity/EngineOrders.java
@@ -1,5 +1,6 @@
 package org.plantainwharf.capacity;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -129,7 +130,7 @@
             }
         }
         return work.keySet().stream()
-                .max(java.util.Comparator.comparingDouble((ModelName model) ->
+                .max(Comparator.comparingDouble((ModelName model) ->
                                 (1.0 + work.getOrDefault(model, 0)) / (0.5 + engines.getOrDefault(model, 0)))
                         .thenComparing(ModelName::value));
     }
--- a/src/main/java/org/plantainwharf/consensus/Leadership.java
+++ b/src/main/java/org/plantainwharf/consensus/Leadership.java
@@ -1,5 +1,6 @@
 package org.plantainwharf.consensus;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -167,7 +168,7 @@
         return state.configuration().voters().stream()
                 .filter(voter -> !voter.equals(state.self()))
                 .filter(voter -> matchIndex(voter) == state.log().lastIndex())
-                .max(java.util.Comparator.comparingLong(voter -> leaseNanos(voter)));
+                .max(Comparator.comparingLong(voter -> leaseNanos(voter)));
     }
 
     private long leaseNanos(VoterId voter) {
--- a/src/main/java/org/plantainwharf/control/ControlThread.java
+++ b/src/main/java/org/plantainwharf/control/ControlThread.java
@@ -11,6 +11,7 @@
 import org.plantainwharf.effect.Effect;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.log.EventLog;
 
 /**
  * The one thread that owns the board. Other threads post events and read the published view; they share no lock with
@@ -19,7 +20,7 @@
  * <p>Thread-safe: {@link #offer}, {@link #post} and {@link #view} may be called from any thread.
  */
 public final class ControlThread implements EventSink {
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final EventLog LOG = EventLog.of(FluentLogger.forEnclosingClass());
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long STATUS_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -107,7 +108,7 @@
                     nextTick = clock.nowNanos() + TICK_NANOS;
                 }
             } catch (InterruptedException e) {
-                LOGGER.atFine().log("event=control_interrupted stopping=%s", stopping);
+                LOG.info("control_interrupted", "stopping", stopping);
             }
         }
     }
@@ -119,8 +120,7 @@
             }
         } catch (RuntimeException e) {
             // The daemon goes on serving; the event and its partial changes are reported.
-            LOGGER.atSevere().withCause(e).log(
-                    "event=control_failure type=%s", event.getClass().getSimpleName());
+            LOG.severe("control_failure", e, "type", event.getClass().getSimpleName());
         }
         view = cycle.board().publish();
     }
--- a/src/main/java/org/plantainwharf/daemon/StatusReport.java
+++ b/src/main/java/org/plantainwharf/daemon/StatusReport.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.plantainwharf.board.StatusView;
 import org.plantainwharf.consensus.GroupStatus;
+import org.plantainwharf.drain.DrainPhase;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.membership.Member;
 
@@ -46,7 +47,7 @@
         self.put("host", view.host());
         self.put("zone", view.zone());
         self.put("linked", true);
-        self.put("draining", !view.drainPhase().equals(new org.plantainwharf.drain.DrainPhase.Serving()));
+        self.put("draining", !view.drainPhase().equals(new DrainPhase.Serving()));
         self.put("configurationVersion", view.configurationVersion());
         self.put("silentMillis", 0);
         for (Member member : view.members()) {
--- a/src/main/java/org/plantainwharf/error/Failure.java
+++ b/src/main/java/org/plantainwharf/error/Failure.java
@@ -1,6 +1,7 @@
 package org.plantainwharf.error;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 
@@ -20,8 +21,7 @@
 
     /** Returns a failure of this kind. */
     public static Failure of(ErrorKind kind, Object... arguments) {
-        List<String> texts =
-                java.util.Arrays.stream(arguments).map(String::valueOf).toList();
+        List<String> texts = Arrays.stream(arguments).map(String::valueOf).toList();
         return new Failure(kind, texts, kind.ran(), Optional.empty());
     }
 
--- a/src/main/java/org/plantainwharf/record/RecordState.java
+++ b/src/main/java/org/plantainwharf/record/RecordState.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -72,11 +73,11 @@
     }
 
     private StateRecord.Order orderOf(OrderKey key) {
-        return java.util.Objects.requireNonNull(orders.get(key));
+        return Objects.requireNonNull(orders.get(key));
     }
 
     private StateRecord.Work workOf(RequestId request) {
-        return java.util.Objects.requireNonNull(work.get(request));
+        return Objects.requireNonNull(work.get(request));
     }
 
     @Override
