Compute fingerprints and key digests in one place

Cause: the front computed the fingerprint of account and body, and the digest of an account key, a second time. A call and accepted work with the same content must have the same fingerprint, or a quarantine misses one of them.

--- a/src/main/java/org/plantainwharf/front/CallIntake.java
+++ b/src/main/java/org/plantainwharf/front/CallIntake.java
@@ -21,15 +21,16 @@
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.CallEvent;
-import org.plantainwharf.identity.Fingerprint;
 import org.plantainwharf.identity.IdempotencyKey;
 import org.plantainwharf.identity.ModelName;
 import org.plantainwharf.identity.RankName;
 import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.record.Digests;
 import org.plantainwharf.sheet.ClientAccount;
 import org.plantainwharf.sheet.Rank;
 import org.plantainwharf.sheet.Route;
 import org.plantainwharf.sheet.Sheet;
+import org.plantainwharf.sheet.SheetDigest;
 
 /**
  * Turns a caller's request into an event, or says what is wrong with it. The only place that knows both the caller
@@ -93,7 +94,7 @@
             return Either.left(Failure.of(ErrorKind.UNAUTHENTICATED));
         }
         String key = value.substring(SCHEME.length()).trim();
-        @Nullable ClientAccount account = accounts(sheet).get(Digests.hex(key));
+        @Nullable ClientAccount account = accounts(sheet).get(SheetDigest.ofKey(key));
         return account == null ? Either.left(Failure.of(ErrorKind.UNAUTHENTICATED)) : Either.right(account);
     }
 
@@ -196,7 +197,7 @@
                 rank.name(),
                 kind,
                 content,
-                Fingerprint.of(Digests.hex(checked.account().name().value(), content.bytes())),
+                Digests.fingerprint(checked.account().name(), content),
                 new Origin.Caller(),
                 nowNanos,
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(rank.deadlineMillis())));
--- a/src/main/java/org/plantainwharf/front/PrefixBlocks.java
+++ b/src/main/java/org/plantainwharf/front/PrefixBlocks.java
@@ -8,6 +8,7 @@
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.plantainwharf.record.Digests;
 
 /**
  * Hashes of a prompt's leading blocks, under which engines report cached prefixes. Each hash covers its block and all
@@ -43,7 +44,7 @@
     public static List<Long> hashes(byte[] prompt) {
         int count = Math.min(prompt.length / BLOCK_BYTES, MAXIMUM_BLOCKS);
         List<Long> hashes = new ArrayList<>(count);
-        MessageDigest digest = Digests.sha256();
+        MessageDigest digest = Digests.newDigest();
         byte[] previous = new byte[0];
         for (int block = 0; block < count; block++) {
             digest.update(previous);
--- a/src/main/java/org/plantainwharf/record/Digests.java
+++ b/src/main/java/org/plantainwharf/record/Digests.java
@@ -27,7 +27,8 @@
         return Fingerprint.of(HexFormat.of().formatHex(digest.digest()));
     }
 
-    private static MessageDigest newDigest() {
+    /** Returns an empty SHA-256. */
+    public static MessageDigest newDigest() {
         try {
             return MessageDigest.getInstance("SHA-256");
         } catch (NoSuchAlgorithmException e) {
--- a/src/test/java/org/plantainwharf/front/Fixture.java
+++ b/src/test/java/org/plantainwharf/front/Fixture.java
@@ -18,6 +18,7 @@
 import org.plantainwharf.sheet.Rank;
 import org.plantainwharf.sheet.Route;
 import org.plantainwharf.sheet.Sheet;
+import org.plantainwharf.sheet.SheetDigest;
 
 /** Settings and a sheet for tests. The account {@code mill} has the key {@code mill-key}. */
 public final class Fixture {
@@ -64,7 +65,7 @@
     }
 
     private static ClientAccount account(String name, Set<RankName> ranks) {
-        return new ClientAccount(AccountName.of(name), Digests.hex(name + "-key"), 1, 100, ranks);
+        return new ClientAccount(AccountName.of(name), SheetDigest.ofKey(name + "-key"), 1, 100, ranks);
     }
 
     /** Returns a view with the sheet in force. */
--- a/src/test/java/org/plantainwharf/front/OperatorFrontTest.java
+++ b/src/test/java/org/plantainwharf/front/OperatorFrontTest.java
@@ -32,6 +32,7 @@
 import org.plantainwharf.identity.ModelName;
 import org.plantainwharf.server.ServerKind;
 import org.plantainwharf.sheet.Sheet;
+import org.plantainwharf.sheet.SheetDigest;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -166,7 +167,7 @@
         void seeTheSheetWithoutAccountKeys() throws Exception {
             String body = send("GET", "/admin/sheet", "").get().body();
             assertTrue(body.contains("\"mill\""), body);
-            assertFalse(body.contains(Digests.hex("mill-key")), body);
+            assertFalse(body.contains(SheetDigest.ofKey("mill-key")), body);
         }
 
         @Test
