--- a/src/main/java/org/plantainwharf/admission/AdmissionController.java
+++ b/src/main/java/org/plantainwharf/admission/AdmissionController.java
@@ -18,10 +18,14 @@
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -65,6 +69,10 @@
         switch (event) {
             case CallEvent call -> handleCall(call, board, nowNanos, effects);
             case AttemptEvent attempt -> learnFirst(attempt, board, nowNanos);
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent server -> admitAll(board, nowNanos);
             case TimerEvent timer -> {
                 expire(board, nowNanos, effects);
--- a/src/main/java/org/plantainwharf/alarm/AlarmController.java
+++ b/src/main/java/org/plantainwharf/alarm/AlarmController.java
@@ -17,10 +17,14 @@
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -76,6 +80,10 @@
             case TimerEvent.Tick tick -> review(board, nowNanos, effects);
             case AttemptEvent ignored -> {}
             case PeerEvent ignored -> {}
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent ignored -> {}
             case StorageEvent ignored -> {}
             case ReplicationEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/backend/BackendClient.java
+++ b/src/main/java/org/plantainwharf/backend/BackendClient.java
@@ -11,9 +11,6 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
-import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.control.Clock;
@@ -32,11 +29,8 @@
  */
 public final class BackendClient implements AutoCloseable {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-    // A healthy server in the same region accepts within a few milliseconds.
-    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
     // Below the idle limits that servers commonly have, so that this side closes idle connections first.
     private static final long IDLE_TIMEOUT_MILLIS = 4_000;
-    private static final int MAXIMUM_CONNECTIONS_PER_SERVER = 1_024;
     private static final int MAXIMUM_THREADS = 24;
     private static final long SWEEP_MILLIS = 1_000;
     // Longest pause between two attempts at accepted work after which its text is still kept.
@@ -65,8 +59,8 @@
     public static BackendClient create(
             Settings settings, Clock clock, EventSink events, AnswerSinks sinks, MetricRegistry metrics) {
         BackendClient client = new BackendClient(new AttemptContext(
-                startedClient("backend"),
-                startedClient("backend-direct"),
+                HttpClients.start("backend", MAXIMUM_THREADS, IDLE_TIMEOUT_MILLIS),
+                HttpClients.start("backend-direct", MAXIMUM_THREADS, IDLE_TIMEOUT_MILLIS),
                 ConnectionPools.create(),
                 clock,
                 events,
@@ -77,31 +71,6 @@
         return client;
     }
 
-    private static HttpClient startedClient(String name) {
-        ClientConnector connector = new ClientConnector();
-        connector.setSelectors(1);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
-        QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, 4);
-        threads.setName(name);
-        threads.setDaemon(true);
-        client.setExecutor(threads);
-        client.setName(name);
-        client.setFollowRedirects(false);
-        client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
-        client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
-        client.setDestinationIdleTimeout(2 * IDLE_TIMEOUT_MILLIS);
-        client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS_PER_SERVER);
-        client.setUserAgentField(null);
-        try {
-            client.start();
-        } catch (Exception e) {
-            throw new IllegalStateException("HTTP client cannot be started", e);
-        }
-        client.getProtocolHandlers().clear();
-        client.getContentDecoderFactories().clear();
-        return client;
-    }
-
     /** Starts or cancels an attempt. */
     public void execute(AttemptEffect effect) {
         dispatch(() -> {
--- /dev/null
+++ b/src/main/java/org/plantainwharf/backend/HttpClients.java
@@ -0,0 +1,48 @@
+package org.plantainwharf.backend;
+
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** Starts HTTP clients that add nothing to requests and leave answers as they are. Stateless and thread-safe. */
+public final class HttpClients {
+    /** A healthy server in the same region accepts within a few milliseconds. */
+    private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private static final int MAXIMUM_CONNECTIONS_PER_SERVER = 1_024;
+
+    private HttpClients() {}
+
+    /**
+     * Returns a started client.
+     *
+     * @param name names its threads
+     * @param idleMillis how long an unused connection is kept
+     * @throws IllegalStateException if it cannot be started
+     */
+    public static HttpClient start(String name, int maximumThreads, long idleMillis) {
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(1);
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        QueuedThreadPool threads = new QueuedThreadPool(maximumThreads, Math.min(4, maximumThreads));
+        threads.setName(name);
+        threads.setDaemon(true);
+        client.setExecutor(threads);
+        client.setName(name);
+        client.setFollowRedirects(false);
+        client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        client.setIdleTimeout(idleMillis);
+        client.setDestinationIdleTimeout(2 * idleMillis);
+        client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS_PER_SERVER);
+        client.setUserAgentField(null);
+        try {
+            client.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("HTTP client cannot be started", e);
+        }
+        client.getProtocolHandlers().clear();
+        client.getContentDecoderFactories().clear();
+        return client;
+    }
+}
--- a/src/main/java/org/plantainwharf/board/Board.java
+++ b/src/main/java/org/plantainwharf/board/Board.java
@@ -8,11 +8,16 @@
 import org.plantainwharf.capacity.CapacitySection;
 import org.plantainwharf.configuration.ConfigurationSection;
 import org.plantainwharf.consensus.ConsensusSection;
+import org.plantainwharf.document.DocumentSection;
 import org.plantainwharf.drain.DrainSection;
+import org.plantainwharf.duty.DutySection;
+import org.plantainwharf.forward.ForwardSection;
+import org.plantainwharf.limit.AllowanceSection;
 import org.plantainwharf.limit.LimitSection;
 import org.plantainwharf.membership.MembershipSection;
 import org.plantainwharf.quarantine.QuarantineSection;
 import org.plantainwharf.record.RecordSection;
+import org.plantainwharf.registry.RegistrySection;
 import org.plantainwharf.retry.RetrySection;
 import org.plantainwharf.routing.RoutingSection;
 import org.plantainwharf.server.ServerSection;
@@ -38,6 +43,11 @@
     private final ConfigurationSection configuration = ConfigurationSection.create();
     private final DrainSection drain = DrainSection.create();
     private final CapacitySection capacity = CapacitySection.create();
+    private final DocumentSection documents = DocumentSection.create();
+    private final RegistrySection registry = RegistrySection.create();
+    private final ForwardSection forward = ForwardSection.create();
+    private final AllowanceSection allowances = AllowanceSection.create();
+    private final DutySection duties = DutySection.create();
     private final AlarmSection alarms = AlarmSection.create();
     private long wallClockMillis;
 
@@ -147,6 +157,31 @@
         return alarms;
     }
 
+    /** Returns the section on the service document. */
+    public DocumentSection documents() {
+        return documents;
+    }
+
+    /** Returns the section on backend servers that report themselves. */
+    public RegistrySection registry() {
+        return registry;
+    }
+
+    /** Returns the section on requests that are passed on. */
+    public ForwardSection forward() {
+        return forward;
+    }
+
+    /** Returns the section on shares of account limits. */
+    public AllowanceSection allowances() {
+        return allowances;
+    }
+
+    /** Returns the section on duties. */
+    public DutySection duties() {
+        return duties;
+    }
+
     /** Returns an immutable view for other threads. Sheet and collections are shared only where they are immutable. */
     public BoardView publish() {
         return BoardView.of(this);
--- a/src/main/java/org/plantainwharf/capacity/CapacityController.java
+++ b/src/main/java/org/plantainwharf/capacity/CapacityController.java
@@ -13,10 +13,14 @@
 import org.plantainwharf.effect.PlatformEffect;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -66,6 +70,10 @@
         switch (event) {
             case ReplicationEvent replication -> replication(replication, board, nowNanos, effects);
             case PlatformEvent platform -> platform(platform, board, nowNanos, effects);
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent server -> server(server, board, nowNanos, effects);
             case TimerEvent.Tick tick -> tick(board, nowNanos, effects);
             case CallEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/cli/CommandLine.java
+++ b/src/main/java/org/plantainwharf/cli/CommandLine.java
@@ -14,6 +14,7 @@
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
+import org.plantainwharf.platform.PlatformCommand;
 
 /** Turns arguments into a subcommand. Stateless; thread-safe. */
 public final class CommandLine {
@@ -71,7 +72,8 @@
                 parser.accepts(JSON, "print the daemon's answer unchanged");
                 yield acceptTarget(parser);
             }
-            case SETTINGS_CHECK, SHEET_CHECK, SHEET_KEY, VERSION -> parser;
+            case PLATFORM_SERVE -> acceptSettings(parser, "settings file; without it the one that the platform names");
+            case SETTINGS_CHECK, SHEET_CHECK, SHEET_KEY, PLATFORM_CHECK, VERSION -> parser;
             case STAND_IN_ENGINE, STAND_IN_SERVICE -> {
                 // The stand-ins read their own options from the arguments.
                 parser.allowsUnrecognizedOptions();
@@ -119,12 +121,23 @@
                 noFiles(options)
                         .flatMap(none -> target(options, target -> new Subcommand.Status(target, options.has(JSON))));
             case DRAIN -> noFiles(options).flatMap(none -> target(options, Subcommand.Drain::new));
+            case PLATFORM_SERVE -> noFiles(options).flatMap(none -> platformSettings(options));
+            case PLATFORM_CHECK -> files(options, 1, 1).map(files -> new Subcommand.PlatformCheck(files.get(0)));
             case VERSION -> noFiles(options).map(none -> new Subcommand.Version());
             case STAND_IN_ENGINE -> Either.right(new Subcommand.StandInEngine(unread(options)));
             case STAND_IN_SERVICE -> Either.right(new Subcommand.StandInService(unread(options)));
         };
     }
 
+    private static Either<String, Subcommand> platformSettings(OptionSet options) {
+        Optional<String> file = options.has(SETTINGS)
+                ? Optional.of(argument(options, SETTINGS))
+                : Optional.ofNullable(System.getenv(PlatformCommand.SETTINGS_VARIABLE));
+        return file.<Either<String, Subcommand>>map(path -> Either.right(new Subcommand.PlatformServe(Path.of(path))))
+                .orElseGet(() ->
+                        Either.left("option --settings is missing, and so is " + PlatformCommand.SETTINGS_VARIABLE));
+    }
+
     private static Either<String, Subcommand> target(
             OptionSet options, Function<OperatorTarget, Subcommand> subcommand) {
         if (options.has(OPERATOR) == options.has(SETTINGS)) {
--- /dev/null
+++ b/src/main/java/org/plantainwharf/cli/HangUpSignal.java
@@ -0,0 +1,20 @@
+package org.plantainwharf.cli;
+
+import sun.misc.Signal;
+
+/** Takes SIGHUP, which ends the virtual machine where nothing takes it. Thread-safe. */
+public final class HangUpSignal {
+    private static volatile Runnable reaction = () -> {};
+
+    private HangUpSignal() {}
+
+    /** Takes the signal from now on; without a reaction it does nothing. To be called first in {@code main}. */
+    public static void install() {
+        Signal.handle(new Signal("HUP"), signal -> reaction.run());
+    }
+
+    /** Sets what the signal causes. */
+    public static void onReceived(Runnable newReaction) {
+        reaction = newReaction;
+    }
+}
--- a/src/main/java/org/plantainwharf/cli/Subcommand.java
+++ b/src/main/java/org/plantainwharf/cli/Subcommand.java
@@ -45,6 +45,12 @@
     /** Starts a planned stop of a daemon. */
     record Drain(OperatorTarget target) implements Subcommand {}
 
+    /** Runs a daemon on the users' platform. */
+    record PlatformServe(Path settings) implements Subcommand {}
+
+    /** Checks a settings file of the users' platform. */
+    record PlatformCheck(Path file) implements Subcommand {}
+
     /** Prints the version. */
     record Version() implements Subcommand {}
 
--- a/src/main/java/org/plantainwharf/cli/SubcommandName.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandName.java
@@ -18,6 +18,11 @@
     SHEET_KEY("sheet key", "", "read an account key from standard input and print its digest for the sheet"),
     STATUS("status", "--operator ADDRESS [--json]", "show daemons, backend servers, refusals and retries"),
     DRAIN("drain", "--operator ADDRESS", "start a planned stop of one daemon"),
+    PLATFORM_SERVE(
+            "platform serve",
+            "[--settings FILE]",
+            "run a daemon on the users' platform until SIGTERM; the role comes from its settings"),
+    PLATFORM_CHECK("platform check", "FILE", "check a settings file of the platform and show what it means"),
     VERSION("version", "", "print the version"),
     STAND_IN_ENGINE("stand-in-engine", "OPTION...", "run a stand-in of a model engine"),
     STAND_IN_SERVICE("stand-in-service", "OPTION...", "run a stand-in of a plain service");
@@ -53,6 +58,8 @@
                     SHEET_KEY,
                     STATUS,
                     DRAIN,
+                    PLATFORM_SERVE,
+                    PLATFORM_CHECK,
                     VERSION -> false;
         };
     }
--- a/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -18,6 +18,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.vavr.control.Either;
 import org.plantainwharf.daemon.Daemon;
+import org.plantainwharf.platform.PlatformCommand;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.settings.SettingsProblems;
 import org.plantainwharf.settings.SettingsReader;
@@ -66,6 +67,11 @@
             case Subcommand.Status status ->
                 ask(status.target(), client -> client.get("/admin/status"), status.json(), StatusText::of);
             case Subcommand.Drain drain -> drain(drain.target());
+            case Subcommand.PlatformServe serve ->
+                PlatformCommand.serve(serve.settings(), console.output(), HangUpSignal::onReceived)
+                        .fold(failure -> fail(failure.message()), stopped -> ExitCode.OK);
+            case Subcommand.PlatformCheck check ->
+                PlatformCommand.check(check.file()).fold(failure -> fail(failure.message()), this::succeed);
             case Subcommand.Version version -> version();
             case Subcommand.StandInEngine standIn ->
                 ExitCode.of(StandInEngine.run(standIn.arguments().toArray(String[]::new)));
--- a/src/main/java/org/plantainwharf/codec/CommandMapping.java
+++ b/src/main/java/org/plantainwharf/codec/CommandMapping.java
@@ -31,6 +31,11 @@
                         .addAllVoters(ValueMapping.encodeVoters(
                                 change.voters().stream().sorted(VOTER_ORDER).toList())));
             case Command.ApplySheet apply -> wire.setApplySheet(SheetMapping.encode(apply.sheet()));
+            case Command.ReplaceDocument replace ->
+                wire.setReplaceDocument(ValueMapping.encodeDocument(replace.version(), replace.content()));
+            case Command.ReadDocument read -> wire.setReadDocument(ValueMapping.NOTHING);
+            case Command.RecordUsage usage ->
+                wire.setRecordUsage(ValueMapping.encodeUsage(usage.window(), usage.requests()));
             case Command.TakeFencingNumber take ->
                 wire.setTakeFencingNumber(PeerProtocol.TakeFencingNumber.newBuilder()
                         .setLeader(take.leader().value())
@@ -122,6 +127,14 @@
                 new Command.ChangeVoters(Set.copyOf(
                         ValueMapping.decodeVoters(wire.getChangeVoters().getVotersList())));
             case APPLY_SHEET -> new Command.ApplySheet(SheetMapping.decode(wire.getApplySheet()));
+            case REPLACE_DOCUMENT ->
+                new Command.ReplaceDocument(
+                        wire.getReplaceDocument().getVersion(),
+                        ValueMapping.decode(wire.getReplaceDocument().getContent()));
+            case READ_DOCUMENT -> new Command.ReadDocument();
+            case RECORD_USAGE ->
+                new Command.RecordUsage(
+                        wire.getRecordUsage().getWindow(), ValueMapping.decodeUsage(wire.getRecordUsage()));
             case TAKE_FENCING_NUMBER ->
                 new Command.TakeFencingNumber(
                         HostId.of(wire.getTakeFencingNumber().getLeader()),
--- a/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
+++ b/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
@@ -100,6 +100,11 @@
                         .setGroup(taken.group())
                         .setRequest(taken.request().value())
                         .setAttempt(taken.attempt()));
+            case PeerMessage.KnownPeers known -> frame.setKnownPeers(NewsMapping.encode(known));
+            case PeerMessage.ServerNews news -> frame.setServerNews(NewsMapping.encode(news));
+            case PeerMessage.UsageCounts usage ->
+                frame.setUsageReport(ValueMapping.encodeUsage(usage.window(), usage.requests()));
+            case PeerMessage.DemandReport report -> frame.setDemandReport(NewsMapping.encode(report));
             case PeerMessage.LimitDemand demand ->
                 frame.setLimitDemand(PeerProtocol.LimitDemand.newBuilder()
                         .addAllRates(ValueMapping.encodeRates(demand.requestsPerSecond())));
@@ -175,6 +180,12 @@
                         frame.getWorkTaken().getGroup(),
                         RequestId.of(frame.getWorkTaken().getRequest()),
                         frame.getWorkTaken().getAttempt());
+            case KNOWN_PEERS -> NewsMapping.decode(frame.getKnownPeers());
+            case SERVER_NEWS -> NewsMapping.decode(frame.getServerNews());
+            case USAGE_REPORT ->
+                new PeerMessage.UsageCounts(
+                        frame.getUsageReport().getWindow(), ValueMapping.decodeUsage(frame.getUsageReport()));
+            case DEMAND_REPORT -> NewsMapping.decode(frame.getDemandReport());
             case LIMIT_DEMAND ->
                 new PeerMessage.LimitDemand(
                         ValueMapping.decodeRates(frame.getLimitDemand().getRatesList()));
--- a/src/main/java/org/plantainwharf/codec/ResultMapping.java
+++ b/src/main/java/org/plantainwharf/codec/ResultMapping.java
@@ -23,6 +23,11 @@
                 wire.setSheetStale(PeerProtocol.SheetStale.newBuilder()
                         .setVersion(stale.version())
                         .setVersionInForce(stale.versionInForce()));
+            case CommandResult.DocumentHeld held -> wire.setDocumentHeld(held.version());
+            case CommandResult.DocumentContent content ->
+                wire.setDocumentContent(ValueMapping.encodeDocument(content.version(), content.content()));
+            case CommandResult.UsageRecorded usage ->
+                wire.setUsageRecorded(ValueMapping.encodeUsage(usage.window(), usage.requests()));
             case CommandResult.FencingNumber fencing -> wire.setFencingNumber(fencing.number());
             case CommandResult.IntentGranted granted -> wire.setIntentGranted(ValueMapping.NOTHING);
             case CommandResult.IntentFinished finished ->
@@ -60,6 +65,14 @@
             case SHEET_STALE ->
                 new CommandResult.SheetStale(
                         wire.getSheetStale().getVersion(), wire.getSheetStale().getVersionInForce());
+            case DOCUMENT_HELD -> new CommandResult.DocumentHeld(wire.getDocumentHeld());
+            case DOCUMENT_CONTENT ->
+                new CommandResult.DocumentContent(
+                        wire.getDocumentContent().getVersion(),
+                        ValueMapping.decode(wire.getDocumentContent().getContent()));
+            case USAGE_RECORDED ->
+                new CommandResult.UsageRecorded(
+                        wire.getUsageRecorded().getWindow(), ValueMapping.decodeUsage(wire.getUsageRecorded()));
             case FENCING_NUMBER -> new CommandResult.FencingNumber(wire.getFencingNumber());
             case INTENT_GRANTED -> new CommandResult.IntentGranted();
             case INTENT_FINISHED ->
--- a/src/main/java/org/plantainwharf/codec/StateRecordMapping.java
+++ b/src/main/java/org/plantainwharf/codec/StateRecordMapping.java
@@ -23,6 +23,9 @@
             case StateRecord.SheetInForce sheet -> wire.setSheetInForce(SheetMapping.encode(sheet.sheet()));
             case StateRecord.AcceptedSheet accepted ->
                 wire.setAcceptedSheet(ResultMapping.sheetVersion(accepted.version(), accepted.digest()));
+            case StateRecord.Document document ->
+                wire.setDocument(ValueMapping.encodeDocument(document.version(), document.content()));
+            case StateRecord.Usage usage -> wire.setUsage(ValueMapping.encodeUsage(usage.window(), usage.requests()));
             case StateRecord.Fencing fencing ->
                 wire.setFencing(PeerProtocol.Fencing.newBuilder()
                         .setNumber(fencing.number())
@@ -106,6 +109,11 @@
                 new StateRecord.AcceptedSheet(
                         wire.getAcceptedSheet().getVersion(),
                         wire.getAcceptedSheet().getDigest());
+            case DOCUMENT ->
+                new StateRecord.Document(
+                        wire.getDocument().getVersion(),
+                        ValueMapping.decode(wire.getDocument().getContent()));
+            case USAGE -> new StateRecord.Usage(wire.getUsage().getWindow(), ValueMapping.decodeUsage(wire.getUsage()));
             case FENCING ->
                 new StateRecord.Fencing(
                         wire.getFencing().getNumber(),
--- a/src/main/java/org/plantainwharf/codec/ValueMapping.java
+++ b/src/main/java/org/plantainwharf/codec/ValueMapping.java
@@ -74,6 +74,30 @@
                 wire.getStream());
     }
 
+    static PeerProtocol.DocumentVersion encodeDocument(long version, Content content) {
+        return PeerProtocol.DocumentVersion.newBuilder()
+                .setVersion(version)
+                .setContent(encode(content))
+                .build();
+    }
+
+    static PeerProtocol.UsageReport encodeUsage(long window, Map<AccountName, Long> requests) {
+        PeerProtocol.UsageReport.Builder wire =
+                PeerProtocol.UsageReport.newBuilder().setWindow(window);
+        requests.entrySet().stream()
+                .sorted(Map.Entry.comparingByKey(Comparator.comparing(AccountName::value)))
+                .forEach(entry -> wire.addCounts(PeerProtocol.UsageCount.newBuilder()
+                        .setAccount(entry.getKey().value())
+                        .setRequests(entry.getValue())));
+        return wire.build();
+    }
+
+    static Map<AccountName, Long> decodeUsage(PeerProtocol.UsageReport wire) {
+        return wire.getCountsList().stream()
+                .collect(Collectors.toMap(
+                        count -> AccountName.of(count.getAccount()), PeerProtocol.UsageCount::getRequests, Long::sum));
+    }
+
     static List<PeerProtocol.AccountRate> encodeRates(Map<AccountName, Double> rates) {
         return rates.entrySet().stream()
                 .map(entry -> PeerProtocol.AccountRate.newBuilder()
--- a/src/main/java/org/plantainwharf/configuration/ConfigurationController.java
+++ b/src/main/java/org/plantainwharf/configuration/ConfigurationController.java
@@ -13,10 +13,14 @@
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -53,6 +57,10 @@
             case CallEvent ignored -> {}
             case AttemptEvent ignored -> {}
             case PeerEvent ignored -> {}
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent ignored -> {}
             case StorageEvent ignored -> {}
             case PlatformEvent ignored -> {}
@@ -133,6 +141,9 @@
             case CommandResult.IntentReused other -> unexpected();
             case CommandResult.IntentExpired other -> unexpected();
             case CommandResult.Ignored other -> unexpected();
+            case CommandResult.DocumentHeld other -> unexpected();
+            case CommandResult.DocumentContent other -> unexpected();
+            case CommandResult.UsageRecorded other -> unexpected();
         };
     }
 
--- a/src/main/java/org/plantainwharf/configuration/ControlState.java
+++ b/src/main/java/org/plantainwharf/configuration/ControlState.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 
 import org.jspecify.annotations.Nullable;
+import org.plantainwharf.call.Content;
 import org.plantainwharf.identity.Fingerprint;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.replicated.Command;
@@ -33,7 +34,12 @@
     /** Crashes older than this no longer count against a request. */
     static final long CRASH_RETENTION_MILLIS = Duration.ofMinutes(30).toMillis();
 
+    /** A holder that takes over reports the windows of the last minutes only; older ones are overdue anyway. */
+    static final int REMEMBERED_USAGE_WINDOWS = 64;
+
     private Optional<Sheet> sheet = Optional.empty();
+    private Optional<StateRecord.Document> document = Optional.empty();
+    private final TreeMap<Long, StateRecord.Usage> usages = new TreeMap<>();
     private final TreeMap<Long, String> acceptedSheets = new TreeMap<>();
     private StateRecord.Fencing fencing = new StateRecord.Fencing(0, HostId.of("none"), 0);
     private final Map<Fingerprint, StateRecord.Crashes> crashes = new LinkedHashMap<>();
@@ -51,6 +57,16 @@
         return sheet;
     }
 
+    /** Returns the service document held. */
+    public Optional<StateRecord.Document> document() {
+        return document;
+    }
+
+    /** Returns the fixed counts of a usage window, if they are known. */
+    public Optional<StateRecord.Usage> usage(long window) {
+        return Optional.ofNullable(usages.get(window));
+    }
+
     /** Returns the newest fencing number with its holder; number 0 before the first was taken. */
     public StateRecord.Fencing fencing() {
         return fencing;
@@ -79,6 +95,11 @@
             case Command.NoOperation none -> new CommandResult.Done();
             case Command.ChangeVoters change -> new CommandResult.Done();
             case Command.ApplySheet apply -> applySheet(apply.sheet());
+            case Command.ReplaceDocument replace -> replaceDocument(replace);
+            case Command.ReadDocument read ->
+                document.<CommandResult>map(held -> new CommandResult.DocumentContent(held.version(), held.content()))
+                        .orElse(new CommandResult.DocumentContent(0, Content.of("", new byte[0])));
+            case Command.RecordUsage usage -> recordUsage(usage);
             case Command.TakeFencingNumber take -> takeFencingNumber(take);
             case Command.ReportCrash report -> reportCrash(report);
             case Command.RecordHostStart start -> {
@@ -112,6 +133,22 @@
         return new CommandResult.SheetAccepted(version, candidate.digest());
     }
 
+    private CommandResult replaceDocument(Command.ReplaceDocument replace) {
+        if (document.isEmpty() || replace.version() > document.get().version()) {
+            document = Optional.of(new StateRecord.Document(replace.version(), replace.content()));
+        }
+        return new CommandResult.DocumentHeld(document.get().version());
+    }
+
+    private CommandResult recordUsage(Command.RecordUsage usage) {
+        StateRecord.Usage fixed =
+                usages.computeIfAbsent(usage.window(), window -> new StateRecord.Usage(window, usage.requests()));
+        if (usages.size() > REMEMBERED_USAGE_WINDOWS) {
+            usages.pollFirstEntry();
+        }
+        return new CommandResult.UsageRecorded(fixed.window(), fixed.requests());
+    }
+
     private CommandResult takeFencingNumber(Command.TakeFencingNumber take) {
         boolean resent = fencing.leader().equals(take.leader()) && fencing.term() == take.term();
         if (!resent) {
@@ -169,6 +206,8 @@
         List<StateRecord> records = new ArrayList<>();
         sheet.ifPresent(value -> records.add(new StateRecord.SheetInForce(value)));
         acceptedSheets.forEach((version, digest) -> records.add(new StateRecord.AcceptedSheet(version, digest)));
+        document.ifPresent(records::add);
+        records.addAll(usages.values());
         records.add(fencing);
         records.addAll(crashes.values());
         records.addAll(hostStarts.values());
@@ -178,6 +217,8 @@
     @Override
     public void restore(List<StateRecord> records) {
         sheet = Optional.empty();
+        document = Optional.empty();
+        usages.clear();
         acceptedSheets.clear();
         crashes.clear();
         hostStarts.clear();
@@ -185,6 +226,8 @@
             switch (stateRecord) {
                 case StateRecord.SheetInForce inForce -> sheet = Optional.of(inForce.sheet());
                 case StateRecord.AcceptedSheet accepted -> acceptedSheets.put(accepted.version(), accepted.digest());
+                case StateRecord.Document value -> document = Optional.of(value);
+                case StateRecord.Usage value -> usages.put(value.window(), value);
                 case StateRecord.Fencing value -> fencing = value;
                 case StateRecord.Crashes value -> crashes.put(value.fingerprint(), value);
                 case StateRecord.HostStart value -> hostStarts.put(value.token(), value);
--- a/src/main/java/org/plantainwharf/consensus/ConsensusController.java
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusController.java
@@ -15,10 +15,14 @@
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -37,14 +41,53 @@
  * group 0 and keeps track of the leaders of the others.
  */
 public final class ConsensusController implements Controller {
+    private static final int CONTROL_GROUP = 0;
+
     private final Map<Integer, GroupDriver> drivers;
     private final RequestDesk desk;
+    private final LogHosts hosts;
     private boolean started;
     private boolean resigned;
 
-    private ConsensusController(Map<Integer, GroupDriver> drivers, List<HostId> voters) {
+    private ConsensusController(Map<Integer, GroupDriver> drivers, LogHosts hosts) {
         this.drivers = drivers;
-        this.desk = RequestDesk.create(drivers, voters);
+        this.hosts = hosts;
+        this.desk = RequestDesk.create(drivers, hosts);
+    }
+
+    /**
+     * Returns a controller for the control group of a system whose hosts are discovered. A host with a disk takes part
+     * as a voter, or as a learner that becomes one; a host without a disk learns.
+     *
+     * @param seeds hosts known at the start
+     * @param diskIncarnation identity of this host's disk, 0 without one
+     * @param content what the disk holds of the group
+     * @param machine the group's empty state machine
+     */
+    public static ConsensusController discovering(
+            Settings settings,
+            List<HostId> seeds,
+            long diskIncarnation,
+            RecoveredGroup content,
+            StateMachine machine,
+            RandomGenerator random,
+            long nowNanos) {
+        VoterId self = VoterId.of(settings.host(), diskIncarnation);
+        LogHosts hosts = LogHosts.discovered(seeds);
+        Map<Integer, GroupDriver> drivers = new TreeMap<>();
+        if (self.hasDisk()) {
+            machine.restore(content.snapshot().records());
+            Replica replica =
+                    Replica.recover(CONTROL_GROUP, self, hosts, ReplicaOptions.defaults(), content, random, nowNanos);
+            drivers.put(
+                    CONTROL_GROUP,
+                    GroupDriver.create(
+                            CONTROL_GROUP, replica, machine, content.snapshot().lastIndex()));
+        } else {
+            Learner learner = Learner.create(CONTROL_GROUP, self, hosts, ReplicaOptions.defaults(), nowNanos);
+            drivers.put(CONTROL_GROUP, GroupDriver.create(CONTROL_GROUP, learner, machine, 0));
+        }
+        return new ConsensusController(drivers, hosts);
     }
 
     /**
@@ -90,7 +133,7 @@
                 drivers.put(group, GroupDriver.create(group, learner, null, 0));
             }
         }
-        return new ConsensusController(drivers, voters);
+        return new ConsensusController(drivers, LogHosts.configured(voters));
     }
 
     @Override
@@ -106,6 +149,10 @@
             case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
             case CallEvent call -> {}
             case AttemptEvent attempt -> {}
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent server -> {}
             case OperatorEvent operator -> {}
             case PlatformEvent platform -> {}
@@ -118,7 +165,7 @@
             stepAll(new ReplicaInput.Resigned(), board, nowNanos, effects);
         }
         stepAll(new ReplicaInput.Ticked(), board, nowNanos, effects);
-        drivers.values().forEach(driver -> driver.repairVoters(board, nowNanos, effects));
+        drivers.values().forEach(driver -> driver.repairVoters(hosts, board, nowNanos, effects));
         desk.tick(board, nowNanos, effects);
     }
 
@@ -214,6 +261,10 @@
             case PeerMessage.LimitGrant grant -> {}
             case PeerMessage.WorkAssigned assigned -> {}
             case PeerMessage.WorkTaken taken -> {}
+            case PeerMessage.KnownPeers known -> known.addresses().keySet().forEach(hosts::add);
+            case PeerMessage.ServerNews news -> {}
+            case PeerMessage.UsageCounts usage -> {}
+            case PeerMessage.DemandReport report -> {}
         }
     }
 
--- a/src/main/java/org/plantainwharf/consensus/GroupDriver.java
+++ b/src/main/java/org/plantainwharf/consensus/GroupDriver.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.board.Board;
@@ -24,6 +25,9 @@
  * applied. Owned by the consensus controller.
  */
 final class GroupDriver {
+    /** Silence after which a newcomer takes a voter's place: a killed process is back within half of it. */
+    private static final long REPLACED_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
     private final int group;
     private final GroupMember member;
     private final @Nullable StateMachine machine;
@@ -31,6 +35,8 @@
     private final Map<String, Long> indexes = new HashMap<>();
     private long restoredIndex;
     private long leadingTerm;
+    private boolean stepped;
+    private long firstStepNanos;
 
     /** A proposal appended here; {@code origin} is absent for one of this host. Immutable. */
     private record Waiting(String proposalId, long term, Optional<HostId> origin) {}
@@ -56,6 +62,10 @@
 
     /** Gives an input to the member and carries out what it asks for. */
     ReplicaOutput step(ReplicaInput input, Board board, long nowNanos, Effects effects) {
+        if (!stepped) {
+            stepped = true;
+            firstStepNanos = nowNanos;
+        }
         ReplicaOutput output = member.step(input, nowNanos);
         carryOut(output, effects);
         snapshotWhenDue(board, nowNanos, effects);
@@ -119,14 +129,24 @@
                 : Optional.empty();
     }
 
-    /** Proposes the change that brings a host back whose disk was lost, if one is due. */
-    void repairVoters(Board board, long nowNanos, Effects effects) {
+    /** Proposes the change that brings a host back whose disk was lost, or a newcomer in, if one is due. */
+    void repairVoters(LogHosts hosts, Board board, long nowNanos, Effects effects) {
         if (member instanceof Replica replica) {
-            VoterRepair.next(replica)
-                    .ifPresent(change -> step(new ReplicaInput.Proposed(change), board, nowNanos, effects));
+            Optional<Command.ChangeVoters> next = hosts.founding()
+                    ? VoterRepair.next(replica)
+                    : VoterRepair.nextDiscovered(replica, host -> silent(host, board, nowNanos));
+            next.ifPresent(change -> step(new ReplicaInput.Proposed(change), board, nowNanos, effects));
         }
     }
 
+    private boolean silent(HostId host, Board board, long nowNanos) {
+        return !host.equals(board.membership().self())
+                && board.membership()
+                        .member(host)
+                        .map(known -> !known.linked() && nowNanos - known.lastHeardNanos() >= REPLACED_NANOS)
+                        .orElse(nowNanos - firstStepNanos >= REPLACED_NANOS);
+    }
+
     private void carryOut(ReplicaOutput output, Effects effects) {
         output.counts().forEach(effects::count);
         output.writes().forEach(effects::add);
--- a/src/main/java/org/plantainwharf/consensus/Learner.java
+++ b/src/main/java/org/plantainwharf/consensus/Learner.java
@@ -16,7 +16,7 @@
 public final class Learner implements GroupMember {
     private final int group;
     private final VoterId self;
-    private final List<HostId> sources;
+    private final LogHosts hosts;
     private final boolean statusOnly;
     private final ReplicaOptions options;
     private final SnapshotReceiver receiver = SnapshotReceiver.create();
@@ -29,27 +29,33 @@
     private long lastRequestNanos;
 
     private Learner(
-            int group, VoterId self, List<HostId> sources, boolean statusOnly, ReplicaOptions options, long nowNanos) {
+            int group, VoterId self, LogHosts hosts, boolean statusOnly, ReplicaOptions options, long nowNanos) {
         this.group = group;
         this.self = self;
-        this.sources = List.copyOf(sources);
+        this.hosts = hosts;
         this.statusOnly = statusOnly;
         this.options = options;
         this.lastHeardNanos = nowNanos;
         this.lastRequestNanos = nowNanos - options.renewNanos();
         // Learners spread over the sources by name.
-        this.source = Math.floorMod(self.host().value().hashCode(), Math.max(1, sources.size()));
+        this.source = Math.floorMod(
+                self.host().value().hashCode(), Math.max(1, hosts.list().size()));
     }
 
     /** Returns a learner that applies committed entries. */
     public static Learner create(int group, VoterId self, List<HostId> sources, ReplicaOptions options, long nowNanos) {
-        return new Learner(group, self, sources, false, options, nowNanos);
+        return create(group, self, LogHosts.configured(sources), options, nowNanos);
+    }
+
+    /** Returns a learner that applies committed entries; {@code hosts} may grow later. */
+    static Learner create(int group, VoterId self, LogHosts hosts, ReplicaOptions options, long nowNanos) {
+        return new Learner(group, self, hosts, false, options, nowNanos);
     }
 
     /** Returns a learner that only keeps track of the group's leader. */
     public static Learner ofStatus(
             int group, VoterId self, List<HostId> sources, ReplicaOptions options, long nowNanos) {
-        return new Learner(group, self, sources, true, options, nowNanos);
+        return new Learner(group, self, LogHosts.configured(sources), true, options, nowNanos);
     }
 
     @Override
@@ -70,7 +76,7 @@
 
     @Override
     public GroupStatus status(long nowNanos) {
-        Optional<HostId> leader = statusOnly && heard ? Optional.of(sources.get(source)) : Optional.empty();
+        Optional<HostId> leader = statusOnly && heard ? Optional.of(hosts.list().get(source)) : Optional.empty();
         return new GroupStatus(
                 group,
                 leader,
@@ -109,7 +115,7 @@
 
     private void hear(ReplicaMessage message, long nowNanos) {
         term = Math.max(term, message.term());
-        int sender = sources.indexOf(message.sender().host());
+        int sender = hosts.list().indexOf(message.sender().host());
         if (sender >= 0) {
             source = sender;
             heard = true;
@@ -120,7 +126,7 @@
     private void apply(ReplicaMessage.AppendRequest request, long nowNanos, ReplicaOutput output) {
         if (request.previousIndex() > appliedIndex) {
             output.count("consensus.stream_gaps");
-            request(sources.get(source), nowNanos, output);
+            request(hosts.list().get(source), nowNanos, output);
             return;
         }
         for (ReplicaEntry entry : request.entries()) {
@@ -130,7 +136,7 @@
             }
         }
         if (!request.entries().isEmpty() && appliedIndex < request.commitIndex()) {
-            request(sources.get(source), nowNanos, output);
+            request(hosts.list().get(source), nowNanos, output);
         }
     }
 
@@ -152,19 +158,19 @@
     }
 
     private void tick(long nowNanos, ReplicaOutput output) {
-        if (sources.isEmpty() || nowNanos - lastRequestNanos < options.renewNanos()) {
+        if (hosts.list().isEmpty() || nowNanos - lastRequestNanos < options.renewNanos()) {
             return;
         }
         if (nowNanos - lastHeardNanos > options.silenceNanos()) {
             output.count("consensus.stream_source_changes");
             heard = false;
             lastHeardNanos = nowNanos;
-            source = (source + 1) % sources.size();
+            source = (source + 1) % hosts.list().size();
         }
         if (statusOnly && !heard) {
-            sources.forEach(host -> request(host, nowNanos, output));
+            hosts.list().forEach(host -> request(host, nowNanos, output));
         } else {
-            request(sources.get(source), nowNanos, output);
+            request(hosts.list().get(source), nowNanos, output);
         }
     }
 
--- a/src/main/java/org/plantainwharf/consensus/MessageSizes.java
+++ b/src/main/java/org/plantainwharf/consensus/MessageSizes.java
@@ -20,6 +20,9 @@
                     case Command.AcceptWork work -> work.content().length();
                     case Command.CompleteWork work -> work.answer().length();
                     case Command.ChangeVoters change -> change.voters().size() * SHEET_ROW;
+                    case Command.ReplaceDocument replace -> replace.content().length();
+                    case Command.ReadDocument read -> 0;
+                    case Command.RecordUsage usage -> usage.requests().size() * SHEET_ROW;
                     case Command.NoOperation none -> 0;
                     case Command.TakeFencingNumber take -> 0;
                     case Command.ReportCrash report -> 0;
@@ -50,6 +53,8 @@
                                 + (work.state() instanceof StateRecord.WorkState.Finished finished
                                         ? finished.answer().length()
                                         : 0);
+                    case StateRecord.Document document -> document.content().length();
+                    case StateRecord.Usage usage -> usage.requests().size() * SHEET_ROW;
                     case StateRecord.AcceptedSheet accepted -> 0;
                     case StateRecord.Fencing fencing -> 0;
                     case StateRecord.HostStart start -> 0;
--- a/src/main/java/org/plantainwharf/consensus/Replica.java
+++ b/src/main/java/org/plantainwharf/consensus/Replica.java
@@ -53,7 +53,19 @@
             RecoveredGroup recovered,
             RandomGenerator random,
             long nowNanos) {
-        return new Replica(ReplicaState.recover(group, self, founders, options, recovered, random, nowNanos), nowNanos);
+        return recover(group, self, LogHosts.configured(founders), options, recovered, random, nowNanos);
+    }
+
+    /** Returns the replica of a group with what its disk holds; {@code hosts} may grow later. */
+    static Replica recover(
+            int group,
+            VoterId self,
+            LogHosts hosts,
+            ReplicaOptions options,
+            RecoveredGroup recovered,
+            RandomGenerator random,
+            long nowNanos) {
+        return new Replica(ReplicaState.recover(group, self, hosts, options, recovered, random, nowNanos), nowNanos);
     }
 
     @Override
@@ -254,7 +266,8 @@
             return;
         }
         lastAskedNanos = nowNanos;
-        boolean mayFound = !state.configuration().founded()
+        boolean mayFound = state.foundsByVote()
+                && !state.configuration().founded()
                 && state.term() <= FOUNDING_TERM
                 && state.founder().equals(state.self().host())
                 && (state.writes().vote().isEmpty()
--- a/src/main/java/org/plantainwharf/consensus/ReplicaState.java
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaState.java
@@ -14,7 +14,7 @@
 final class ReplicaState {
     private final int group;
     private final VoterId self;
-    private final List<HostId> founders;
+    private final LogHosts hosts;
     private final ReplicaOptions options;
     private final ReplicaLog log;
     private final WriteQueue writes;
@@ -29,14 +29,14 @@
     private ReplicaState(
             int group,
             VoterId self,
-            List<HostId> founders,
+            LogHosts hosts,
             ReplicaOptions options,
             RecoveredGroup recovered,
             RandomGenerator random,
             long nowNanos) {
         this.group = group;
         this.self = self;
-        this.founders = List.copyOf(founders);
+        this.hosts = hosts;
         this.options = options;
         this.log = ReplicaLog.recover(recovered);
         this.writes = WriteQueue.recover(group, recovered, log.lastIndex());
@@ -51,12 +51,12 @@
     static ReplicaState recover(
             int group,
             VoterId self,
-            List<HostId> founders,
+            LogHosts hosts,
             ReplicaOptions options,
             RecoveredGroup recovered,
             RandomGenerator random,
             long nowNanos) {
-        return new ReplicaState(group, self, founders, options, recovered, random, nowNanos);
+        return new ReplicaState(group, self, hosts, options, recovered, random, nowNanos);
     }
 
     int group() {
@@ -68,12 +68,17 @@
     }
 
     List<HostId> founders() {
-        return founders;
+        return hosts.list();
+    }
+
+    /** Says whether an empty group is founded by a vote of all founders. */
+    boolean foundsByVote() {
+        return hosts.founding();
     }
 
     /** Returns the one host that may found the group. */
     HostId founder() {
-        return founders.stream().min(Comparator.comparing(HostId::value)).orElse(self.host());
+        return founders().stream().min(Comparator.comparing(HostId::value)).orElse(self.host());
     }
 
     ReplicaOptions options() {
--- a/src/main/java/org/plantainwharf/consensus/RequestDesk.java
+++ b/src/main/java/org/plantainwharf/consensus/RequestDesk.java
@@ -31,18 +31,18 @@
     private final Map<String, Tracked> requests = new LinkedHashMap<>();
     private final Map<Integer, HostId> knownLeaders = new HashMap<>();
     private final Map<Integer, GroupDriver> drivers;
-    private final List<HostId> voters;
+    private final LogHosts hosts;
     private int rotation;
 
     private record Tracked(PendingRequest request, long deadlineNanos, long nextSendNanos, int redirects) {}
 
-    private RequestDesk(Map<Integer, GroupDriver> drivers, List<HostId> voters) {
+    private RequestDesk(Map<Integer, GroupDriver> drivers, LogHosts hosts) {
         this.drivers = drivers;
-        this.voters = List.copyOf(voters);
+        this.hosts = hosts;
     }
 
-    static RequestDesk create(Map<Integer, GroupDriver> drivers, List<HostId> voters) {
-        return new RequestDesk(drivers, voters);
+    static RequestDesk create(Map<Integer, GroupDriver> drivers, LogHosts hosts) {
+        return new RequestDesk(drivers, hosts);
     }
 
     /** Takes a request. One that is already under way is left alone. */
@@ -155,7 +155,7 @@
 
     private Optional<HostId> nextVoter(HostId self) {
         List<HostId> others =
-                voters.stream().filter(voter -> !voter.equals(self)).toList();
+                hosts.list().stream().filter(voter -> !voter.equals(self)).toList();
         if (others.isEmpty()) {
             return Optional.empty();
         }
--- a/src/main/java/org/plantainwharf/consensus/VoterRepair.java
+++ b/src/main/java/org/plantainwharf/consensus/VoterRepair.java
@@ -3,11 +3,13 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
+import org.plantainwharf.identity.HostId;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.VoterId;
 
-/** Decides which voter change brings a host back whose disk was lost. Stateless. */
+/** Decides which voter change brings a host into the group whose copy is caught up and synced. Stateless. */
 public final class VoterRepair {
     private VoterRepair() {}
 
@@ -25,4 +27,26 @@
         }
         return Optional.empty();
     }
+
+    /**
+     * Returns the change that lets a newcomer vote: in place of its own lost identity, else in place of a voter that
+     * went silent, else beside the others. No voter goes without a newcomer.
+     *
+     * @param silent whether a host was not heard for so long that it has probably been replaced
+     */
+    static Optional<Command.ChangeVoters> nextDiscovered(Replica replica, Predicate<HostId> silent) {
+        Optional<Command.ChangeVoters> returned = next(replica);
+        if (returned.isPresent()) {
+            return returned;
+        }
+        return replica.caughtUpLearners().stream().findFirst().map(newcomer -> {
+            Set<VoterId> voters = new HashSet<>(replica.voters());
+            voters.stream()
+                    .filter(voter -> silent.test(voter.host()))
+                    .findFirst()
+                    .ifPresent(voters::remove);
+            voters.add(newcomer);
+            return new Command.ChangeVoters(voters);
+        });
+    }
 }
--- a/src/main/java/org/plantainwharf/daemon/EffectDispatcher.java
+++ b/src/main/java/org/plantainwharf/daemon/EffectDispatcher.java
@@ -9,11 +9,16 @@
 import org.plantainwharf.effect.AttemptEffect;
 import org.plantainwharf.effect.CallEffect;
 import org.plantainwharf.effect.CountEffect;
+import org.plantainwharf.effect.DocumentEffect;
+import org.plantainwharf.effect.DutyEffect;
 import org.plantainwharf.effect.Effect;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.effect.LogEffect;
 import org.plantainwharf.effect.OperatorEffect;
 import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.effect.PlatformEffect;
 import org.plantainwharf.effect.ProcessEffect;
+import org.plantainwharf.effect.RegistryEffect;
 import org.plantainwharf.effect.ServerEffect;
 import org.plantainwharf.effect.StorageEffect;
 import org.plantainwharf.front.CallerFront;
@@ -77,12 +82,22 @@
             case StorageEffect write -> storage.ifPresent(writer -> writer.execute(write));
             case OperatorEffect operator -> operators.execute(operator);
             case PlatformEffect platform -> executePlatform(platform);
+            case DocumentEffect document -> misdirected(document);
+            case RegistryEffect registry -> misdirected(registry);
+            case ForwardEffect forward -> misdirected(forward);
+            case DutyEffect duty -> misdirected(duty);
             case AlarmEffect alarm -> executeAlarm(alarm);
+            case LogEffect line -> LOG.info(line.event(), line.fields().toArray());
             case CountEffect count -> counters.execute(count);
             case ProcessEffect.ExitGracefully graceful -> exit.run();
         }
     }
 
+    /** This daemon has no controller that asks for these. */
+    private static void misdirected(Effect effect) {
+        LOG.warning("effect_misdirected", "type", effect.getClass().getSimpleName());
+    }
+
     /** No platform interface is configured today, so orders to it are only logged. */
     private void executePlatform(PlatformEffect effect) {
         switch (effect) {
--- /dev/null
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -0,0 +1,218 @@
+package org.plantainwharf.daemon;
+
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
+import org.eclipse.jetty.client.HttpClient;
+import org.plantainwharf.backend.ForwardClient;
+import org.plantainwharf.backend.HttpClients;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.codec.PeerMessageCodec;
+import org.plantainwharf.consensus.ConsensusController;
+import org.plantainwharf.consensus.RecoveredGroup;
+import org.plantainwharf.control.Clock;
+import org.plantainwharf.control.ControlCycle;
+import org.plantainwharf.control.ControlThread;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.control.EffectExecutor;
+import org.plantainwharf.document.DocumentCodec;
+import org.plantainwharf.document.DocumentController;
+import org.plantainwharf.drain.DrainController;
+import org.plantainwharf.duty.DemandController;
+import org.plantainwharf.duty.UsageController;
+import org.plantainwharf.effect.DocumentEffect;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.forward.ForwardController;
+import org.plantainwharf.forward.ForwardLimits;
+import org.plantainwharf.front.ForwardAddresses;
+import org.plantainwharf.front.ForwardFront;
+import org.plantainwharf.http.ForwardDialect;
+import org.plantainwharf.limit.AllowanceController;
+import org.plantainwharf.log.LineLog;
+import org.plantainwharf.membership.DiscoveryController;
+import org.plantainwharf.membership.MembershipController;
+import org.plantainwharf.metric.Counters;
+import org.plantainwharf.registry.RegistryController;
+import org.plantainwharf.settings.Settings;
+import org.plantainwharf.transport.PeerNetwork;
+import org.plantainwharf.transport.PeerPolicy;
+
+/** A daemon that takes requests and passes them on, and follows the control group without a vote. Thread-safe. */
+public final class EntryDaemon implements RoleDaemon {
+    /** Threads of the client that read and write: one works at a time on one core, others wait for a caller. */
+    private static final int CLIENT_THREADS = 8;
+
+    /** Servers of the described kind close idle connections after some seconds; this side does so first. */
+    private static final long SERVER_IDLE_MILLIS = 4_000;
+
+    private final RoleSettings role;
+    private final ControlThread control;
+    private final ForwardFront front;
+    private final HttpClient client;
+    private final PeerNetwork peers;
+    private final ExecutorService traffic;
+    private final LineLog log;
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private final CountDownLatch closed = new CountDownLatch(1);
+
+    private EntryDaemon(RoleSettings role, ForwardDialect dialect, DocumentCodec codec, LineLog log) {
+        this.role = role;
+        this.log = log;
+        Settings settings = role.settings();
+        Clock clock = Clock.system();
+        SecureRandom random = new SecureRandom();
+        long incarnation = random.nextLong(1, Long.MAX_VALUE);
+        MetricRegistry metrics = new MetricRegistry();
+        Board board = Board.create(settings, incarnation, random.nextLong());
+        ConsensusController consensus = ConsensusController.discovering(
+                settings,
+                List.copyOf(role.seeds().keySet()),
+                0,
+                RecoveredGroup.empty(),
+                board.configuration().state(),
+                new SplittableRandom(random.nextLong()),
+                clock.nowNanos());
+        List<Controller> controllers = List.of(
+                MembershipController.create(),
+                DiscoveryController.create(role.seeds(), Optional.empty(), settings.host()),
+                RegistryController.learning(),
+                consensus,
+                DocumentController.create(codec),
+                DrainController.create(),
+                AllowanceController.create(),
+                UsageController.create(role.windowMillis(), role.usageDueMillis()),
+                ForwardController.create(new ForwardLimits(role.retryShare(), role.retryMinimum())),
+                DemandController.create());
+        AtomicReference<EffectExecutor> dispatcher = new AtomicReference<>(effect -> {});
+        this.control = ControlThread.create(
+                ControlCycle.create(board, controllers),
+                clock,
+                effect -> Objects.requireNonNull(dispatcher.get()).execute(effect),
+                settings.bounds().eventQueueCapacity());
+        this.traffic = Executors.newSingleThreadExecutor(task -> new Thread(task, "traffic"));
+        this.front = ForwardFront.create(
+                dialect,
+                new ForwardAddresses(
+                        settings.callerAddress(), role.readyAddress(), role.readyPath(), settings.bounds()),
+                clock,
+                control::view,
+                control,
+                metrics,
+                traffic);
+        this.client = HttpClients.start("servers", CLIENT_THREADS, SERVER_IDLE_MILLIS);
+        ForwardClient forward = ForwardClient.create(client, dialect, front::call, control, traffic);
+        this.peers = PeerNetwork.create(
+                settings,
+                new PeerPolicy.Discovered(role.seeds()),
+                incarnation,
+                PeerMessageCodec.create(),
+                control,
+                metrics);
+        dispatcher.set(RoleDispatcher.create(new RoleDispatcher.Parts(
+                peers,
+                log,
+                Counters.create(metrics),
+                effect -> forward(effect, forward),
+                effect -> misdirected("registry"),
+                this::document,
+                effect -> misdirected("duty"),
+                effect -> misdirected("storage"),
+                drained::countDown)));
+    }
+
+    /** Starts an entry daemon, or says why it cannot start. */
+    public static Either<Failure, EntryDaemon> start(
+            RoleSettings role, ForwardDialect dialect, DocumentCodec codec, LineLog log) {
+        EntryDaemon daemon = new EntryDaemon(role, dialect, codec, log);
+        try {
+            daemon.control.start();
+            daemon.front.start();
+        } catch (IllegalStateException e) {
+            daemon.close();
+            return Either.left(Failure.of(ErrorKind.SETTINGS_INVALID, String.valueOf(e.getMessage())));
+        }
+        Either<Failure, Integer> listening = daemon.peers.start();
+        if (listening.isLeft()) {
+            daemon.close();
+            return Either.left(listening.getLeft());
+        }
+        log.write("daemon_started", "role", "entry", "callers", daemon.front.port());
+        return Either.right(daemon);
+    }
+
+    private void forward(ForwardEffect effect, ForwardClient forward) {
+        switch (effect) {
+            case ForwardEffect.StartForward start -> forward.start(start);
+            case ForwardEffect.CancelForward cancel -> forward.cancel(cancel.ticket());
+            case ForwardEffect.RefuseForward refuse -> front.execute(refuse);
+            case ForwardEffect.PassFailure pass -> front.execute(pass);
+            case ForwardEffect.BreakForward broken -> front.execute(broken);
+        }
+    }
+
+    private void document(DocumentEffect effect) {
+        if (effect instanceof DocumentEffect.ApplyCallerBounds apply) {
+            front.apply(apply.bounds());
+        } else {
+            misdirected("document");
+        }
+    }
+
+    private void misdirected(String family) {
+        log.write("effect_misdirected", "family", family);
+    }
+
+    /** Returns the port for callers. */
+    public int callerPort() {
+        return front.port();
+    }
+
+    @Override
+    public void drain() {
+        control.post(new OperatorEvent.DrainRequested(0));
+    }
+
+    @Override
+    public void awaitStop() throws InterruptedException {
+        drained.await();
+        close();
+    }
+
+    @Override
+    public void awaitClosed() throws InterruptedException {
+        closed.await();
+    }
+
+    @Override
+    public void close() {
+        try {
+            control.stop();
+            traffic.shutdown();
+            // Answers that are decided but not written yet leave first.
+            boolean written = traffic.awaitTermination(1, TimeUnit.SECONDS);
+            log.write("daemon_stopped", "role", "entry", "answers_written", written);
+            front.stop();
+            client.stop();
+            peers.close();
+            log.close();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (Exception e) {
+            log.write("daemon_stop_failed", "problem", String.valueOf(e));
+        }
+        closed.countDown();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/daemon/RoleSettings.java
@@ -0,0 +1,37 @@
+package org.plantainwharf.daemon;
+
+import java.util.List;
+import java.util.Map;
+
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.settings.Settings;
+
+/**
+ * Settings of a daemon whose peers are discovered. Immutable.
+ *
+ * @param settings the product's settings; its list of hosts holds the seeds
+ * @param seeds addresses for links of the daemons told at the start
+ * @param firstVoters the first voters, when the whole system starts for the first time; empty later
+ * @param windowMillis length of a usage window
+ * @param usageDueMillis time after a window's end at which its report is late
+ * @param retryShare repeats allowed on this daemon as a part of the requests to a service
+ * @param retryMinimum repeats in ten seconds that this daemon may always send
+ * @param readyAddress where the balancer asks whether an entry daemon is ready
+ * @param readyPath path of that question
+ */
+public record RoleSettings(
+        Settings settings,
+        Map<HostId, String> seeds,
+        List<HostId> firstVoters,
+        long windowMillis,
+        long usageDueMillis,
+        double retryShare,
+        double retryMinimum,
+        String readyAddress,
+        String readyPath) {
+    /** Copies the collections. */
+    public RoleSettings {
+        seeds = Map.copyOf(seeds);
+        firstVoters = List.copyOf(firstVoters);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/document/DocumentController.java
@@ -0,0 +1,152 @@
+package org.plantainwharf.document;
+
+import io.vavr.control.Either;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.DocumentEffect;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.StateRecord;
+
+/**
+ * Submits service documents to the control group, reads them through its log, and puts committed ones in force. Runs on
+ * the control thread.
+ */
+public final class DocumentController implements Controller {
+    private static final int CONTROL_GROUP = 0;
+
+    private final DocumentCodec codec;
+
+    private DocumentController(DocumentCodec codec) {
+        this.codec = codec;
+    }
+
+    /** Returns the controller. */
+    public static DocumentController create(DocumentCodec codec) {
+        return new DocumentController(codec);
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case DocumentEvent document -> onDocument(document, board, effects);
+            case ReplicationEvent replication -> onReplication(replication, board, effects);
+            case TimerEvent ignored -> {}
+            case PeerEvent ignored -> {}
+            case RegistryEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private static void onDocument(DocumentEvent event, Board board, Effects effects) {
+        switch (event) {
+            case DocumentEvent.DocumentSubmitted submitted ->
+                propose(
+                        submitted.ticket(),
+                        new Command.ReplaceDocument(submitted.document().version(), submitted.content()),
+                        board,
+                        effects);
+            case DocumentEvent.DocumentRequested requested ->
+                propose(requested.ticket(), new Command.ReadDocument(), board, effects);
+        }
+    }
+
+    private static void propose(long ticket, Command command, Board board, Effects effects) {
+        String proposalId = "document/" + board.membership().self() + "/"
+                + board.membership().incarnation() + "/" + ticket;
+        board.documents().submitted(proposalId, ticket);
+        effects.post(new ReplicationEvent.ProposalRequested(proposalId, CONTROL_GROUP, command));
+    }
+
+    private void onReplication(ReplicationEvent event, Board board, Effects effects) {
+        switch (event) {
+            case ReplicationEvent.ProposalDecided decided ->
+                board.documents()
+                        .settle(decided.proposalId())
+                        .ifPresent(ticket -> effects.add(answer(ticket, decided.result(), effects)));
+            case ReplicationEvent.ProposalFailed failed ->
+                board.documents().settle(failed.proposalId()).ifPresent(ticket -> {
+                    effects.log("document_undecided", "ticket", ticket, "reason", failed.reason());
+                    effects.add(new DocumentEffect.RefuseDocument(ticket));
+                });
+            case ReplicationEvent.EntryApplied applied -> {
+                if (applied.group() == CONTROL_GROUP && applied.command() instanceof Command.ReplaceDocument) {
+                    putInForce(board, effects);
+                }
+            }
+            case ReplicationEvent.StateReplaced replaced -> {
+                if (replaced.group() == CONTROL_GROUP) {
+                    putInForce(board, effects);
+                }
+            }
+            case ReplicationEvent.ProposalRequested ignored -> {}
+            case ReplicationEvent.QueryRequested ignored -> {}
+            case ReplicationEvent.QueryAnswered ignored -> {}
+            case ReplicationEvent.QueryFailed ignored -> {}
+            case ReplicationEvent.LeadershipChanged ignored -> {}
+        }
+    }
+
+    private static DocumentEffect answer(long ticket, CommandResult result, Effects effects) {
+        if (result instanceof CommandResult.DocumentHeld held) {
+            return new DocumentEffect.AcknowledgeDocument(ticket, held.version());
+        }
+        if (result instanceof CommandResult.DocumentContent content) {
+            return new DocumentEffect.ReturnDocument(ticket, content.version(), content.content());
+        }
+        effects.log("document_result_unexpected", "type", result.getClass().getSimpleName());
+        return new DocumentEffect.RefuseDocument(ticket);
+    }
+
+    private void putInForce(Board board, Effects effects) {
+        DocumentSection section = board.documents();
+        StateRecord.Document held = board.configuration().state().document().orElse(null);
+        if (held == null || held.version() <= section.version()) {
+            return;
+        }
+        Either<Failure, ServiceDocument> decoded = codec.decode(held.content());
+        if (decoded.isLeft()) {
+            // The daemon that took it found it valid, so this daemon runs another version of the program.
+            effects.log(
+                    "document_unreadable",
+                    "version",
+                    held.version(),
+                    "problem",
+                    decoded.getLeft().message());
+            return;
+        }
+        section.putInForce(decoded.get());
+        effects.add(new DocumentEffect.ApplyCallerBounds(decoded.get().bounds()));
+        effects.log(
+                "document_in_force",
+                "version",
+                held.version(),
+                "routes",
+                decoded.get().routes().size(),
+                "accounts",
+                decoded.get().accounts().size());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/document/DocumentSection.java
@@ -0,0 +1,48 @@
+package org.plantainwharf.document;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The service document in force on this daemon. Its version never decreases while the process runs. Written by the
+ * document controller. Owned by the control thread.
+ */
+public final class DocumentSection {
+    private final Map<String, Long> tickets = new HashMap<>();
+    private Optional<RouteTable> table = Optional.empty();
+
+    private DocumentSection() {}
+
+    /** Returns a section without a document. */
+    public static DocumentSection create() {
+        return new DocumentSection();
+    }
+
+    /** Returns the table of the document in force. */
+    public Optional<RouteTable> table() {
+        return table;
+    }
+
+    /** Returns the document in force. */
+    public Optional<ServiceDocument> document() {
+        return table.map(RouteTable::document);
+    }
+
+    /** Returns the version in force, {@link Long#MIN_VALUE} before the first. */
+    public long version() {
+        return table.map(held -> held.document().version()).orElse(Long.MIN_VALUE);
+    }
+
+    void putInForce(ServiceDocument document) {
+        table = Optional.of(RouteTable.of(document));
+    }
+
+    void submitted(String proposalId, long ticket) {
+        tickets.put(proposalId, ticket);
+    }
+
+    Optional<Long> settle(String proposalId) {
+        return Optional.ofNullable(tickets.remove(proposalId));
+    }
+}
--- a/src/main/java/org/plantainwharf/drain/DrainController.java
+++ b/src/main/java/org/plantainwharf/drain/DrainController.java
@@ -18,10 +18,14 @@
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -61,6 +65,10 @@
             case CallEvent ignored -> {}
             case AttemptEvent ignored -> {}
             case PeerEvent ignored -> {}
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent ignored -> {}
             case StorageEvent ignored -> {}
             case ReplicationEvent ignored -> {}
@@ -100,7 +108,9 @@
         long limit =
                 Duration.ofMillis(board.settings().timings().drainLimitMillis()).toNanos();
         long elapsed = nowNanos - finishing.sinceNanos();
-        boolean idle = board.calls().size() == 0 && !board.records().busy();
+        boolean idle = board.calls().size() == 0
+                && board.forward().calls().isEmpty()
+                && !board.records().busy();
         if (idle || elapsed >= limit + RECORD_GRACE_NANOS) {
             board.drain().enter(new DrainPhase.Finished());
             effects.add(new ProcessEffect.ExitGracefully());
--- /dev/null
+++ b/src/main/java/org/plantainwharf/duty/DemandController.java
@@ -0,0 +1,104 @@
+package org.plantainwharf.duty;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.forward.ForwardCall;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.membership.Member;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.message.ServiceDemand;
+
+/**
+ * Tells the control daemons what is asked of each service on this entry daemon. Runs on the control thread, after the
+ * forward controller.
+ */
+public final class DemandController implements Controller {
+    private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Weight of the newest half second; prompts come in clumps, so single ones must not order servers. */
+    private static final double WEIGHT = 0.25;
+
+    private final Map<ServiceName, double[]> asked = new HashMap<>();
+    private final Map<ServiceName, double[]> rates = new HashMap<>();
+    private long nextNanos;
+
+    private DemandController() {}
+
+    /** Returns the controller. */
+    public static DemandController create() {
+        return new DemandController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ForwardEvent.ForwardArrived arrived ->
+                board.forward().call(arrived.ticket()).ifPresent(this::count);
+            case ForwardEvent ignored -> {}
+            case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
+            case PeerEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case DocumentEvent ignored -> {}
+            case RegistryEvent ignored -> {}
+            case ReplicationEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private void count(ForwardCall call) {
+        double[] tokens = asked.computeIfAbsent(call.service(), key -> new double[2]);
+        call.head().prompt().ifPresent(prompt -> {
+            tokens[0] += prompt.inputTokens();
+            tokens[1] += prompt.outputTokens();
+        });
+    }
+
+    private void onTick(Board board, long nowNanos, Effects effects) {
+        if (nowNanos - nextNanos < 0 && nextNanos != 0) {
+            return;
+        }
+        nextNanos = nowNanos + PERIOD_NANOS;
+        Map<ServiceName, Integer> inFlight = new HashMap<>();
+        board.forward().calls().forEach(call -> inFlight.merge(call.service(), 1, Integer::sum));
+        Map<ServiceName, ServiceDemand> demands = new HashMap<>();
+        asked.forEach((service, tokens) -> {
+            double[] rate = rates.computeIfAbsent(service, key -> new double[2]);
+            for (int index = 0; index < rate.length; index++) {
+                rate[index] += WEIGHT * (tokens[index] * 1e9 / PERIOD_NANOS - rate[index]);
+                tokens[index] = 0;
+            }
+            demands.put(service, new ServiceDemand(inFlight.getOrDefault(service, 0), 0, rate[0], rate[1]));
+        });
+        PeerMessage message = new PeerMessage.DemandReport(demands);
+        for (Member member : board.membership().members()) {
+            if (member.linked()) {
+                effects.add(new PeerEffect.SendToPeer(member.host(), message));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/duty/DutySection.java
@@ -0,0 +1,72 @@
+package org.plantainwharf.duty;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.message.ServiceDemand;
+
+/** Fencing number, usage counts and demand. Written by the controllers of this package. Owned by the control thread. */
+public final class DutySection {
+    private final TreeMap<Long, Map<HostId, Map<AccountName, Long>>> usage = new TreeMap<>();
+    private final Map<HostId, HeardDemand> demands = new HashMap<>();
+    private @Nullable Long fencingNumber;
+
+    /** Demand that a daemon told, with the time of its message. Immutable. */
+    record HeardDemand(Map<ServiceName, ServiceDemand> demands, long heardNanos) {
+        HeardDemand {
+            demands = Map.copyOf(demands);
+        }
+    }
+
+    private DutySection() {}
+
+    /** Returns an empty section. */
+    public static DutySection create() {
+        return new DutySection();
+    }
+
+    /** Returns the fencing number under which this daemon holds the duties, if it does. */
+    public OptionalLong fencingNumber() {
+        return fencingNumber == null ? OptionalLong.empty() : OptionalLong.of(fencingNumber);
+    }
+
+    void hold(long number) {
+        fencingNumber = number;
+    }
+
+    void release() {
+        fencingNumber = null;
+    }
+
+    /** Takes one daemon's counts of a window in place of those that it told before. */
+    void putUsage(long window, HostId host, Map<AccountName, Long> requests) {
+        usage.computeIfAbsent(window, key -> new HashMap<>()).put(host, requests);
+    }
+
+    /** Returns the counts of a window over all daemons that told theirs. */
+    Map<AccountName, Long> usage(long window) {
+        Map<AccountName, Long> sum = new HashMap<>();
+        usage.getOrDefault(window, Map.of())
+                .values()
+                .forEach(counts -> counts.forEach((account, count) -> sum.merge(account, count, Long::sum)));
+        return sum;
+    }
+
+    void forgetUsageBefore(long window) {
+        usage.headMap(window).clear();
+    }
+
+    void putDemand(HostId host, Map<ServiceName, ServiceDemand> told, long nowNanos) {
+        demands.put(host, new HeardDemand(told, nowNanos));
+    }
+
+    Map<HostId, HeardDemand> demands() {
+        return demands;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/duty/FencingController.java
@@ -0,0 +1,115 @@
+package org.plantainwharf.duty;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+
+/**
+ * Takes a fencing number for each leadership of the control group by a committed entry and gives it up with the
+ * leadership, or when the cloud API has seen a higher one. Runs on the control thread.
+ */
+public final class FencingController implements Controller {
+    private static final int CONTROL_GROUP = 0;
+
+    private long leadingTerm;
+    private boolean requested;
+
+    private FencingController() {}
+
+    /** Returns the controller. */
+    public static FencingController create() {
+        return new FencingController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ReplicationEvent replication -> onReplication(replication, board, effects);
+            case TimerEvent.Tick tick -> request(board, effects);
+            case DutyEvent duty -> onDuty(duty, board, effects);
+            case ForwardEvent ignored -> {}
+            case DocumentEvent ignored -> {}
+            case RegistryEvent ignored -> {}
+            case PeerEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private void onReplication(ReplicationEvent event, Board board, Effects effects) {
+        switch (event) {
+            case ReplicationEvent.LeadershipChanged changed -> {
+                if (changed.group() == CONTROL_GROUP) {
+                    leadingTerm = changed.leading() ? changed.term() : 0;
+                    requested = false;
+                    board.duties().release();
+                    effects.log("leadership_changed", "term", changed.term(), "leading", changed.leading());
+                    request(board, effects);
+                }
+            }
+            case ReplicationEvent.ProposalDecided decided -> {
+                if (decided.proposalId().equals(proposalId(board))
+                        && decided.result() instanceof CommandResult.FencingNumber number
+                        && leadingTerm != 0) {
+                    board.duties().hold(number.number());
+                    effects.log("duties_taken", "fencing", number.number(), "term", leadingTerm);
+                }
+            }
+            case ReplicationEvent.ProposalFailed failed -> {
+                if (failed.proposalId().equals(proposalId(board))) {
+                    requested = false;
+                }
+            }
+            case ReplicationEvent.ProposalRequested ignored -> {}
+            case ReplicationEvent.QueryRequested ignored -> {}
+            case ReplicationEvent.QueryAnswered ignored -> {}
+            case ReplicationEvent.QueryFailed ignored -> {}
+            case ReplicationEvent.EntryApplied ignored -> {}
+            case ReplicationEvent.StateReplaced ignored -> {}
+        }
+    }
+
+    private void request(Board board, Effects effects) {
+        if (leadingTerm != 0 && !requested) {
+            requested = true;
+            effects.post(new ReplicationEvent.ProposalRequested(
+                    proposalId(board),
+                    CONTROL_GROUP,
+                    new Command.TakeFencingNumber(board.membership().self(), leadingTerm)));
+        }
+    }
+
+    private String proposalId(Board board) {
+        return "fencing/" + board.membership().self() + "/" + board.membership().incarnation() + "/" + leadingTerm;
+    }
+
+    /** All usage windows are one subject, so a conflict there means that another daemon holds the duties. */
+    private static void onDuty(DutyEvent event, Board board, Effects effects) {
+        if (event instanceof DutyEvent.UsageAnswered answered
+                && answered.answer() == ProviderAnswer.CONFLICT
+                && board.duties().fencingNumber().orElse(-1) == answered.fencingNumber()) {
+            effects.log("duties_lost", "fencing", answered.fencingNumber());
+            board.duties().release();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/duty/ScalingController.java
@@ -0,0 +1,256 @@
+package org.plantainwharf.duty;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.document.ServiceDocument;
+import org.plantainwharf.document.ServiceRule;
+import org.plantainwharf.effect.DutyEffect;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.message.ServiceDemand;
+import org.plantainwharf.registry.KnownServer;
+import org.plantainwharf.registry.ServerPhase;
+
+/**
+ * Orders servers by demand from the holder of the duties: more at once, fewer only after demand has stayed lower for a
+ * while. An order is an absolute number, sent when it changes, and again some time after one that was not answered, since
+ * that one may be carried out late. Runs on the control thread.
+ */
+public final class ScalingController implements Controller {
+    private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** Time for which the largest number wanted is kept; a wave of demand lasts some ten seconds. */
+    private static final long KEEP_NANOS = TimeUnit.SECONDS.toNanos(12);
+
+    /** After a refusal for want of reclaimable servers a zone is left alone this long. */
+    private static final long DRY_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** An unanswered order may be carried out this much later. */
+    private static final long LATE_NANOS = TimeUnit.SECONDS.toNanos(13);
+
+    private static final long RESEND_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long FORGET_DEMAND_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** Prompt tokens that one engine should read in a second: half of what it can, as prompts come in clumps. */
+    private static final double PROMPT_TOKENS_PER_SERVER = 50_000;
+
+    /** Part of an engine's slots that should be taken; tokens slow down as more requests run. */
+    private static final double SLOTS_TAKEN = 0.5;
+
+    /** Ordinary servers that are always kept. */
+    private static final int BASE_SERVERS = 1;
+
+    /** Servers beyond the present demand, for the reclaim of a zone. */
+    private static final int SPARE_SERVERS = 1;
+
+    private final Map<Pool, Ordered> ordered = new HashMap<>();
+    private final Map<AvailabilityZone, Long> dryUntilNanos = new HashMap<>();
+    private final Map<ServiceName, Peak> peaks = new HashMap<>();
+    private long nextNanos;
+    private long lastFencing;
+
+    /** An order under way or settled. Immutable. */
+    private record Ordered(int servers, long sentNanos, boolean settled, boolean uncertain) {}
+
+    /** The largest number wanted lately. Immutable. */
+    private record Peak(int servers, long sinceNanos) {}
+
+    private ScalingController() {}
+
+    /** Returns the controller. */
+    public static ScalingController create() {
+        return new ScalingController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case PeerEvent.PeerMessageReceived received -> {
+                if (received.message() instanceof PeerMessage.DemandReport report) {
+                    board.duties().putDemand(received.peer(), report.demands(), nowNanos);
+                }
+            }
+            case PeerEvent ignored -> {}
+            case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
+            case DutyEvent.OrderAnswered answered -> onAnswer(answered, nowNanos, effects);
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case DocumentEvent ignored -> {}
+            case RegistryEvent ignored -> {}
+            case ReplicationEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private void onAnswer(DutyEvent.OrderAnswered answered, long nowNanos, Effects effects) {
+        effects.log(
+                "order_answered",
+                "service",
+                answered.pool().service(),
+                "zone",
+                answered.pool().zone(),
+                "reclaimable",
+                answered.pool().reclaimable(),
+                "servers",
+                answered.servers(),
+                "answer",
+                answered.answer());
+        @Nullable Ordered order = ordered.get(answered.pool());
+        if (order == null || order.servers() != answered.servers()) {
+            return;
+        }
+        if (answered.answer() == ProviderAnswer.CONFLICT && answered.pool().reclaimable()) {
+            dryUntilNanos.put(answered.pool().zone(), nowNanos + DRY_NANOS);
+        }
+        Optional<Ordered> next =
+                switch (answered.answer()) {
+                    case DONE -> Optional.of(new Ordered(order.servers(), nowNanos, true, false));
+                    case UNKNOWN -> Optional.of(new Ordered(order.servers(), nowNanos, true, true));
+                    case CONFLICT, BUSY -> Optional.empty();
+                };
+        next.ifPresentOrElse(settled -> ordered.put(answered.pool(), settled), () -> ordered.remove(answered.pool()));
+    }
+
+    private void onTick(Board board, long nowNanos, Effects effects) {
+        if (nowNanos - nextNanos < 0 && nextNanos != 0) {
+            return;
+        }
+        nextNanos = nowNanos + PERIOD_NANOS;
+        board.duties().demands().values().removeIf(demand -> nowNanos - demand.heardNanos() >= FORGET_DEMAND_NANOS);
+        if (board.duties().fencingNumber().isEmpty()
+                || board.documents().document().isEmpty()) {
+            return;
+        }
+        long fencing = board.duties().fencingNumber().getAsLong();
+        if (fencing != lastFencing) {
+            // Another holder may have ordered since; what it ordered is not known here.
+            lastFencing = fencing;
+            ordered.clear();
+            peaks.clear();
+        }
+        ServiceDocument document = board.documents().document().get();
+        for (ServiceRule service : document.services().values()) {
+            service.scaling().ifPresent(scaling -> order(service, scaling, board, fencing, nowNanos, effects));
+        }
+    }
+
+    private void order(
+            ServiceRule service,
+            ServiceRule.Scaling scaling,
+            Board board,
+            long fencing,
+            long nowNanos,
+            Effects effects) {
+        int wanted = kept(service, wanted(service, scaling, board), nowNanos);
+        Set<AvailabilityZone> dry = new HashSet<>();
+        dryUntilNanos.forEach((zone, until) -> {
+            if (nowNanos - until < 0) {
+                dry.add(zone);
+            }
+        });
+        dry.addAll(reclaimedZones(service, board));
+        Map<Pool, Integer> plan = ScalingPlan.of(service.name(), scaling, wanted, BASE_SERVERS, dry);
+        plan.forEach((pool, servers) -> {
+            if (due(pool, servers, nowNanos)) {
+                ordered.put(pool, new Ordered(servers, nowNanos, false, false));
+                effects.log(
+                        "order_sent",
+                        "service",
+                        pool.service(),
+                        "zone",
+                        pool.zone(),
+                        "reclaimable",
+                        pool.reclaimable(),
+                        "servers",
+                        servers,
+                        "wanted",
+                        wanted,
+                        "fencing",
+                        fencing);
+                effects.add(new DutyEffect.OrderServers(pool, servers, fencing));
+            }
+        });
+    }
+
+    /** Zones whose reclaimable servers are being taken away. */
+    private static Set<AvailabilityZone> reclaimedZones(ServiceRule service, Board board) {
+        Set<AvailabilityZone> zones = new HashSet<>();
+        for (KnownServer server : board.registry().servers()) {
+            if (server.report().service().equals(service.name())
+                    && server.report().reclaimable()
+                    && server.report().phase() == ServerPhase.LEAVING
+                    && server.report().leavesMillis().isPresent()) {
+                zones.add(server.report().zone());
+            }
+        }
+        return zones;
+    }
+
+    private boolean due(Pool pool, int servers, long nowNanos) {
+        @Nullable Ordered order = ordered.get(pool);
+        if (order == null || order.servers() != servers) {
+            return true;
+        }
+        if (!order.settled()) {
+            return nowNanos - order.sentNanos() >= RESEND_NANOS;
+        }
+        return order.uncertain() && nowNanos - order.sentNanos() >= LATE_NANOS;
+    }
+
+    /** Returns the servers that the present demand asks for. */
+    private static int wanted(ServiceRule service, ServiceRule.Scaling scaling, Board board) {
+        double promptTokens = 0;
+        double requests = 0;
+        for (DutySection.HeardDemand heard : board.duties().demands().values()) {
+            @Nullable ServiceDemand demand = heard.demands().get(service.name());
+            if (demand != null) {
+                promptTokens += demand.promptTokensPerSecond();
+                requests += demand.inFlight() + demand.waiting();
+            }
+        }
+        int slots = service.engine().map(ServiceRule.Engine::slots).orElse(1);
+        double servers = Math.max(promptTokens / PROMPT_TOKENS_PER_SERVER, requests / (slots * SLOTS_TAKEN));
+        int zones = scaling.zonePrices().size();
+        int least = Math.max(zones * scaling.minimum(), (int) Math.ceil(servers) + SPARE_SERVERS);
+        return Math.min(least, zones * scaling.maximum());
+    }
+
+    /** Returns the largest number wanted within the time for which it is kept. */
+    private int kept(ServiceRule service, int wanted, long nowNanos) {
+        @Nullable Peak peak = peaks.get(service.name());
+        if (peak == null || wanted >= peak.servers() || nowNanos - peak.sinceNanos() >= KEEP_NANOS) {
+            peaks.put(service.name(), new Peak(wanted, nowNanos));
+            return wanted;
+        }
+        return peak.servers();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/duty/UsageController.java
@@ -0,0 +1,206 @@
+package org.plantainwharf.duty;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.document.AccountRule;
+import org.plantainwharf.effect.DutyEffect;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.forward.ForwardCall;
+import org.plantainwharf.forward.ForwardOutcome;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.membership.Member;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+
+/**
+ * Counts requests that began to run by account and window, tells the counts to the control daemons, and reports each
+ * window once from the holder of the duties. The counts of a window are committed before they are sent, so a later
+ * holder sends the same ones. Only windows depend on the time of day. Runs on the control thread, before the forward
+ * controller, which forgets calls.
+ */
+public final class UsageController implements Controller {
+    private static final int CONTROL_GROUP = 0;
+
+    /** Period at which an entry daemon repeats its counts, so that a killed one loses at most this much. */
+    private static final long TELL_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    /** Time after a window's end in which the last counts arrive: one period and a link's delay. */
+    private static final long SETTLE_MILLIS = 2_500;
+
+    /** An unanswered report is sent again after this time. */
+    private static final long RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    private final long windowMillis;
+    private final long dueMillis;
+    private final TreeMap<Long, Map<AccountName, Long>> own = new TreeMap<>();
+    private final Set<Long> countedCalls = new HashSet<>();
+    private final Set<Long> reported = new HashSet<>();
+    private final Map<Long, Long> askedNanos = new HashMap<>();
+    private long nextTellNanos;
+
+    private UsageController(long windowMillis, long dueMillis) {
+        this.windowMillis = windowMillis;
+        this.dueMillis = dueMillis;
+    }
+
+    /**
+     * Returns the controller.
+     *
+     * @param windowMillis length of a window
+     * @param dueMillis time after a window's end at which its report is late
+     */
+    public static UsageController create(long windowMillis, long dueMillis) {
+        return new UsageController(windowMillis, dueMillis);
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ForwardEvent forward -> count(forward, board);
+            case PeerEvent.PeerMessageReceived received -> {
+                if (received.message() instanceof PeerMessage.UsageCounts counts) {
+                    board.duties().putUsage(counts.window(), received.peer(), counts.requests());
+                }
+            }
+            case PeerEvent ignored -> {}
+            case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
+            case ReplicationEvent.ProposalDecided decided -> {
+                if (decided.result() instanceof CommandResult.UsageRecorded fixed) {
+                    send(fixed, board, effects);
+                }
+            }
+            case ReplicationEvent ignored -> {}
+            case DutyEvent duty -> onDuty(duty, effects);
+            case DocumentEvent ignored -> {}
+            case RegistryEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private void count(ForwardEvent event, Board board) {
+        Optional<ForwardCall> call = board.forward().call(event.ticket());
+        switch (event) {
+            case ForwardEvent.ForwardBegan began -> call.ifPresent(running -> count(running, board));
+            case ForwardEvent.ForwardEnded ended -> {
+                if (ended.outcome() instanceof ForwardOutcome.Failed) {
+                    call.ifPresent(running -> count(running, board));
+                }
+            }
+            case ForwardEvent.ForwardArrived arrived -> {}
+            case ForwardEvent.ForwardLeft left -> {}
+        }
+    }
+
+    private void count(ForwardCall call, Board board) {
+        if (call.account().isPresent() && countedCalls.add(call.ticket())) {
+            AccountName account = call.account().map(AccountRule::name).orElseThrow();
+            own.computeIfAbsent(window(board), key -> new HashMap<>()).merge(account, 1L, Long::sum);
+        }
+    }
+
+    private long window(Board board) {
+        return Math.floorDiv(board.wallClockMillis(), windowMillis);
+    }
+
+    private void onTick(Board board, long nowNanos, Effects effects) {
+        if (nowNanos - nextTellNanos >= 0 || nextTellNanos == 0) {
+            nextTellNanos = nowNanos + TELL_NANOS;
+            tell(board, effects);
+        }
+        if (board.duties().fencingNumber().isPresent()) {
+            settle(board, nowNanos, effects);
+        }
+    }
+
+    private void tell(Board board, Effects effects) {
+        countedCalls.removeIf(ticket -> board.forward().call(ticket).isEmpty());
+        long present = window(board);
+        own.headMap(present - 2).clear();
+        board.duties().forgetUsageBefore(present - 1 - dueMillis / windowMillis);
+        reported.removeIf(window -> window < present - 2 * dueMillis / windowMillis - 2);
+        askedNanos.keySet().removeIf(window -> !own.containsKey(window) && window < present - 8);
+        for (Map.Entry<Long, Map<AccountName, Long>> entry : own.entrySet()) {
+            PeerMessage message = new PeerMessage.UsageCounts(entry.getKey(), entry.getValue());
+            for (Member member : board.membership().members()) {
+                if (member.linked()) {
+                    effects.add(new PeerEffect.SendToPeer(member.host(), message));
+                }
+            }
+        }
+    }
+
+    /** Fixes and sends the counts of windows that are over and not yet due. */
+    private void settle(Board board, long nowNanos, Effects effects) {
+        long nowMillis = board.wallClockMillis();
+        long last = Math.floorDiv(nowMillis - SETTLE_MILLIS, windowMillis) - 1;
+        long first = Math.floorDiv(nowMillis - dueMillis, windowMillis);
+        for (long window = first; window <= last; window++) {
+            Long asked = askedNanos.get(window);
+            boolean waiting = asked != null && nowNanos - asked < RESEND_NANOS;
+            boolean known = board.configuration().state().usage(window).isPresent()
+                    || !board.duties().usage(window).isEmpty();
+            if (!waiting && known && !reported.contains(window)) {
+                askedNanos.put(window, nowNanos);
+                effects.post(new ReplicationEvent.ProposalRequested(
+                        "usage/" + board.membership().self() + "/"
+                                + board.membership().incarnation() + "/" + window + "/" + nowNanos,
+                        CONTROL_GROUP,
+                        new Command.RecordUsage(window, board.duties().usage(window))));
+            }
+        }
+    }
+
+    private void send(CommandResult.UsageRecorded fixed, Board board, Effects effects) {
+        if (!reported.contains(fixed.window())) {
+            board.duties()
+                    .fencingNumber()
+                    .ifPresent(number ->
+                            effects.add(new DutyEffect.ReportUsage(fixed.window(), fixed.requests(), number)));
+        }
+    }
+
+    private void onDuty(DutyEvent event, Effects effects) {
+        if (event instanceof DutyEvent.UsageAnswered answered) {
+            effects.log(
+                    "usage_answered",
+                    "window",
+                    answered.window(),
+                    "fencing",
+                    answered.fencingNumber(),
+                    "answer",
+                    answered.answer());
+            if (answered.answer() == ProviderAnswer.DONE) {
+                reported.add(answered.window());
+            }
+        }
+    }
+}
--- a/src/main/java/org/plantainwharf/effect/Effect.java
+++ b/src/main/java/org/plantainwharf/effect/Effect.java
@@ -9,6 +9,11 @@
                 StorageEffect,
                 OperatorEffect,
                 PlatformEffect,
+                DocumentEffect,
+                RegistryEffect,
+                ForwardEffect,
+                DutyEffect,
                 AlarmEffect,
                 CountEffect,
+                LogEffect,
                 ProcessEffect {}
--- a/src/main/java/org/plantainwharf/effect/Effects.java
+++ b/src/main/java/org/plantainwharf/effect/Effects.java
@@ -33,6 +33,11 @@
         effects.add(CountEffect.one(metric));
     }
 
+    /** Asks for a line in the log, with names and values in turn. */
+    public void log(String event, Object... namesAndValues) {
+        effects.add(new LogEffect(event, List.of(namesAndValues)));
+    }
+
     /** Posts an event, handled by all controllers after the current one and before any event of other threads. */
     public void post(Event event) {
         events.add(event);
--- /dev/null
+++ b/src/main/java/org/plantainwharf/event/DutyEvent.java
@@ -0,0 +1,13 @@
+package org.plantainwharf.event;
+
+import org.plantainwharf.duty.Pool;
+import org.plantainwharf.duty.ProviderAnswer;
+
+/** Answers of the cloud API to the holder of the duties. Immutable. */
+public sealed interface DutyEvent extends Event {
+    /** A usage report was answered. */
+    record UsageAnswered(long window, long fencingNumber, ProviderAnswer answer) implements DutyEvent {}
+
+    /** An order of capacity was answered. */
+    record OrderAnswered(Pool pool, int servers, long fencingNumber, ProviderAnswer answer) implements DutyEvent {}
+}
--- a/src/main/java/org/plantainwharf/event/Event.java
+++ b/src/main/java/org/plantainwharf/event/Event.java
@@ -10,4 +10,8 @@
                 ReplicationEvent,
                 OperatorEvent,
                 PlatformEvent,
+                DocumentEvent,
+                RegistryEvent,
+                ForwardEvent,
+                DutyEvent,
                 TimerEvent {}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -0,0 +1,492 @@
+package org.plantainwharf.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.document.AccountRule;
+import org.plantainwharf.document.RouteRule;
+import org.plantainwharf.document.RouteTable;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.error.Ran;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.registry.KnownServer;
+
+/**
+ * Decides on requests that are passed on: finds route and account, holds the account's limit, chooses the server,
+ * repeats what may be repeated within budget and time, and ends each request with exactly one answer. "Not run" is said
+ * only where no attempt may have run. Runs on the control thread.
+ */
+public final class ForwardController implements Controller {
+
+    /** Longest time that a caller is told to wait; a free server is usually there within it. */
+    private static final long LONGEST_RETRY_AFTER_MILLIS = 1_000;
+
+    /** Callers wait at most a third of the time they have left. */
+    private static final int RETRY_AFTER_PART = 3;
+
+    /** A server that says it is full is left alone this long unless it names a time. */
+    private static final long FULL_MILLIS = 150;
+
+    /** Below this time left another attempt cannot be answered in time. */
+    private static final long LEAST_REMAINING_MILLIS = 20;
+
+    /** A server that was not heard of for this long is chosen only when no other is there. */
+    private static final long SILENT_NANOS = TimeUnit.MILLISECONDS.toNanos(4_500);
+
+    /** Most urgent and least urgent value of the priority told to engines. */
+    private static final int LEAST_URGENT = 9;
+
+    private final ForwardLimits limits;
+
+    private ForwardController(ForwardLimits limits) {
+        this.limits = limits;
+    }
+
+    /** Returns the controller. */
+    public static ForwardController create(ForwardLimits limits) {
+        return new ForwardController(limits);
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ForwardEvent forward -> onForward(forward, board, nowNanos, effects);
+            case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
+            case DocumentEvent ignored -> {}
+            case RegistryEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case PeerEvent ignored -> {}
+            case ReplicationEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private void onForward(ForwardEvent event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case ForwardEvent.ForwardArrived arrived -> arrive(arrived, board, nowNanos, effects);
+            case ForwardEvent.ForwardLeft left ->
+                board.forward().call(left.ticket()).ifPresent(call -> leave(call, board, effects));
+            case ForwardEvent.ForwardBegan began ->
+                board.forward().call(began.ticket()).ifPresent(call -> begin(call, began, board, nowNanos));
+            case ForwardEvent.ForwardEnded ended ->
+                board.forward().call(ended.ticket()).ifPresent(call -> end(call, ended, board, nowNanos, effects));
+        }
+    }
+
+    private void arrive(ForwardEvent.ForwardArrived arrived, Board board, long nowNanos, Effects effects) {
+        ForwardHead head = arrived.head();
+        if (board.drain().refusesCalls()) {
+            refuse(arrived, Failure.of(ErrorKind.DRAINING), effects);
+            return;
+        }
+        Optional<RouteTable> table = board.documents().table();
+        if (table.isEmpty()) {
+            refuse(arrived, Failure.of(ErrorKind.CONFIGURATION_MISSING).withRetryAfter(retryAfter(head, 200)), effects);
+            return;
+        }
+        Optional<RouteRule> route = table.get().route(head.host(), head.path());
+        if (route.isEmpty()) {
+            refuse(arrived, Failure.of(ErrorKind.UNKNOWN_ROUTE, head.path()), effects);
+            return;
+        }
+        Optional<AccountRule> account = head.key().flatMap(table.get()::account);
+        if (account.isEmpty() && table.get().needsKeys() && !route.get().open()) {
+            refuse(arrived, Failure.of(ErrorKind.UNAUTHENTICATED), effects);
+            return;
+        }
+        ForwardCall call = accept(arrived, route.get(), account, board);
+        if (account.isPresent() && account.get().limited() && !takeAllowance(account.get(), call, board, nowNanos)) {
+            long wait = bucket(account.get(), board, nowNanos).millisUntilOpen(share(account.get(), board, nowNanos));
+            refuse(
+                    arrived,
+                    Failure.of(ErrorKind.ACCOUNT_LIMIT_EXCEEDED, account.get().name())
+                            .withRetryAfter(retryAfter(head, Math.max(wait, 100))),
+                    effects);
+            return;
+        }
+        board.forward().put(call);
+        board.forward()
+                .retryBudget(call.service(), limits.retryShare(), limits.retryMinimum())
+                .countAttempt(nowNanos);
+        send(call, board, nowNanos, effects);
+    }
+
+    private static ForwardCall accept(
+            ForwardEvent.ForwardArrived arrived, RouteRule route, Optional<AccountRule> account, Board board) {
+        long millis =
+                Math.min(route.timeoutMillis(), arrived.head().deadlineMillis().orElse(route.timeoutMillis()));
+        double cost = account.map(rule -> rule.cost(arrived.head())).orElse(0.0);
+        return new ForwardCall(
+                arrived.ticket(),
+                arrived.head(),
+                route,
+                account,
+                pick(route, board),
+                new ForwardCall.Terms(
+                        arrived.arrivedNanos(), arrived.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(millis), (long)
+                                cost));
+    }
+
+    private static ServiceName pick(RouteRule route, Board board) {
+        int sum = route.split().stream().mapToInt(RouteRule.Share::weight).sum();
+        int drawn = board.random().nextInt(sum);
+        for (RouteRule.Share share : route.split()) {
+            drawn -= share.weight();
+            if (drawn < 0) {
+                return share.service();
+            }
+        }
+        return route.split().getLast().service();
+    }
+
+    private static double share(AccountRule account, Board board, long nowNanos) {
+        return board.allowances().share(account.name(), account.ratePerSecond(), nowNanos);
+    }
+
+    private static AccountBucket bucket(AccountRule account, Board board, long nowNanos) {
+        double share = share(account, board, nowNanos);
+        double burst = account.burst() * share / account.ratePerSecond();
+        AccountBucket bucket = board.forward().bucket(account.name(), share, burst, nowNanos);
+        bucket.refill(share, burst, nowNanos);
+        return bucket;
+    }
+
+    private static boolean takeAllowance(AccountRule account, ForwardCall call, Board board, long nowNanos) {
+        return bucket(account, board, nowNanos).tryTake(call.terms().tokens());
+    }
+
+    private static Duration retryAfter(ForwardHead head, long wantedMillis) {
+        long most = head.deadlineMillis().orElse(LONGEST_RETRY_AFTER_MILLIS) / RETRY_AFTER_PART;
+        return Duration.ofMillis(Math.max(1, Math.min(Math.min(wantedMillis, LONGEST_RETRY_AFTER_MILLIS), most)));
+    }
+
+    private static void refuse(ForwardEvent.ForwardArrived arrived, Failure failure, Effects effects) {
+        effects.log(
+                "request_refused",
+                "request",
+                arrived.head().requestId(),
+                "kind",
+                failure.kind().code(),
+                "message",
+                failure.message());
+        effects.count(failure.kind().metricName());
+        effects.add(new ForwardEffect.RefuseForward(arrived.ticket(), failure));
+    }
+
+    /** Sends a request to the best server, or ends it when there is none. */
+    private void send(ForwardCall call, Board board, long nowNanos, Effects effects) {
+        if (call.remainingMillis(nowNanos) < LEAST_REMAINING_MILLIS) {
+            finish(call, Failure.of(ErrorKind.ANSWER_TIMEOUT), board, effects);
+            return;
+        }
+        Optional<ServerChoice.Candidate> chosen = ServerChoice.best(
+                candidates(call, board, nowNanos),
+                call.head().prompt(),
+                board.membership().zone(),
+                nowNanos);
+        if (chosen.isEmpty()) {
+            finish(
+                    call,
+                    Failure.of(ErrorKind.NO_SERVER_AVAILABLE, call.service())
+                            .withRetryAfter(retryAfter(call.head(), FULL_MILLIS)),
+                    board,
+                    effects);
+            return;
+        }
+        KnownServer server = chosen.get().server();
+        ServerLedger ledger = chosen.get().ledger();
+        long uncached = call.head().prompt().map(ledger::uncachedTokens).orElse(0L);
+        ServerId id = server.report().server();
+        int attempt = call.nextAttempt(id);
+        effects.log(
+                "attempt_started",
+                "request",
+                call.head().requestId(),
+                "attempt",
+                attempt,
+                "route",
+                call.route().name(),
+                "server",
+                id,
+                "occupied",
+                ledger.occupied(nowNanos),
+                "uncached",
+                uncached,
+                "remaining_ms",
+                call.remainingMillis(nowNanos),
+                "version",
+                board.documents().version());
+        ledger.sent(uncached, call.head().prompt(), nowNanos);
+        call.setState(new ForwardCall.State.Running(id, attempt, uncached, nowNanos, false));
+        effects.add(new ForwardEffect.StartForward(
+                call.ticket(),
+                attempt,
+                id,
+                server.report().address(),
+                call.remainingMillis(nowNanos),
+                call.account().map(AccountRule::name),
+                priority(call),
+                call.route().resumable()));
+    }
+
+    private static int priority(ForwardCall call) {
+        int declared = call.account()
+                .flatMap(account -> account.priority().isPresent()
+                        ? Optional.of(account.priority().getAsInt())
+                        : Optional.empty())
+                .orElse(call.route().priority());
+        return Math.max(0, Math.min(LEAST_URGENT, declared));
+    }
+
+    /** Returns servers that may take the request: those without trouble if there are any, else all that are left. */
+    private static List<ServerChoice.Candidate> candidates(ForwardCall call, Board board, long nowNanos) {
+        List<ServerChoice.Candidate> sound = new ArrayList<>();
+        List<ServerChoice.Candidate> doubtful = new ArrayList<>();
+        for (KnownServer server : board.registry().servers()) {
+            if (!server.ready()
+                    || !server.report().service().equals(call.service())
+                    || call.tried().contains(server.report().server())) {
+                continue;
+            }
+            ServerLedger ledger = board.forward().ledger(server.report().server());
+            boolean trouble = ledger.avoided(nowNanos) || server.silentNanos(nowNanos) >= SILENT_NANOS;
+            (trouble ? doubtful : sound).add(new ServerChoice.Candidate(server, ledger));
+        }
+        return sound.isEmpty() ? doubtful : sound;
+    }
+
+    private static void begin(ForwardCall call, ForwardEvent.ForwardBegan began, Board board, long nowNanos) {
+        if (call.state() instanceof ForwardCall.State.Running running && running.attempt() == began.attempt()) {
+            ServerLedger ledger = board.forward().ledger(running.server());
+            ledger.promptRead(running.uncachedTokens());
+            began.load().ifPresent(load -> ledger.report(load, nowNanos));
+            ledger.succeeded(nowNanos - running.sentNanos());
+            call.setState(new ForwardCall.State.Running(
+                    running.server(), running.attempt(), running.uncachedTokens(), running.sentNanos(), true));
+        }
+    }
+
+    private static void leave(ForwardCall call, Board board, Effects effects) {
+        call.setCallerLeft();
+        effects.count("forward.callers_left");
+        if (call.state() instanceof ForwardCall.State.Running) {
+            cancel(call, effects);
+        } else if (call.state() instanceof ForwardCall.State.Waiting) {
+            board.forward().remove(call.ticket());
+        }
+    }
+
+    private static void cancel(ForwardCall call, Effects effects) {
+        if (call.state() instanceof ForwardCall.State.Running running) {
+            call.setState(new ForwardCall.State.Cancelling(
+                    running.server(), running.attempt(), running.uncachedTokens(), running.begun()));
+            effects.add(new ForwardEffect.CancelForward(call.ticket()));
+        }
+    }
+
+    private void end(ForwardCall call, ForwardEvent.ForwardEnded ended, Board board, long nowNanos, Effects effects) {
+        switch (call.state()) {
+            case ForwardCall.State.Running running -> {
+                if (running.attempt() == ended.attempt()) {
+                    settle(running.server(), running.uncachedTokens(), running.begun(), ended, board, nowNanos);
+                    call.setState(new ForwardCall.State.Waiting());
+                    decide(call, running, ended.outcome(), board, nowNanos, effects);
+                }
+            }
+            case ForwardCall.State.Cancelling cancelling -> {
+                if (cancelling.attempt() == ended.attempt()) {
+                    settle(
+                            cancelling.server(),
+                            cancelling.uncachedTokens(),
+                            cancelling.begun(),
+                            ended,
+                            board,
+                            nowNanos);
+                    board.forward().remove(call.ticket());
+                }
+            }
+            case ForwardCall.State.Waiting waiting -> {}
+        }
+    }
+
+    private static void settle(
+            ServerId server,
+            long uncached,
+            boolean begun,
+            ForwardEvent.ForwardEnded ended,
+            Board board,
+            long nowNanos) {
+        ServerLedger ledger = board.forward().ledger(server);
+        ledger.ended();
+        if (!begun) {
+            ledger.promptRead(uncached);
+        }
+        ended.load().ifPresent(load -> ledger.report(load, nowNanos));
+        switch (ended.outcome()) {
+            case ForwardOutcome.Completed completed -> {}
+            case ForwardOutcome.Cancelled cancelled -> {}
+            case ForwardOutcome.Refused refused ->
+                ledger.full(
+                        TimeUnit.MILLISECONDS.toNanos(
+                                Math.min(refused.retryAfterMillis().orElse(FULL_MILLIS), LONGEST_RETRY_AFTER_MILLIS)),
+                        nowNanos);
+            case ForwardOutcome.NotSent notSent -> ledger.failed(true, nowNanos);
+            case ForwardOutcome.Failed failed -> ledger.failed(false, nowNanos);
+            case ForwardOutcome.Broken broken -> ledger.failed(false, nowNanos);
+        }
+    }
+
+    private void decide(
+            ForwardCall call,
+            ForwardCall.State.Running running,
+            ForwardOutcome outcome,
+            Board board,
+            long nowNanos,
+            Effects effects) {
+        effects.log(
+                "attempt_ended",
+                "request",
+                call.head().requestId(),
+                "attempt",
+                running.attempt(),
+                "server",
+                running.server(),
+                "outcome",
+                outcome,
+                "after_ms",
+                (nowNanos - running.sentNanos()) / 1_000_000);
+        switch (outcome) {
+            case ForwardOutcome.Completed completed -> board.forward().remove(call.ticket());
+            case ForwardOutcome.Cancelled cancelled -> board.forward().remove(call.ticket());
+            case ForwardOutcome.Refused refused -> {
+                effects.count("forward.server_refused");
+                againOr(call, Failure.of(ErrorKind.SERVER_REFUSED), board, nowNanos, effects);
+            }
+            case ForwardOutcome.NotSent notSent -> {
+                effects.count("forward.not_sent");
+                againOr(call, Failure.of(ErrorKind.NO_SERVER_AVAILABLE, call.service()), board, nowNanos, effects);
+            }
+            case ForwardOutcome.Failed failed -> {
+                call.countMayHaveRun();
+                effects.count("forward.server_failed");
+                if (mayRunAgain(call) && budgetAllows(call, board, nowNanos, effects)) {
+                    send(call, board, nowNanos, effects);
+                } else {
+                    board.forward().remove(call.ticket());
+                    effects.add(new ForwardEffect.PassFailure(call.ticket()));
+                }
+            }
+            case ForwardOutcome.Broken broken -> {
+                call.countMayHaveRun();
+                effects.count("forward.broken");
+                if (mayRunAgain(call) && budgetAllows(call, board, nowNanos, effects)) {
+                    send(call, board, nowNanos, effects);
+                } else if (broken.begun()) {
+                    board.forward().remove(call.ticket());
+                    effects.add(new ForwardEffect.BreakForward(call.ticket()));
+                } else {
+                    finish(call, Failure.of(ErrorKind.SERVER_FAILED, broken.reason()), board, effects);
+                }
+            }
+        }
+    }
+
+    /** Repeats a request whose last attempt has not run, or ends it. */
+    private void againOr(ForwardCall call, Failure failure, Board board, long nowNanos, Effects effects) {
+        boolean serverLeft = !candidates(call, board, nowNanos).isEmpty();
+        if (serverLeft && budgetAllows(call, board, nowNanos, effects)) {
+            send(call, board, nowNanos, effects);
+        } else {
+            finish(call, failure.withRetryAfter(retryAfter(call.head(), FULL_MILLIS)), board, effects);
+        }
+    }
+
+    private static boolean mayRunAgain(ForwardCall call) {
+        return call.route().mayRepeat() && call.mayHaveRun() < call.route().maximumAttempts();
+    }
+
+    private boolean budgetAllows(ForwardCall call, Board board, long nowNanos, Effects effects) {
+        boolean allowed = call.remainingMillis(nowNanos) >= LEAST_REMAINING_MILLIS
+                && board.forward()
+                        .retryBudget(call.service(), limits.retryShare(), limits.retryMinimum())
+                        .tryRetry(nowNanos);
+        effects.count(allowed ? "forward.retries" : "forward.retries_denied");
+        return allowed;
+    }
+
+    /** Ends a request whose answer has not begun. Where an attempt may have run, the answer does not deny it. */
+    private static void finish(ForwardCall call, Failure failure, Board board, Effects effects) {
+        board.forward().remove(call.ticket());
+        Failure truthful = failure;
+        if (call.mayHaveRun() > 0 && failure.ran() == Ran.NO) {
+            truthful = Failure.of(ErrorKind.SERVER_FAILED, "an attempt may have run");
+        } else if (call.mayHaveRun() == 0 && failure.kind() == ErrorKind.ANSWER_TIMEOUT && call.attempts() == 0) {
+            truthful = Failure.of(ErrorKind.QUEUE_TIMEOUT);
+        }
+        effects.log(
+                "request_failed",
+                "request",
+                call.head().requestId(),
+                "kind",
+                truthful.kind().code(),
+                "ran",
+                truthful.ran(),
+                "attempts",
+                call.attempts(),
+                "message",
+                truthful.message());
+        effects.count(truthful.kind().metricName());
+        effects.add(new ForwardEffect.RefuseForward(call.ticket(), truthful));
+    }
+
+    /** Ends requests whose time is over. */
+    private static void onTick(Board board, long nowNanos, Effects effects) {
+        for (ForwardCall call : new ArrayList<>(board.forward().calls())) {
+            if (nowNanos - call.terms().deadlineNanos() >= 0
+                    && call.state() instanceof ForwardCall.State.Running running) {
+                effects.count("forward.timeouts");
+                cancel(call, effects);
+                effects.add(
+                        running.begun()
+                                ? new ForwardEffect.BreakForward(call.ticket())
+                                : new ForwardEffect.RefuseForward(call.ticket(), Failure.of(ErrorKind.ANSWER_TIMEOUT)));
+                effects.log(
+                        "request_timed_out",
+                        "request",
+                        call.head().requestId(),
+                        "server",
+                        running.server(),
+                        "begun",
+                        running.begun());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/forward/ServerLedger.java
@@ -0,0 +1,145 @@
+package org.plantainwharf.forward;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What this daemon knows of one server from its own requests: what it has under way there, the load that came with
+ * answers, recent failures, and the prompt parts that the server has probably kept. Owned by the forward controller.
+ */
+final class ServerLedger {
+    /** Parts remembered for each server; a server's memory holds some hundred prompts. */
+    private static final int REMEMBERED_PARTS = 4_096;
+
+    /** A load report older than this says less than the requests of this daemon alone. */
+    private static final long LOAD_VALID_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private static final long FIRST_AVOIDANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** A server that is back after a crash is tried again within this time. */
+    private static final long LONGEST_AVOIDANCE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** Weight of the newest result in the share of failures. */
+    private static final double FAILURE_WEIGHT = 0.2;
+
+    /** Above this share of failed requests a server is avoided although it answers others. */
+    private static final double FAILURE_LIMIT = 0.3;
+
+    /** Weight of the newest duration in the learned one. */
+    private static final double DURATION_WEIGHT = 0.1;
+
+    private final Map<String, Long> parts = new LinkedHashMap<>(64, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            return size() > REMEMBERED_PARTS;
+        }
+    };
+    private int inFlight;
+    private long pendingPromptTokens;
+    private @Nullable ServerLoad load;
+    private long loadNanos;
+    private int sentSinceLoad;
+    private int endedSinceLoad;
+    private double failureShare;
+    private int failuresInRow;
+    private long avoidUntilNanos = Long.MIN_VALUE;
+    private double durationMillis;
+
+    /** Notes that a request was sent. */
+    void sent(long uncachedTokens, Optional<PromptShape> prompt, long nowNanos) {
+        inFlight++;
+        sentSinceLoad++;
+        pendingPromptTokens += uncachedTokens;
+        prompt.ifPresent(shape -> shape.parts().forEach(part -> parts.put(part.id(), nowNanos)));
+    }
+
+    /** Notes that an answer has begun, so the prompt has been read. */
+    void promptRead(long uncachedTokens) {
+        pendingPromptTokens -= uncachedTokens;
+    }
+
+    /** Notes that a request ended. */
+    void ended() {
+        inFlight--;
+        endedSinceLoad++;
+    }
+
+    /** Takes the load that came with an answer. */
+    void report(ServerLoad newLoad, long nowNanos) {
+        load = newLoad;
+        loadNanos = nowNanos;
+        sentSinceLoad = 0;
+        endedSinceLoad = 0;
+    }
+
+    /** Notes a request that went well. */
+    void succeeded(long tookNanos) {
+        failuresInRow = 0;
+        failureShare -= FAILURE_WEIGHT * failureShare;
+        double millis = tookNanos / 1e6;
+        durationMillis = durationMillis == 0 ? millis : durationMillis + DURATION_WEIGHT * (millis - durationMillis);
+    }
+
+    /**
+     * Notes a request that the server failed or that could not be sent.
+     *
+     * @param unreachable whether the server took no connection at all
+     */
+    void failed(boolean unreachable, long nowNanos) {
+        failuresInRow++;
+        failureShare += FAILURE_WEIGHT * (1 - failureShare);
+        if (unreachable || failuresInRow > 1 || failureShare > FAILURE_LIMIT) {
+            long avoidance = FIRST_AVOIDANCE_NANOS << Math.min(failuresInRow - 1, 3);
+            avoidUntilNanos = nowNanos + Math.min(avoidance, LONGEST_AVOIDANCE_NANOS);
+        }
+    }
+
+    /** Notes that the server refused a request because it is full; {@code forNanos} is how long to stay away. */
+    void full(long forNanos, long nowNanos) {
+        avoidUntilNanos = Math.max(avoidUntilNanos, nowNanos + forNanos);
+    }
+
+    /** Says whether the server is to be left alone now. */
+    boolean avoided(long nowNanos) {
+        return nowNanos - avoidUntilNanos < 0 && avoidUntilNanos != Long.MIN_VALUE;
+    }
+
+    /** Returns the requests that are probably at the server, running or waiting. */
+    int occupied(long nowNanos) {
+        ServerLoad known = load;
+        if (known == null || nowNanos - loadNanos > LOAD_VALID_NANOS) {
+            return inFlight;
+        }
+        return Math.max(inFlight, known.running() + known.waiting() + sentSinceLoad - endedSinceLoad);
+    }
+
+    /** Returns prompt tokens sent here by this daemon that the server has not read yet. */
+    long pendingPromptTokens() {
+        return pendingPromptTokens;
+    }
+
+    /** Returns how long answers take, 0 before the first. */
+    double durationMillis() {
+        return durationMillis;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns the prompt tokens that the server probably has to read: all after the first part that it lacks. */
+    long uncachedTokens(PromptShape prompt) {
+        long cached = 0;
+        for (PromptShape.Part part : prompt.parts()) {
+            if (!parts.containsKey(part.id())) {
+                break;
+            }
+            cached += part.tokens();
+        }
+        return Math.max(0, prompt.inputTokens() - cached);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/ForwardFront.java
@@ -0,0 +1,323 @@
+package org.plantainwharf.front;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.backend.ForwardExchange;
+import org.plantainwharf.board.BoardView;
+import org.plantainwharf.control.Clock;
+import org.plantainwharf.control.EventSink;
+import org.plantainwharf.document.CallerBounds;
+import org.plantainwharf.drain.DrainPhase;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.forward.ForwardHead;
+import org.plantainwharf.forward.PromptShape;
+import org.plantainwharf.http.EndToEndHeaders;
+import org.plantainwharf.http.ForwardDialect;
+
+/**
+ * The HTTP server for requests that are passed on, and for the balancer's question whether this daemon is ready. Every
+ * request gets exactly one answer.
+ *
+ * <p>Thread-safe. {@link #execute} returns at once; answers are written on the executor's and the server's threads.
+ */
+public final class ForwardFront {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Duration BUSY_RETRY_AFTER = Duration.ofMillis(200);
+
+    private final ForwardDialect dialect;
+    private final ForwardAddresses addresses;
+    private final Clock clock;
+    private final Supplier<BoardView> view;
+    private final EventSink events;
+    private final MetricRegistry metrics;
+    private final Executor executor;
+    private final Map<Long, ForwardedCall> calls = new ConcurrentHashMap<>();
+    private final AtomicLong tickets = new AtomicLong();
+    private final HttpListener callers;
+    private final HttpListener readiness;
+    private volatile CallerBounds bounds = CallerBounds.defaults();
+
+    private ForwardFront(
+            ForwardDialect dialect,
+            ForwardAddresses addresses,
+            Clock clock,
+            Supplier<BoardView> view,
+            EventSink events,
+            MetricRegistry metrics,
+            Executor executor) {
+        this.dialect = dialect;
+        this.addresses = addresses;
+        this.clock = clock;
+        this.view = view;
+        this.events = events;
+        this.metrics = metrics;
+        this.executor = executor;
+        this.callers =
+                HttpListener.create("callers", addresses.callers(), false, addresses.bounds(), new ForwardHandler());
+        this.readiness = HttpListener.create(
+                "readiness", addresses.ready(), false, addresses.bounds(), new ReadyHandler(addresses.readyPath()));
+    }
+
+    /**
+     * Returns a front that does not listen yet.
+     *
+     * @param view gives the newest published view of the board
+     * @param executor runs what must not hold up the control thread
+     */
+    public static ForwardFront create(
+            ForwardDialect dialect,
+            ForwardAddresses addresses,
+            Clock clock,
+            Supplier<BoardView> view,
+            EventSink events,
+            MetricRegistry metrics,
+            Executor executor) {
+        return new ForwardFront(dialect, addresses, clock, view, events, metrics, executor);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws IllegalStateException if an address cannot be bound
+     */
+    public void start() {
+        try {
+            readiness.start();
+            callers.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("cannot listen on " + addresses.callers(), e);
+        }
+    }
+
+    /** Returns the port for callers, which the system may have chosen. */
+    public int port() {
+        return callers.port();
+    }
+
+    /** Returns the port for the balancer's question. */
+    public int readyPort() {
+        return readiness.port();
+    }
+
+    /** Returns the number of requests whose answer has not ended. */
+    public int openCalls() {
+        return calls.size();
+    }
+
+    /** Finds a request whose answer has not ended. */
+    public Optional<? extends ForwardExchange> call(long ticket) {
+        return Optional.ofNullable(calls.get(ticket));
+    }
+
+    /** Stops listening and closes all connections. */
+    public void stop() {
+        try {
+            callers.stop();
+            readiness.stop();
+        } catch (Exception e) {
+            LOGGER.atWarning().withCause(e).log("event=forward_front_stop_failed");
+        }
+    }
+
+    /** Puts new bounds on what callers may send in force. */
+    public void apply(CallerBounds newBounds) {
+        bounds = newBounds;
+        callers.setIdleMillis(newBounds.idleMillis());
+    }
+
+    /** Tells a caller what became of its request. */
+    public void execute(ForwardEffect effect) {
+        executor.execute(() -> {
+            @Nullable ForwardedCall call = calls.get(effect.ticket());
+            if (call == null) {
+                return;
+            }
+            switch (effect) {
+                case ForwardEffect.RefuseForward refuse -> call.refuse(refuse.failure());
+                case ForwardEffect.PassFailure pass -> call.passFailure();
+                case ForwardEffect.BreakForward broken -> call.breakOff("answer cannot be completed");
+                case ForwardEffect.StartForward start ->
+                    metrics.counter("front.misdirected_effects").inc();
+                case ForwardEffect.CancelForward cancel ->
+                    metrics.counter("front.misdirected_effects").inc();
+            }
+        });
+    }
+
+    private boolean draining() {
+        return !(view.get().drainPhase() instanceof DrainPhase.Serving);
+    }
+
+    private final class ForwardHandler extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            metrics.counter("front.requests").inc();
+            RequestReader.body(request, bounds.maximumBodyBytes(), read -> read.peek(
+                            body -> submit(new HttpTransaction(request, response, callback), body))
+                    .peekLeft(failure -> refuse(new HttpTransaction(request, response, callback), failure)));
+            return true;
+        }
+    }
+
+    private void submit(HttpTransaction transaction, byte[] body) {
+        Request request = transaction.request();
+        long arrivedNanos = clock.nowNanos();
+        long ticket = tickets.incrementAndGet();
+        HttpFields fields = request.getHeaders();
+        String id = Optional.ofNullable(fields.get(dialect.requestId())).orElse("");
+        ForwardedCall call = call(ticket, id, transaction, body);
+        calls.put(ticket, call);
+        // Watched before the event is offered: its answer may be complete at once, and the server then uses the
+        // request's objects for the next request of the connection.
+        call.watchCaller();
+        if (events.offer(new ForwardEvent.ForwardArrived(ticket, head(id, request), arrivedNanos))) {
+            call.reportCallerLeaving();
+        } else {
+            call.refuse(Failure.of(ErrorKind.ENTRY_QUEUE_FULL).withRetryAfter(BUSY_RETRY_AFTER));
+        }
+    }
+
+    private ForwardedCall call(long ticket, String id, HttpTransaction transaction, byte[] body) {
+        List<HttpField> passedOn = new ArrayList<>();
+        for (HttpField field : EndToEndHeaders.of(transaction.request().getHeaders())) {
+            boolean withheld = dialect.withheld().contains(field.getLowerCaseName())
+                    || field.is("Authorization")
+                    || field.is("Content-Length");
+            if (!withheld) {
+                passedOn.add(field);
+            }
+        }
+        return new ForwardedCall(
+                id,
+                transaction,
+                passedOn,
+                body,
+                draining(),
+                () -> calls.remove(ticket),
+                () -> events.post(new ForwardEvent.ForwardLeft(ticket)));
+    }
+
+    private void refuse(HttpTransaction transaction, Failure failure) {
+        metrics.counter(failure.kind().metricName()).inc();
+        String id = Optional.ofNullable(transaction.request().getHeaders().get(dialect.requestId()))
+                .orElse("");
+        new ForwardedCall(id, transaction, List.of(), new byte[0], true, () -> {}, () -> {}).refuse(failure);
+    }
+
+    private ForwardHead head(String id, Request request) {
+        HttpFields fields = request.getHeaders();
+        @Nullable String host = fields.get(HttpHeader.HOST);
+        @Nullable String path = request.getHttpURI().getPath();
+        return new ForwardHead(
+                id,
+                host == null ? "" : hostName(host),
+                path == null ? "" : path,
+                key(fields),
+                number(fields.get(dialect.deadline())),
+                prompt(fields));
+    }
+
+    private static String hostName(String host) {
+        int colon = host.indexOf(':');
+        return colon < 0 ? host : host.substring(0, colon);
+    }
+
+    private Optional<String> key(HttpFields fields) {
+        String scheme = dialect.keyScheme() + " ";
+        return Optional.ofNullable(fields.get(HttpHeader.AUTHORIZATION))
+                .filter(value -> value.regionMatches(true, 0, scheme, 0, scheme.length()))
+                .map(value -> value.substring(scheme.length()).strip());
+    }
+
+    private static OptionalLong number(@Nullable String text) {
+        if (text == null) {
+            return OptionalLong.empty();
+        }
+        try {
+            return OptionalLong.of(Long.parseLong(text.strip()));
+        } catch (NumberFormatException e) {
+            // A time that cannot be read counts as none; the route's own limit holds.
+            return OptionalLong.empty();
+        }
+    }
+
+    private Optional<PromptShape> prompt(HttpFields fields) {
+        @Nullable String counts = fields.get(dialect.tokenCounts());
+        if (counts == null) {
+            return Optional.empty();
+        }
+        String[] numbers = counts.split(",", -1);
+        if (numbers.length != 2) {
+            return Optional.empty();
+        }
+        OptionalLong input = number(numbers[0]);
+        OptionalLong output = number(numbers[1]);
+        if (input.isEmpty() || output.isEmpty()) {
+            return Optional.empty();
+        }
+        String model = Optional.ofNullable(fields.get(dialect.model())).orElse("");
+        return Optional.of(
+                new PromptShape(model, input.getAsLong(), output.getAsLong(), parts(fields.get(dialect.prompt()))));
+    }
+
+    /** Reads the parts of a prompt up to the first that cannot be read; they are hints for the choice of a server. */
+    private static List<PromptShape.Part> parts(@Nullable String text) {
+        List<PromptShape.Part> parts = new ArrayList<>();
+        if (text == null) {
+            return parts;
+        }
+        for (String entry : text.split(",", -1)) {
+            int colon = entry.indexOf(':');
+            OptionalLong tokens = colon < 0 ? OptionalLong.empty() : number(entry.substring(colon + 1));
+            if (tokens.isEmpty()) {
+                break;
+            }
+            parts.add(new PromptShape.Part(entry.substring(0, colon).strip(), tokens.getAsLong()));
+        }
+        return parts;
+    }
+
+    /** Says whether this daemon should get new connections. */
+    private boolean ready() {
+        BoardView present = view.get();
+        return present.documentInForce() && present.serversKnown() && !draining();
+    }
+
+    private final class ReadyHandler extends Handler.Abstract {
+        private final String path;
+
+        ReadyHandler(String path) {
+            this.path = path;
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            boolean known = path.equals(request.getHttpURI().getPath());
+            response.setStatus(!known ? 404 : ready() ? 200 : 503);
+            callback.succeeded();
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/ForwardedCall.java
@@ -0,0 +1,253 @@
+package org.plantainwharf.front;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.io.EofException;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.backend.ForwardExchange;
+import org.plantainwharf.error.Failure;
+
+/**
+ * A request that is passed on, with its answer on the way back. Invariants: one answer is begun; an answer that could
+ * not be completed ends with its connection and never looks whole.
+ *
+ * <p>Thread-safe: the state is guarded by this object's lock; Jetty is called without it.
+ */
+final class ForwardedCall implements ForwardExchange {
+    private final String requestId;
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final String method;
+    private final String pathQuery;
+    private final List<HttpField> headers;
+    private final byte[] body;
+    private final boolean closing;
+    private final Runnable onEnd;
+    private final Runnable onLeft;
+    private @Nullable Held held;
+    private @Nullable String lastEventId;
+    private boolean begun;
+    private boolean ended;
+    private boolean handedOver;
+    private boolean leftEarly;
+
+    /** A server's failure that may be passed on. */
+    private record Held(int httpStatus, List<HttpField> headers, byte[] body) {}
+
+    /**
+     * Takes a request that was read whole.
+     *
+     * @param closing whether the caller is asked to use another connection next
+     * @param onEnd run once when the answer has ended or the caller left
+     * @param onLeft run once if the caller leaves before the answer's end, after the request was handed over
+     */
+    ForwardedCall(
+            String requestId,
+            HttpTransaction transaction,
+            List<HttpField> headers,
+            byte[] body,
+            boolean closing,
+            Runnable onEnd,
+            Runnable onLeft) {
+        this.requestId = requestId;
+        this.request = transaction.request();
+        this.response = transaction.response();
+        this.callback = transaction.callback();
+        this.method = request.getMethod();
+        this.pathQuery = request.getHttpURI().getPathQuery();
+        this.headers = List.copyOf(headers);
+        this.body = body;
+        this.closing = closing;
+        this.onEnd = onEnd;
+        this.onLeft = onLeft;
+    }
+
+    @Override
+    public String requestId() {
+        return requestId;
+    }
+
+    @Override
+    public String method() {
+        return method;
+    }
+
+    @Override
+    public String pathQuery() {
+        return pathQuery;
+    }
+
+    @Override
+    public List<HttpField> headers() {
+        return headers;
+    }
+
+    @Override
+    public byte[] body() {
+        return body;
+    }
+
+    /** Starts to watch whether the caller leaves. */
+    void watchCaller() {
+        CallerWatch.begin(request, () -> lost(new EofException("caller left")));
+    }
+
+    /** Reports a caller's leaving from now on, and at once if it left before. */
+    void reportCallerLeaving() {
+        boolean report;
+        synchronized (this) {
+            handedOver = true;
+            report = leftEarly;
+        }
+        if (report) {
+            onLeft.run();
+        }
+    }
+
+    @Override
+    public void begin(int httpStatus, List<HttpField> answerHeaders) {
+        synchronized (this) {
+            if (begun || ended) {
+                return;
+            }
+            begun = true;
+        }
+        setHead(httpStatus, answerHeaders);
+    }
+
+    private void setHead(int httpStatus, List<HttpField> answerHeaders) {
+        response.setStatus(httpStatus);
+        answerHeaders.forEach(response.getHeaders()::add);
+        if (closing) {
+            response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+        }
+    }
+
+    @Override
+    public void write(ByteBuffer bytes, Callback written) {
+        boolean gone;
+        synchronized (this) {
+            gone = ended;
+        }
+        if (gone) {
+            written.failed(new EofException("caller left"));
+            return;
+        }
+        response.write(false, bytes, Callback.from(written::succeeded, cause -> {
+            lost(cause);
+            written.failed(cause);
+        }));
+    }
+
+    @Override
+    public void complete() {
+        if (end()) {
+            CallerWatch.end(request);
+            onEnd.run();
+            callback.succeeded();
+        }
+    }
+
+    @Override
+    public synchronized void holdFailure(int httpStatus, List<HttpField> answerHeaders, byte[] answerBody) {
+        held = new Held(httpStatus, List.copyOf(answerHeaders), answerBody);
+    }
+
+    /** Passes on the failure that was held back. */
+    void passFailure() {
+        Held failure;
+        boolean afterBegin;
+        synchronized (this) {
+            failure = held;
+            afterBegin = begun;
+        }
+        if (failure == null || afterBegin) {
+            breakOff("attempt failed after the answer had begun");
+            return;
+        }
+        answer(failure.httpStatus(), failure.headers(), failure.body());
+    }
+
+    /** Answers with an error of this system. An answer that has begun is broken off instead. */
+    void refuse(Failure failure) {
+        boolean afterBegin;
+        synchronized (this) {
+            afterBegin = begun;
+        }
+        if (afterBegin) {
+            breakOff(failure.message());
+            return;
+        }
+        byte[] text = FailureBody.json(failure, requestId).getBytes(StandardCharsets.UTF_8);
+        List<HttpField> fields = new java.util.ArrayList<>();
+        fields.add(new HttpField(HttpHeader.CONTENT_TYPE, "application/json"));
+        fields.add(new HttpField(HttpHeader.CONTENT_LENGTH, String.valueOf(text.length)));
+        failure.retryAfter()
+                .ifPresent(delay -> fields.add(new HttpField(
+                        HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", delay.toMillis() / 1_000.0))));
+        answer(failure.kind().httpStatus(), fields, text);
+    }
+
+    private void answer(int httpStatus, List<HttpField> answerHeaders, byte[] answerBody) {
+        if (!end()) {
+            return;
+        }
+        setHead(httpStatus, answerHeaders);
+        CallerWatch.end(request);
+        onEnd.run();
+        response.write(true, ByteBuffer.wrap(answerBody), callback);
+    }
+
+    /** Ends the connection in the middle of the answer. */
+    void breakOff(String reason) {
+        if (end()) {
+            CallerWatch.end(request);
+            onEnd.run();
+            callback.failed(new EofException(reason));
+        }
+    }
+
+    private synchronized boolean end() {
+        boolean first = !ended;
+        ended = true;
+        return first;
+    }
+
+    private void lost(Throwable cause) {
+        if (!end()) {
+            return;
+        }
+        CallerWatch.end(request);
+        onEnd.run();
+        boolean report;
+        synchronized (this) {
+            report = handedOver;
+            leftEarly = !handedOver;
+        }
+        if (report) {
+            onLeft.run();
+        }
+        callback.failed(cause);
+    }
+
+    @Override
+    public synchronized Optional<String> lastEventId() {
+        return Optional.ofNullable(lastEventId);
+    }
+
+    @Override
+    public synchronized void setLastEventId(String id) {
+        lastEventId = id;
+    }
+}
--- a/src/main/java/org/plantainwharf/front/HttpExchange.java
+++ b/src/main/java/org/plantainwharf/front/HttpExchange.java
@@ -7,7 +7,6 @@
 import java.util.Deque;
 
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -83,18 +82,7 @@
 
     /** Starts to watch whether the caller leaves. For a request whose body has been read. */
     void watchCaller() {
-        request.addIdleTimeoutListener(timeout -> false);
-        request.addFailureListener(cause -> left());
-        if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof WatchedEndPoint endPoint
-                && !request.getConnectionMetaData().getHttpVersion().equals(HttpVersion.HTTP_2)) {
-            endPoint.watch(this::left);
-        }
-    }
-
-    private void stopWatching() {
-        if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof WatchedEndPoint endPoint) {
-            endPoint.stopWatching();
-        }
+        CallerWatch.begin(request, this::left);
     }
 
     @Override
@@ -234,7 +222,7 @@
             writing = true;
         }
         if (next.last()) {
-            stopWatching();
+            CallerWatch.end(request);
         }
         response.write(next.last(), ByteBuffer.wrap(next.bytes()), Callback.from(() -> written(next), cause -> {
             next.taken().run();
@@ -304,7 +292,7 @@
             dropped = new ArrayDeque<>(queue);
             queue.clear();
         }
-        stopWatching();
+        CallerWatch.end(request);
         onEnd.run();
         if (early) {
             leftEarly();
--- a/src/main/java/org/plantainwharf/front/HttpListener.java
+++ b/src/main/java/org/plantainwharf/front/HttpListener.java
@@ -3,6 +3,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -16,7 +17,7 @@
 import org.plantainwharf.settings.Settings;
 
 /** One Jetty server on one address, with the limits and the error form of this system. Thread-safe. */
-final class HttpListener {
+public final class HttpListener {
     private static final int MAXIMUM_THREADS = 32;
     private static final long IDLE_TIMEOUT_MILLIS = 30_000;
 
@@ -34,12 +35,16 @@
      * @param address IP number and port; port 0 lets the system choose
      * @param http2 whether HTTP/2 cleartext is offered beside HTTP/1.1
      */
-    static HttpListener create(String name, String address, boolean http2, Settings.Bounds bounds, Handler handler) {
+    public static HttpListener create(
+            String name, String address, boolean http2, Settings.Bounds bounds, Handler handler) {
         QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, 4);
         threads.setName(name);
         Server server = new Server(threads);
         HttpConfiguration configuration = new HttpConfiguration();
         configuration.setSendServerVersion(false);
+        configuration.setSendDateHeader(false);
+        // Paths are matched and passed on as they were sent, so none of their spellings is ambiguous here.
+        configuration.setUriCompliance(UriCompliance.UNSAFE);
         configuration.setRequestHeaderSize(bounds.maximumHeaderBytes());
         HttpConnectionFactory first = new HttpConnectionFactory(configuration);
         ConnectionFactory[] factories = http2
@@ -71,15 +76,23 @@
         return server;
     }
 
-    void start() throws Exception {
+    /** Starts to listen. */
+    public void start() throws Exception {
         server.start();
     }
 
-    int port() {
+    /** Returns the port, which the system may have chosen. */
+    public int port() {
         return connector.getLocalPort();
     }
 
-    void stop() throws Exception {
+    /** Sets how long a connection may be idle; open connections keep theirs. */
+    public void setIdleMillis(long millis) {
+        connector.setIdleTimeout(millis);
+    }
+
+    /** Closes all connections and stops listening. */
+    public void stop() throws Exception {
         server.stop();
     }
 }
--- a/src/main/java/org/plantainwharf/front/RequestReader.java
+++ b/src/main/java/org/plantainwharf/front/RequestReader.java
@@ -14,7 +14,7 @@
 import org.plantainwharf.error.Failure;
 
 /** Reads headers and bodies of HTTP requests within their bounds. Stateless; thread-safe. */
-final class RequestReader {
+public final class RequestReader {
     private static final List<String> SINGLE_HEADERS =
             List.of("Authorization", "X-Rank", "Idempotency-Key", "Content-Type");
 
@@ -39,7 +39,7 @@
     }
 
     /** Reads a body on threads of the server and hands it over, or the failure if it is too large or was cut off. */
-    static void body(Request request, int maximumBytes, Consumer<Either<Failure, byte[]>> onRead) {
+    public static void body(Request request, int maximumBytes, Consumer<Either<Failure, byte[]>> onRead) {
         if (request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) > maximumBytes) {
             onRead.accept(Either.left(Failure.of(ErrorKind.BODY_TOO_LARGE, maximumBytes)));
             return;
--- a/src/main/java/org/plantainwharf/limit/LimitController.java
+++ b/src/main/java/org/plantainwharf/limit/LimitController.java
@@ -15,10 +15,14 @@
 import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -66,6 +70,10 @@
             case ReplicationEvent replication -> handleReplication(replication, board, nowNanos);
             case TimerEvent timer -> reportDemand(board, nowNanos, effects);
             case AttemptEvent attempt -> {}
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent server -> {}
             case StorageEvent storage -> {}
             case OperatorEvent operator -> {}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/log/LineLog.java
@@ -0,0 +1,131 @@
+package org.plantainwharf.log;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.plantainwharf.control.Clock;
+
+/**
+ * Writes events as JSON objects, one a line, on a thread of its own. Bounded: each kind of event has a share of lines a
+ * second, and what finds the buffer full is dropped; both are counted and reported in the log itself. {@link #write} is
+ * thread-safe and never blocks.
+ */
+public final class LineLog implements AutoCloseable {
+    /** Lines that wait for the writer: a second at the busiest rate that the shares allow. */
+    private static final int CAPACITY = 4_096;
+
+    /** Lines a second of one kind. A daemon of the planned size handles 60 requests a second. */
+    private static final int LINES_PER_SECOND = 200;
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final BlockingQueue<Line> queue = new ArrayBlockingQueue<>(CAPACITY);
+    private final AtomicLong dropped = new AtomicLong();
+    private final Clock clock;
+    private final PrintStream output;
+    private final String host;
+    private final Thread thread;
+    private final Map<String, int[]> written = new HashMap<>();
+    private long second;
+    private volatile boolean closed;
+
+    private record Line(String event, long millis, Object[] fields) {}
+
+    private LineLog(Clock clock, PrintStream output, String host) {
+        this.clock = clock;
+        this.output = output;
+        this.host = host;
+        this.thread = new Thread(this::run, "log");
+        this.thread.setDaemon(true);
+    }
+
+    /** Returns a log whose writer has started. */
+    public static LineLog start(Clock clock, PrintStream output, String host) {
+        LineLog log = new LineLog(clock, output, host);
+        log.thread.start();
+        return log;
+    }
+
+    /** Hands a line to the writer, or drops and counts it when the buffer is full. */
+    public void write(String event, Object... namesAndValues) {
+        if (!queue.offer(new Line(event, clock.wallClockMillis(), namesAndValues))) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    /** Returns the lines that were dropped because the buffer was full. */
+    public long dropped() {
+        return dropped.get();
+    }
+
+    private void run() {
+        List<Line> lines = new ArrayList<>();
+        StringBuilder text = new StringBuilder();
+        try {
+            while (!closed || !queue.isEmpty()) {
+                lines.add(queue.take());
+                queue.drainTo(lines);
+                lines.forEach(line -> append(line, text));
+                byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
+                output.write(bytes, 0, bytes.length);
+                output.flush();
+                lines.clear();
+                text.setLength(0);
+            }
+        } catch (InterruptedException e) {
+            // The process ends; what is still queued is written by close.
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void append(Line line, StringBuilder text) {
+        if (line.millis() / 1_000 != second) {
+            second = line.millis() / 1_000;
+            written.forEach((event, count) -> {
+                if (count[0] > LINES_PER_SECOND) {
+                    text.append(
+                            json("lines_left_out", line.millis(), "of", event, "count", count[0] - LINES_PER_SECOND));
+                }
+            });
+            written.clear();
+        }
+        int[] count = written.computeIfAbsent(line.event(), event -> new int[1]);
+        if (++count[0] <= LINES_PER_SECOND) {
+            text.append(json(line.event(), line.millis(), line.fields()));
+        }
+    }
+
+    private String json(String event, long millis, Object... fields) {
+        ObjectNode object = JSON.createObjectNode();
+        object.put("ms", millis).put("host", host).put("event", event);
+        for (int index = 0; index + 1 < fields.length; index += 2) {
+            String name = String.valueOf(fields[index]);
+            Object value = fields[index + 1];
+            switch (value) {
+                case Long number -> object.put(name, number);
+                case Integer number -> object.put(name, number);
+                case Double number -> object.put(name, number);
+                case Boolean flag -> object.put(name, flag);
+                default -> object.put(name, String.valueOf(value));
+            }
+        }
+        return object + "\n";
+    }
+
+    /** Writes what is queued and ends the writer. */
+    @Override
+    public void close() throws InterruptedException {
+        closed = true;
+        write("log_closed", "dropped", dropped.get());
+        thread.join(1_000);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/membership/DiscoveryController.java
@@ -0,0 +1,101 @@
+package org.plantainwharf.membership;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.PeerMessage;
+
+/**
+ * Finds the daemons that hold the control group's log without a list of them. Each of them tells the ones it knows to
+ * every daemon that links with it, and passes on what is new. Runs on the control thread.
+ */
+public final class DiscoveryController implements Controller {
+
+    private final Map<HostId, String> known = new HashMap<>();
+    private final boolean tells;
+
+    private DiscoveryController(Map<HostId, String> seeds, Optional<String> ownAddress, HostId self) {
+        known.putAll(seeds);
+        ownAddress.ifPresent(address -> known.put(self, address));
+        this.tells = ownAddress.isPresent();
+    }
+
+    /**
+     * Returns the controller.
+     *
+     * @param seeds addresses for links of the daemons that this one was told of
+     * @param ownAddress this daemon's address for links, if it holds the log
+     */
+    public static DiscoveryController create(Map<HostId, String> seeds, Optional<String> ownAddress, HostId self) {
+        return new DiscoveryController(seeds, ownAddress, self);
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case PeerEvent.PeerConnected connected -> {
+                if (tells) {
+                    effects.add(new PeerEffect.SendToPeer(connected.peer(), new PeerMessage.KnownPeers(known)));
+                }
+            }
+            case PeerEvent.PeerMessageReceived received -> {
+                if (received.message() instanceof PeerMessage.KnownPeers told) {
+                    learn(told.addresses(), board, effects);
+                }
+            }
+            case PeerEvent ignored -> {}
+            case TimerEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case DocumentEvent ignored -> {}
+            case RegistryEvent ignored -> {}
+            case ReplicationEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private void learn(Map<HostId, String> addresses, Board board, Effects effects) {
+        Map<HostId, String> added = new HashMap<>(addresses);
+        added.keySet().removeAll(known.keySet());
+        if (added.isEmpty()) {
+            return;
+        }
+        known.putAll(added);
+        added.forEach((host, address) -> {
+            effects.log("peer_discovered", "peer", host, "address", address);
+            effects.add(new PeerEffect.DialPeer(host, address));
+        });
+        if (tells) {
+            for (Member member : board.membership().members()) {
+                if (member.linked()) {
+                    effects.add(new PeerEffect.SendToPeer(member.host(), new PeerMessage.KnownPeers(known)));
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/org/plantainwharf/membership/MembershipController.java
+++ b/src/main/java/org/plantainwharf/membership/MembershipController.java
@@ -9,10 +9,14 @@
 import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -52,6 +56,10 @@
             case PeerEvent peer -> peer(peer, board, nowNanos);
             case CallEvent ignored -> {}
             case AttemptEvent ignored -> {}
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent ignored -> {}
             case StorageEvent ignored -> {}
             case ReplicationEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -8,6 +8,8 @@
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.registry.ServerReport;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.replicated.Query;
@@ -61,6 +63,38 @@
     /** Answers a read. */
     record Answer(String queryId, QueryResult result) implements PeerMessage {}
 
+    /** Tells the addresses of daemons that hold the control group's log. */
+    record KnownPeers(Map<HostId, String> addresses) implements PeerMessage {
+        /** Copies the map. */
+        public KnownPeers {
+            addresses = Map.copyOf(addresses);
+        }
+    }
+
+    /** Passes on what backend servers reported. */
+    record ServerNews(List<ServerReport> reports) implements PeerMessage {
+        /** Copies the reports. */
+        public ServerNews {
+            reports = List.copyOf(reports);
+        }
+    }
+
+    /** One daemon's count of requests that began to run in a usage window; a later one replaces an earlier one. */
+    record UsageCounts(long window, Map<AccountName, Long> requests) implements PeerMessage {
+        /** Copies the map. */
+        public UsageCounts {
+            requests = Map.copyOf(requests);
+        }
+    }
+
+    /** One daemon's present demand for each service. */
+    record DemandReport(Map<ServiceName, ServiceDemand> demands) implements PeerMessage {
+        /** Copies the map. */
+        public DemandReport {
+            demands = Map.copyOf(demands);
+        }
+    }
+
     /** The leader of a record group hands accepted work to its owner; sent again until it is taken. */
     record WorkAssigned(int group, StateRecord.Work work) implements PeerMessage {}
 
--- /dev/null
+++ b/src/main/java/org/plantainwharf/platform/ControlApi.java
@@ -0,0 +1,190 @@
+package org.plantainwharf.platform;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.call.Content;
+import org.plantainwharf.control.EventSink;
+import org.plantainwharf.daemon.ControlSurface;
+import org.plantainwharf.document.DocumentCodec;
+import org.plantainwharf.effect.DocumentEffect;
+import org.plantainwharf.effect.RegistryEffect;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.front.HttpListener;
+import org.plantainwharf.front.RequestReader;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.log.LineLog;
+import org.plantainwharf.settings.Settings;
+
+/** Calls of servers and operators to a control daemon. Thread-safe. */
+final class ControlApi implements ControlSurface {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String JSON_TYPE = "application/json";
+
+    /** Largest config; one of the planned size has some thousand routes. */
+    private static final int MAXIMUM_BODY_BYTES = 4 << 20;
+
+    private final Settings settings;
+    private final DocumentCodec codec;
+    private final EventSink events;
+    private final LineLog log;
+    private final HttpListener listener;
+    private final AtomicLong tickets = new AtomicLong();
+    private final Map<Long, Waiting> waiting = new ConcurrentHashMap<>();
+
+    /** A caller that waits for its answer. */
+    private record Waiting(Response response, Callback callback) {}
+
+    private ControlApi(Settings settings, DocumentCodec codec, EventSink events, LineLog log) {
+        this.settings = settings;
+        this.codec = codec;
+        this.events = events;
+        this.log = log;
+        this.listener = HttpListener.create(
+                "control-api", settings.operatorAddress(), false, settings.bounds(), new CallHandler());
+    }
+
+    static ControlApi create(Settings settings, DocumentCodec codec, EventSink events, LineLog log) {
+        return new ControlApi(settings, codec, events, log);
+    }
+
+    @Override
+    public void start() {
+        try {
+            listener.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("cannot listen on " + settings.operatorAddress(), e);
+        }
+    }
+
+    /** Returns the port, which the system may have chosen. */
+    int port() {
+        return listener.port();
+    }
+
+    @Override
+    public void stop() {
+        try {
+            listener.stop();
+        } catch (Exception e) {
+            log.write("control_api_stop_failed", "problem", String.valueOf(e));
+        }
+    }
+
+    @Override
+    public void execute(RegistryEffect effect) {
+        switch (effect) {
+            case RegistryEffect.AnswerServer answer ->
+                answer(answer.ticket(), answer.acknowledged() ? 200 : 503, "{}".getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    @Override
+    public void execute(DocumentEffect effect) {
+        switch (effect) {
+            case DocumentEffect.AcknowledgeDocument held ->
+                answer(held.ticket(), 200, ("{\"version\":" + held.version() + "}").getBytes(StandardCharsets.UTF_8));
+            case DocumentEffect.ReturnDocument document ->
+                answer(
+                        document.ticket(),
+                        document.content().length() == 0 ? 404 : 200,
+                        document.content().bytes());
+            case DocumentEffect.RefuseDocument refused ->
+                answer(refused.ticket(), 503, "{}".getBytes(StandardCharsets.UTF_8));
+            case DocumentEffect.ApplyCallerBounds bounds -> log.write("effect_misdirected", "family", "document");
+        }
+    }
+
+    private void answer(long ticket, int status, byte[] body) {
+        @Nullable Waiting caller = waiting.remove(ticket);
+        if (caller != null) {
+            write(caller.response(), caller.callback(), status, body);
+        }
+    }
+
+    private static void write(Response response, Callback callback, int status, byte[] body) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, JSON_TYPE);
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    private final class CallHandler extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            RequestReader.body(
+                    request, MAXIMUM_BODY_BYTES, read -> read.peek(body -> call(request, response, callback, body))
+                            .peekLeft(failure -> refuse(response, callback, failure)));
+            return true;
+        }
+    }
+
+    private void call(Request request, Response response, Callback callback, byte[] body) {
+        @Nullable String decoded = request.getHttpURI().getDecodedPath();
+        String path = decoded == null ? "" : decoded;
+        boolean posted = request.getMethod().equals("POST");
+        if (posted && path.startsWith(WireNames.HEARTBEAT_PREFIX)) {
+            String server = path.substring(WireNames.HEARTBEAT_PREFIX.length());
+            PingReader.read(server, body)
+                    .peek(report ->
+                            submit(response, callback, ticket -> new RegistryEvent.ServerReported(ticket, report)))
+                    .peekLeft(failure -> {
+                        log.write("report_ignored", "server", server, "problem", failure.message());
+                        refuse(response, callback, failure);
+                    });
+        } else if (posted && path.startsWith(WireNames.DEREGISTER_PREFIX)) {
+            String server = path.substring(WireNames.DEREGISTER_PREFIX.length());
+            submit(
+                    response,
+                    callback,
+                    ticket -> new RegistryEvent.ServerDeregistered(
+                            ticket, ServerId.of(server.isBlank() ? "none" : server), PingReader.born(body)));
+        } else if (posted && path.equals(WireNames.REPLACE_DOCUMENT_PATH)) {
+            replaceDocument(response, callback, Content.of(JSON_TYPE, body));
+        } else if (request.getMethod().equals("GET") && path.equals(WireNames.READ_DOCUMENT_PATH)) {
+            submit(response, callback, DocumentEvent.DocumentRequested::new);
+        } else {
+            write(response, callback, 404, "{}".getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    private void replaceDocument(Response response, Callback callback, Content content) {
+        codec.decode(content)
+                .peek(document -> submit(
+                        response, callback, ticket -> new DocumentEvent.DocumentSubmitted(ticket, document, content)))
+                .peekLeft(failure -> {
+                    log.write("document_refused", "problem", failure.message());
+                    refuse(response, callback, failure);
+                });
+    }
+
+    /** Hands a call to the control thread, or says at once that it is busy. */
+    private void submit(Response response, Callback callback, java.util.function.LongFunction<Event> event) {
+        long ticket = tickets.incrementAndGet();
+        waiting.put(ticket, new Waiting(response, callback));
+        if (!events.offer(event.apply(ticket))) {
+            answer(ticket, 503, "{}".getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    private static void refuse(Response response, Callback callback, Failure failure) {
+        byte[] body = JSON.createObjectNode()
+                .put("error", failure.message())
+                .toString()
+                .getBytes(StandardCharsets.UTF_8);
+        write(response, callback, failure.kind().httpStatus(), body);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/platform/PlatformCommand.java
@@ -0,0 +1,106 @@
+package org.plantainwharf.platform;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.plantainwharf.control.Clock;
+import org.plantainwharf.daemon.ControlDaemon;
+import org.plantainwharf.daemon.EntryDaemon;
+import org.plantainwharf.daemon.RoleDaemon;
+import org.plantainwharf.daemon.RoleSettings;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.log.LineLog;
+
+/** Runs a daemon of the role that the platform's settings give, and checks such settings. Stateless. */
+public final class PlatformCommand {
+    /** Environment variable with the path of the settings file. */
+    public static final String SETTINGS_VARIABLE = "PLANTAINWHARF_BOOT";
+
+    private PlatformCommand() {}
+
+    /**
+     * Runs until SIGTERM, then stops gracefully.
+     *
+     * @param output receives the log
+     * @param hangUp takes what SIGHUP causes
+     * @return the reason why the daemon could not start, or 0 after a graceful stop
+     */
+    public static Either<Failure, Integer> serve(Path file, PrintStream output, Consumer<Runnable> hangUp) {
+        return read(file).flatMap(settings -> {
+            LineLog started = LineLog.start(Clock.system(), output, settings.nodeName());
+            hangUp.accept(() -> reload(file, started));
+            return start(settings, started).flatMap(PlatformCommand::serveUntilStopped);
+        });
+    }
+
+    /** Returns what the settings mean in the product's words, or every problem in them. */
+    public static Either<Failure, String> check(Path file) {
+        return read(file).map(settings -> {
+            RoleSettings role = RoleMapping.of(settings);
+            return "role " + role.settings().hostClass() + ", host "
+                    + role.settings().host() + " in zone "
+                    + role.settings().zone() + ", links on " + role.settings().peerAddress() + ", seeds "
+                    + role.seeds().keySet() + ", first voters " + role.firstVoters();
+        });
+    }
+
+    private static Either<Failure, PlatformSettings> read(Path file) {
+        try {
+            return PlatformSettings.parse(Files.readString(file));
+        } catch (IOException e) {
+            return Either.left(Failure.of(ErrorKind.SETTINGS_INVALID, "cannot read " + file + ": " + e));
+        }
+    }
+
+    private static void reload(Path file, LineLog log) {
+        read(file)
+                .peek(settings -> log.write("settings_reloaded", "seeds", String.join(",", settings.seeds())))
+                .peekLeft(failure -> log.write("settings_not_reloaded", "problem", failure.message()));
+    }
+
+    private static Either<Failure, RoleDaemon> start(PlatformSettings settings, LineLog log) {
+        RoleSettings role = RoleMapping.of(settings);
+        DocumentReader codec = DocumentReader.create();
+        if (settings.controlAddress().isPresent()) {
+            return ControlDaemon.start(
+                            role,
+                            codec,
+                            events -> ControlApi.create(role.settings(), codec, events, log),
+                            events -> settings.cloudAddress()
+                                    .<org.plantainwharf.daemon.CloudApi>map(
+                                            address -> ProviderClient.create(address, settings.nodeName(), events, log))
+                                    .orElseGet(AbsentCloudApi::new),
+                            log)
+                    .map(daemon -> daemon);
+        }
+        return EntryDaemon.start(role, WireNames.DIALECT, codec, log).map(daemon -> daemon);
+    }
+
+    private static Either<Failure, Integer> serveUntilStopped(RoleDaemon daemon) {
+        Thread hook = new Thread(() -> stopOnSignal(daemon), "stop-on-signal");
+        Runtime.getRuntime().addShutdownHook(hook);
+        try {
+            daemon.awaitStop();
+            return Either.right(0);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Either.left(Failure.of(ErrorKind.INTERNAL_ERROR));
+        }
+    }
+
+    private static void stopOnSignal(RoleDaemon daemon) {
+        daemon.drain();
+        try {
+            daemon.awaitClosed();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        // A graceful stop is a success, while the virtual machine would report the signal.
+        Runtime.getRuntime().halt(0);
+    }
+}
