--- /dev/null
+++ b/src/main/java/org/plantainwharf/platform/PlatformSettings.java
@@ -0,0 +1,107 @@
+package org.plantainwharf.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+
+/**
+ * The platform's settings of one process, as the template renders them to JSON. Fields that this program does not know
+ * are ignored, as the platform may add some. Immutable.
+ *
+ * @param nodeName name of this daemon, told to the cloud API
+ * @param callerAddress where callers connect; absent on a control daemon
+ * @param readyAddress where the balancer asks; absent on a control daemon
+ * @param controlAddress where servers and operators connect; absent on an entry daemon
+ * @param linkPort port for links between daemons, the same on all machines
+ * @param seeds control addresses of some control daemons, which may be stale
+ * @param firstStart whether the whole system starts for the first time
+ * @param dataFolder folder for files; absent on a machine without a disk
+ * @param cloudAddress address of the cloud API, if this installation has one
+ */
+record PlatformSettings(
+        String nodeName,
+        String ip,
+        String zone,
+        Optional<String> callerAddress,
+        Optional<String> readyAddress,
+        Optional<String> controlAddress,
+        int linkPort,
+        List<String> seeds,
+        boolean firstStart,
+        Optional<String> dataFolder,
+        Optional<String> cloudAddress,
+        Bounds bounds) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** Copies the seeds. */
+    PlatformSettings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /**
+     * What the platform holds this system to.
+     *
+     * @param graceMillis time from SIGTERM to SIGKILL
+     * @param retryShare repeats over all daemons as a part of the requests to a service
+     * @param retryFloor repeats over all daemons that are always allowed in a window
+     * @param usageWindowMillis length of a usage window
+     * @param usageDueMillis time after a window's end at which its report is late
+     */
+    record Bounds(
+            long graceMillis, double retryShare, double retryFloor, long usageWindowMillis, long usageDueMillis) {}
+
+    /** Reads rendered settings; every problem is reported in one go. */
+    static Either<Failure, PlatformSettings> parse(String text) {
+        JsonNode root;
+        try {
+            root = JSON.readTree(text);
+        } catch (JsonProcessingException e) {
+            return Either.left(Failure.of(ErrorKind.SETTINGS_INVALID, "not JSON: " + e.getOriginalMessage()));
+        }
+        FieldReader reader = FieldReader.of(root);
+        JsonNode listen = root.path("listen");
+        JsonNode range = root.path("internal_port_range");
+        List<String> seeds = new ArrayList<>();
+        root.path("seed_nodes").forEach(seed -> seeds.add(seed.asText()));
+        JsonNode bounds = root.path("bounds");
+        if (!range.path(0).canConvertToInt()) {
+            reader.problem("internal_port_range", "must be a list of two ports");
+        }
+        PlatformSettings settings = new PlatformSettings(
+                reader.text("node_name"),
+                reader.text("ip"),
+                reader.text("zone"),
+                optional(listen.path("frontend")),
+                optional(listen.path("ready")),
+                optional(listen.path("control_plane")),
+                range.path(0).asInt(),
+                seeds,
+                root.path("bootstrap").asBoolean(false),
+                optional(root.path("data_dir")),
+                optional(root.path("cloud_api").path("address")),
+                new Bounds(
+                        (long) (bounds.path("grace_s").asDouble(8) * 1_000),
+                        bounds.path("retry_budget_ratio").asDouble(0.1),
+                        bounds.path("retry_budget_floor").asDouble(10),
+                        (long) (bounds.path("report_window_s").asDouble(5) * 1_000),
+                        (long) (bounds.path("usage_late_s").asDouble(10) * 1_000)));
+        if (settings.callerAddress().isEmpty() && settings.controlAddress().isEmpty()) {
+            reader.problem("listen", "must have frontend or control_plane");
+        }
+        if (settings.callerAddress().isPresent() && settings.readyAddress().isEmpty()) {
+            reader.problem("listen.ready", "must be there beside frontend");
+        }
+        return reader.result(settings, ErrorKind.SETTINGS_INVALID);
+    }
+
+    private static Optional<String> optional(JsonNode node) {
+        return node.isTextual() && !node.asText().isEmpty() ? Optional.of(node.asText()) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/platform/RoleMapping.java
@@ -0,0 +1,92 @@
+package org.plantainwharf.platform;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.plantainwharf.daemon.RoleSettings;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostClass;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.settings.Settings;
+
+/** Turns the platform's settings into those of the product. Stateless. */
+final class RoleMapping {
+    /** The balancer asks once a second and takes a daemon out after two misses. */
+    private static final long DRAIN_NOTICE_MILLIS = 2_500;
+
+    /** Part of the grace time that stays for closing files and connections. */
+    private static final long CLOSING_MILLIS = 1_000;
+
+    /** A daemon without callers only waits until its leadership is handed over. */
+    private static final long HAND_OVER_MILLIS = 300;
+
+    private static final long LINK_SILENCE_MILLIS = 1_500;
+
+    /** Largest request and largest headers accepted before a document says otherwise. */
+    private static final int MAXIMUM_BODY_BYTES = 8 << 20;
+
+    private static final int MAXIMUM_HEADER_BYTES = 32 << 10;
+    private static final int EVENT_QUEUE_CAPACITY = 10_000;
+    private static final int SNAPSHOT_ENTRIES = 256;
+
+    /**
+     * Repeats are allowed over all daemons together, and no daemon knows how many there are. Each takes its part of the
+     * share by its own requests, less a margin for requests that are counted elsewhere, and this many beside it.
+     */
+    private static final double RETRY_SHARE_MARGIN = 0.75;
+
+    private static final double RETRY_FLOOR_PART = 0.05;
+
+    private RoleMapping() {}
+
+    static RoleSettings of(PlatformSettings platform) {
+        Map<HostId, String> seeds = new LinkedHashMap<>();
+        platform.seeds().forEach(seed -> seeds.put(HostId.of(seed), linkAddress(seed, platform.linkPort())));
+        HostId host = HostId.of(platform.controlAddress().orElse(platform.nodeName()));
+        boolean control = platform.controlAddress().isPresent();
+        long grace = platform.bounds().graceMillis();
+        AvailabilityZone zone = AvailabilityZone.of(platform.zone());
+        Settings settings = new Settings(
+                host,
+                zone,
+                HostClass.of(control ? "control" : "entry"),
+                platform.callerAddress().orElse(""),
+                platform.controlAddress().orElse(""),
+                platform.ip() + ":" + platform.linkPort(),
+                platform.dataFolder(),
+                seeds.entrySet().stream()
+                        .map(seed -> new Settings.HostEntry(seed.getKey(), zone, seed.getValue(), true))
+                        .toList(),
+                0,
+                new Settings.Timings(
+                        control ? HAND_OVER_MILLIS : DRAIN_NOTICE_MILLIS,
+                        control ? HAND_OVER_MILLIS : Math.max(0, grace - DRAIN_NOTICE_MILLIS - CLOSING_MILLIS),
+                        Settings.Timings.defaults().serverLeaseMillis(),
+                        LINK_SILENCE_MILLIS,
+                        Settings.Timings.defaults().urgentSilenceMillis(),
+                        Settings.Timings.defaults().longSilenceMillis()),
+                new Settings.Bounds(
+                        MAXIMUM_BODY_BYTES,
+                        MAXIMUM_HEADER_BYTES,
+                        Settings.Bounds.defaults().maximumAnswerBytes(),
+                        EVENT_QUEUE_CAPACITY,
+                        Settings.Bounds.defaults().accountQueueCapacity(),
+                        Settings.Bounds.defaults().rankQueueCapacity(),
+                        SNAPSHOT_ENTRIES));
+        return new RoleSettings(
+                settings,
+                seeds,
+                platform.firstStart() ? List.copyOf(seeds.keySet()) : List.of(),
+                platform.bounds().usageWindowMillis(),
+                platform.bounds().usageDueMillis(),
+                platform.bounds().retryShare() * RETRY_SHARE_MARGIN,
+                platform.bounds().retryFloor() * RETRY_FLOOR_PART,
+                platform.readyAddress().orElse(""),
+                WireNames.READY_PATH);
+    }
+
+    private static String linkAddress(String controlAddress, int linkPort) {
+        return controlAddress.substring(0, controlAddress.lastIndexOf(':')) + ":" + linkPort;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/platform/WireNames.java
@@ -0,0 +1,45 @@
+package org.plantainwharf.platform;
+
+import java.util.Set;
+
+import org.plantainwharf.http.ForwardDialect;
+
+/** Names of headers and calls as the platform's clients, servers, operators and cloud API speak them. */
+final class WireNames {
+    static final String READY_PATH = "/readyz";
+    static final String HEARTBEAT_PREFIX = "/Instances.Heartbeat/";
+    static final String DEREGISTER_PREFIX = "/Instances.Deregister/";
+    static final String REPLACE_DOCUMENT_PATH = "/Config.Replace";
+    static final String READ_DOCUMENT_PATH = "/Config.Read";
+    static final String USAGE_PATH = "/usage";
+    static final String SCALE_PATH = "/scale";
+    static final String HOLDER_HEADER = "X-Plantainwharf-Duty-Holder";
+    static final String FENCING_HEADER = "X-Plantainwharf-Fencing-Token";
+
+    /** Headers of requests. Names of withheld ones are in lower case. */
+    static final ForwardDialect DIALECT = new ForwardDialect(
+            "X-Plantainwharf-Attempt-Id",
+            "X-Plantainwharf-Deadline-Ms",
+            "Token",
+            "X-Plantainwharf-Tenant",
+            "X-Plantainwharf-Expected-Instance",
+            "X-Plantainwharf-Request-Priority",
+            "X-Plantainwharf-Response-Seal",
+            "X-Plantainwharf-Not-Executed",
+            "X-Plantainwharf-Server-Load",
+            "X-Plantainwharf-Model",
+            "X-Plantainwharf-Token-Counts",
+            "X-Plantainwharf-Prefix-Hash",
+            Set.of(
+                    "x-plantainwharf-tenant",
+                    "x-plantainwharf-expected-instance",
+                    "x-plantainwharf-expected-version",
+                    "x-plantainwharf-request-priority",
+                    "x-plantainwharf-kv-retain",
+                    "x-plantainwharf-pin-ms",
+                    "x-plantainwharf-kv-backup",
+                    "kv-from",
+                    "kv-fetch"));
+
+    private WireNames() {}
+}
--- a/src/main/java/org/plantainwharf/quarantine/QuarantineController.java
+++ b/src/main/java/org/plantainwharf/quarantine/QuarantineController.java
@@ -15,10 +15,14 @@
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.AttemptProblem;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -64,6 +68,10 @@
     public void handle(Event event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case AttemptEvent attempt -> handleAttempt(attempt, board, nowNanos);
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent server -> resolve(board, nowNanos, effects);
             case ReplicationEvent replication -> handleReplication(replication, board, effects);
             case PlatformEvent platform -> handlePlatform(platform, board, nowNanos);
--- a/src/main/java/org/plantainwharf/record/OrderController.java
+++ b/src/main/java/org/plantainwharf/record/OrderController.java
@@ -19,10 +19,14 @@
 import org.plantainwharf.error.Ran;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -53,6 +57,10 @@
             case AttemptEvent attempt -> handleAttempt(attempt, board, nowNanos, effects);
             case CallEvent call -> handleCall(call, board, effects);
             case PeerEvent ignored -> {}
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent ignored -> {}
             case StorageEvent ignored -> {}
             case OperatorEvent ignored -> {}
@@ -170,6 +178,9 @@
                         Failure.of(ErrorKind.ORDER_IN_PROGRESS).withRetryAfter(RUNNING_RETRY_AFTER),
                         board,
                         effects);
+            case CommandResult.DocumentHeld other -> refuseUnexpected(entry, board, effects);
+            case CommandResult.DocumentContent other -> refuseUnexpected(entry, board, effects);
+            case CommandResult.UsageRecorded other -> refuseUnexpected(entry, board, effects);
             case CommandResult.IntentLost lost -> refuse(entry, Failure.of(ErrorKind.OUTCOME_UNKNOWN), board, effects);
             case CommandResult.IntentReused reused ->
                 refuse(entry, Failure.of(ErrorKind.IDEMPOTENCY_KEY_REUSED), board, effects);
--- a/src/main/java/org/plantainwharf/record/OwnershipController.java
+++ b/src/main/java/org/plantainwharf/record/OwnershipController.java
@@ -12,10 +12,14 @@
 import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -101,6 +105,10 @@
                     takenAttempts.merge(taken.request(), taken.attempt(), Math::max);
                 }
             }
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent ignored -> {}
             case StorageEvent ignored -> {}
             case OperatorEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/record/RecordState.java
+++ b/src/main/java/org/plantainwharf/record/RecordState.java
@@ -416,6 +416,8 @@
                 case StateRecord.Fencing other -> throw unexpected(other);
                 case StateRecord.Crashes other -> throw unexpected(other);
                 case StateRecord.HostStart other -> throw unexpected(other);
+                case StateRecord.Document other -> throw unexpected(other);
+                case StateRecord.Usage other -> throw unexpected(other);
             }
         }
     }
--- a/src/main/java/org/plantainwharf/record/WorkController.java
+++ b/src/main/java/org/plantainwharf/record/WorkController.java
@@ -22,10 +22,14 @@
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -63,6 +67,10 @@
             case CallEvent call -> handleCall(call, board, effects);
             case TimerEvent timer -> handBackWhileStopping(board, effects);
             case PeerEvent peer -> handlePeer(peer, board, nowNanos, effects);
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent ignored -> {}
             case StorageEvent ignored -> {}
             case OperatorEvent ignored -> {}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/registry/RegistryController.java
@@ -0,0 +1,193 @@
+package org.plantainwharf.registry;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.consensus.GroupStatus;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.effect.RegistryEffect;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.membership.Member;
+import org.plantainwharf.message.PeerMessage;
+
+/**
+ * Merges the reports of backend servers and passes on what they change. Only a daemon that {@code relays} takes reports
+ * from servers and passes news on; the others learn. Runs on the control thread.
+ */
+public final class RegistryController implements Controller {
+    private static final int CONTROL_GROUP = 0;
+
+    /** Reports without news are passed on together at this period. */
+    private static final long REFRESH_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Longer than a cut between zones that servers outlive; a server that is still there reports again. */
+    private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    /** A daemon that heard nothing of the majority for this long may not know that it is cut off. */
+    private static final long CONTACT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+    private final boolean relays;
+
+    private RegistryController(boolean relays) {
+        this.relays = relays;
+    }
+
+    /** Returns the controller of a daemon that takes reports from servers and passes them on. */
+    public static RegistryController relaying() {
+        return new RegistryController(true);
+    }
+
+    /** Returns the controller of a daemon that only learns of servers. */
+    public static RegistryController learning() {
+        return new RegistryController(false);
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case RegistryEvent registry -> onReport(registry, board, nowNanos, effects);
+            case PeerEvent peer -> onPeer(peer, board, nowNanos, effects);
+            case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
+            case DocumentEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ReplicationEvent ignored -> {}
+            case StorageEvent ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+
+    private void onReport(RegistryEvent event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case RegistryEvent.ServerReported reported -> {
+                take(reported.report(), Optional.empty(), board, nowNanos, effects);
+                boolean tells = reported.report().phase() == ServerPhase.READY;
+                effects.add(
+                        new RegistryEffect.AnswerServer(reported.ticket(), tells || hearsMajority(board, nowNanos)));
+            }
+            case RegistryEvent.ServerDeregistered ended -> {
+                take(goneReport(ended, board.registry()), Optional.empty(), board, nowNanos, effects);
+                effects.add(new RegistryEffect.AnswerServer(ended.ticket(), hearsMajority(board, nowNanos)));
+            }
+        }
+    }
+
+    /** A server that says it ends names neither service nor address; an unknown one is noted, so that late reports count as late. */
+    private static ServerReport goneReport(RegistryEvent.ServerDeregistered ended, RegistrySection section) {
+        Optional<ServerReport> known = section.server(ended.server()).map(KnownServer::report);
+        long born = ended.born().orElse(known.map(ServerReport::born).orElse(0L));
+        // The last report of this start: nothing that it sent before may follow.
+        return new ServerReport(
+                ended.server(),
+                born,
+                Long.MAX_VALUE,
+                known.map(ServerReport::service).orElse(ServiceName.of("unknown")),
+                known.map(ServerReport::address).orElse("unknown"),
+                known.map(ServerReport::zone).orElse(AvailabilityZone.of("unknown")),
+                known.map(ServerReport::slots).orElse(0),
+                ServerPhase.GONE,
+                0,
+                false,
+                OptionalLong.empty());
+    }
+
+    private static boolean hearsMajority(Board board, long nowNanos) {
+        GroupStatus control = board.consensus().group(CONTROL_GROUP);
+        return control.lastContactNanos() != Long.MIN_VALUE && nowNanos - control.lastContactNanos() < CONTACT_NANOS;
+    }
+
+    private void take(ServerReport report, Optional<HostId> from, Board board, long nowNanos, Effects effects) {
+        RegistrySection section = board.registry();
+        RegistrySection.Change change = section.merge(report, nowNanos);
+        if (change == RegistrySection.Change.REFRESHED && relays && from.isEmpty()) {
+            section.noteRefreshed(report.server());
+        } else if (change == RegistrySection.Change.MATERIAL) {
+            ServerReport held =
+                    section.server(report.server()).map(KnownServer::report).orElse(report);
+            effects.log(
+                    "server_changed",
+                    "server",
+                    held.server(),
+                    "service",
+                    held.service(),
+                    "zone",
+                    held.zone(),
+                    "address",
+                    held.address(),
+                    "phase",
+                    held.phase(),
+                    "sequence",
+                    held.sequence(),
+                    "from",
+                    from.map(HostId::value).orElse("server"));
+            if (relays) {
+                tellAll(List.of(held), from, board, effects);
+            }
+        }
+    }
+
+    private static void tellAll(List<ServerReport> reports, Optional<HostId> except, Board board, Effects effects) {
+        PeerMessage news = new PeerMessage.ServerNews(reports);
+        for (Member member : board.membership().members()) {
+            if (member.linked() && !except.equals(Optional.of(member.host()))) {
+                effects.add(new PeerEffect.SendToPeer(member.host(), news));
+            }
+        }
+    }
+
+    private void onPeer(PeerEvent event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case PeerEvent.PeerConnected connected -> {
+                if (relays) {
+                    effects.add(new PeerEffect.SendToPeer(
+                            connected.peer(),
+                            new PeerMessage.ServerNews(board.registry().reports())));
+                }
+            }
+            case PeerEvent.PeerDisconnected disconnected -> {}
+            case PeerEvent.PeerMessageReceived received -> {
+                if (received.message() instanceof PeerMessage.ServerNews news) {
+                    for (ServerReport report : news.reports()) {
+                        take(report, Optional.of(received.peer()), board, nowNanos, effects);
+                    }
+                }
+            }
+        }
+    }
+
+    private void onTick(Board board, long nowNanos, Effects effects) {
+        RegistrySection section = board.registry();
+        section.forgetSilent(nowNanos, FORGET_NANOS);
+        if (relays) {
+            List<ServerReport> refreshed = section.takeRefreshed(nowNanos, REFRESH_NANOS);
+            if (!refreshed.isEmpty()) {
+                tellAll(refreshed, Optional.empty(), board, effects);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/plantainwharf/registry/RegistrySection.java
@@ -0,0 +1,130 @@
+package org.plantainwharf.registry;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.plantainwharf.identity.ServerId;
+
+/**
+ * Backend servers by their reports. Invariants: a report that is not newer than the one held changes nothing; a server
+ * that was leaving or gone does not become ready again in the same start; an address belongs to at most one server that
+ * is not gone. Written by the registry controller. Owned by the control thread.
+ */
+public final class RegistrySection {
+    private final Map<ServerId, KnownServer> servers = new LinkedHashMap<>();
+    private final Set<ServerId> refreshed = new HashSet<>();
+    private long nextRefreshNanos;
+
+    private RegistrySection() {}
+
+    /** Returns a section without servers. */
+    public static RegistrySection create() {
+        return new RegistrySection();
+    }
+
+    /** Returns every server known, those that are gone included. */
+    public Collection<KnownServer> servers() {
+        return servers.values();
+    }
+
+    /** Returns a server. */
+    public Optional<KnownServer> server(ServerId id) {
+        return Optional.ofNullable(servers.get(id));
+    }
+
+    /** Returns every report held. */
+    public List<ServerReport> reports() {
+        return servers.values().stream().map(KnownServer::report).toList();
+    }
+
+    /** What a report changed. */
+    public enum Change {
+        /** Nothing: it is late or belongs to an address that a later start holds. */
+        NONE,
+        /** Only the time at which the server was heard, and its sequence. */
+        REFRESHED,
+        /** Something that choices depend on. */
+        MATERIAL
+    }
+
+    /** Takes a report. For the registry controller. */
+    Change merge(ServerReport report, long nowNanos) {
+        @Nullable KnownServer known = servers.get(report.server());
+        if (known != null && !report.newerThan(known.report())) {
+            return Change.NONE;
+        }
+        if (report.phase() != ServerPhase.GONE && addressTaken(report)) {
+            return Change.NONE;
+        }
+        if (known == null || known.report().born() != report.born()) {
+            servers.put(report.server(), new KnownServer(report, nowNanos, nowNanos));
+            return Change.MATERIAL;
+        }
+        ServerPhase held = known.report().phase();
+        ServerReport taken = held.compareTo(report.phase()) > 0 ? report.withPhase(held) : report;
+        servers.put(taken.server(), new KnownServer(taken, known.firstHeardNanos(), nowNanos));
+        return material(known.report(), taken) ? Change.MATERIAL : Change.REFRESHED;
+    }
+
+    /**
+     * Says whether a later start holds the report's address, and ends an earlier one there. Without a start time the
+     * newest report counts as the later start.
+     */
+    private boolean addressTaken(ServerReport report) {
+        for (KnownServer other : new ArrayList<>(servers.values())) {
+            ServerReport held = other.report();
+            if (!held.address().equals(report.address())
+                    || held.server().equals(report.server())
+                    || held.phase() == ServerPhase.GONE) {
+                continue;
+            }
+            if (held.born() > report.born()) {
+                return true;
+            }
+            servers.put(
+                    held.server(),
+                    new KnownServer(held.withPhase(ServerPhase.GONE), other.firstHeardNanos(), other.lastHeardNanos()));
+        }
+        return false;
+    }
+
+    private static boolean material(ServerReport before, ServerReport after) {
+        return before.phase() != after.phase()
+                || !before.service().equals(after.service())
+                || !before.address().equals(after.address())
+                || before.slots() != after.slots()
+                || before.reclaimable() != after.reclaimable()
+                || before.leavesMillis().isPresent() != after.leavesMillis().isPresent();
+    }
+
+    /** Forgets servers that were not heard of for a time. For the registry controller. */
+    void forgetSilent(long nowNanos, long limitNanos) {
+        servers.values().removeIf(server -> server.silentNanos(nowNanos) >= limitNanos);
+    }
+
+    /** Notes that this daemon itself heard a server. For the registry controller. */
+    void noteRefreshed(ServerId server) {
+        refreshed.add(server);
+    }
+
+    /** Returns and clears the reports heard here since the last call, when one is due. For the registry controller. */
+    List<ServerReport> takeRefreshed(long nowNanos, long periodNanos) {
+        if (nowNanos - nextRefreshNanos < 0) {
+            return List.of();
+        }
+        nextRefreshNanos = nowNanos + periodNanos;
+        List<ServerReport> reports = new ArrayList<>();
+        for (ServerId server : refreshed) {
+            Optional.ofNullable(servers.get(server)).map(KnownServer::report).ifPresent(reports::add);
+        }
+        refreshed.clear();
+        return reports;
+    }
+}
--- a/src/main/java/org/plantainwharf/replicated/Command.java
+++ b/src/main/java/org/plantainwharf/replicated/Command.java
@@ -1,5 +1,6 @@
 package org.plantainwharf.replicated;
 
+import java.util.Map;
 import java.util.Set;
 
 import org.plantainwharf.call.CallKind;
@@ -43,6 +44,24 @@
     /** Puts a sheet in force if its version is newer, compared by version and digest. */
     record ApplySheet(Sheet sheet) implements Control {}
 
+    /** Holds a service document if its version is higher than the one held. */
+    record ReplaceDocument(long version, Content content) implements Control {}
+
+    /** Reads the document held; as an entry of the log it sees every document committed before it. */
+    record ReadDocument() implements Control {}
+
+    /**
+     * Fixes the counts of one usage window; the first ones win.
+     *
+     * @param requests requests that began to run in the window, by account
+     */
+    record RecordUsage(long window, Map<AccountName, Long> requests) implements Control {
+        /** Copies the map. */
+        public RecordUsage {
+            requests = Map.copyOf(requests);
+        }
+    }
+
     /** Takes the next fencing number for a leader of the control group. */
     record TakeFencingNumber(HostId leader, long term) implements Control {}
 
--- a/src/main/java/org/plantainwharf/replicated/CommandResult.java
+++ b/src/main/java/org/plantainwharf/replicated/CommandResult.java
@@ -1,6 +1,9 @@
 package org.plantainwharf.replicated;
 
+import java.util.Map;
+
 import org.plantainwharf.call.Content;
+import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.RequestId;
 
 /** The result of applying a command. The same command applied again gives the same result. Immutable. */
@@ -20,6 +23,20 @@
     /** The fencing number taken. */
     record FencingNumber(long number) implements CommandResult {}
 
+    /** A document is held whose version is at least the proposed one. */
+    record DocumentHeld(long version) implements CommandResult {}
+
+    /** The document held; version 0 and no bytes before the first. */
+    record DocumentContent(long version, Content content) implements CommandResult {}
+
+    /** The counts of a usage window as fixed now or earlier. */
+    record UsageRecorded(long window, Map<AccountName, Long> requests) implements CommandResult {
+        /** Copies the map. */
+        public UsageRecorded {
+            requests = Map.copyOf(requests);
+        }
+    }
+
     /** The caller of this command owns the single run. */
     record IntentGranted() implements CommandResult {}
 
--- a/src/main/java/org/plantainwharf/replicated/StateRecord.java
+++ b/src/main/java/org/plantainwharf/replicated/StateRecord.java
@@ -1,5 +1,6 @@
 package org.plantainwharf.replicated;
 
+import java.util.Map;
 import java.util.Set;
 
 import org.plantainwharf.call.CallKind;
@@ -22,6 +23,17 @@
     /** A sheet that was accepted earlier, so that a resend gets the same answer. */
     record AcceptedSheet(long version, String digest) implements StateRecord {}
 
+    /** The service document held. */
+    record Document(long version, Content content) implements StateRecord {}
+
+    /** The fixed counts of a usage window. */
+    record Usage(long window, Map<AccountName, Long> requests) implements StateRecord {
+        /** Copies the map. */
+        public Usage {
+            requests = Map.copyOf(requests);
+        }
+    }
+
     /** The newest fencing number. */
     record Fencing(long number, HostId leader, long term) implements StateRecord {}
 
--- a/src/main/java/org/plantainwharf/retry/RetryBudget.java
+++ b/src/main/java/org/plantainwharf/retry/RetryBudget.java
@@ -6,30 +6,48 @@
  * Retries allowed in a sliding window: a tenth of the first attempts in it, at least a few. So a failing zone adds at
  * most a tenth to the load of the others. Owned by the control thread.
  */
-final class RetryBudget {
+public final class RetryBudget {
     private static final int WINDOW_SECONDS = 10;
-    private static final double SHARE = 0.1;
-    private static final int MINIMUM = 3;
+    /** Share of calls that may be retried unless the settings give another. */
+    private static final double DEFAULT_SHARE = 0.1;
+
+    /** Retries in a window that little traffic may always use. */
+    private static final int DEFAULT_MINIMUM = 3;
+
+    private final double share;
+    private final double minimum;
 
     private final long[] seconds = new long[WINDOW_SECONDS];
     private final int[] attempts = new int[WINDOW_SECONDS];
     private final int[] retries = new int[WINDOW_SECONDS];
 
-    private RetryBudget() {
+    private RetryBudget(double share, double minimum) {
+        this.share = share;
+        this.minimum = minimum;
         Arrays.fill(seconds, Long.MIN_VALUE);
     }
 
     static RetryBudget create() {
-        return new RetryBudget();
+        return new RetryBudget(DEFAULT_SHARE, DEFAULT_MINIMUM);
+    }
+
+    /**
+     * Returns an unused budget.
+     *
+     * @param share retries allowed as a part of the calls of the last ten seconds
+     * @param minimum retries that are allowed in ten seconds however few calls there are
+     */
+    public static RetryBudget create(double share, double minimum) {
+        return new RetryBudget(share, minimum);
     }
 
     /** Counts the first attempt of a call. */
-    void countAttempt(long nowNanos) {
+    public void countAttempt(long nowNanos) {
         attempts[slot(nowNanos)]++;
     }
 
     /** Counts a retry if one is left. */
-    boolean tryRetry(long nowNanos) {
+    public boolean tryRetry(long nowNanos) {
         long second = Math.floorDiv(nowNanos, 1_000_000_000L);
         int recentAttempts = 0;
         int recentRetries = 0;
@@ -39,7 +57,7 @@
                 recentRetries += retries[slot];
             }
         }
-        if (recentRetries >= Math.max(MINIMUM, SHARE * recentAttempts)) {
+        if (recentRetries >= Math.max(minimum, share * recentAttempts)) {
             return false;
         }
         retries[slot(nowNanos)]++;
--- a/src/main/java/org/plantainwharf/routing/RoutingController.java
+++ b/src/main/java/org/plantainwharf/routing/RoutingController.java
@@ -23,10 +23,14 @@
 import org.plantainwharf.effect.ServerEffect;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -79,6 +83,10 @@
                 switch (event) {
                     case CallEvent call -> false;
                     case AttemptEvent attempt -> handleAttempt(attempt, board, nowNanos);
+                    case DocumentEvent ignored -> false;
+                    case DutyEvent ignored -> false;
+                    case ForwardEvent ignored -> false;
+                    case RegistryEvent ignored -> false;
                     case ServerEvent server -> handleServer(server, board, nowNanos, effects);
                     case PeerEvent peer -> handlePeer(peer, board);
                     case TimerEvent timer -> handleTimer(board, nowNanos, effects);
--- a/src/main/java/org/plantainwharf/server/ServerController.java
+++ b/src/main/java/org/plantainwharf/server/ServerController.java
@@ -16,10 +16,14 @@
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.AttemptProblem;
 import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
@@ -70,6 +74,10 @@
     @Override
     public void handle(Event event, Board board, long nowNanos, Effects effects) {
         switch (event) {
+            case DocumentEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case RegistryEvent ignored -> {}
             case ServerEvent server -> server(server, board, nowNanos, effects);
             case PeerEvent peer -> peer(peer, board, nowNanos, effects);
             case AttemptEvent attempt -> attempt(attempt, board, nowNanos, effects);
--- a/src/main/java/org/plantainwharf/storage/StorageWriter.java
+++ b/src/main/java/org/plantainwharf/storage/StorageWriter.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
@@ -22,6 +23,7 @@
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.consensus.RecoveredGroup;
+import org.plantainwharf.consensus.ReplicaSnapshot;
 import org.plantainwharf.control.EventSink;
 import org.plantainwharf.effect.StorageEffect;
 import org.plantainwharf.error.ErrorKind;
@@ -84,7 +86,20 @@
         return open(folder, codec, sink, FileAccess.real());
     }
 
+    /**
+     * Opens a data folder as {@link #open(Path, RecordCodec, EventSink)} does; an empty one becomes that of a first voter.
+     */
+    public static Either<Failure, StorageWriter> open(
+            Path folder, RecordCodec codec, EventSink sink, Founding founding) {
+        return open(folder, codec, sink, FileAccess.real(), Optional.of(founding));
+    }
+
     static Either<Failure, StorageWriter> open(Path folder, RecordCodec codec, EventSink sink, FileAccess files) {
+        return open(folder, codec, sink, files, Optional.empty());
+    }
+
+    static Either<Failure, StorageWriter> open(
+            Path folder, RecordCodec codec, EventSink sink, FileAccess files, Optional<Founding> founding) {
         try {
             Files.createDirectories(folder);
             Map<Integer, GroupFiles> groups = new TreeMap<>();
@@ -95,7 +110,14 @@
                 }
                 groups.put(group, opened.get());
             }
-            return identity(folder, files, groups.isEmpty()).map(incarnation -> {
+            Either<Failure, Long> identity = identity(folder, files, groups.isEmpty(), founding);
+            if (identity.isRight() && founding.isPresent()) {
+                Optional<Failure> failure = found(founding.get(), identity.get(), folder, codec, files, groups);
+                if (failure.isPresent()) {
+                    return Either.left(failure.get());
+                }
+            }
+            return identity.map(incarnation -> {
                 StorageWriter writer = new StorageWriter(folder, codec, sink, files, incarnation, groups);
                 writer.thread.start();
                 return writer;
@@ -140,7 +162,43 @@
         return numbers;
     }
 
-    private static Either<Failure, Long> identity(Path folder, FileAccess files, boolean empty) throws IOException {
+    /**
+     * Writes the first content of the founding group, unless this disk has content or belongs to a later identity. A
+     * crash before the end leaves the identity without the group; nothing was promised under it yet.
+     */
+    private static Optional<Failure> found(
+            Founding founding,
+            long incarnation,
+            Path folder,
+            RecordCodec codec,
+            FileAccess files,
+            Map<Integer, GroupFiles> groups)
+            throws IOException {
+        if (incarnation != founding.incarnation() || groups.containsKey(founding.group())) {
+            return Optional.empty();
+        }
+        Either<Failure, GroupFiles> opened = GroupFiles.open(folder, founding.group(), codec, files);
+        if (opened.isLeft()) {
+            return Optional.of(opened.getLeft());
+        }
+        ReplicaSnapshot first = founding.first();
+        opened.get()
+                .append(List.of(new StorageEffect.WriteLog(founding.group(), 0, first.lastTerm(), "", 0, List.of())));
+        opened.get().force();
+        opened.get()
+                .writeSnapshot(new StorageEffect.WriteSnapshot(
+                        founding.group(),
+                        first.lastIndex(),
+                        first.lastTerm(),
+                        first.voters(),
+                        first.records(),
+                        first.lastIndex() + 1));
+        groups.put(founding.group(), opened.get());
+        return Optional.empty();
+    }
+
+    private static Either<Failure, Long> identity(
+            Path folder, FileAccess files, boolean empty, Optional<Founding> founding) throws IOException {
         Path file = folder.resolve(IDENTITY);
         byte[] bytes = files.read(file);
         if (bytes.length > 0) {
@@ -154,11 +212,7 @@
             // Logs without identity would vote under a new one; that is never right.
             return Either.left(Failure.of(ErrorKind.LOG_CORRUPT, IDENTITY, 0));
         }
-        SecureRandom random = new SecureRandom();
-        long incarnation = 0;
-        while (incarnation == 0) {
-            incarnation = random.nextLong();
-        }
+        long incarnation = founding.map(Founding::incarnation).orElseGet(StorageWriter::randomIncarnation);
         byte[] payload = ByteBuffer.allocate(Long.BYTES).putLong(incarnation).array();
         Path beside = folder.resolve(IDENTITY + ".new");
         files.writeWhole(beside, Records.encode(List.of(payload)));
@@ -166,6 +220,16 @@
         return Either.right(incarnation);
     }
 
+    /** Returns a number that is neither 0, which means no disk, nor that of a first voter. */
+    private static long randomIncarnation() {
+        SecureRandom random = new SecureRandom();
+        long incarnation = 0;
+        while (incarnation == 0 || incarnation == Founding.INCARNATION) {
+            incarnation = random.nextLong();
+        }
+        return incarnation;
+    }
+
     private void run() {
         boolean open = true;
         while (open) {
--- a/src/main/java/org/plantainwharf/transport/Dialer.java
+++ b/src/main/java/org/plantainwharf/transport/Dialer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -19,11 +20,19 @@
     private final InetSocketAddress address;
     private final EventLoop loop;
     private final SplittableRandom random;
+    private final BooleanSupplier linked;
     private long delayMillis = FIRST_DELAY_MILLIS;
     private long openedNanos;
     private boolean stopped;
 
-    Dialer(Bootstrap bootstrap, InetSocketAddress address, EventLoop loop, SplittableRandom random) {
+    /** {@code linked} says whether a link exists already, which the other side may have opened. */
+    Dialer(
+            Bootstrap bootstrap,
+            InetSocketAddress address,
+            EventLoop loop,
+            SplittableRandom random,
+            BooleanSupplier linked) {
+        this.linked = linked;
         this.bootstrap = bootstrap;
         this.address = address;
         this.loop = loop;
@@ -34,6 +43,10 @@
         if (stopped) {
             return;
         }
+        if (linked.getAsBoolean()) {
+            dialLater();
+            return;
+        }
         bootstrap.connect(address).addListener((ChannelFuture connected) -> {
             if (connected.isSuccess()) {
                 openedNanos = System.nanoTime();
--- a/src/main/java/org/plantainwharf/transport/HelloCheck.java
+++ b/src/main/java/org/plantainwharf/transport/HelloCheck.java
@@ -15,21 +15,33 @@
     private final HostId self;
     private final Map<HostId, Settings.HostEntry> hosts;
     private final Optional<HostId> dialled;
+    private final boolean open;
 
-    private HelloCheck(HostId self, Map<HostId, Settings.HostEntry> hosts, Optional<HostId> dialled) {
+    private HelloCheck(HostId self, Map<HostId, Settings.HostEntry> hosts, Optional<HostId> dialled, boolean open) {
         this.self = self;
         this.hosts = hosts;
         this.dialled = dialled;
+        this.open = open;
+    }
+
+    /** Returns the check for links that any daemon may open. */
+    static HelloCheck acceptingAny(HostId self) {
+        return new HelloCheck(self, Map.of(), Optional.empty(), true);
+    }
+
+    /** Returns the check for a link that this host opens to a daemon that was discovered. */
+    static HelloCheck diallingDiscovered(HostId self, HostId peer) {
+        return new HelloCheck(self, Map.of(), Optional.of(peer), true);
     }
 
     /** Returns the check for links that others open. */
     static HelloCheck accepting(Settings settings) {
-        return new HelloCheck(settings.host(), byHost(settings), Optional.empty());
+        return new HelloCheck(settings.host(), byHost(settings), Optional.empty(), false);
     }
 
     /** Returns the check for a link that this host opens to another. */
     static HelloCheck dialling(Settings settings, HostId peer) {
-        return new HelloCheck(settings.host(), byHost(settings), Optional.of(peer));
+        return new HelloCheck(settings.host(), byHost(settings), Optional.of(peer), false);
     }
 
     private static Map<HostId, Settings.HostEntry> byHost(Settings settings) {
@@ -42,6 +54,9 @@
         if (hello.protocolVersion() != Hello.CURRENT_VERSION) {
             return "protocol version " + hello.protocolVersion() + " is not spoken here";
         }
+        if (open) {
+            return openProblem(hello);
+        }
         if (entry == null) {
             return "host is not configured";
         }
@@ -56,4 +71,13 @@
         }
         return "";
     }
+
+    private String openProblem(Hello hello) {
+        if (hello.host().equals(self)) {
+            return "link leads back to this host";
+        }
+        return dialled.isPresent() && !dialled.get().equals(hello.host())
+                ? "address belongs to host " + dialled.get()
+                : "";
+    }
 }
--- a/src/main/java/org/plantainwharf/transport/PeerNetwork.java
+++ b/src/main/java/org/plantainwharf/transport/PeerNetwork.java
@@ -1,12 +1,12 @@
 package org.plantainwharf.transport;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -74,13 +74,20 @@
     private final EventLoopGroup loops;
     private final ChannelGroup channels;
     private final Map<HostId, PeerLink> links = new ConcurrentHashMap<>();
-    private final List<Dialer> dialers = new ArrayList<>();
+    private final PeerPolicy policy;
+    private final Map<HostId, Dialer> dialers = new HashMap<>();
     private volatile int port;
     private volatile boolean closing;
 
     private PeerNetwork(
-            Settings settings, long incarnation, PeerMessageCodec codec, EventSink events, MetricRegistry registry) {
+            Settings settings,
+            PeerPolicy policy,
+            long incarnation,
+            PeerMessageCodec codec,
+            EventSink events,
+            MetricRegistry registry) {
         this.settings = settings;
+        this.policy = policy;
         this.hello = Hello.of(settings.host(), settings.zone(), incarnation);
         this.codec = codec;
         this.events = events;
@@ -99,12 +106,27 @@
      */
     public static PeerNetwork create(
             Settings settings, long incarnation, PeerMessageCodec codec, EventSink events, MetricRegistry registry) {
-        return new PeerNetwork(settings, incarnation, codec, events, registry);
+        return create(settings, new PeerPolicy.Configured(), incarnation, codec, events, registry);
+    }
+
+    /** Returns a network that has not started and links with the daemons that a policy names. */
+    public static PeerNetwork create(
+            Settings settings,
+            PeerPolicy policy,
+            long incarnation,
+            PeerMessageCodec codec,
+            EventSink events,
+            MetricRegistry registry) {
+        return new PeerNetwork(settings, policy, incarnation, codec, events, registry);
     }
 
     /** Listens for other daemons and begins to dial. Returns the port, or a failure when it cannot listen. */
     public Either<Failure, Integer> start() {
-        HelloCheck accepting = HelloCheck.accepting(settings);
+        HelloCheck accepting =
+                switch (policy) {
+                    case PeerPolicy.Configured configured -> HelloCheck.accepting(settings);
+                    case PeerPolicy.Discovered discovered -> HelloCheck.acceptingAny(settings.host());
+                };
         ChannelFuture bound = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
@@ -127,26 +149,52 @@
     }
 
     private void dialAll() {
-        LinkPlan plan = LinkPlan.of(settings.host(), settings.hosts());
-        SplittableRandom random = new SplittableRandom(hello.incarnation());
-        for (Settings.HostEntry entry : settings.hosts()) {
-            if (!plan.peers().contains(entry.host()) || !LinkPlan.dials(settings.host(), entry.host())) {
-                continue;
+        switch (policy) {
+            case PeerPolicy.Configured configured -> {
+                LinkPlan plan = LinkPlan.of(settings.host(), settings.hosts());
+                for (Settings.HostEntry entry : settings.hosts()) {
+                    if (plan.peers().contains(entry.host()) && LinkPlan.dials(settings.host(), entry.host())) {
+                        keepLink(
+                                entry.host(),
+                                entry.peerAddress(),
+                                HelloCheck.dialling(settings, entry.host()),
+                                () -> false);
+                    }
+                }
             }
-            HelloCheck dialling = HelloCheck.dialling(settings, entry.host());
-            Bootstrap bootstrap = new Bootstrap()
-                    .group(loops)
-                    .channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT_MILLIS)
-                    .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
-                    .handler(initializer(() -> new LinkHandler(this, codec, metrics, dialling)));
-            Dialer dialer = new Dialer(bootstrap, address(entry.peerAddress()), loops.next(), random.split());
-            dialers.add(dialer);
-            dialer.dial();
+            case PeerPolicy.Discovered discovered -> discovered.seeds().forEach(this::dialDiscovered);
         }
     }
 
+    /** Either side may open the link of such a pair, so a dialer waits while a link exists. */
+    private void dialDiscovered(HostId peer, String peerAddress) {
+        if (!peer.equals(settings.host())) {
+            keepLink(
+                    peer,
+                    peerAddress,
+                    HelloCheck.diallingDiscovered(settings.host(), peer),
+                    () -> links.containsKey(peer));
+        }
+    }
+
+    /** Dials until the network closes. For the event loop. */
+    private void keepLink(HostId peer, String peerAddress, HelloCheck check, BooleanSupplier linked) {
+        if (dialers.containsKey(peer)) {
+            return;
+        }
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT_MILLIS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .handler(initializer(() -> new LinkHandler(this, codec, metrics, check)));
+        SplittableRandom random = new SplittableRandom(hello.incarnation() ^ peer.hashCode());
+        Dialer dialer = new Dialer(bootstrap, address(peerAddress), loops.next(), random, linked);
+        dialers.put(peer, dialer);
+        dialer.dial();
+    }
+
     private ChannelInitializer<Channel> initializer(Supplier<LinkHandler> handler) {
         return new ChannelInitializer<>() {
             @Override
@@ -182,6 +230,7 @@
                     link.send(send.message());
                 }
             }
+            case PeerEffect.DialPeer dial -> loops.next().execute(() -> dialDiscovered(dial.peer(), dial.address()));
             case PeerEffect.CloseLink close -> {
                 if (link != null) {
                     link.close();
@@ -244,7 +293,7 @@
             return;
         }
         loops.next().execute(() -> {
-            dialers.forEach(Dialer::stop);
+            dialers.values().forEach(Dialer::stop);
             channels.close();
         });
         loops.shutdownGracefully(0, CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly(CLOSE_LIMIT_MILLIS);
--- a/src/test/java/org/plantainwharf/front/CallerFrontTest.java
+++ b/src/test/java/org/plantainwharf/front/CallerFrontTest.java
@@ -497,7 +497,7 @@
 
         @Test
         void failsWithoutConfiguration() throws Exception {
-            view = new BoardView(Optional.empty(), false, new DrainPhase.Serving(), 0);
+            view = new BoardView(Optional.empty(), false, new DrainPhase.Serving(), 0, false, false);
             assertFailure(ErrorKind.CONFIGURATION_MISSING, ask());
             assertFailure(ErrorKind.CONFIGURATION_MISSING, send(chat(GOOD_CHAT)).get());
         }
--- a/src/test/java/org/plantainwharf/front/Fixture.java
+++ b/src/test/java/org/plantainwharf/front/Fixture.java
@@ -70,6 +70,6 @@
 
     /** Returns a view with the sheet in force. */
     public static BoardView view(DrainPhase phase) {
-        return new BoardView(Optional.of(sheet()), false, phase, 0);
+        return new BoardView(Optional.of(sheet()), false, phase, 0, false, false);
     }
 }
