Keep servers until those that replace them have arrived

Cause: the plan gave up reclaimable servers of a zone as soon as an order for more was refused, and ordinary ones as soon as reclaimable ones might be had again, so it replaced running servers by ones that were still starting. Limits refused clumps of requests, since a daemon's bucket held no more than a second of its share.

Change: a zone with a shortage keeps the reclaimable servers that it has; lower numbers are ordered only when nothing is on its way; demand counts prompt tokens that are not cached. Buckets use half of the slack that the limits leave. The log names what decided a refusal over a limit.

Ruled out: shorter intervals between grants, which follow single prompts.

--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -36,7 +36,6 @@
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.forward.ForwardController;
-import org.plantainwharf.forward.ForwardLimits;
 import org.plantainwharf.front.ForwardAddresses;
 import org.plantainwharf.front.ForwardFront;
 import org.plantainwharf.http.ForwardDialect;
@@ -94,7 +93,7 @@
                 DrainController.create(),
                 AllowanceController.create(),
                 UsageController.create(role.windowMillis(), role.usageDueMillis()),
-                ForwardController.create(new ForwardLimits(role.retryShare(), role.retryMinimum())),
+                ForwardController.create(role.limits()),
                 DemandController.create());
         AtomicReference<EffectExecutor> dispatcher = new AtomicReference<>(effect -> {});
         this.control = ControlThread.create(
--- a/src/main/java/org/plantainwharf/daemon/RoleSettings.java
+++ b/src/main/java/org/plantainwharf/daemon/RoleSettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.plantainwharf.forward.ForwardLimits;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.settings.Settings;
 
@@ -14,8 +15,7 @@
  * @param firstVoters the first voters, when the whole system starts for the first time; empty later
  * @param windowMillis length of a usage window
  * @param usageDueMillis time after a window's end at which its report is late
- * @param retryShare repeats allowed on this daemon as a part of the requests to a service
- * @param retryMinimum repeats in ten seconds that this daemon may always send
+ * @param limits what this daemon may spend on repeats and beyond account limits
  * @param readyAddress where the balancer asks whether an entry daemon is ready
  * @param readyPath path of that question
  */
@@ -25,8 +25,7 @@
         List<HostId> firstVoters,
         long windowMillis,
         long usageDueMillis,
-        double retryShare,
-        double retryMinimum,
+        ForwardLimits limits,
         String readyAddress,
         String readyPath) {
     /** Copies the collections. */
--- a/src/main/java/org/plantainwharf/duty/DemandController.java
+++ b/src/main/java/org/plantainwharf/duty/DemandController.java
@@ -23,6 +23,7 @@
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.forward.ForwardCall;
+import org.plantainwharf.forward.PromptShape;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.membership.Member;
 import org.plantainwharf.message.PeerMessage;
@@ -72,10 +73,10 @@
 
     private void count(ForwardCall call) {
         double[] tokens = asked.computeIfAbsent(call.service(), key -> new double[2]);
-        call.head().prompt().ifPresent(prompt -> {
-            tokens[0] += prompt.inputTokens();
-            tokens[1] += prompt.outputTokens();
-        });
+        if (call.state() instanceof ForwardCall.State.Running running) {
+            tokens[0] += running.uncachedTokens();
+        }
+        tokens[1] += call.head().prompt().map(PromptShape::outputTokens).orElse(0L);
     }
 
     private void onTick(Board board, long nowNanos, Effects effects) {
--- a/src/main/java/org/plantainwharf/duty/ScalingController.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingController.java
@@ -55,8 +55,11 @@
     private static final long RESEND_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long FORGET_DEMAND_NANOS = TimeUnit.SECONDS.toNanos(4);
 
-    /** Prompt tokens that one engine should read in a second: half of what it can, as prompts come in clumps. */
-    private static final double PROMPT_TOKENS_PER_SERVER = 50_000;
+    /**
+     * Prompt tokens that one engine should read in a second. Engines of the described kind read 90,000 and more; prompts
+     * come in clumps and delay the tokens of requests beside them.
+     */
+    private static final double PROMPT_TOKENS_PER_SERVER = 40_000;
 
     /** Part of an engine's slots that should be taken; tokens slow down as more requests run. */
     private static final double SLOTS_TAKEN = 0.5;
@@ -171,16 +174,16 @@
             long nowNanos,
             Effects effects) {
         int wanted = kept(service, wanted(service, scaling, board), nowNanos);
-        Set<AvailabilityZone> dry = new HashSet<>();
-        dryUntilNanos.forEach((zone, until) -> {
-            if (nowNanos - until < 0) {
-                dry.add(zone);
-            }
-        });
-        dry.addAll(reclaimedZones(service, board));
-        Map<Pool, Integer> plan = ScalingPlan.of(service.name(), scaling, wanted, BASE_SERVERS, dry);
+        Map<Pool, Integer> plan = ScalingPlan.of(
+                service.name(),
+                scaling,
+                new ScalingPlan.Size(BASE_SERVERS, wanted, wanted + SPARE_SERVERS),
+                shortages(service, board, nowNanos));
+        boolean arriving = arriving(plan, board);
         plan.forEach((pool, servers) -> {
-            if (due(pool, servers, nowNanos)) {
+            // Servers that others replace stay until those have arrived.
+            boolean lower = servers < ready(pool, board);
+            if (due(pool, servers, nowNanos) && !(lower && arriving)) {
                 ordered.put(pool, new Ordered(servers, nowNanos, false, false));
                 effects.log(
                         "order_sent",
@@ -201,18 +204,51 @@
         });
     }
 
-    /** Zones whose reclaimable servers are being taken away. */
-    private static Set<AvailabilityZone> reclaimedZones(ServiceRule service, Board board) {
-        Set<AvailabilityZone> zones = new HashSet<>();
+    /**
+     * Returns the most reclaimable servers to be had in zones where they are short: those that run where an order for
+     * more was refused lately, none where they are being taken away.
+     */
+    private Map<AvailabilityZone, Integer> shortages(ServiceRule service, Board board, long nowNanos) {
+        Map<AvailabilityZone, Integer> most = new HashMap<>();
+        dryUntilNanos.forEach((zone, until) -> {
+            if (nowNanos - until < 0) {
+                most.put(zone, 0);
+            }
+        });
+        Set<AvailabilityZone> reclaimed = new HashSet<>();
         for (KnownServer server : board.registry().servers()) {
-            if (server.report().service().equals(service.name())
-                    && server.report().reclaimable()
-                    && server.report().phase() == ServerPhase.LEAVING
+            if (!server.report().service().equals(service.name())
+                    || !server.report().reclaimable()) {
+                continue;
+            }
+            AvailabilityZone zone = server.report().zone();
+            if (server.ready()) {
+                most.computeIfPresent(zone, (key, count) -> count + 1);
+            } else if (server.report().phase() == ServerPhase.LEAVING
                     && server.report().leavesMillis().isPresent()) {
-                zones.add(server.report().zone());
+                reclaimed.add(zone);
+            }
+        }
+        reclaimed.forEach(zone -> most.put(zone, 0));
+        return most;
+    }
+
+    private static boolean arriving(Map<Pool, Integer> plan, Board board) {
+        return plan.entrySet().stream().anyMatch(entry -> ready(entry.getKey(), board) < entry.getValue());
+    }
+
+    /** Returns the servers of a pool that take work. */
+    private static int ready(Pool pool, Board board) {
+        int count = 0;
+        for (KnownServer server : board.registry().servers()) {
+            boolean belongs = server.report().service().equals(pool.service())
+                    && server.report().zone().equals(pool.zone())
+                    && server.report().reclaimable() == pool.reclaimable();
+            if (belongs && server.ready()) {
+                count++;
             }
         }
-        return zones;
+        return count;
     }
 
     private boolean due(Pool pool, int servers, long nowNanos) {
@@ -240,7 +276,7 @@
         int slots = service.engine().map(ServiceRule.Engine::slots).orElse(1);
         double servers = Math.max(promptTokens / PROMPT_TOKENS_PER_SERVER, requests / (slots * SLOTS_TAKEN));
         int zones = scaling.zonePrices().size();
-        int least = Math.max(zones * scaling.minimum(), (int) Math.ceil(servers) + SPARE_SERVERS);
+        int least = Math.max(zones * scaling.minimum(), (int) Math.ceil(servers));
         return Math.min(least, zones * scaling.maximum());
     }
 
--- a/src/main/java/org/plantainwharf/duty/ScalingPlan.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingPlan.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.plantainwharf.document.ServiceRule;
 import org.plantainwharf.identity.AvailabilityZone;
@@ -22,14 +21,22 @@
     private ScalingPlan() {}
 
     /**
-     * Returns the number of servers for each pool.
+     * Numbers of servers wanted. Immutable.
      *
-     * @param wanted servers in total
      * @param base ordinary servers that are always kept
-     * @param dry zones where reclaimable servers are not to be had now
+     * @param least servers of any kind that the demand needs
+     * @param best servers worth having while reclaimable ones are to be had
+     */
+    record Size(int base, int least, int best) {}
+
+    /**
+     * Returns the number of servers for each pool.
+     *
+     * @param size numbers of servers wanted
+     * @param most reclaimable servers that can be had at most, for zones where they are short
      */
     static Map<Pool, Integer> of(
-            ServiceName service, ServiceRule.Scaling scaling, int wanted, int base, Set<AvailabilityZone> dry) {
+            ServiceName service, ServiceRule.Scaling scaling, Size size, Map<AvailabilityZone, Integer> most) {
         List<AvailabilityZone> cheapestFirst =
                 new ArrayList<>(scaling.zonePrices().keySet());
         cheapestFirst.sort(Comparator.<AvailabilityZone>comparingDouble(
@@ -39,20 +46,19 @@
         Map<AvailabilityZone, Integer> reclaimable = new HashMap<>();
         int placed = 0;
         for (AvailabilityZone zone : cheapestFirst) {
-            if (placed < base) {
+            if (placed < size.base()) {
                 placed += add(ordinary, zone, 1);
             }
         }
         for (AvailabilityZone zone : cheapestFirst) {
             int missing = scaling.minimum() - ordinary.getOrDefault(zone, 0);
             if (missing > 0) {
-                placed += add(dry.contains(zone) ? ordinary : reclaimable, zone, missing);
+                int cheap = Math.min(missing, most.getOrDefault(zone, missing));
+                placed += add(reclaimable, zone, cheap) + add(ordinary, zone, missing - cheap);
             }
         }
-        List<AvailabilityZone> wet =
-                cheapestFirst.stream().filter(zone -> !dry.contains(zone)).toList();
-        placed = fill(wet, reclaimable, ordinary, reclaimable, scaling.maximum(), placed, wanted);
-        fill(cheapestFirst, ordinary, ordinary, reclaimable, scaling.maximum(), placed, wanted);
+        placed = fill(cheapestFirst, reclaimable, ordinary, reclaimable, scaling.maximum(), most, placed, size.best());
+        fill(cheapestFirst, ordinary, ordinary, reclaimable, scaling.maximum(), Map.of(), placed, size.least());
         Map<Pool, Integer> plan = new LinkedHashMap<>();
         for (AvailabilityZone zone : cheapestFirst) {
             plan.put(new Pool(service, zone, false), ordinary.getOrDefault(zone, 0));
@@ -68,12 +74,14 @@
             Map<AvailabilityZone, Integer> ordinary,
             Map<AvailabilityZone, Integer> reclaimable,
             int maximum,
+            Map<AvailabilityZone, Integer> most,
             int placed,
             int wanted) {
         int count = placed;
         while (count < wanted) {
             AvailabilityZone emptiest = zones.stream()
                     .filter(zone -> sum(zone, ordinary, reclaimable) < maximum)
+                    .filter(zone -> kind.getOrDefault(zone, 0) < most.getOrDefault(zone, maximum))
                     .min(Comparator.comparingInt(zone -> sum(zone, ordinary, reclaimable)))
                     .orElse(null);
             if (emptiest == null) {
--- a/src/main/java/org/plantainwharf/error/ErrorKind.java
+++ b/src/main/java/org/plantainwharf/error/ErrorKind.java
@@ -49,7 +49,6 @@
     SHEET_VERSION_CONFLICT(409, Ran.NO, false, "sheet version %s is in force with digest %s"),
     SHEET_VERSION_STALE(409, Ran.NO, false, "sheet version %s is older than version %s in force"),
     DOCUMENT_INVALID(422, Ran.NO, false, "document has errors: %s"),
-    ANSWER_TIMEOUT(504, Ran.UNKNOWN, true, "no answer within the time of the request"),
     SETTINGS_INVALID(422, Ran.NO, false, "settings have errors: %s"),
     FRAME_INVALID(400, Ran.NO, false, "frame from peer cannot be decoded: %s"),
     STORAGE_FAILED(500, Ran.NO, false, "storage failed: %s"),
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -44,6 +44,9 @@
     /** Longest time that a caller is told to wait; a free server is usually there within it. */
     private static final long LONGEST_RETRY_AFTER_MILLIS = 1_000;
 
+    /** Shortest time that a caller over its limit is told to wait. */
+    private static final long LEAST_RETRY_AFTER_MILLIS = 100;
+
     /** Callers wait at most a third of the time they have left. */
     private static final int RETRY_AFTER_PART = 3;
 
@@ -124,12 +127,7 @@
         }
         ForwardCall call = accept(arrived, route.get(), account, board);
         if (account.isPresent() && account.get().limited() && !takeAllowance(account.get(), call, board, nowNanos)) {
-            long wait = bucket(account.get(), board, nowNanos).millisUntilOpen(share(account.get(), board, nowNanos));
-            refuse(
-                    arrived,
-                    Failure.of(ErrorKind.ACCOUNT_LIMIT_EXCEEDED, account.get().name())
-                            .withRetryAfter(retryAfter(head, Math.max(wait, 100))),
-                    effects);
+            refuseOverLimit(arrived, account.get(), call, board, nowNanos, effects);
             return;
         }
         board.forward().put(call);
@@ -167,19 +165,51 @@
         return route.split().getLast().service();
     }
 
+    private void refuseOverLimit(
+            ForwardEvent.ForwardArrived arrived,
+            AccountRule account,
+            ForwardCall call,
+            Board board,
+            long nowNanos,
+            Effects effects) {
+        double share = share(account, board, nowNanos);
+        long wait = bucket(account, board, nowNanos).millisUntilOpen(share);
+        effects.log(
+                "limit_reached",
+                "request",
+                arrived.head().requestId(),
+                "account",
+                account.name(),
+                "cost",
+                call.terms().tokens(),
+                "limit",
+                account.ratePerSecond(),
+                "share",
+                share,
+                "wait_ms",
+                wait,
+                "version",
+                board.documents().version());
+        refuse(
+                arrived,
+                Failure.of(ErrorKind.ACCOUNT_LIMIT_EXCEEDED, account.name())
+                        .withRetryAfter(retryAfter(arrived.head(), Math.max(wait, LEAST_RETRY_AFTER_MILLIS))),
+                effects);
+    }
+
     private static double share(AccountRule account, Board board, long nowNanos) {
         return board.allowances().share(account.name(), account.ratePerSecond(), nowNanos);
     }
 
-    private static AccountBucket bucket(AccountRule account, Board board, long nowNanos) {
+    private AccountBucket bucket(AccountRule account, Board board, long nowNanos) {
         double share = share(account, board, nowNanos);
-        double burst = account.burst() * share / account.ratePerSecond();
+        double burst = limits.depth(account.ratePerSecond(), account.burst()) * share / account.ratePerSecond();
         AccountBucket bucket = board.forward().bucket(account.name(), share, burst, nowNanos);
         bucket.refill(share, burst, nowNanos);
         return bucket;
     }
 
-    private static boolean takeAllowance(AccountRule account, ForwardCall call, Board board, long nowNanos) {
+    private boolean takeAllowance(AccountRule account, ForwardCall call, Board board, long nowNanos) {
         return bucket(account, board, nowNanos).tryTake(call.terms().tokens());
     }
 
@@ -204,7 +234,7 @@
     /** Sends a request to the best server, or ends it when there is none. */
     private void send(ForwardCall call, Board board, long nowNanos, Effects effects) {
         if (call.remainingMillis(nowNanos) < LEAST_REMAINING_MILLIS) {
-            finish(call, Failure.of(ErrorKind.ANSWER_TIMEOUT), board, effects);
+            finish(call, Failure.of(ErrorKind.DEADLINE_EXCEEDED), board, effects);
             return;
         }
         Optional<ServerChoice.Candidate> chosen = ServerChoice.best(
@@ -448,7 +478,7 @@
         Failure truthful = failure;
         if (call.mayHaveRun() > 0 && failure.ran() == Ran.NO) {
             truthful = Failure.of(ErrorKind.SERVER_FAILED, "an attempt may have run");
-        } else if (call.mayHaveRun() == 0 && failure.kind() == ErrorKind.ANSWER_TIMEOUT && call.attempts() == 0) {
+        } else if (call.mayHaveRun() == 0 && failure.kind() == ErrorKind.DEADLINE_EXCEEDED && call.attempts() == 0) {
             truthful = Failure.of(ErrorKind.QUEUE_TIMEOUT);
         }
         effects.log(
@@ -477,7 +507,8 @@
                 effects.add(
                         running.begun()
                                 ? new ForwardEffect.BreakForward(call.ticket())
-                                : new ForwardEffect.RefuseForward(call.ticket(), Failure.of(ErrorKind.ANSWER_TIMEOUT)));
+                                : new ForwardEffect.RefuseForward(
+                                        call.ticket(), Failure.of(ErrorKind.DEADLINE_EXCEEDED)));
                 effects.log(
                         "request_timed_out",
                         "request",
--- a/src/main/java/org/plantainwharf/limit/AllowanceController.java
+++ b/src/main/java/org/plantainwharf/limit/AllowanceController.java
@@ -50,12 +50,15 @@
     /** A daemon that was not heard for this long no longer holds a valid grant. */
     private static final long FORGET_NANOS = TimeUnit.MILLISECONDS.toNanos(VALID_MILLIS + 500);
 
-    /** Weight of the newest half second in the demand; it follows a jump within two seconds. */
-    private static final double DEMAND_WEIGHT = 0.4;
+    /** Weight of the newest half second in the demand; a daemon gets some requests of an account in a second. */
+    private static final double DEMAND_WEIGHT = 0.15;
 
     /** Room above the present demand, so that growth within a period is not refused. */
     private static final double HEADROOM = 1.5;
 
+    /** Part of a limit that is always spread evenly, so that a jump meets a share wherever it lands. */
+    private static final double EVEN_PART = 0.25;
+
     private final Map<AccountName, Double> asked = new HashMap<>();
     private final Map<AccountName, Double> demand = new HashMap<>();
     private long nextNanos;
@@ -166,8 +169,7 @@
         for (HostId host : hosts) {
             wanted += HEADROOM * perSecond(demands, host, account.name());
         }
-        // A twentieth is always spread evenly, so that a first request meets a share wherever it lands.
-        double scale = wanted <= 0 ? 0 : Math.min(1, 0.95 * limit / wanted);
+        double scale = wanted <= 0 ? 0 : Math.min(1, (1 - EVEN_PART) * limit / wanted);
         double rest = (limit - wanted * scale) / hosts.size();
         for (HostId host : hosts) {
             double share = wanted <= 0 ? even : HEADROOM * perSecond(demands, host, account.name()) * scale + rest;
--- a/src/main/java/org/plantainwharf/message/ServiceDemand.java
+++ b/src/main/java/org/plantainwharf/message/ServiceDemand.java
@@ -5,7 +5,7 @@
  *
  * @param inFlight requests sent to the service's servers and not ended
  * @param waiting requests that wait here for a server
- * @param promptTokensPerSecond rate of prompt tokens of arriving requests
+ * @param promptTokensPerSecond rate of prompt tokens that servers probably have to read
  * @param outputTokensPerSecond rate of output tokens that arriving requests may ask for
  */
 public record ServiceDemand(
--- a/src/main/java/org/plantainwharf/platform/PlatformSettings.java
+++ b/src/main/java/org/plantainwharf/platform/PlatformSettings.java
@@ -53,9 +53,19 @@
      * @param retryFloor repeats over all daemons that are always allowed in a window
      * @param usageWindowMillis length of a usage window
      * @param usageDueMillis time after a window's end at which its report is late
+     * @param limitWindowSeconds span over which account limits are judged
+     * @param limitOverrun part of a limit by which all daemons together may pass it in a window
+     * @param limitSlack tokens or requests by which they may pass it besides
      */
     record Bounds(
-            long graceMillis, double retryShare, double retryFloor, long usageWindowMillis, long usageDueMillis) {}
+            long graceMillis,
+            double retryShare,
+            double retryFloor,
+            long usageWindowMillis,
+            long usageDueMillis,
+            double limitWindowSeconds,
+            double limitOverrun,
+            double limitSlack) {}
 
     /** Reads rendered settings; every problem is reported in one go. */
     static Either<Failure, PlatformSettings> parse(String text) {
@@ -91,7 +101,10 @@
                         bounds.path("retry_budget_ratio").asDouble(0.1),
                         bounds.path("retry_budget_floor").asDouble(10),
                         (long) (bounds.path("report_window_s").asDouble(5) * 1_000),
-                        (long) (bounds.path("usage_late_s").asDouble(10) * 1_000)));
+                        (long) (bounds.path("usage_late_s").asDouble(10) * 1_000),
+                        bounds.path("quota_window_s").asDouble(8),
+                        bounds.path("quota_overrun").asDouble(0),
+                        bounds.path("quota_slack").asDouble(0)));
         if (settings.callerAddress().isEmpty() && settings.controlAddress().isEmpty()) {
             reader.problem("listen", "must have frontend or control_plane");
         }
--- a/src/main/java/org/plantainwharf/platform/RoleMapping.java
+++ b/src/main/java/org/plantainwharf/platform/RoleMapping.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 
 import org.plantainwharf.daemon.RoleSettings;
+import org.plantainwharf.forward.ForwardLimits;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.HostClass;
 import org.plantainwharf.identity.HostId;
@@ -80,8 +81,12 @@
                 platform.firstStart() ? List.copyOf(seeds.keySet()) : List.of(),
                 platform.bounds().usageWindowMillis(),
                 platform.bounds().usageDueMillis(),
-                platform.bounds().retryShare() * RETRY_SHARE_MARGIN,
-                platform.bounds().retryFloor() * RETRY_FLOOR_PART,
+                new ForwardLimits(
+                        platform.bounds().retryShare() * RETRY_SHARE_MARGIN,
+                        platform.bounds().retryFloor() * RETRY_FLOOR_PART,
+                        platform.bounds().limitWindowSeconds(),
+                        platform.bounds().limitOverrun(),
+                        platform.bounds().limitSlack()),
                 platform.readyAddress().orElse(""),
                 WireNames.READY_PATH);
     }
--- a/src/test/java/org/plantainwharf/codec/RandomValues.java
+++ b/src/test/java/org/plantainwharf/codec/RandomValues.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 
@@ -66,6 +67,8 @@
             byte[] bytes = new byte[random.nextInt(64)];
             random.nextBytes(bytes);
             return Content.of("application/json", bytes);
+        } else if (plain == OptionalLong.class) {
+            return random.nextBoolean() ? OptionalLong.empty() : OptionalLong.of(random.nextLong());
         } else if (plain.isEnum()) {
             Object[] constants = plain.getEnumConstants();
             return constants[random.nextInt(constants.length)];
