Fill up with ordinary servers only what reclaimable ones lack

Cause: a refused order made the plan move servers between zones and kinds each few seconds; a number below what ran was accepted at the start and bounded there by the zone's minimum, so ordinary servers stayed.

Change: the plan starts from what runs and what is on its way. Reclaimable servers are spread evenly with three to spare, ordinary ones fill up the rest and stay where they run. A number that is accepted but not reached is ordered again.

--- a/src/main/java/org/plantainwharf/duty/DemandController.java
+++ b/src/main/java/org/plantainwharf/duty/DemandController.java
@@ -37,7 +37,7 @@
     private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Weight of the newest half second; prompts come in clumps, so single ones must not order servers. */
-    private static final double WEIGHT = 0.25;
+    private static final double WEIGHT = 0.12;
 
     private final Map<ServiceName, double[]> asked = new HashMap<>();
     private final Map<ServiceName, double[]> rates = new HashMap<>();
--- a/src/main/java/org/plantainwharf/duty/ScalingController.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingController.java
@@ -53,13 +53,17 @@
     private static final long LATE_NANOS = TimeUnit.SECONDS.toNanos(13);
 
     private static final long RESEND_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** Time beyond a server's start after which an order that is not reached is sent again; servers report each second. */
+    private static final long REACHED_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     private static final long FORGET_DEMAND_NANOS = TimeUnit.SECONDS.toNanos(4);
 
     /**
      * Prompt tokens that one engine should read in a second. Engines of the described kind read 90,000 and more; prompts
      * come in clumps and delay the tokens of requests beside them.
      */
-    private static final double PROMPT_TOKENS_PER_SERVER = 40_000;
+    private static final double PROMPT_TOKENS_PER_SERVER = 50_000;
 
     /** Part of an engine's slots that should be taken; tokens slow down as more requests run. */
     private static final double SLOTS_TAKEN = 0.5;
@@ -67,8 +71,8 @@
     /** Ordinary servers that are always kept. */
     private static final int BASE_SERVERS = 1;
 
-    /** Servers beyond the present demand, for the reclaim of a zone. */
-    private static final int SPARE_SERVERS = 1;
+    /** Reclaimable servers beyond the present demand, for the reclaim of a zone and for clumps of prompts. */
+    private static final int SPARE_SERVERS = 3;
 
     private final Map<Pool, Ordered> ordered = new HashMap<>();
     private final Map<AvailabilityZone, Long> dryUntilNanos = new HashMap<>();
@@ -174,16 +178,15 @@
             long nowNanos,
             Effects effects) {
         int wanted = kept(service, wanted(service, scaling, board), nowNanos);
+        long bootNanos = TimeUnit.MILLISECONDS.toNanos(scaling.bootMillis());
         Map<Pool, Integer> plan = ScalingPlan.of(
                 service.name(),
                 scaling,
                 new ScalingPlan.Size(BASE_SERVERS, wanted, wanted + SPARE_SERVERS),
-                shortages(service, board, nowNanos));
-        boolean arriving = arriving(plan, board);
+                state(service, board, bootNanos, nowNanos));
         plan.forEach((pool, servers) -> {
-            // Servers that others replace stay until those have arrived.
-            boolean lower = servers < ready(pool, board);
-            if (due(pool, servers, nowNanos) && !(lower && arriving)) {
+            int ready = ready(pool, board);
+            if (due(pool, servers, ready, bootNanos, nowNanos)) {
                 ordered.put(pool, new Ordered(servers, nowNanos, false, false));
                 effects.log(
                         "order_sent",
@@ -204,37 +207,39 @@
         });
     }
 
-    /**
-     * Returns the most reclaimable servers to be had in zones where they are short: those that run where an order for
-     * more was refused lately, none where they are being taken away.
-     */
-    private Map<AvailabilityZone, Integer> shortages(ServiceRule service, Board board, long nowNanos) {
-        Map<AvailabilityZone, Integer> most = new HashMap<>();
-        dryUntilNanos.forEach((zone, until) -> {
-            if (nowNanos - until < 0) {
-                most.put(zone, 0);
-            }
-        });
+    private ScalingPlan.State state(ServiceRule service, Board board, long bootNanos, long nowNanos) {
+        Map<AvailabilityZone, Integer> ordinary = new HashMap<>();
+        Map<AvailabilityZone, Integer> reclaimable = new HashMap<>();
         Set<AvailabilityZone> reclaimed = new HashSet<>();
         for (KnownServer server : board.registry().servers()) {
-            if (!server.report().service().equals(service.name())
-                    || !server.report().reclaimable()) {
+            if (!server.report().service().equals(service.name())) {
                 continue;
             }
             AvailabilityZone zone = server.report().zone();
             if (server.ready()) {
-                most.computeIfPresent(zone, (key, count) -> count + 1);
-            } else if (server.report().phase() == ServerPhase.LEAVING
+                (server.report().reclaimable() ? reclaimable : ordinary).merge(zone, 1, Integer::sum);
+            } else if (server.report().reclaimable()
+                    && server.report().phase() == ServerPhase.LEAVING
                     && server.report().leavesMillis().isPresent()) {
                 reclaimed.add(zone);
             }
         }
+        Map<AvailabilityZone, Integer> most = new HashMap<>();
+        dryUntilNanos.forEach((zone, until) -> {
+            if (nowNanos - until < 0) {
+                most.put(zone, reclaimable.getOrDefault(zone, 0));
+            }
+        });
         reclaimed.forEach(zone -> most.put(zone, 0));
-        return most;
-    }
-
-    private static boolean arriving(Map<Pool, Integer> plan, Board board) {
-        return plan.entrySet().stream().anyMatch(entry -> ready(entry.getKey(), board) < entry.getValue());
+        Map<AvailabilityZone, Integer> arriving = new HashMap<>();
+        ordered.forEach((pool, order) -> {
+            boolean fresh = nowNanos - order.sentNanos() < bootNanos + REACHED_NANOS;
+            if (pool.service().equals(service.name()) && pool.reclaimable() && fresh) {
+                int coming = order.servers() - reclaimable.getOrDefault(pool.zone(), 0);
+                arriving.put(pool.zone(), Math.max(0, coming));
+            }
+        });
+        return new ScalingPlan.State(ordinary, reclaimable, arriving, most);
     }
 
     /** Returns the servers of a pool that take work. */
@@ -251,15 +256,23 @@
         return count;
     }
 
-    private boolean due(Pool pool, int servers, long nowNanos) {
+    /**
+     * Says whether a number is to be ordered. A number that the cloud API accepted may still not be reached: it is
+     * bounded there by what runs at that moment, and an earlier order may be carried out late.
+     */
+    private boolean due(Pool pool, int servers, int ready, long bootNanos, long nowNanos) {
         @Nullable Ordered order = ordered.get(pool);
-        if (order == null || order.servers() != servers) {
+        if (order == null) {
+            return servers != ready;
+        }
+        if (order.servers() != servers) {
             return true;
         }
+        long since = nowNanos - order.sentNanos();
         if (!order.settled()) {
-            return nowNanos - order.sentNanos() >= RESEND_NANOS;
+            return since >= RESEND_NANOS;
         }
-        return order.uncertain() && nowNanos - order.sentNanos() >= LATE_NANOS;
+        return order.uncertain() && since >= LATE_NANOS || servers != ready && since >= bootNanos + REACHED_NANOS;
     }
 
     /** Returns the servers that the present demand asks for. */
--- a/src/main/java/org/plantainwharf/duty/ScalingPlan.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingPlan.java
@@ -6,19 +6,25 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.plantainwharf.document.ServiceRule;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.ServiceName;
 
 /**
- * Spreads a number of servers over zones and kinds at the least price. A small base of ordinary servers in the cheapest
- * zones outlives the reclaim of all others; the rest is reclaimable, spread evenly so that one zone's reclaim takes a
- * small part, and ordinary where reclaimable ones are not to be had. Both kinds together stay between the bounds of
- * each zone. Stateless.
+ * Spreads servers over zones and kinds at the least price. Reclaimable servers are spread evenly, so that one zone's
+ * reclaim takes a small part; where they are short, those that run stay. Ordinary servers fill up what the demand needs
+ * beyond the reclaimable ones that run or are on their way, and a small base of them outlives the reclaim of all others.
+ * Ordinary servers that run are kept in their place, and are given up only for reclaimable ones that run. Both kinds
+ * together stay between the bounds of each zone. Used by one thread.
  */
 final class ScalingPlan {
-    private ScalingPlan() {}
+    private final ServiceRule.Scaling scaling;
+    private final State state;
+    private final List<AvailabilityZone> cheapestFirst;
+    private final Map<AvailabilityZone, Integer> ordinary = new HashMap<>();
+    private final Map<AvailabilityZone, Integer> reclaimable = new HashMap<>();
 
     /**
      * Numbers of servers wanted. Immutable.
@@ -30,77 +36,98 @@
     record Size(int base, int least, int best) {}
 
     /**
-     * Returns the number of servers for each pool.
+     * What runs now. Immutable.
      *
-     * @param size numbers of servers wanted
+     * @param ordinary ordinary servers that take work, by zone
+     * @param reclaimable reclaimable servers that take work, by zone
+     * @param arriving reclaimable servers on their way, by zone
      * @param most reclaimable servers that can be had at most, for zones where they are short
      */
-    static Map<Pool, Integer> of(
-            ServiceName service, ServiceRule.Scaling scaling, Size size, Map<AvailabilityZone, Integer> most) {
-        List<AvailabilityZone> cheapestFirst =
-                new ArrayList<>(scaling.zonePrices().keySet());
-        cheapestFirst.sort(Comparator.<AvailabilityZone>comparingDouble(
+    record State(
+            Map<AvailabilityZone, Integer> ordinary,
+            Map<AvailabilityZone, Integer> reclaimable,
+            Map<AvailabilityZone, Integer> arriving,
+            Map<AvailabilityZone, Integer> most) {}
+
+    private ScalingPlan(ServiceRule.Scaling scaling, State state) {
+        this.scaling = scaling;
+        this.state = state;
+        this.cheapestFirst = new ArrayList<>(scaling.zonePrices().keySet());
+        this.cheapestFirst.sort(Comparator.<AvailabilityZone>comparingDouble(
                         zone -> scaling.zonePrices().getOrDefault(zone, 1.0))
                 .thenComparing(AvailabilityZone::value));
-        Map<AvailabilityZone, Integer> ordinary = new HashMap<>();
-        Map<AvailabilityZone, Integer> reclaimable = new HashMap<>();
-        int placed = 0;
-        for (AvailabilityZone zone : cheapestFirst) {
-            if (placed < size.base()) {
-                placed += add(ordinary, zone, 1);
+    }
+
+    /** Returns the number of servers for each pool. */
+    static Map<Pool, Integer> of(ServiceName service, ServiceRule.Scaling scaling, Size size, State state) {
+        ScalingPlan plan = new ScalingPlan(scaling, state);
+        plan.spreadReclaimable(size.best() - size.base());
+        plan.placeOrdinary(size);
+        Map<Pool, Integer> pools = new LinkedHashMap<>();
+        for (AvailabilityZone zone : plan.cheapestFirst) {
+            pools.put(new Pool(service, zone, false), plan.ordinary.getOrDefault(zone, 0));
+            pools.put(new Pool(service, zone, true), plan.reclaimable.getOrDefault(zone, 0));
+        }
+        return pools;
+    }
+
+    /** Gives every zone the same number, the cheapest ones one more, and takes away what is not to be had. */
+    private void spreadReclaimable(int total) {
+        for (int placed = 0; placed < total; placed++) {
+            Optional<AvailabilityZone> emptiest = cheapestFirst.stream()
+                    .filter(zone -> reclaimable.getOrDefault(zone, 0) < scaling.maximum())
+                    .min(Comparator.comparingInt(zone -> reclaimable.getOrDefault(zone, 0)));
+            if (emptiest.isEmpty()) {
+                break;
             }
+            reclaimable.merge(emptiest.get(), 1, Integer::sum);
         }
+        state.most().forEach((zone, most) -> reclaimable.computeIfPresent(zone, (key, count) -> Math.min(count, most)));
+    }
+
+    private void placeOrdinary(Size size) {
         for (AvailabilityZone zone : cheapestFirst) {
-            int missing = scaling.minimum() - ordinary.getOrDefault(zone, 0);
-            if (missing > 0) {
-                int cheap = Math.min(missing, most.getOrDefault(zone, missing));
-                placed += add(reclaimable, zone, cheap) + add(ordinary, zone, missing - cheap);
-            }
+            int cheap = Math.min(reclaimable.getOrDefault(zone, 0), running(zone) + arriving(zone));
+            place(zone, scaling.minimum() - cheap);
         }
-        placed = fill(cheapestFirst, reclaimable, ordinary, reclaimable, scaling.maximum(), most, placed, size.best());
-        fill(cheapestFirst, ordinary, ordinary, reclaimable, scaling.maximum(), Map.of(), placed, size.least());
-        Map<Pool, Integer> plan = new LinkedHashMap<>();
+        int running = cheapestFirst.stream().mapToInt(this::running).sum();
+        int arriving = cheapestFirst.stream().mapToInt(this::arriving).sum();
+        int kept =
+                state.ordinary().values().stream().mapToInt(Integer::intValue).sum();
+        int wanted = Math.max(size.base(), size.least() - running - arriving);
+        int total = wanted < kept ? Math.min(kept, Math.max(size.base(), size.least() - running)) : wanted;
         for (AvailabilityZone zone : cheapestFirst) {
-            plan.put(new Pool(service, zone, false), ordinary.getOrDefault(zone, 0));
-            plan.put(new Pool(service, zone, true), reclaimable.getOrDefault(zone, 0));
+            place(zone, Math.min(state.ordinary().getOrDefault(zone, 0), placed(zone) + total - placed()));
         }
-        return plan;
-    }
-
-    /** Adds servers of one kind, always in the zone that has the fewest of both kinds and room. */
-    private static int fill(
-            List<AvailabilityZone> zones,
-            Map<AvailabilityZone, Integer> kind,
-            Map<AvailabilityZone, Integer> ordinary,
-            Map<AvailabilityZone, Integer> reclaimable,
-            int maximum,
-            Map<AvailabilityZone, Integer> most,
-            int placed,
-            int wanted) {
-        int count = placed;
-        while (count < wanted) {
-            AvailabilityZone emptiest = zones.stream()
-                    .filter(zone -> sum(zone, ordinary, reclaimable) < maximum)
-                    .filter(zone -> kind.getOrDefault(zone, 0) < most.getOrDefault(zone, maximum))
-                    .min(Comparator.comparingInt(zone -> sum(zone, ordinary, reclaimable)))
-                    .orElse(null);
-            if (emptiest == null) {
-                return count;
+        while (placed() < total) {
+            Optional<AvailabilityZone> emptiest = cheapestFirst.stream()
+                    .filter(zone -> placed(zone) + reclaimable.getOrDefault(zone, 0) < scaling.maximum())
+                    .min(Comparator.comparingInt(zone -> placed(zone) + reclaimable.getOrDefault(zone, 0)));
+            if (emptiest.isEmpty()) {
+                return;
             }
-            count += add(kind, emptiest, 1);
+            place(emptiest.get(), placed(emptiest.get()) + 1);
         }
-        return count;
     }
 
-    private static int sum(
-            AvailabilityZone zone,
-            Map<AvailabilityZone, Integer> ordinary,
-            Map<AvailabilityZone, Integer> reclaimable) {
-        return ordinary.getOrDefault(zone, 0) + reclaimable.getOrDefault(zone, 0);
+    /** Raises a zone's ordinary servers to a number. */
+    private void place(AvailabilityZone zone, int number) {
+        ordinary.merge(zone, Math.max(0, number), Math::max);
+    }
+
+    private int placed(AvailabilityZone zone) {
+        return ordinary.getOrDefault(zone, 0);
+    }
+
+    private int placed() {
+        return ordinary.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    private int running(AvailabilityZone zone) {
+        return state.reclaimable().getOrDefault(zone, 0);
     }
 
-    private static int add(Map<AvailabilityZone, Integer> counts, AvailabilityZone zone, int number) {
-        counts.merge(zone, number, Integer::sum);
-        return number;
+    private int arriving(AvailabilityZone zone) {
+        return state.arriving().getOrDefault(zone, 0);
     }
 }
