--- a/src/main/java/org/plantainwharf/duty/ScalingPlan.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingPlan.java
@@ -63,6 +63,7 @@
         ScalingPlan plan = new ScalingPlan(scaling, state);
         plan.spreadReclaimable(size.best() - size.base());
         plan.placeOrdinary(size);
+        plan.keepMaximum();
         Map<Pool, Integer> pools = new LinkedHashMap<>();
         for (AvailabilityZone zone : plan.cheapestFirst) {
             pools.put(new Pool(service, zone, false), plan.ordinary.getOrDefault(zone, 0));
@@ -110,6 +111,11 @@
         }
     }
 
+    /** Ordinary servers go first where both kinds do not fit. */
+    private void keepMaximum() {
+        reclaimable.replaceAll((zone, count) -> Math.max(0, Math.min(count, scaling.maximum() - placed(zone))));
+    }
+
     /** Raises a zone's ordinary servers to a number. */
     private void place(AvailabilityZone zone, int number) {
         ordinary.merge(zone, Math.max(0, number), Math::max);
--- a/src/main/java/org/plantainwharf/platform/FieldReader.java
+++ b/src/main/java/org/plantainwharf/platform/FieldReader.java
@@ -14,11 +14,13 @@
     private final JsonNode node;
     private final String path;
     private final List<String> problems;
+    private final int problemsBefore;
 
     private FieldReader(JsonNode node, String path, List<String> problems) {
         this.node = node;
         this.path = path;
         this.problems = problems;
+        this.problemsBefore = problems.size();
     }
 
     static FieldReader of(JsonNode node) {
@@ -107,7 +109,8 @@
                 : Either.left(Failure.of(kind, String.join("; ", problems)));
     }
 
+    /** Says whether no problem was found in this object so far, whatever was found in others. */
     boolean sound() {
-        return problems.isEmpty();
+        return problems.size() == problemsBefore;
     }
 }
--- /dev/null
+++ b/src/test/java/org/plantainwharf/duty/ScalingPlanTest.java
@@ -0,0 +1,98 @@
+package org.plantainwharf.duty;
+
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.plantainwharf.document.ServiceRule;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.ServiceName;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class ScalingPlanTest {
+    private static final AvailabilityZone A = AvailabilityZone.of("zone-a");
+    private static final AvailabilityZone B = AvailabilityZone.of("zone-b");
+    private static final AvailabilityZone C = AvailabilityZone.of("zone-c");
+    private static final ServiceName SERVICE = ServiceName.of("engine");
+    private static final ServiceRule.Scaling SCALING =
+            new ServiceRule.Scaling(1, 4, 4_000, 0.18, Map.of(A, 1.0, B, 0.8, C, 1.25));
+
+    private static Map<Pool, Integer> plan(ScalingPlan.Size size, ScalingPlan.State state) {
+        return ScalingPlan.of(SERVICE, SCALING, size, state);
+    }
+
+    private static ScalingPlan.State running(
+            Map<AvailabilityZone, Integer> ordinary,
+            Map<AvailabilityZone, Integer> reclaimable,
+            Map<AvailabilityZone, Integer> most) {
+        return new ScalingPlan.State(ordinary, reclaimable, Map.of(), most);
+    }
+
+    private static int number(Map<Pool, Integer> plan, AvailabilityZone zone, boolean reclaimable) {
+        return plan.getOrDefault(new Pool(SERVICE, zone, reclaimable), 0);
+    }
+
+    private static int sum(Map<Pool, Integer> plan, boolean reclaimable) {
+        return plan.entrySet().stream()
+                .filter(entry -> entry.getKey().reclaimable() == reclaimable)
+                .mapToInt(Map.Entry::getValue)
+                .sum();
+    }
+
+    @Nested
+    class ReclaimableServers {
+        @Test
+        void areSpreadSoThatOneReclaimTakesASmallPart() {
+            Map<Pool, Integer> plan =
+                    plan(new ScalingPlan.Size(1, 4, 7), running(Map.of(B, 1), Map.of(A, 2, B, 2, C, 2), Map.of()));
+            assertEquals(2, number(plan, A, true));
+            assertEquals(2, number(plan, B, true));
+            assertEquals(2, number(plan, C, true));
+            assertEquals(1, sum(plan, false));
+        }
+
+        @Test
+        void thatRunStayWhereMoreAreRefused() {
+            Map<Pool, Integer> plan =
+                    plan(new ScalingPlan.Size(1, 4, 7), running(Map.of(B, 1), Map.of(A, 1, B, 1, C, 1), Map.of(A, 1)));
+            assertEquals(1, number(plan, A, true));
+            assertEquals(2, number(plan, C, true));
+        }
+    }
+
+    @Nested
+    class OrdinaryServers {
+        @Test
+        void replaceReclaimableOnesThatAreTakenAway() {
+            Map<Pool, Integer> plan =
+                    plan(new ScalingPlan.Size(1, 4, 7), running(Map.of(B, 1), Map.of(B, 1), Map.of(A, 0, B, 1, C, 0)));
+            assertTrue(sum(plan, false) >= 3, "plan was " + plan);
+        }
+
+        @Test
+        void stayUntilTheirReplacementsRun() {
+            ScalingPlan.State arriving =
+                    new ScalingPlan.State(Map.of(A, 2, B, 2), Map.of(), Map.of(A, 2, B, 2, C, 2), Map.of());
+            assertEquals(4, sum(plan(new ScalingPlan.Size(1, 4, 7), arriving), false));
+            ScalingPlan.State arrived = running(Map.of(A, 2, B, 2), Map.of(A, 2, B, 2, C, 2), Map.of());
+            assertEquals(1, sum(plan(new ScalingPlan.Size(1, 4, 7), arrived), false));
+        }
+    }
+
+    @Nested
+    class Bounds {
+        @Test
+        void holdInEachZoneForBothKindsTogether() {
+            for (int wanted = 1; wanted < 30; wanted++) {
+                Map<Pool, Integer> plan =
+                        plan(new ScalingPlan.Size(1, wanted, wanted + 3), running(Map.of(), Map.of(), Map.of(A, 0)));
+                for (AvailabilityZone zone : SCALING.zonePrices().keySet()) {
+                    int both = number(plan, zone, true) + number(plan, zone, false);
+                    assertTrue(both >= 1 && both <= 4, "wanted " + wanted + ", plan " + plan);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/registry/RegistrySectionTest.java
@@ -0,0 +1,100 @@
+package org.plantainwharf.registry;
+
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServiceName;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RegistrySectionTest {
+    private final RegistrySection section = RegistrySection.create();
+
+    private static ServerReport report(String server, long born, long sequence, String address, ServerPhase phase) {
+        return new ServerReport(
+                ServerId.of(server),
+                born,
+                sequence,
+                ServiceName.of("engine"),
+                address,
+                AvailabilityZone.of("zone-a"),
+                64,
+                phase,
+                0,
+                false,
+                OptionalLong.empty());
+    }
+
+    private RegistrySection.Change merge(String server, long born, long sequence, String address, ServerPhase phase) {
+        return section.merge(report(server, born, sequence, address, phase), sequence);
+    }
+
+    private boolean ready(String server) {
+        return section.server(ServerId.of(server)).map(KnownServer::ready).orElse(false);
+    }
+
+    @Nested
+    class LateReports {
+        @Test
+        void changeNothing() {
+            merge("i-1", 5, 4, "10.0.0.1:80", ServerPhase.LEAVING);
+            assertEquals(RegistrySection.Change.NONE, merge("i-1", 5, 3, "10.0.0.1:80", ServerPhase.READY));
+            assertEquals(RegistrySection.Change.NONE, merge("i-1", 5, 4, "10.0.0.1:80", ServerPhase.READY));
+            assertFalse(ready("i-1"));
+        }
+
+        @Test
+        void afterTheEndDoNotBringTheServerBack() {
+            merge("i-1", 5, 4, "10.0.0.1:80", ServerPhase.READY);
+            merge("i-1", 5, Long.MAX_VALUE, "10.0.0.1:80", ServerPhase.GONE);
+            assertEquals(RegistrySection.Change.NONE, merge("i-1", 5, 6, "10.0.0.1:80", ServerPhase.READY));
+        }
+
+        @Test
+        void ofAnEarlierStartDoNotTakeTheAddressBack() {
+            merge("i-2", 9, 1, "10.0.0.1:80", ServerPhase.READY);
+            assertEquals(RegistrySection.Change.NONE, merge("i-1", 5, 99, "10.0.0.1:80", ServerPhase.READY));
+            assertTrue(ready("i-2"));
+        }
+    }
+
+    @Nested
+    class Starts {
+        @Test
+        void underTheSameIdBeginTheirSequenceAnew() {
+            merge("i-1", 5, 40, "10.0.0.1:80", ServerPhase.LEAVING);
+            assertEquals(RegistrySection.Change.MATERIAL, merge("i-1", 6, 1, "10.0.0.1:80", ServerPhase.READY));
+            assertTrue(ready("i-1"));
+        }
+
+        @Test
+        void atTheSameAddressEndTheEarlierServer() {
+            merge("i-1", 5, 40, "10.0.0.1:80", ServerPhase.READY);
+            merge("i-2", 9, 1, "10.0.0.1:80", ServerPhase.READY);
+            assertFalse(ready("i-1"));
+            assertTrue(ready("i-2"));
+        }
+    }
+
+    @Nested
+    class LeavingServers {
+        @Test
+        void stayLeavingWithinOneStart() {
+            merge("i-1", 5, 4, "10.0.0.1:80", ServerPhase.LEAVING);
+            merge("i-1", 5, 5, "10.0.0.1:80", ServerPhase.READY);
+            assertFalse(ready("i-1"));
+        }
+
+        @Test
+        void countAsAChangeOnce() {
+            merge("i-1", 5, 3, "10.0.0.1:80", ServerPhase.READY);
+            assertEquals(RegistrySection.Change.MATERIAL, merge("i-1", 5, 4, "10.0.0.1:80", ServerPhase.LEAVING));
+            assertEquals(RegistrySection.Change.REFRESHED, merge("i-1", 5, 5, "10.0.0.1:80", ServerPhase.LEAVING));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/registry/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the server registry. */
+@NullMarked
+package org.plantainwharf.registry;
+
+import org.jspecify.annotations.NullMarked;
