Test decisions on forwarded requests, the log and the adapter's borders

Control daemons restart 2 s after a failed write, so that a full disk does not cost a voter for good, and take the addresses of voters from their log beside the seeds.

--- /dev/null
+++ b/src/main/java/org/plantainwharf/consensus/FailedDiskController.java
@@ -0,0 +1,72 @@
+package org.plantainwharf.consensus;
+
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.control.Controller;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.ProcessEffect;
+import org.plantainwharf.event.AttemptEvent;
+import org.plantainwharf.event.CallEvent;
+import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.event.DutyEvent;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.PlatformEvent;
+import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.ServerEvent;
+import org.plantainwharf.event.StorageEvent;
+import org.plantainwharf.event.TimerEvent;
+
+/**
+ * Ends the process some time after a write failed. What the disk holds is not known then, so this voter no longer
+ * votes; the restart reads the disk anew and votes again once it can be written. Runs on the control thread.
+ */
+public final class FailedDiskController implements Controller {
+    /** A disk that is full or fails stays so for seconds; a quick restart would only meet the same failure. */
+    private static final long RESTART_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+    private OptionalLong failedNanos = OptionalLong.empty();
+
+    private FailedDiskController() {}
+
+    /** Returns the controller. */
+    public static FailedDiskController create() {
+        return new FailedDiskController();
+    }
+
+    @Override
+    public void handle(Event event, Board board, long nowNanos, Effects effects) {
+        switch (event) {
+            case StorageEvent.WriteFailed failed -> {
+                if (failedNanos.isEmpty()) {
+                    failedNanos = OptionalLong.of(nowNanos);
+                    effects.log("disk_failed", "group", failed.group(), "problem", failed.reason());
+                }
+            }
+            case StorageEvent ignored -> {}
+            case TimerEvent.Tick tick -> {
+                if (failedNanos.isPresent() && nowNanos - failedNanos.getAsLong() >= RESTART_NANOS) {
+                    effects.log("restart_after_disk_failure", "after_ms", RESTART_NANOS / 1_000_000);
+                    effects.add(new ProcessEffect.ExitGracefully());
+                    failedNanos = OptionalLong.empty();
+                }
+            }
+            case PeerEvent ignored -> {}
+            case ForwardEvent ignored -> {}
+            case DutyEvent ignored -> {}
+            case DocumentEvent ignored -> {}
+            case RegistryEvent ignored -> {}
+            case ReplicationEvent ignored -> {}
+            case CallEvent ignored -> {}
+            case AttemptEvent ignored -> {}
+            case ServerEvent ignored -> {}
+            case OperatorEvent ignored -> {}
+            case PlatformEvent ignored -> {}
+        }
+    }
+}
--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -2,7 +2,9 @@
 
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -16,6 +18,8 @@
 import org.plantainwharf.codec.PeerMessageCodec;
 import org.plantainwharf.codec.ProtobufRecordCodec;
 import org.plantainwharf.consensus.ConsensusController;
+import org.plantainwharf.consensus.FailedDiskController;
+import org.plantainwharf.consensus.RecoveredGroup;
 import org.plantainwharf.consensus.ReplicaSnapshot;
 import org.plantainwharf.control.Clock;
 import org.plantainwharf.control.ControlCycle;
@@ -33,6 +37,7 @@
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.identity.HostId;
 import org.plantainwharf.limit.AllowanceController;
 import org.plantainwharf.log.LineLog;
 import org.plantainwharf.membership.DiscoveryController;
@@ -73,19 +78,22 @@
         long incarnation = random.nextLong(1, Long.MAX_VALUE);
         MetricRegistry metrics = new MetricRegistry();
         Board board = Board.create(settings, incarnation, random.nextLong());
+        RecoveredGroup content = storage.recover(0);
+        Map<HostId, String> known = knownDaemons(role, content);
         ConsensusController consensus = ConsensusController.discovering(
                 settings,
-                List.copyOf(role.seeds().keySet()),
+                List.copyOf(known.keySet()),
                 storage.diskIncarnation(),
-                storage.recover(0),
+                content,
                 board.configuration().state(),
                 new SplittableRandom(random.nextLong()),
                 clock.nowNanos());
         List<Controller> controllers = List.of(
                 MembershipController.create(),
-                DiscoveryController.create(role.seeds(), Optional.of(settings.peerAddress()), settings.host()),
+                DiscoveryController.create(known, Optional.of(settings.peerAddress()), settings.host()),
                 RegistryController.relaying(),
                 consensus,
+                FailedDiskController.create(),
                 DocumentController.create(codec),
                 DrainController.create(),
                 AllowanceController.create(),
@@ -102,12 +110,7 @@
         this.surface = surfaces.apply(control);
         this.cloud = clouds.apply(control);
         this.peers = PeerNetwork.create(
-                settings,
-                new PeerPolicy.Discovered(role.seeds()),
-                incarnation,
-                PeerMessageCodec.create(),
-                control,
-                metrics);
+                settings, new PeerPolicy.Discovered(known), incarnation, PeerMessageCodec.create(), control, metrics);
         dispatcher.set(RoleDispatcher.create(new RoleDispatcher.Parts(
                 peers,
                 log,
@@ -158,6 +161,14 @@
                 new Founding(Founding.INCARNATION, 0, new ReplicaSnapshot(1, 1, voters, List.of())));
     }
 
+    /** The seeds may be stale; the log names the voters as well. */
+    private static Map<HostId, String> knownDaemons(RoleSettings role, RecoveredGroup content) {
+        Map<HostId, String> known = new HashMap<>(role.seeds());
+        content.voters().forEach(voter -> known.put(voter.host(), role.linkAddress(voter.host())));
+        known.remove(role.settings().host());
+        return known;
+    }
+
     private Either<Failure, ControlDaemon> listen(RoleSettings role) {
         try {
             surface.start();
--- a/src/main/java/org/plantainwharf/daemon/RoleSettings.java
+++ b/src/main/java/org/plantainwharf/daemon/RoleSettings.java
@@ -12,6 +12,7 @@
  *
  * @param settings the product's settings; its list of hosts holds the seeds
  * @param seeds addresses for links of the daemons told at the start
+ * @param linkPort port for links, the same on all hosts
  * @param firstVoters the first voters, when the whole system starts for the first time; empty later
  * @param windowMillis length of a usage window
  * @param usageDueMillis time after a window's end at which its report is late
@@ -22,6 +23,7 @@
 public record RoleSettings(
         Settings settings,
         Map<HostId, String> seeds,
+        int linkPort,
         List<HostId> firstVoters,
         long windowMillis,
         long usageDueMillis,
@@ -33,4 +35,9 @@
         seeds = Map.copyOf(seeds);
         firstVoters = List.copyOf(firstVoters);
     }
+
+    /** Returns the address for links of a control daemon, whose host id is its IP number and its port for servers. */
+    public String linkAddress(HostId host) {
+        return host.value().substring(0, host.value().lastIndexOf(':')) + ":" + linkPort;
+    }
 }
--- a/src/main/java/org/plantainwharf/platform/RoleMapping.java
+++ b/src/main/java/org/plantainwharf/platform/RoleMapping.java
@@ -78,6 +78,7 @@
         return new RoleSettings(
                 settings,
                 seeds,
+                platform.linkPort(),
                 platform.firstStart() ? List.copyOf(seeds.keySet()) : List.of(),
                 platform.bounds().usageWindowMillis(),
                 platform.bounds().usageDueMillis(),
--- a/src/test/java/org/plantainwharf/architecture/LayeringTest.java
+++ b/src/test/java/org/plantainwharf/architecture/LayeringTest.java
@@ -39,7 +39,11 @@
             "configuration",
             "drain",
             "capacity",
-            "alarm");
+            "alarm",
+            "document",
+            "registry",
+            "forward",
+            "duty");
 
     private static final JavaClasses PRODUCT = new ClassFileImporter()
             .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
@@ -113,6 +117,31 @@
         }
     }
 
+    @Nested
+    class PlatformAdapter {
+        @Test
+        void decidesNothing() {
+            noClasses()
+                    .that()
+                    .resideInAPackage(ROOT + "platform")
+                    .should()
+                    .dependOnClassesThat()
+                    .areAssignableTo(Controller.class)
+                    .check(PRODUCT);
+        }
+
+        @Test
+        void isReachedFromTheCommandLineOnly() {
+            noClasses()
+                    .that()
+                    .resideOutsideOfPackages(ROOT + "platform", ROOT + "cli")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAPackage(ROOT + "platform")
+                    .check(PRODUCT);
+        }
+    }
+
     @Nested
     class Packages {
         @Test
--- /dev/null
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -0,0 +1,174 @@
+package org.plantainwharf.forward;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.call.Content;
+import org.plantainwharf.control.ControlCycle;
+import org.plantainwharf.document.AccountRule;
+import org.plantainwharf.document.CallerBounds;
+import org.plantainwharf.document.DocumentController;
+import org.plantainwharf.document.Repeatability;
+import org.plantainwharf.document.RouteRule;
+import org.plantainwharf.document.ServiceDocument;
+import org.plantainwharf.document.ServiceRule;
+import org.plantainwharf.effect.Effect;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostClass;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.RouteName;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.registry.RegistryController;
+import org.plantainwharf.registry.ServerPhase;
+import org.plantainwharf.registry.ServerReport;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.settings.Settings;
+
+/** Drives the forward controller with a document, servers and a clock of its own. Used by one thread. */
+final class ForwardHarness {
+    static final String KEY = "key-of-acme";
+    private static final ServiceName SERVICE = ServiceName.of("desk");
+
+    private final Board board = Board.create(
+            new Settings(
+                    HostId.of("edge-1"),
+                    AvailabilityZone.of("zone-a"),
+                    HostClass.of("entry"),
+                    "",
+                    "",
+                    "",
+                    Optional.empty(),
+                    List.of(),
+                    0,
+                    Settings.Timings.defaults(),
+                    Settings.Bounds.defaults()),
+            1,
+            7);
+    private final ControlCycle cycle;
+    private long nowNanos = TimeUnit.SECONDS.toNanos(100);
+    private long sequence;
+    private long tickets;
+
+    ForwardHarness(List<RouteRule> routes, double tokensPerSecond) {
+        ServiceDocument document = new ServiceDocument(
+                1,
+                routes,
+                Map.of(SERVICE, new ServiceRule(SERVICE, 100, Optional.empty(), Optional.empty())),
+                CallerBounds.defaults(),
+                List.of(new AccountRule(
+                        AccountName.of("acme"),
+                        Set.of(KEY),
+                        OptionalInt.empty(),
+                        true,
+                        200,
+                        tokensPerSecond,
+                        tokensPerSecond)));
+        this.cycle = ControlCycle.create(
+                board,
+                List.of(
+                        RegistryController.learning(),
+                        DocumentController.create(content -> Either.right(document)),
+                        ForwardController.create(new ForwardLimits(0.5, 10, 8, 0, 0))));
+    }
+
+    static RouteRule route(String prefix, Repeatability repeatability, int attempts, boolean resumable) {
+        return new RouteRule(
+                RouteName.of(prefix),
+                "a.example",
+                prefix,
+                repeatability,
+                5_000,
+                300,
+                0,
+                List.of(new RouteRule.Share(SERVICE, 1)),
+                attempts,
+                false,
+                resumable,
+                0);
+    }
+
+    void putDocumentInForce() {
+        Command command = new Command.ReplaceDocument(1, Content.of("application/json", new byte[] {1}));
+        CommandResult result = board.configuration().state().apply(command);
+        run(new ReplicationEvent.EntryApplied(0, 1, command, result));
+    }
+
+    void report(String server, ServerPhase phase) {
+        sequence++;
+        ServerReport report = new ServerReport(
+                ServerId.of(server),
+                1,
+                sequence,
+                SERVICE,
+                "10.0.0." + server.substring(2) + ":80",
+                AvailabilityZone.of("zone-a"),
+                6,
+                phase,
+                0,
+                false,
+                OptionalLong.empty());
+        run(new PeerEvent.PeerMessageReceived(HostId.of("core-1"), 1, new PeerMessage.ServerNews(List.of(report))));
+    }
+
+    List<ForwardEffect> run(Event event) {
+        List<ForwardEffect> effects = new ArrayList<>();
+        for (Effect effect : cycle.run(event, nowNanos, 0)) {
+            if (effect instanceof ForwardEffect forward) {
+                effects.add(forward);
+            }
+        }
+        return effects;
+    }
+
+    void pass(long millis) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    List<ForwardEffect> tick() {
+        return run(new TimerEvent.Tick());
+    }
+
+    List<ForwardEffect> arrive(String path, Optional<String> key, long deadlineMillis) {
+        tickets++;
+        return run(new ForwardEvent.ForwardArrived(
+                tickets,
+                new ForwardHead(
+                        "id-" + tickets, "a.example", path, key, OptionalLong.of(deadlineMillis), Optional.empty()),
+                nowNanos));
+    }
+
+    ForwardEffect.StartForward arriveAndStart(String path) {
+        List<ForwardEffect> effects = arrive(path, Optional.of(KEY), 3_000);
+        return (ForwardEffect.StartForward) effects.getFirst();
+    }
+
+    List<ForwardEffect> end(ForwardEffect.StartForward start, ForwardOutcome outcome) {
+        return run(new ForwardEvent.ForwardEnded(start.ticket(), start.attempt(), outcome, Optional.empty()));
+    }
+
+    List<ForwardEffect> begin(ForwardEffect.StartForward start) {
+        return run(new ForwardEvent.ForwardBegan(start.ticket(), start.attempt(), Optional.empty()));
+    }
+
+    int liveCalls() {
+        return board.forward().calls().size();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/plantainwharf/log/LineLogTest.java
@@ -0,0 +1,97 @@
+package org.plantainwharf.log;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.plantainwharf.control.Clock;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class LineLogTest {
+    private static final Clock STILL = new Clock() {
+        @Override
+        public long nowNanos() {
+            return 0;
+        }
+
+        @Override
+        public long wallClockMillis() {
+            return 5_000;
+        }
+    };
+
+    @Nested
+    class Lines {
+        @Test
+        void areJsonWithNumbersAsNumbers() throws InterruptedException {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            LineLog log = LineLog.start(STILL, new PrintStream(bytes, true, StandardCharsets.UTF_8), "edge-1");
+            log.write("attempt_started", "request", "a\nb", "attempt", 2, "waited", 1.5, "begun", true);
+            log.close();
+            String first =
+                    bytes.toString(StandardCharsets.UTF_8).lines().findFirst().orElseThrow();
+            assertEquals(
+                    "{\"ms\":5000,\"host\":\"edge-1\",\"event\":\"attempt_started\",\"request\":\"a\\nb\","
+                            + "\"attempt\":2,\"waited\":1.5,\"begun\":true}",
+                    first);
+        }
+
+        @Test
+        void ofOneKindAreBoundedInASecond() throws InterruptedException {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            LineLog log = LineLog.start(STILL, new PrintStream(bytes, true, StandardCharsets.UTF_8), "edge-1");
+            for (int index = 0; index < 1_000; index++) {
+                log.write("flood", "number", index);
+            }
+            log.write("other");
+            log.close();
+            String text = bytes.toString(StandardCharsets.UTF_8);
+            assertEquals(
+                    200, text.lines().filter(line -> line.contains("flood")).count());
+            assertTrue(text.contains("\"other\""), "a flood of one kind must not hide another");
+        }
+    }
+
+    /** A reader that does not take the log must not hold up a traffic thread. */
+    @Nested
+    class BlockedOutput {
+        @Test
+        @Timeout(30)
+        void dropsAndCountsInsteadOfWaiting() throws InterruptedException {
+            CountDownLatch release = new CountDownLatch(1);
+            OutputStream blocked = new OutputStream() {
+                @Override
+                public void write(int value) {
+                    await();
+                }
+
+                @Override
+                public void write(byte[] bytes, int offset, int length) {
+                    await();
+                }
+
+                private void await() {
+                    try {
+                        release.await();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                }
+            };
+            LineLog log = LineLog.start(STILL, new PrintStream(blocked), "edge-1");
+            for (int index = 0; index < 20_000; index++) {
+                log.write("flood", "number", index);
+            }
+            assertTrue(log.dropped() > 0);
+            release.countDown();
+            log.close();
+        }
+    }
+}
