Check founding, joining and replacement in groups without a list of members

Not done: the specification for the model checker still describes founding by a vote of all founders.

--- a/src/main/java/org/plantainwharf/bench/VirtualGroup.java
+++ b/src/main/java/org/plantainwharf/bench/VirtualGroup.java
@@ -10,6 +10,7 @@
 
 import org.plantainwharf.consensus.GroupStatus;
 import org.plantainwharf.consensus.Learner;
+import org.plantainwharf.consensus.LogHosts;
 import org.plantainwharf.consensus.Replica;
 import org.plantainwharf.consensus.ReplicaInput;
 import org.plantainwharf.consensus.ReplicaOptions;
@@ -19,6 +20,8 @@
 import org.plantainwharf.message.ReplicaEntry;
 import org.plantainwharf.message.ReplicaMessage;
 import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.VoterId;
+import org.plantainwharf.storage.Founding;
 
 /**
  * Members of one group on a virtual clock, with small stand-ins for network and disks. The same seed gives the same
@@ -35,6 +38,7 @@
     private final ReplicaOptions options;
     private final Watcher watcher;
     private final List<HostId> founders;
+    private final boolean seeded;
     private long syncNanos = TimeUnit.MILLISECONDS.toNanos(2);
     private boolean syncReportedEarly;
     private int snapshotEntries = 256;
@@ -69,7 +73,15 @@
 
     private record Step(long atNanos, long number, Runnable action) {}
 
-    private VirtualGroup(long seed, int voters, int learners, double drift, ReplicaOptions options, Watcher watcher) {
+    private VirtualGroup(
+            long seed,
+            int voters,
+            int learners,
+            int firstVoters,
+            double drift,
+            ReplicaOptions options,
+            Watcher watcher) {
+        this.seeded = firstVoters > 0;
         this.random = new SplittableRandom(seed);
         this.network = VirtualNetwork.create(random.split(), TimeUnit.MILLISECONDS.toNanos(1));
         this.options = options;
@@ -83,9 +95,28 @@
                 .filter(node -> !node.learner())
                 .map(VirtualNode::host)
                 .toList();
+        if (seeded) {
+            nodes.stream().limit(firstVoters).forEach(node -> found(node, firstVoters));
+        }
         nodes.forEach(this::start);
     }
 
+    /** Gives a first voter's disk the content that all of them begin with. */
+    private void found(VirtualNode node, int firstVoters) {
+        List<VoterId> voters = nodes.stream()
+                .limit(firstVoters)
+                .map(first -> VoterId.of(first.host(), Founding.INCARNATION))
+                .toList();
+        node.loseDisk(Founding.INCARNATION);
+        node.disk().sync(new StorageEffect.WriteLog(0, 0, 1, "", 0, List.of()));
+        node.disk().sync(new StorageEffect.WriteSnapshot(0, 1, 1, voters, List.of(), 2));
+    }
+
+    /** Empties a first voter's disk and founds it again, which a restarted host must never do. */
+    public void foundAgain(VirtualNode node, int firstVoters) {
+        found(node, firstVoters);
+    }
+
     /**
      * Returns a group whose members have all started.
      *
@@ -93,7 +124,18 @@
      */
     public static VirtualGroup create(
             long seed, int voters, int learners, double drift, ReplicaOptions options, Watcher watcher) {
-        return new VirtualGroup(seed, voters, learners, drift, options, watcher);
+        return new VirtualGroup(seed, voters, learners, 0, drift, options, watcher);
+    }
+
+    /**
+     * Returns a group without a list of its members: some hosts begin as its voters, the others have empty disks.
+     *
+     * @param hosts hosts with disks
+     * @param firstVoters those of them whose disks begin with the group's first content
+     */
+    public static VirtualGroup createSeeded(
+            long seed, int hosts, int firstVoters, double drift, ReplicaOptions options, Watcher watcher) {
+        return new VirtualGroup(seed, hosts, 0, firstVoters, drift, options, watcher);
     }
 
     /** Returns all hosts, voters first. */
@@ -134,8 +176,9 @@
             node.run(Learner.create(0, node.identity(), founders, options, local));
         } else {
             node.replaceApplied(node.disk().content().snapshot().lastIndex());
+            LogHosts hosts = seeded ? LogHosts.discovered(founders) : LogHosts.configured(founders);
             node.run(Replica.recover(
-                    0, node.identity(), founders, options, node.disk().content(), random.split(), local));
+                    0, node.identity(), hosts, options, node.disk().content(), random.split(), local));
         }
         int epoch = node.epoch();
         after(random.nextLong(TICK_NANOS), () -> tick(node, epoch));
--- a/src/main/java/org/plantainwharf/consensus/Replica.java
+++ b/src/main/java/org/plantainwharf/consensus/Replica.java
@@ -57,7 +57,7 @@
     }
 
     /** Returns the replica of a group with what its disk holds; {@code hosts} may grow later. */
-    static Replica recover(
+    public static Replica recover(
             int group,
             VoterId self,
             LogHosts hosts,
--- a/src/main/java/org/plantainwharf/consensus/VoterRepair.java
+++ b/src/main/java/org/plantainwharf/consensus/VoterRepair.java
@@ -34,7 +34,7 @@
      *
      * @param silent whether a host was not heard for so long that it has probably been replaced
      */
-    static Optional<Command.ChangeVoters> nextDiscovered(Replica replica, Predicate<HostId> silent) {
+    public static Optional<Command.ChangeVoters> nextDiscovered(Replica replica, Predicate<HostId> silent) {
         Optional<Command.ChangeVoters> returned = next(replica);
         if (returned.isPresent()) {
             return returned;
--- /dev/null
+++ b/src/test/java/org/plantainwharf/consensus/SeededSchedule.java
@@ -0,0 +1,170 @@
+package org.plantainwharf.consensus;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainwharf.bench.VirtualGroup;
+import org.plantainwharf.bench.VirtualNode;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.VoterId;
+
+/**
+ * A random schedule over a group that nobody keeps a list of: three hosts begin as voters, others join, disks are lost
+ * one at a time (also while all other hosts lose power), hosts are cut off and killed. Checks the invariants after every
+ * step. Used by one thread.
+ */
+final class SeededSchedule {
+    private static final int FIRST_VOTERS = 3;
+    private static final int ACTIONS = 30;
+    private static final long SILENT_MILLIS = 2_500;
+
+    private final SplittableRandom random;
+    private final ReplicaInvariants invariants = new ReplicaInvariants();
+    private final VirtualGroup group;
+    private final boolean foundsAgain;
+    private final Map<HostId, Long> downSinceNanos = new HashMap<>();
+    private final Set<HostId> cut = new HashSet<>();
+    private long proposals;
+    private long incarnations = 100;
+
+    SeededSchedule(long seed, boolean foundsAgain) {
+        this.random = new SplittableRandom(seed);
+        this.foundsAgain = foundsAgain;
+        int hosts = FIRST_VOTERS + random.nextInt(3);
+        this.group = VirtualGroup.createSeeded(seed, hosts, FIRST_VOTERS, 0.01, ReplicaOptions.defaults(), invariants);
+        group.setSnapshotEntries(20);
+    }
+
+    /** Runs the schedule, ends all faults and checks that everything committed is everywhere. */
+    void run() {
+        group.run(millis(8_000));
+        propose();
+        for (int action = 0; action < ACTIONS; action++) {
+            act();
+            for (int step = 0; step < 5; step++) {
+                propose();
+                group.run(millis(50 + random.nextInt(400)));
+            }
+        }
+        heal();
+        group.nodes().forEach(this::restart);
+        for (int second = 0; second < 25; second++) {
+            group.run(millis(1_000));
+            propose();
+        }
+        group.run(millis(4_000));
+        if (invariants.lastCommitted() < 2) {
+            throw new AssertionError("nothing was ever committed");
+        }
+        for (VirtualNode node : group.nodes()) {
+            if (node.appliedIndex() < invariants.lastCommitted()) {
+                throw new RandomSchedule.NotCaughtUp(
+                        node.host() + " applied " + node.appliedIndex() + " of " + invariants.lastCommitted());
+            }
+        }
+    }
+
+    private void act() {
+        VirtualNode node = group.nodes().get(random.nextInt(group.nodes().size()));
+        switch (random.nextInt(7)) {
+            case 0 -> stop(node);
+            case 1 -> isolate(node);
+            case 2 -> heal();
+            case 3 -> group.nodes().forEach(this::restart);
+            case 4 -> loseDisk(node, false);
+            case 5 -> loseDisk(node, true);
+            default -> group.network().setFaults(random.nextDouble(0.2), random.nextDouble(0.2));
+        }
+        if (random.nextBoolean()) {
+            group.nodes().stream()
+                    .filter(other -> other.member().isEmpty())
+                    .findFirst()
+                    .ifPresent(this::restart);
+        }
+    }
+
+    private void stop(VirtualNode node) {
+        group.crash(node);
+        downSinceNanos.put(node.host(), group.nowNanos());
+    }
+
+    private void isolate(VirtualNode node) {
+        group.network().isolate(node.host());
+        cut.add(node.host());
+        downSinceNanos.putIfAbsent(node.host(), group.nowNanos());
+    }
+
+    private void heal() {
+        group.network().heal();
+        group.network().setFaults(0, 0);
+        cut.forEach(downSinceNanos::remove);
+        cut.clear();
+    }
+
+    private void restart(VirtualNode node) {
+        group.crash(node);
+        group.start(node);
+        if (!cut.contains(node.host())) {
+            downSinceNanos.remove(node.host());
+        }
+    }
+
+    /** One disk is lost while every voter's copy is repaired; the other hosts may lose power at the same moment. */
+    private void loseDisk(VirtualNode node, boolean othersLosePower) {
+        Set<VoterId> voters = invariants.repairedVoters();
+        boolean intact = voters.size() >= FIRST_VOTERS
+                && group.nodes().stream()
+                                .map(VirtualNode::identity)
+                                .filter(identity -> !identity.equals(node.identity()))
+                                .filter(voters::contains)
+                                .count()
+                        >= voters.size() - (voters.contains(node.identity()) ? 1 : 0);
+        if (!intact) {
+            return;
+        }
+        List<VirtualNode> others =
+                group.nodes().stream().filter(other -> other != node).toList();
+        if (othersLosePower) {
+            others.forEach(group::crash);
+        }
+        group.crash(node);
+        boolean founder = node.identity().diskIncarnation() == 1;
+        if (foundsAgain && founder) {
+            group.foundAgain(node, FIRST_VOTERS);
+        } else {
+            invariants.lose(node.identity());
+            node.loseDisk(incarnations++);
+        }
+        restart(node);
+        if (othersLosePower) {
+            others.forEach(this::restart);
+        }
+    }
+
+    private void propose() {
+        for (VirtualNode node : group.nodes()) {
+            if (node.member().orElse(null) instanceof Replica replica) {
+                VoterRepair.nextDiscovered(replica, host -> silent(node.host(), host))
+                        .ifPresent(change -> group.propose(node, change));
+                if (random.nextBoolean()) {
+                    group.propose(node, new Command.Expire(proposals++));
+                }
+            }
+        }
+    }
+
+    private boolean silent(HostId self, HostId host) {
+        Long since = downSinceNanos.get(host);
+        return !host.equals(self) && since != null && group.nowNanos() - since >= millis(SILENT_MILLIS);
+    }
+
+    private static long millis(long count) {
+        return TimeUnit.MILLISECONDS.toNanos(count);
+    }
+}
