Serve metrics and follow a request through the logs of several daemons

Each daemon serves its counters and two latency histograms at the last port of its range, written only when asked for.

--- a/src/main/java/org/plantainwharf/cli/CommandLine.java
+++ b/src/main/java/org/plantainwharf/cli/CommandLine.java
@@ -22,6 +22,7 @@
     private static final String SETTINGS = "settings";
     private static final String OPERATOR = "operator";
     private static final String JSON = "json";
+    private static final String REQUEST = "request";
 
     private CommandLine() {}
 
@@ -73,6 +74,10 @@
                 yield acceptTarget(parser);
             }
             case PLATFORM_SERVE -> acceptSettings(parser, "settings file; without it the one that the platform names");
+            case LOG_TRACE -> {
+                parser.accepts(REQUEST, "id of the request").withRequiredArg().describedAs("ID");
+                yield parser;
+            }
             case SETTINGS_CHECK, SHEET_CHECK, SHEET_KEY, PLATFORM_CHECK, VERSION -> parser;
             case STAND_IN_ENGINE, STAND_IN_SERVICE -> {
                 // The stand-ins read their own options from the arguments.
@@ -122,6 +127,11 @@
                         .flatMap(none -> target(options, target -> new Subcommand.Status(target, options.has(JSON))));
             case DRAIN -> noFiles(options).flatMap(none -> target(options, Subcommand.Drain::new));
             case PLATFORM_SERVE -> noFiles(options).flatMap(none -> platformSettings(options));
+            case LOG_TRACE ->
+                files(options, 1, Integer.MAX_VALUE)
+                        .map(files -> new Subcommand.LogTrace(
+                                files,
+                                options.has(REQUEST) ? Optional.of(argument(options, REQUEST)) : Optional.empty()));
             case PLATFORM_CHECK -> files(options, 1, 1).map(files -> new Subcommand.PlatformCheck(files.get(0)));
             case VERSION -> noFiles(options).map(none -> new Subcommand.Version());
             case STAND_IN_ENGINE -> Either.right(new Subcommand.StandInEngine(unread(options)));
--- a/src/main/java/org/plantainwharf/cli/Subcommand.java
+++ b/src/main/java/org/plantainwharf/cli/Subcommand.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 
 /** What a command line asks for. Immutable. */
 public sealed interface Subcommand {
@@ -51,6 +52,14 @@
     /** Checks a settings file of the users' platform. */
     record PlatformCheck(Path file) implements Subcommand {}
 
+    /** Shows one request's lines in logs, or without an id how often each reason came. */
+    record LogTrace(List<Path> files, Optional<String> request) implements Subcommand {
+        /** Copies the list. */
+        public LogTrace {
+            files = List.copyOf(files);
+        }
+    }
+
     /** Prints the version. */
     record Version() implements Subcommand {}
 
--- a/src/main/java/org/plantainwharf/cli/SubcommandName.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandName.java
@@ -23,6 +23,7 @@
             "[--settings FILE]",
             "run a daemon on the users' platform until SIGTERM; the role comes from its settings"),
     PLATFORM_CHECK("platform check", "FILE", "check a settings file of the platform and show what it means"),
+    LOG_TRACE("log trace", "FILE... [--request ID]", "show what happened to a request, or how often each reason came"),
     VERSION("version", "", "print the version"),
     STAND_IN_ENGINE("stand-in-engine", "OPTION...", "run a stand-in of a model engine"),
     STAND_IN_SERVICE("stand-in-service", "OPTION...", "run a stand-in of a plain service");
@@ -60,6 +61,7 @@
                     DRAIN,
                     PLATFORM_SERVE,
                     PLATFORM_CHECK,
+                    LOG_TRACE,
                     VERSION -> false;
         };
     }
--- a/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -72,6 +72,11 @@
                         .fold(failure -> fail(failure.message()), stopped -> ExitCode.OK);
             case Subcommand.PlatformCheck check ->
                 PlatformCommand.check(check.file()).fold(failure -> fail(failure.message()), this::succeed);
+            case Subcommand.LogTrace trace ->
+                trace.request()
+                        .map(id -> LogTrace.ofRequest(trace.files(), id))
+                        .orElseGet(() -> LogTrace.reasons(trace.files()))
+                        .fold(this::fail, this::succeed);
             case Subcommand.Version version -> version();
             case Subcommand.StandInEngine standIn ->
                 ExitCode.of(StandInEngine.run(standIn.arguments().toArray(String[]::new)));
--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -37,6 +37,7 @@
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.OperatorEvent;
+import org.plantainwharf.front.MetricsFront;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.limit.AllowanceController;
 import org.plantainwharf.log.LineLog;
@@ -58,6 +59,7 @@
     private final CloudApi cloud;
     private final PeerNetwork peers;
     private final StorageWriter storage;
+    private final MetricsFront metricsFront;
     private final LineLog log;
     private final CountDownLatch drained = new CountDownLatch(1);
     private final CountDownLatch closed = new CountDownLatch(1);
@@ -77,6 +79,7 @@
         SecureRandom random = new SecureRandom();
         long incarnation = random.nextLong(1, Long.MAX_VALUE);
         MetricRegistry metrics = new MetricRegistry();
+        this.metricsFront = MetricsFront.create(role.metricsAddress(), settings.bounds(), metrics);
         Board board = Board.create(settings, incarnation, random.nextLong());
         RecoveredGroup content = storage.recover(0);
         Map<HostId, String> known = knownDaemons(role, content);
@@ -172,6 +175,7 @@
     private Either<Failure, ControlDaemon> listen(RoleSettings role) {
         try {
             surface.start();
+            metricsFront.start();
         } catch (IllegalStateException e) {
             close();
             return Either.left(Failure.of(ErrorKind.SETTINGS_INVALID, String.valueOf(e.getMessage())));
@@ -224,6 +228,7 @@
             control.stop();
             log.write("daemon_stopped", "role", "control");
             surface.stop();
+            metricsFront.stop();
             cloud.stop();
             peers.close();
             storage.close();
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -38,6 +38,7 @@
 import org.plantainwharf.forward.ForwardController;
 import org.plantainwharf.front.ForwardAddresses;
 import org.plantainwharf.front.ForwardFront;
+import org.plantainwharf.front.MetricsFront;
 import org.plantainwharf.http.ForwardDialect;
 import org.plantainwharf.limit.AllowanceController;
 import org.plantainwharf.log.LineLog;
@@ -63,6 +64,7 @@
     private final HttpClient client;
     private final PeerNetwork peers;
     private final ExecutorService traffic;
+    private final MetricsFront metricsFront;
     private final LineLog log;
     private final CountDownLatch drained = new CountDownLatch(1);
     private final CountDownLatch closed = new CountDownLatch(1);
@@ -75,6 +77,7 @@
         SecureRandom random = new SecureRandom();
         long incarnation = random.nextLong(1, Long.MAX_VALUE);
         MetricRegistry metrics = new MetricRegistry();
+        this.metricsFront = MetricsFront.create(role.metricsAddress(), settings.bounds(), metrics);
         Board board = Board.create(settings, incarnation, random.nextLong());
         ConsensusController consensus = ConsensusController.discovering(
                 settings,
@@ -139,6 +142,7 @@
         try {
             daemon.control.start();
             daemon.front.start();
+            daemon.metricsFront.start();
         } catch (IllegalStateException e) {
             daemon.close();
             return Either.left(Failure.of(ErrorKind.SETTINGS_INVALID, String.valueOf(e.getMessage())));
@@ -204,6 +208,7 @@
             boolean written = traffic.awaitTermination(1, TimeUnit.SECONDS);
             log.write("daemon_stopped", "role", "entry", "answers_written", written);
             front.stop();
+            metricsFront.stop();
             client.stop();
             peers.close();
             log.close();
--- a/src/main/java/org/plantainwharf/daemon/RoleSettings.java
+++ b/src/main/java/org/plantainwharf/daemon/RoleSettings.java
@@ -17,6 +17,7 @@
  * @param windowMillis length of a usage window
  * @param usageDueMillis time after a window's end at which its report is late
  * @param limits what this daemon may spend on repeats and beyond account limits
+ * @param metricsAddress where the daemon serves its metrics
  * @param readyAddress where the balancer asks whether an entry daemon is ready
  * @param readyPath path of that question
  */
@@ -28,6 +29,7 @@
         long windowMillis,
         long usageDueMillis,
         ForwardLimits limits,
+        String metricsAddress,
         String readyAddress,
         String readyPath) {
     /** Copies the collections. */
--- a/src/main/java/org/plantainwharf/front/ForwardFront.java
+++ b/src/main/java/org/plantainwharf/front/ForwardFront.java
@@ -11,7 +11,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SlidingWindowReservoir;
 import com.google.common.flogger.FluentLogger;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
@@ -44,6 +46,9 @@
  */
 public final class ForwardFront {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    /** Latencies kept for the histograms: about a minute of requests at 20 a second. */
+    private static final int HISTOGRAM_SAMPLES = 1_024;
+
     private static final Duration BUSY_RETRY_AFTER = Duration.ofMillis(200);
 
     private final ForwardDialect dialect;
@@ -55,6 +60,8 @@
     private final Executor executor;
     private final Map<Long, ForwardedCall> calls = new ConcurrentHashMap<>();
     private final AtomicLong tickets = new AtomicLong();
+    private final Histogram firstByteMillis;
+    private final Histogram totalMillis;
     private final HttpListener callers;
     private final HttpListener readiness;
     private volatile CallerBounds bounds = CallerBounds.defaults();
@@ -74,6 +81,8 @@
         this.events = events;
         this.metrics = metrics;
         this.executor = executor;
+        this.firstByteMillis = metrics.histogram("forward.first_byte_millis", ForwardFront::histogram);
+        this.totalMillis = metrics.histogram("forward.total_millis", ForwardFront::histogram);
         this.callers =
                 HttpListener.create("callers", addresses.callers(), false, addresses.bounds(), new ForwardHandler());
         this.readiness = HttpListener.create(
@@ -97,6 +106,11 @@
         return new ForwardFront(dialect, addresses, clock, view, events, metrics, executor);
     }
 
+    /** A sample of fixed size costs one array slot a request; one that decays costs a sorted map. */
+    private static Histogram histogram() {
+        return new Histogram(new SlidingWindowReservoir(HISTOGRAM_SAMPLES));
+    }
+
     /**
      * Starts to listen.
      *
@@ -166,6 +180,10 @@
         });
     }
 
+    private long millisSince(long sinceNanos) {
+        return (clock.nowNanos() - sinceNanos) / 1_000_000;
+    }
+
     private boolean draining() {
         return !(view.get().drainPhase() instanceof DrainPhase.Serving);
     }
@@ -187,7 +205,7 @@
         long ticket = tickets.incrementAndGet();
         HttpFields fields = request.getHeaders();
         String id = Optional.ofNullable(fields.get(dialect.requestId())).orElse("");
-        ForwardedCall call = call(ticket, id, transaction, body);
+        ForwardedCall call = call(ticket, id, transaction, body, arrivedNanos);
         calls.put(ticket, call);
         // Watched before the event is offered: its answer may be complete at once, and the server then uses the
         // request's objects for the next request of the connection.
@@ -199,7 +217,7 @@
         }
     }
 
-    private ForwardedCall call(long ticket, String id, HttpTransaction transaction, byte[] body) {
+    private ForwardedCall call(long ticket, String id, HttpTransaction transaction, byte[] body, long arrivedNanos) {
         List<HttpField> passedOn = new ArrayList<>();
         for (HttpField field : EndToEndHeaders.of(transaction.request().getHeaders())) {
             boolean withheld = dialect.withheld().contains(field.getLowerCaseName())
@@ -215,15 +233,20 @@
                 passedOn,
                 body,
                 draining(),
-                () -> calls.remove(ticket),
-                () -> events.post(new ForwardEvent.ForwardLeft(ticket)));
+                new ForwardedCall.Hooks(
+                        () -> firstByteMillis.update(millisSince(arrivedNanos)),
+                        () -> {
+                            calls.remove(ticket);
+                            totalMillis.update(millisSince(arrivedNanos));
+                        },
+                        () -> events.post(new ForwardEvent.ForwardLeft(ticket))));
     }
 
     private void refuse(HttpTransaction transaction, Failure failure) {
         metrics.counter(failure.kind().metricName()).inc();
         String id = Optional.ofNullable(transaction.request().getHeaders().get(dialect.requestId()))
                 .orElse("");
-        new ForwardedCall(id, transaction, List.of(), new byte[0], true, () -> {}, () -> {}).refuse(failure);
+        new ForwardedCall(id, transaction, List.of(), new byte[0], true, ForwardedCall.Hooks.none()).refuse(failure);
     }
 
     private ForwardHead head(String id, Request request) {
--- a/src/main/java/org/plantainwharf/front/ForwardedCall.java
+++ b/src/main/java/org/plantainwharf/front/ForwardedCall.java
@@ -33,8 +33,7 @@
     private final List<HttpField> headers;
     private final byte[] body;
     private final boolean closing;
-    private final Runnable onEnd;
-    private final Runnable onLeft;
+    private final Hooks hooks;
     private @Nullable Held held;
     private @Nullable String lastEventId;
     private boolean begun;
@@ -42,6 +41,20 @@
     private boolean handedOver;
     private boolean leftEarly;
 
+    /**
+     * What the daemon does at the turns of an answer. Immutable.
+     *
+     * @param onBegin run once when a server's answer begins
+     * @param onEnd run once when the answer has ended or the caller left
+     * @param onLeft run once if the caller leaves before the answer's end, after the request was handed over
+     */
+    record Hooks(Runnable onBegin, Runnable onEnd, Runnable onLeft) {
+        /** Returns hooks that do nothing. */
+        static Hooks none() {
+            return new Hooks(() -> {}, () -> {}, () -> {});
+        }
+    }
+
     /** A server's failure that may be passed on. */
     private record Held(int httpStatus, List<HttpField> headers, byte[] body) {}
 
@@ -49,8 +62,7 @@
      * Takes a request that was read whole.
      *
      * @param closing whether the caller is asked to use another connection next
-     * @param onEnd run once when the answer has ended or the caller left
-     * @param onLeft run once if the caller leaves before the answer's end, after the request was handed over
+     * @param hooks what the daemon does at the turns of the answer
      */
     ForwardedCall(
             String requestId,
@@ -58,8 +70,7 @@
             List<HttpField> headers,
             byte[] body,
             boolean closing,
-            Runnable onEnd,
-            Runnable onLeft) {
+            Hooks hooks) {
         this.requestId = requestId;
         this.request = transaction.request();
         this.response = transaction.response();
@@ -69,8 +80,7 @@
         this.headers = List.copyOf(headers);
         this.body = body;
         this.closing = closing;
-        this.onEnd = onEnd;
-        this.onLeft = onLeft;
+        this.hooks = hooks;
     }
 
     @Override
@@ -111,7 +121,7 @@
             report = leftEarly;
         }
         if (report) {
-            onLeft.run();
+            hooks.onLeft().run();
         }
     }
 
@@ -123,6 +133,7 @@
             }
             begun = true;
         }
+        hooks.onBegin().run();
         setHead(httpStatus, answerHeaders);
     }
 
@@ -154,7 +165,7 @@
     public void complete() {
         if (end()) {
             CallerWatch.end(request);
-            onEnd.run();
+            hooks.onEnd().run();
             callback.succeeded();
         }
     }
@@ -205,7 +216,7 @@
         }
         setHead(httpStatus, answerHeaders);
         CallerWatch.end(request);
-        onEnd.run();
+        hooks.onEnd().run();
         response.write(true, ByteBuffer.wrap(answerBody), callback);
     }
 
@@ -213,7 +224,7 @@
     void breakOff(String reason) {
         if (end()) {
             CallerWatch.end(request);
-            onEnd.run();
+            hooks.onEnd().run();
             callback.failed(new EofException(reason));
         }
     }
@@ -229,14 +240,14 @@
             return;
         }
         CallerWatch.end(request);
-        onEnd.run();
+        hooks.onEnd().run();
         boolean report;
         synchronized (this) {
             report = handedOver;
             leftEarly = !handedOver;
         }
         if (report) {
-            onLeft.run();
+            hooks.onLeft().run();
         }
         callback.failed(cause);
     }
--- /dev/null
+++ b/src/main/java/org/plantainwharf/front/MetricsFront.java
@@ -0,0 +1,74 @@
+package org.plantainwharf.front;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+import com.codahale.metrics.MetricRegistry;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.plantainwharf.settings.Settings;
+
+/** Serves a daemon's counters and histograms in the Prometheus text format, written when asked for. Thread-safe. */
+public final class MetricsFront {
+    private static final String PATH = "/metrics";
+
+    private final String address;
+    private final MetricRegistry metrics;
+    private final HttpListener listener;
+
+    private MetricsFront(String address, Settings.Bounds bounds, MetricRegistry metrics) {
+        this.address = address;
+        this.metrics = metrics;
+        this.listener = HttpListener.create("metrics", address, false, bounds, new MetricsHandler());
+    }
+
+    /** Returns a front that does not listen yet. */
+    public static MetricsFront create(String address, Settings.Bounds bounds, MetricRegistry metrics) {
+        return new MetricsFront(address, bounds, metrics);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws IllegalStateException if the address cannot be bound
+     */
+    public void start() {
+        try {
+            listener.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("cannot listen on " + address, e);
+        }
+    }
+
+    /** Returns the port, which the system may have chosen. */
+    public int port() {
+        return listener.port();
+    }
+
+    /** Stops listening. */
+    public void stop() {
+        try {
+            listener.stop();
+        } catch (Exception e) {
+            throw new IllegalStateException("cannot stop listening on " + address, e);
+        }
+    }
+
+    private final class MetricsHandler extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            if (!PATH.equals(request.getHttpURI().getPath())) {
+                response.setStatus(404);
+                callback.succeeded();
+                return true;
+            }
+            response.getHeaders().put(HttpHeader.CONTENT_TYPE, PrometheusText.MEDIA_TYPE);
+            byte[] text = PrometheusText.of(metrics).getBytes(StandardCharsets.UTF_8);
+            response.write(true, ByteBuffer.wrap(text), callback);
+            return true;
+        }
+    }
+}
--- a/src/main/java/org/plantainwharf/platform/PlatformSettings.java
+++ b/src/main/java/org/plantainwharf/platform/PlatformSettings.java
@@ -20,6 +20,7 @@
  * @param readyAddress where the balancer asks; absent on a control daemon
  * @param controlAddress where servers and operators connect; absent on an entry daemon
  * @param linkPort port for links between daemons, the same on all machines
+ * @param metricsPort port for the daemon's metrics
  * @param seeds control addresses of some control daemons, which may be stale
  * @param firstStart whether the whole system starts for the first time
  * @param dataFolder folder for files; absent on a machine without a disk
@@ -33,6 +34,7 @@
         Optional<String> readyAddress,
         Optional<String> controlAddress,
         int linkPort,
+        int metricsPort,
         List<String> seeds,
         boolean firstStart,
         Optional<String> dataFolder,
@@ -81,7 +83,7 @@
         List<String> seeds = new ArrayList<>();
         root.path("seed_nodes").forEach(seed -> seeds.add(seed.asText()));
         JsonNode bounds = root.path("bounds");
-        if (!range.path(0).canConvertToInt()) {
+        if (!range.path(0).canConvertToInt() || !range.path(1).canConvertToInt()) {
             reader.problem("internal_port_range", "must be a list of two ports");
         }
         PlatformSettings settings = new PlatformSettings(
@@ -92,6 +94,7 @@
                 optional(listen.path("ready")),
                 optional(listen.path("control_plane")),
                 range.path(0).asInt(),
+                range.path(1).asInt(),
                 seeds,
                 root.path("bootstrap").asBoolean(false),
                 optional(root.path("data_dir")),
--- a/src/main/java/org/plantainwharf/platform/RoleMapping.java
+++ b/src/main/java/org/plantainwharf/platform/RoleMapping.java
@@ -88,6 +88,7 @@
                         platform.bounds().limitWindowSeconds(),
                         platform.bounds().limitOverrun(),
                         platform.bounds().limitSlack()),
+                platform.ip() + ":" + platform.metricsPort(),
                 platform.readyAddress().orElse(""),
                 WireNames.READY_PATH);
     }
