--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -55,6 +55,8 @@
     private Optional<ServerLoad> load = Optional.empty();
     private volatile boolean begunSending;
     private volatile boolean cancelled;
+    private volatile boolean waitingForCaller;
+    private volatile long passedBytes;
     private volatile @Nullable Request request;
 
     /** What the answer's headers made of it. */
@@ -241,10 +243,13 @@
             demander.run();
             return;
         }
+        waitingForCaller = true;
         exchange.write(
                 ByteBuffer.wrap(whole),
                 Callback.from(
                         () -> {
+                            waitingForCaller = false;
+                            passedBytes += whole.length;
                             cutter.lastId().ifPresent(exchange::setLastEventId);
                             demander.run();
                         },
@@ -278,7 +283,7 @@
 
     private ForwardOutcome outcome(Result result) {
         if (cancelled) {
-            return new ForwardOutcome.Cancelled();
+            return new ForwardOutcome.Cancelled(passedBytes, waitingForCaller);
         }
         boolean passing = answer instanceof Answer.Passing;
         if (answer instanceof Answer.Foreign foreign) {
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -318,7 +318,7 @@
             ServerLedger ledger = board.forward().ledger(running.server());
             ledger.promptRead(running.uncachedTokens());
             began.load().ifPresent(load -> ledger.report(load, nowNanos));
-            ledger.succeeded(nowNanos - running.sentNanos());
+            ledger.succeeded(nowNanos - running.sentNanos(), nowNanos);
             call.setState(new ForwardCall.State.Running(
                     running.server(), running.attempt(), running.uncachedTokens(), running.sentNanos(), true));
         }
@@ -360,6 +360,20 @@
                             ended,
                             board,
                             nowNanos);
+                    effects.log(
+                            "attempt_cancelled",
+                            "request",
+                            call.head().requestId(),
+                            "attempt",
+                            cancelling.attempt(),
+                            "server",
+                            cancelling.server(),
+                            "caller_left",
+                            call.callerLeft(),
+                            "outcome",
+                            ended.outcome(),
+                            "after_ms",
+                            (nowNanos - call.terms().arrivedNanos()) / 1_000_000);
                     board.forward().remove(call.ticket());
                 }
             }
--- a/src/main/java/org/plantainwharf/forward/ForwardOutcome.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardOutcome.java
@@ -27,6 +27,11 @@
      */
     record Broken(boolean begun, String reason) implements ForwardOutcome {}
 
-    /** The attempt was cancelled here. */
-    record Cancelled() implements ForwardOutcome {}
+    /**
+     * The attempt was cancelled here.
+     *
+     * @param passedBytes bytes of the answer that were passed on
+     * @param waitingForCaller whether the caller had not taken the last of them
+     */
+    record Cancelled(long passedBytes, boolean waitingForCaller) implements ForwardOutcome {}
 }
--- a/src/test/java/org/plantainwharf/forward/ForwardControllerTest.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardControllerTest.java
@@ -189,7 +189,7 @@
             ForwardEffect.StartForward start = harness.arriveAndStart("/safe/1");
             List<ForwardEffect> effects = harness.run(new ForwardEvent.ForwardLeft(start.ticket()));
             assertEquals(List.of(new ForwardEffect.CancelForward(start.ticket())), effects);
-            assertEquals(List.of(), harness.end(start, new ForwardOutcome.Cancelled()));
+            assertEquals(List.of(), harness.end(start, new ForwardOutcome.Cancelled(0, false)));
             assertEquals(0, harness.liveCalls());
         }
 
