--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -318,7 +318,7 @@
             ServerLedger ledger = board.forward().ledger(running.server());
             ledger.promptRead(running.uncachedTokens());
             began.load().ifPresent(load -> ledger.report(load, nowNanos));
-            ledger.succeeded(nowNanos - running.sentNanos(), nowNanos);
+            ledger.succeeded(nowNanos - running.sentNanos());
             call.setState(new ForwardCall.State.Running(
                     running.server(), running.attempt(), running.uncachedTokens(), running.sentNanos(), true));
         }
--- a/src/main/java/org/plantainwharf/forward/ServerChoice.java
+++ b/src/main/java/org/plantainwharf/forward/ServerChoice.java
@@ -17,15 +17,8 @@
     /** Prompt tokens that an engine reads in a millisecond; engines of the described kind read 90 to 140. */
     private static final double PROMPT_TOKENS_PER_MILLI = 100;
 
-    /**
-     * Cost of an engine whose slots are all taken. Its requests share each step, and prompts that other daemons have sent
-     * there show only as requests that run; with a fifth of this, streams stood still on engines that were fed one hot
-     * prompt by every daemon.
-     */
-    private static final double FULL_ENGINE_MILLIS = 800;
-
-    /** Part of the wait of an engine's recent requests that the next one probably meets. */
-    private static final double RECENT_WAIT_PART = 0.5;
+    /** Slowdown of an engine whose slots are all taken, in milliseconds of a request's wait. */
+    private static final double FULL_ENGINE_MILLIS = 150;
 
     /** Wait for each round of slots beyond those a server has. */
     private static final double EXTRA_ROUND_MILLIS = 1_000;
@@ -69,13 +62,12 @@
         if (prompt.isPresent()) {
             long toRead = ledger.uncachedTokens(prompt.get()) + ledger.pendingPromptTokens();
             cost += toRead / PROMPT_TOKENS_PER_MILLI;
-            cost += FULL_ENGINE_MILLIS * occupied + RECENT_WAIT_PART * ledger.recentWaitMillis(nowNanos);
+            cost += FULL_ENGINE_MILLIS * occupied * occupied;
             if (preferred.isPresent() && preferred.get() == candidate) {
                 cost -= sharedTokens(prompt.get()) / PROMPT_TOKENS_PER_MILLI / 2;
             }
         } else {
-            double recent = ledger.recentWaitMillis(nowNanos);
-            double duration = recent == 0 ? FIRST_DURATION_MILLIS : recent;
+            double duration = ledger.durationMillis() == 0 ? FIRST_DURATION_MILLIS : ledger.durationMillis();
             cost += duration * (1 + occupied);
         }
         return cost + candidate.server().report().warmupMillis() / 100.0;
--- a/src/main/java/org/plantainwharf/forward/ServerLedger.java
+++ b/src/main/java/org/plantainwharf/forward/ServerLedger.java
@@ -29,11 +29,8 @@
     /** Above this share of failed requests a server is avoided although it answers others. */
     private static final double FAILURE_LIMIT = 0.3;
 
-    /** Weight of the newest wait in the learned one. */
-    private static final double WAIT_WEIGHT = 0.2;
-
-    /** Time in which a learned wait halves, so that a server that was slow is tried again. */
-    private static final double WAIT_HALF_LIFE_NANOS = 2e9;
+    /** Weight of the newest duration in the learned one. */
+    private static final double DURATION_WEIGHT = 0.1;
 
     private final Map<String, Long> parts = new LinkedHashMap<>(64, 0.75f, true) {
         @Override
@@ -50,8 +47,7 @@
     private double failureShare;
     private int failuresInRow;
     private long avoidUntilNanos = Long.MIN_VALUE;
-    private double waitMillis;
-    private long waitNanos;
+    private double durationMillis;
 
     /** Notes that a request was sent. */
     void sent(long uncachedTokens, Optional<PromptShape> prompt, long nowNanos) {
@@ -80,14 +76,12 @@
         endedSinceLoad = 0;
     }
 
-    /** Notes a request whose answer has begun. */
-    void succeeded(long tookNanos, long nowNanos) {
+    /** Notes a request that went well. */
+    void succeeded(long tookNanos) {
         failuresInRow = 0;
         failureShare -= FAILURE_WEIGHT * failureShare;
-        double recent = recentWaitMillis(nowNanos);
-        double newest = tookNanos / 1e6;
-        waitMillis = recent == 0 ? newest : recent + WAIT_WEIGHT * (newest - recent);
-        waitNanos = nowNanos;
+        double millis = tookNanos / 1e6;
+        durationMillis = durationMillis == 0 ? millis : durationMillis + DURATION_WEIGHT * (millis - durationMillis);
     }
 
     /**
@@ -128,9 +122,9 @@
         return pendingPromptTokens;
     }
 
-    /** Returns how long answers took to begin, less with the time since the last one; 0 before the first. */
-    double recentWaitMillis(long nowNanos) {
-        return waitMillis * Math.pow(0.5, (nowNanos - waitNanos) / WAIT_HALF_LIFE_NANOS);
+    /** Returns how long answers take, 0 before the first. */
+    double durationMillis() {
+        return durationMillis;
     }
 
     int inFlight() {
