Leave a silent source of the control log after a second

A zone was cut off at 51.5 s; an entry daemon followed the control daemon in it, left it after 2.5 s of silence at its next request, and still had the older document 3.7 s after the acknowledgement of a newer one.

Change: learners of groups that are discovered ask every 400 ms and leave a source after 1 s of silence.

Ruled out: the acknowledgement, which came after commit; the other daemons had the document.

Measured: a learner whose source went silent still asked it after 2 s before; it asks another now (LearnerTest, seen failing first).

--- a/src/main/java/org/plantainwharf/consensus/ConsensusController.java
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusController.java
@@ -78,13 +78,13 @@
         if (self.hasDisk()) {
             machine.restore(content.snapshot().records());
             Replica replica =
-                    Replica.recover(CONTROL_GROUP, self, hosts, ReplicaOptions.defaults(), content, random, nowNanos);
+                    Replica.recover(CONTROL_GROUP, self, hosts, ReplicaOptions.discovered(), content, random, nowNanos);
             drivers.put(
                     CONTROL_GROUP,
                     GroupDriver.create(
                             CONTROL_GROUP, replica, machine, content.snapshot().lastIndex()));
         } else {
-            Learner learner = Learner.create(CONTROL_GROUP, self, hosts, ReplicaOptions.defaults(), nowNanos);
+            Learner learner = Learner.create(CONTROL_GROUP, self, hosts, ReplicaOptions.discovered(), nowNanos);
             drivers.put(CONTROL_GROUP, GroupDriver.create(CONTROL_GROUP, learner, machine, 0));
         }
         return new ConsensusController(drivers, hosts);
--- a/src/main/java/org/plantainwharf/consensus/ReplicaOptions.java
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaOptions.java
@@ -44,6 +44,25 @@
                 TimeUnit.MILLISECONDS.toNanos(2_500));
     }
 
+    /**
+     * Returns the values for groups whose hosts are discovered. A document must be in force within 2 s on a host that
+     * reaches a majority, so a learner leaves a source that went silent after 1 s and asks it more often until then.
+     */
+    public static ReplicaOptions discovered() {
+        ReplicaOptions design = defaults();
+        return new ReplicaOptions(
+                design.heartbeatNanos,
+                design.leaseNanos,
+                design.refusalNanos,
+                design.electionMinimumNanos,
+                design.electionMaximumNanos,
+                design.tailEntries,
+                design.messageBytes,
+                TimeUnit.MILLISECONDS.toNanos(400),
+                TimeUnit.MILLISECONDS.toNanos(1_000),
+                design.subscriptionNanos);
+    }
+
     /** Returns these options with another way to feed learners, to compare ways. */
     public ReplicaOptions withLearners(long renewal, long subscription) {
         return new ReplicaOptions(
