--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -290,7 +290,7 @@
             return new ForwardOutcome.Broken(false, foreign.reason());
         }
         if (result.isFailed()) {
-            String reason = String.valueOf(result.getFailure().getMessage());
+            String reason = result.getFailure().getClass().getSimpleName();
             return begunSending ? new ForwardOutcome.Broken(passing, reason) : new ForwardOutcome.NotSent(reason);
         }
         return switch (answer) {
