Treat a reset connection to a server as a failure of its answer

The HTTP client reports a reset as the end of the stream.

Change: connections to servers use an end point on which a reset fails the read.

Ruled out: an orderly end, which stays the end of an answer without a length; short answers with a length were failures before.

Measured: ForwardAttemptTest failed first (a reset answer was Completed) and passes; 52 selected tests pass.

--- a/src/main/java/org/plantainwharf/backend/HttpClients.java
+++ b/src/main/java/org/plantainwharf/backend/HttpClients.java
@@ -1,8 +1,14 @@
 package org.plantainwharf.backend;
 
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /** Starts HTTP clients that add nothing to requests and leave answers as they are. Stateless and thread-safe. */
@@ -22,7 +28,12 @@
      * @throws IllegalStateException if it cannot be started
      */
     public static HttpClient start(String name, int maximumThreads, long idleMillis) {
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ClientConnector() {
+            @Override
+            protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+                return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+            }
+        };
         connector.setSelectors(1);
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         QueuedThreadPool threads = new QueuedThreadPool(maximumThreads, Math.min(4, maximumThreads));
--- /dev/null
+++ b/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
@@ -0,0 +1,241 @@
+package org.plantainwharf.backend;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.util.Callback;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.plantainwharf.control.EventSink;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.forward.ForwardOutcome;
+import org.plantainwharf.http.ForwardDialect;
+import org.plantainwharf.identity.ServerId;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+/** Answers of servers that break the rules, and what becomes of them. */
+@Timeout(30)
+class ForwardAttemptTest {
+    private static final ForwardDialect DIALECT = new ForwardDialect(
+            "X-Id",
+            "X-Deadline",
+            "Token",
+            "X-Account",
+            "X-Server",
+            "X-Priority",
+            "X-Seal",
+            "X-Not-Run",
+            "X-Load",
+            "X-Model",
+            "X-Tokens",
+            "X-Prompt",
+            Set.of());
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Seal: s\r\n";
+
+    private final HttpClient client = HttpClients.start("test", 8, 4_000);
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final CountDownLatch written = new CountDownLatch(1);
+
+    @AfterEach
+    void stopClient() throws Exception {
+        client.stop();
+    }
+
+    /** How a scripted server ends its connection. */
+    private enum End {
+        ORDERLY,
+        RESET
+    }
+
+    private ForwardOutcome outcome(String answer, End end) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread thread = new Thread(() -> serve(server, answer, end), "scripted-server");
+            thread.start();
+            ForwardEffect.StartForward start = new ForwardEffect.StartForward(
+                    1, 1, ServerId.of("i-1"), "127.0.0.1:" + server.getLocalPort(), 5_000, Optional.empty(), 0, false);
+            ForwardAttempt.create(client, DIALECT, start, new RecordingExchange(), new Sink(), ended -> {})
+                    .send();
+            while (true) {
+                Event event = events.poll(20, TimeUnit.SECONDS);
+                assertNotNull(event, "the attempt did not end");
+                if (event instanceof ForwardEvent.ForwardEnded ended) {
+                    thread.join();
+                    return ended.outcome();
+                }
+            }
+        }
+    }
+
+    private void serve(ServerSocket server, String answer, End end) {
+        try (Socket socket = server.accept()) {
+            byte[] request = new byte[4_096];
+            int read = socket.getInputStream().read(request);
+            assertNotNull(read > 0 ? request : null);
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            if (end == End.RESET) {
+                // The bytes must have arrived: a reset would take them along.
+                written.await(10, TimeUnit.SECONDS);
+                socket.setSoLinger(true, 0);
+            }
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Nested
+    class AnswersWithoutLength {
+        @Test
+        void thatEndInOrderAreWhole() throws Exception {
+            assertInstanceOf(
+                    ForwardOutcome.Completed.class, outcome(HEAD + "Connection: close\r\n\r\nbody", End.ORDERLY));
+        }
+
+        @Test
+        void thatAreResetAreNotWhole() throws Exception {
+            ForwardOutcome outcome = outcome(HEAD + "Connection: close\r\n\r\nbo", End.RESET);
+            assertEquals(
+                    true, assertInstanceOf(ForwardOutcome.Broken.class, outcome).begun());
+        }
+    }
+
+    @Nested
+    class ForeignAnswers {
+        @Test
+        void toAnotherRequestReachNobody() throws Exception {
+            ForwardOutcome outcome =
+                    outcome("HTTP/1.1 200 OK\r\nX-Id: r-2\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nno", End.ORDERLY);
+            assertEquals(
+                    false,
+                    assertInstanceOf(ForwardOutcome.Broken.class, outcome).begun());
+            assertEquals(1, written.getCount());
+        }
+
+        @Test
+        void withoutASealAreNoSuccess() throws Exception {
+            ForwardOutcome outcome =
+                    outcome("HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\nno", End.ORDERLY);
+            assertEquals(
+                    false,
+                    assertInstanceOf(ForwardOutcome.Broken.class, outcome).begun());
+        }
+
+        @Test
+        void thatAreNoHttpReachNobody() throws Exception {
+            assertInstanceOf(ForwardOutcome.Broken.class, outcome("garbage\r\n\r\n", End.ORDERLY));
+            assertEquals(1, written.getCount());
+        }
+    }
+
+    @Nested
+    class ShortAnswers {
+        @Test
+        void withALengthAreNotWhole() throws Exception {
+            ForwardOutcome outcome = outcome(HEAD + "Content-Length: 9\r\n\r\nbody", End.ORDERLY);
+            assertEquals(
+                    true, assertInstanceOf(ForwardOutcome.Broken.class, outcome).begun());
+        }
+    }
+
+    @Nested
+    class Refusals {
+        @Test
+        void thatSayTheRequestHasNotRunAreBelieved() throws Exception {
+            ForwardOutcome outcome =
+                    outcome("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", End.ORDERLY);
+            assertEquals(
+                    503, assertInstanceOf(ForwardOutcome.Refused.class, outcome).httpStatus());
+        }
+
+        @Test
+        void withoutThatWordCountAsRun() throws Exception {
+            ForwardOutcome outcome =
+                    outcome("HTTP/1.1 503 Full\r\nX-Id: r-1\r\nContent-Length: 0\r\n\r\n", End.ORDERLY);
+            assertInstanceOf(ForwardOutcome.Failed.class, outcome);
+        }
+    }
+
+    private final class Sink implements EventSink {
+        @Override
+        public boolean offer(Event event) {
+            return events.offer(event);
+        }
+
+        @Override
+        public void post(Event event) {
+            events.add(event);
+        }
+    }
+
+    private final class RecordingExchange implements ForwardExchange {
+        @Override
+        public String requestId() {
+            return "r-1";
+        }
+
+        @Override
+        public String method() {
+            return "GET";
+        }
+
+        @Override
+        public String pathQuery() {
+            return "/x/1";
+        }
+
+        @Override
+        public List<HttpField> headers() {
+            return List.of(new HttpField("X-Id", "r-1"), new HttpField("Host", "a.example"));
+        }
+
+        @Override
+        public byte[] body() {
+            return new byte[0];
+        }
+
+        @Override
+        public void begin(int httpStatus, List<HttpField> headers) {}
+
+        @Override
+        public void write(ByteBuffer bytes, Callback callback) {
+            written.countDown();
+            callback.succeeded();
+        }
+
+        @Override
+        public void complete() {}
+
+        @Override
+        public void holdFailure(int httpStatus, List<HttpField> headers, byte[] body) {}
+
+        @Override
+        public Optional<String> lastEventId() {
+            return Optional.empty();
+        }
+
+        @Override
+        public void setLastEventId(String id) {}
+    }
+}
--- a/src/test/java/org/plantainwharf/platform/DocumentReaderTest.java
+++ b/src/test/java/org/plantainwharf/platform/DocumentReaderTest.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -83,8 +84,10 @@
 
         @Test
         void readsBoundsAndPricesOfAService() {
-            ServiceRule.Scaling scaling =
-                    document.services().get(ServiceName.of("engine")).scaling().orElseThrow();
+            ServiceRule.Scaling scaling = Optional.ofNullable(
+                            document.services().get(ServiceName.of("engine")))
+                    .flatMap(ServiceRule::scaling)
+                    .orElseThrow();
             assertEquals(1, scaling.minimum());
             assertEquals(4, scaling.maximum());
             assertEquals(4_000, scaling.bootMillis());
