Count account limits over all daemons; avoid servers that fall silent

Cause: each entry daemon had a share of an account's rate. One prompt of 50,000 tokens took such a share of eight seconds and more, and the account was refused at that daemon meanwhile, far below its limit. Ruled out: wrong demand figures; the shares followed demand.

Entry daemons now report what they passed on, every control daemon keeps the debt of each account, and the leader answers with debt, counted use and part of each daemon. What has not run is given back. Without grants a daemon's own use is paid by half of its part of the rate.

Silent servers. Cause: a server that keeps its connections open and answers nothing was chosen until its reports were 4.5 s old. It is now avoided while a request waits for more than two target latencies and no other answer began there since. ForwardControllerTest (SilentServers) fails without the check.

ForwardController gives its timer and its use of limits to classes of their own.

--- a/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
+++ b/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
@@ -113,6 +113,8 @@
                         .setEchoedToken(grant.echoedToken())
                         .setValidMillis(grant.validMillis())
                         .addAllRates(ValueMapping.encodeRates(grant.requestsPerSecond())));
+            case PeerMessage.AllowanceReport report -> frame.setAllowanceReport(AllowanceMapping.encode(report));
+            case PeerMessage.AllowanceGrant grant -> frame.setAllowanceGrant(AllowanceMapping.encode(grant));
         }
         return frame.build().toByteArray();
     }
@@ -194,6 +196,8 @@
                         frame.getLimitGrant().getEchoedToken(),
                         frame.getLimitGrant().getValidMillis(),
                         ValueMapping.decodeRates(frame.getLimitGrant().getRatesList()));
+            case ALLOWANCE_REPORT -> AllowanceMapping.decode(frame.getAllowanceReport());
+            case ALLOWANCE_GRANT -> AllowanceMapping.decode(frame.getAllowanceGrant());
             case KIND_NOT_SET -> throw new DecodingException("message of an unknown kind");
         };
     }
--- a/src/main/java/org/plantainwharf/consensus/ConsensusController.java
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusController.java
@@ -259,6 +259,8 @@
             case PeerMessage.ServerLeases leases -> {}
             case PeerMessage.LimitDemand demand -> {}
             case PeerMessage.LimitGrant grant -> {}
+            case PeerMessage.AllowanceReport report -> {}
+            case PeerMessage.AllowanceGrant grant -> {}
             case PeerMessage.WorkAssigned assigned -> {}
             case PeerMessage.WorkTaken taken -> {}
             case PeerMessage.KnownPeers known -> known.addresses().keySet().forEach(hosts::add);
--- a/src/main/java/org/plantainwharf/forward/ForwardCall.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardCall.java
@@ -28,9 +28,9 @@
      *
      * @param arrivedNanos when the request was read whole
      * @param deadlineNanos when the caller or the route gives up, whichever is first
-     * @param tokens tokens, or 1 request, taken from the account's limit
+     * @param cost tokens, or 1 request, taken from the account's limit
      */
-    public record Terms(long arrivedNanos, long deadlineNanos, long tokens) {}
+    public record Terms(long arrivedNanos, long deadlineNanos, double cost) {}
 
     /** Where a request stands. */
     public sealed interface State {
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -63,9 +63,11 @@
     private static final int LEAST_URGENT = 9;
 
     private final ForwardLimits limits;
+    private final AccountLimits accounts;
 
     private ForwardController(ForwardLimits limits) {
         this.limits = limits;
+        this.accounts = new AccountLimits(limits);
     }
 
     /** Returns the controller. */
@@ -77,7 +79,7 @@
     public void handle(Event event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case ForwardEvent forward -> onForward(forward, board, nowNanos, effects);
-            case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
+            case TimerEvent.Tick tick -> ForwardTimer.tick(board, nowNanos, effects);
             case DocumentEvent ignored -> {}
             case RegistryEvent ignored -> {}
             case DutyEvent ignored -> {}
@@ -126,7 +128,7 @@
             return;
         }
         ForwardCall call = accept(arrived, route.get(), account, board);
-        if (account.isPresent() && account.get().limited() && !takeAllowance(account.get(), call, board, nowNanos)) {
+        if (account.isPresent() && account.get().limited() && !accounts.tryTake(account.get(), call, board, nowNanos)) {
             refuseOverLimit(arrived, account.get(), call, board, nowNanos, effects);
             return;
         }
@@ -149,8 +151,7 @@
                 account,
                 pick(route, board),
                 new ForwardCall.Terms(
-                        arrived.arrivedNanos(), arrived.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(millis), (long)
-                                cost));
+                        arrived.arrivedNanos(), arrived.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(millis), cost));
     }
 
     private static ServiceName pick(RouteRule route, Board board) {
@@ -172,8 +173,7 @@
             Board board,
             long nowNanos,
             Effects effects) {
-        double share = share(account, board, nowNanos);
-        long wait = bucket(account, board, nowNanos).millisUntilOpen(share);
+        long wait = accounts.millisUntilOpen(account, board, nowNanos);
         effects.log(
                 "limit_reached",
                 "request",
@@ -181,11 +181,11 @@
                 "account",
                 account.name(),
                 "cost",
-                call.terms().tokens(),
+                call.terms().cost(),
                 "limit",
                 account.ratePerSecond(),
-                "share",
-                share,
+                "part",
+                board.allowances().part(account, nowNanos),
                 "wait_ms",
                 wait,
                 "version",
@@ -197,22 +197,6 @@
                 effects);
     }
 
-    private static double share(AccountRule account, Board board, long nowNanos) {
-        return board.allowances().share(account.name(), account.ratePerSecond(), nowNanos);
-    }
-
-    private AccountBucket bucket(AccountRule account, Board board, long nowNanos) {
-        double share = share(account, board, nowNanos);
-        double burst = limits.depth(account.ratePerSecond(), account.burst()) * share / account.ratePerSecond();
-        AccountBucket bucket = board.forward().bucket(account.name(), share, burst, nowNanos);
-        bucket.refill(share, burst, nowNanos);
-        return bucket;
-    }
-
-    private boolean takeAllowance(AccountRule account, ForwardCall call, Board board, long nowNanos) {
-        return bucket(account, board, nowNanos).tryTake(call.terms().tokens());
-    }
-
     private static Duration retryAfter(ForwardHead head, long wantedMillis) {
         long most = head.deadlineMillis().orElse(LONGEST_RETRY_AFTER_MILLIS) / RETRY_AFTER_PART;
         return Duration.ofMillis(Math.max(1, Math.min(Math.min(wantedMillis, LONGEST_RETRY_AFTER_MILLIS), most)));
@@ -234,7 +218,7 @@
     /** Sends a request to the best server, or ends it when there is none. */
     private void send(ForwardCall call, Board board, long nowNanos, Effects effects) {
         if (call.remainingMillis(nowNanos) < LEAST_REMAINING_MILLIS) {
-            finish(call, Failure.of(ErrorKind.DEADLINE_EXCEEDED), board, effects);
+            finish(call, Failure.of(ErrorKind.DEADLINE_EXCEEDED), board, nowNanos, effects);
             return;
         }
         Optional<ServerChoice.Candidate> chosen = ServerChoice.best(
@@ -248,6 +232,7 @@
                     Failure.of(ErrorKind.NO_SERVER_AVAILABLE, call.service())
                             .withRetryAfter(retryAfter(call.head(), FULL_MILLIS)),
                     board,
+                    nowNanos,
                     effects);
             return;
         }
@@ -318,7 +303,7 @@
             ServerLedger ledger = board.forward().ledger(running.server());
             ledger.promptRead(running.uncachedTokens());
             began.load().ifPresent(load -> ledger.report(load, nowNanos));
-            ledger.succeeded(nowNanos - running.sentNanos());
+            ledger.succeeded(nowNanos - running.sentNanos(), nowNanos);
             call.setState(new ForwardCall.State.Running(
                     running.server(), running.attempt(), running.uncachedTokens(), running.sentNanos(), true));
         }
@@ -328,20 +313,12 @@
         call.setCallerLeft();
         effects.count("forward.callers_left");
         if (call.state() instanceof ForwardCall.State.Running) {
-            cancel(call, effects);
+            ForwardTimer.cancel(call, effects);
         } else if (call.state() instanceof ForwardCall.State.Waiting) {
             board.forward().remove(call.ticket());
         }
     }
 
-    private static void cancel(ForwardCall call, Effects effects) {
-        if (call.state() instanceof ForwardCall.State.Running running) {
-            call.setState(new ForwardCall.State.Cancelling(
-                    running.server(), running.attempt(), running.uncachedTokens(), running.begun()));
-            effects.add(new ForwardEffect.CancelForward(call.ticket()));
-        }
-    }
-
     private void end(ForwardCall call, ForwardEvent.ForwardEnded ended, Board board, long nowNanos, Effects effects) {
         switch (call.state()) {
             case ForwardCall.State.Running running -> {
@@ -457,7 +434,7 @@
                     board.forward().remove(call.ticket());
                     effects.add(new ForwardEffect.BreakForward(call.ticket()));
                 } else {
-                    finish(call, Failure.of(ErrorKind.SERVER_FAILED, broken.reason()), board, effects);
+                    finish(call, Failure.of(ErrorKind.SERVER_FAILED, broken.reason()), board, nowNanos, effects);
                 }
             }
         }
@@ -469,7 +446,7 @@
         if (serverLeft && budgetAllows(call, board, nowNanos, effects)) {
             send(call, board, nowNanos, effects);
         } else {
-            finish(call, failure.withRetryAfter(retryAfter(call.head(), FULL_MILLIS)), board, effects);
+            finish(call, failure.withRetryAfter(retryAfter(call.head(), FULL_MILLIS)), board, nowNanos, effects);
         }
     }
 
@@ -487,8 +464,11 @@
     }
 
     /** Ends a request whose answer has not begun. Where an attempt may have run, the answer does not deny it. */
-    private static void finish(ForwardCall call, Failure failure, Board board, Effects effects) {
+    private void finish(ForwardCall call, Failure failure, Board board, long nowNanos, Effects effects) {
         board.forward().remove(call.ticket());
+        if (call.mayHaveRun() == 0) {
+            accounts.giveBack(call, board, nowNanos);
+        }
         Failure truthful = failure;
         if (call.mayHaveRun() > 0 && failure.ran() == Ran.NO) {
             truthful = Failure.of(ErrorKind.SERVER_FAILED, "an attempt may have run");
@@ -510,28 +490,4 @@
         effects.count(truthful.kind().metricName());
         effects.add(new ForwardEffect.RefuseForward(call.ticket(), truthful));
     }
-
-    /** Ends requests whose time is over. */
-    private static void onTick(Board board, long nowNanos, Effects effects) {
-        for (ForwardCall call : new ArrayList<>(board.forward().calls())) {
-            if (nowNanos - call.terms().deadlineNanos() >= 0
-                    && call.state() instanceof ForwardCall.State.Running running) {
-                effects.count("forward.timeouts");
-                cancel(call, effects);
-                effects.add(
-                        running.begun()
-                                ? new ForwardEffect.BreakForward(call.ticket())
-                                : new ForwardEffect.RefuseForward(
-                                        call.ticket(), Failure.of(ErrorKind.DEADLINE_EXCEEDED)));
-                effects.log(
-                        "request_timed_out",
-                        "request",
-                        call.head().requestId(),
-                        "server",
-                        running.server(),
-                        "begun",
-                        running.begun());
-            }
-        }
-    }
 }
--- a/src/main/java/org/plantainwharf/forward/ForwardSection.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardSection.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.retry.RetryBudget;
@@ -16,7 +15,6 @@
     private final Map<Long, ForwardCall> calls = new LinkedHashMap<>();
     private final Map<ServerId, ServerLedger> ledgers = new HashMap<>();
     private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
-    private final Map<AccountName, AccountBucket> buckets = new HashMap<>();
 
     private ForwardSection() {}
 
@@ -54,8 +52,4 @@
     RetryBudget retryBudget(ServiceName service, double share, double minimum) {
         return retryBudgets.computeIfAbsent(service, name -> RetryBudget.create(share, minimum));
     }
-
-    AccountBucket bucket(AccountName account, double rate, double burst, long nowNanos) {
-        return buckets.computeIfAbsent(account, name -> AccountBucket.full(burst, nowNanos));
-    }
 }
--- /dev/null
+++ b/src/main/java/org/plantainwharf/forward/ForwardTimer.java
@@ -0,0 +1,77 @@
+package org.plantainwharf.forward;
+
+import java.util.ArrayList;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+
+/** What the forward controller does as time passes: it leaves silent servers and ends requests in time. Stateless. */
+final class ForwardTimer {
+    /**
+     * A server that began no answer within this many target latencies of a request is avoided. Servers under load need
+     * one or two, and a caller who gets no answer gives up after four.
+     */
+    private static final int OVERDUE_TARGETS = 2;
+
+    private ForwardTimer() {}
+
+    private static void noteOverdue(ForwardCall call, Board board, long nowNanos, Effects effects) {
+        if (!(call.state() instanceof ForwardCall.State.Running running) || running.begun()) {
+            return;
+        }
+        long waitedMillis = (nowNanos - running.sentNanos()) / 1_000_000;
+        if (waitedMillis < OVERDUE_TARGETS * call.route().targetMillis()) {
+            return;
+        }
+        if (board.forward().ledger(running.server()).overdue(running.sentNanos(), nowNanos)) {
+            effects.count("forward.servers_silent");
+            effects.log(
+                    "server_silent",
+                    "request",
+                    call.head().requestId(),
+                    "attempt",
+                    running.attempt(),
+                    "server",
+                    running.server(),
+                    "waited_ms",
+                    waitedMillis);
+        }
+    }
+
+    /** Avoids servers that leave requests unanswered, and ends requests whose time is over. */
+    static void tick(Board board, long nowNanos, Effects effects) {
+        for (ForwardCall call : new ArrayList<>(board.forward().calls())) {
+            noteOverdue(call, board, nowNanos, effects);
+            if (nowNanos - call.terms().deadlineNanos() >= 0
+                    && call.state() instanceof ForwardCall.State.Running running) {
+                effects.count("forward.timeouts");
+                cancel(call, effects);
+                effects.add(
+                        running.begun()
+                                ? new ForwardEffect.BreakForward(call.ticket())
+                                : new ForwardEffect.RefuseForward(
+                                        call.ticket(), Failure.of(ErrorKind.DEADLINE_EXCEEDED)));
+                effects.log(
+                        "request_timed_out",
+                        "request",
+                        call.head().requestId(),
+                        "server",
+                        running.server(),
+                        "begun",
+                        running.begun());
+            }
+        }
+    }
+
+    /** Cancels the attempt that runs; its end removes the request. */
+    static void cancel(ForwardCall call, Effects effects) {
+        if (call.state() instanceof ForwardCall.State.Running running) {
+            call.setState(new ForwardCall.State.Cancelling(
+                    running.server(), running.attempt(), running.uncachedTokens(), running.begun()));
+            effects.add(new ForwardEffect.CancelForward(call.ticket()));
+        }
+    }
+}
--- a/src/main/java/org/plantainwharf/forward/ServerLedger.java
+++ b/src/main/java/org/plantainwharf/forward/ServerLedger.java
@@ -23,6 +23,9 @@
     /** A server that is back after a crash is tried again within this time. */
     private static final long LONGEST_AVOIDANCE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    /** How long a server that left a request unanswered is avoided, counted anew at each tick while it does. */
+    private static final long SILENT_AVOIDANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
     /** Weight of the newest result in the share of failures. */
     private static final double FAILURE_WEIGHT = 0.2;
 
@@ -48,6 +51,7 @@
     private int failuresInRow;
     private long avoidUntilNanos = Long.MIN_VALUE;
     private double durationMillis;
+    private long lastAnswerNanos = Long.MIN_VALUE;
 
     /** Notes that a request was sent. */
     void sent(long uncachedTokens, Optional<PromptShape> prompt, long nowNanos) {
@@ -77,7 +81,8 @@
     }
 
     /** Notes a request that went well. */
-    void succeeded(long tookNanos) {
+    void succeeded(long tookNanos, long nowNanos) {
+        lastAnswerNanos = nowNanos;
         failuresInRow = 0;
         failureShare -= FAILURE_WEIGHT * failureShare;
         double millis = tookNanos / 1e6;
@@ -98,6 +103,21 @@
         }
     }
 
+    /**
+     * Notes a request that has waited for its answer too long. The server is avoided if it began no other answer
+     * since: it may be cut off, frozen or gone without closing its connections.
+     *
+     * @return whether the server is avoided from now on and was not before
+     */
+    boolean overdue(long sentNanos, long nowNanos) {
+        if (lastAnswerNanos != Long.MIN_VALUE && lastAnswerNanos - sentNanos >= 0) {
+            return false;
+        }
+        boolean first = !avoided(nowNanos);
+        full(SILENT_AVOIDANCE_NANOS, nowNanos);
+        return first;
+    }
+
     /** Notes that the server refused a request because it is full; {@code forNanos} is how long to stay away. */
     void full(long forNanos, long nowNanos) {
         avoidUntilNanos = Math.max(avoidUntilNanos, nowNanos + forNanos);
--- a/src/main/java/org/plantainwharf/limit/AllowanceController.java
+++ b/src/main/java/org/plantainwharf/limit/AllowanceController.java
@@ -1,8 +1,6 @@
 package org.plantainwharf.limit;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -10,7 +8,6 @@
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.document.AccountRule;
-import org.plantainwharf.document.ServiceDocument;
 import org.plantainwharf.effect.Effects;
 import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.event.AttemptEvent;
@@ -30,34 +27,34 @@
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.membership.Member;
+import org.plantainwharf.message.AllowanceShare;
+import org.plantainwharf.message.AllowanceUse;
 import org.plantainwharf.message.PeerMessage;
 
 /**
- * Divides the limits of accounts between entry daemons by demand. Entry daemons tell every control daemon what was asked
- * of them; the one that leads grants shares that are valid for a while. Runs on the control thread.
+ * Keeps the limits of accounts over all entry daemons. Entry daemons tell every control daemon what they passed on and
+ * what was asked of them; the one that leads answers with what all of them owe and the part of each daemon. A share of
+ * the rate alone does not do: one long prompt takes a single daemon's share of many seconds. Runs on the control thread.
  */
 public final class AllowanceController implements Controller {
     /** Part of a limit that a daemon may use before its first grant, which comes within a second of its links. */
-    static final double FIRST_SHARE = 0.04;
+    static final double FIRST_PART = 0.04;
 
-    /** Part of its last share that a daemon keeps when grants stop. A zone with a third of the daemons adds a sixth. */
+    /** Part of the rate of its last share that pays a daemon's use when grants stop. */
     static final double CUT_OFF_PART = 0.5;
 
-    private static final int CONTROL_GROUP = 0;
-    private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-    private static final long VALID_MILLIS = 2_000;
+    static final long VALID_MILLIS = 2_000;
 
-    /** A daemon that was not heard for this long no longer holds a valid grant. */
-    private static final long FORGET_NANOS = TimeUnit.MILLISECONDS.toNanos(VALID_MILLIS + 500);
+    private static final int CONTROL_GROUP = 0;
 
-    /** Weight of the newest half second in the demand; a daemon gets some requests of an account in a second. */
-    private static final double DEMAND_WEIGHT = 0.15;
+    /** What daemons pass on beside each other in a period is the error of their accounts. */
+    private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    /** Room above the present demand, so that growth within a period is not refused. */
-    private static final double HEADROOM = 1.5;
+    /** Weight of the newest period in the demand; a daemon gets some requests of an account in a second. */
+    private static final double DEMAND_WEIGHT = 0.08;
 
-    /** Part of a limit that is always spread evenly, so that a jump meets a share wherever it lands. */
-    private static final double EVEN_PART = 0.25;
+    /** A demand below this, in tokens or requests a second, is as good as none. */
+    private static final double LEAST_DEMAND = 0.01;
 
     private final Map<AccountName, Double> asked = new HashMap<>();
     private final Map<AccountName, Double> demand = new HashMap<>();
@@ -100,13 +97,15 @@
     }
 
     private static void onMessage(PeerEvent.PeerMessageReceived received, Board board, long nowNanos) {
-        if (received.message() instanceof PeerMessage.LimitDemand asking) {
-            board.allowances().ask(received.peer(), asking.requestsPerSecond(), nowNanos);
-        } else if (received.message() instanceof PeerMessage.LimitGrant grant) {
+        if (received.message() instanceof PeerMessage.AllowanceReport report) {
+            board.documents().document().ifPresent(document -> board.allowances()
+                    .ledger()
+                    .report(received.peer(), received.incarnation(), report, document, nowNanos));
+        } else if (received.message() instanceof PeerMessage.AllowanceGrant grant) {
+            long validNanos = TimeUnit.MILLISECONDS.toNanos(grant.validMillis());
             OptionalLong sent = board.membership().heartbeatSentNanos(received.peer(), grant.echoedToken());
-            long since = sent.orElse(nowNanos - TimeUnit.MILLISECONDS.toNanos(grant.validMillis()));
             board.allowances()
-                    .grant(grant.requestsPerSecond(), since + TimeUnit.MILLISECONDS.toNanos(grant.validMillis()));
+                    .grant(grant.evenPart(), grant.shares(), sent.orElse(nowNanos - validNanos) + validNanos, nowNanos);
         }
     }
 
@@ -118,20 +117,27 @@
         if (board.consensus().group(CONTROL_GROUP).leading()) {
             grantAll(board, nowNanos, effects);
         } else if (!board.consensus().group(CONTROL_GROUP).voting()) {
-            tellDemand(board, effects);
+            reportUse(board, nowNanos, effects);
         }
     }
 
-    private void tellDemand(Board board, Effects effects) {
-        double perSecond = 1e9 / PERIOD_NANOS;
+    private void reportUse(Board board, long nowNanos, Effects effects) {
+        double periodsPerSecond = 1e9 / PERIOD_NANOS;
+        Map<AccountName, AllowanceUse> uses = new HashMap<>();
         board.documents().document().ifPresent(document -> {
             for (AccountRule account : document.accounts()) {
-                double newest = asked.getOrDefault(account.name(), 0.0) * perSecond;
-                demand.merge(account.name(), newest, (old, now) -> old + DEMAND_WEIGHT * (now - old));
+                double newest = asked.getOrDefault(account.name(), 0.0) * periodsPerSecond;
+                double smoothed = demand.merge(account.name(), newest, (old, now) -> old + DEMAND_WEIGHT * (now - old));
+                AccountAllowance allowance = board.allowances().allowance(account, nowNanos);
+                if (account.limited() && (smoothed >= LEAST_DEMAND || !allowance.settled())) {
+                    double debt = allowance.knownDebt(account.ratePerSecond(), nowNanos);
+                    uses.put(account.name(), new AllowanceUse(allowance.used(), debt, smoothed));
+                }
             }
         });
         asked.clear();
-        PeerMessage message = new PeerMessage.LimitDemand(demand);
+        PeerMessage message =
+                new PeerMessage.AllowanceReport(!board.allowances().granted(), uses);
         for (Member member : board.membership().members()) {
             if (member.linked()) {
                 effects.add(new PeerEffect.SendToPeer(member.host(), message));
@@ -140,45 +146,14 @@
     }
 
     private static void grantAll(Board board, long nowNanos, Effects effects) {
-        Map<HostId, AllowanceSection.Demand> demands = board.allowances().demands();
-        demands.values().removeIf(demand -> nowNanos - demand.heardNanos() >= FORGET_NANOS);
-        if (demands.isEmpty() || board.documents().document().isEmpty()) {
-            return;
-        }
-        ServiceDocument document = board.documents().document().get();
-        Map<HostId, Map<AccountName, Double>> shares = new LinkedHashMap<>();
-        demands.keySet().forEach(host -> shares.put(host, new HashMap<>()));
-        for (AccountRule account : document.accounts()) {
-            if (account.limited()) {
-                divide(account, demands, shares);
-            }
-        }
-        shares.forEach((host, share) -> effects.add(new PeerEffect.SendToPeer(
-                host, new PeerMessage.LimitGrant(board.membership().newestReceivedToken(host), VALID_MILLIS, share))));
-    }
-
-    /** Gives each daemon what it asks for with some room, scaled down to the limit, and spreads the rest evenly. */
-    private static void divide(
-            AccountRule account,
-            Map<HostId, AllowanceSection.Demand> demands,
-            Map<HostId, Map<AccountName, Double>> shares) {
-        List<HostId> hosts = List.copyOf(shares.keySet());
-        double limit = account.ratePerSecond();
-        double even = limit / hosts.size();
-        double wanted = 0;
-        for (HostId host : hosts) {
-            wanted += HEADROOM * perSecond(demands, host, account.name());
-        }
-        double scale = wanted <= 0 ? 0 : Math.min(1, (1 - EVEN_PART) * limit / wanted);
-        double rest = (limit - wanted * scale) / hosts.size();
-        for (HostId host : hosts) {
-            double share = wanted <= 0 ? even : HEADROOM * perSecond(demands, host, account.name()) * scale + rest;
-            shares.computeIfAbsent(host, key -> new HashMap<>()).put(account.name(), share);
-        }
-    }
-
-    private static double perSecond(Map<HostId, AllowanceSection.Demand> demands, HostId host, AccountName account) {
-        AllowanceSection.Demand demand = demands.get(host);
-        return demand == null ? 0 : demand.perSecond().getOrDefault(account, 0.0);
+        board.documents().document().ifPresent(document -> {
+            Map<HostId, Map<AccountName, AllowanceShare>> shares =
+                    board.allowances().ledger().shares(document, nowNanos);
+            double evenPart = 1.0 / Math.max(1, shares.size());
+            shares.forEach((host, share) -> effects.add(new PeerEffect.SendToPeer(
+                    host,
+                    new PeerMessage.AllowanceGrant(
+                            board.membership().newestReceivedToken(host), VALID_MILLIS, evenPart, share))));
+        });
     }
 }
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -125,4 +125,30 @@
             requestsPerSecond = Map.copyOf(requestsPerSecond);
         }
     }
+
+    /**
+     * Tells control daemons what one entry daemon has passed on for each account.
+     *
+     * @param ungranted whether the daemon has had no grant since its start, so that none of its use was counted
+     */
+    record AllowanceReport(boolean ungranted, Map<AccountName, AllowanceUse> uses) implements PeerMessage {
+        /** Copies the map. */
+        public AllowanceReport {
+            uses = Map.copyOf(uses);
+        }
+    }
+
+    /**
+     * Tells one entry daemon what all of them have passed on for each account, and which part of the rest is its own.
+     *
+     * @param echoedToken newest heartbeat token received from the receiver: validity counts from when it sent that
+     * @param evenPart part of the limit of accounts that are not named; they owe nothing
+     */
+    record AllowanceGrant(long echoedToken, long validMillis, double evenPart, Map<AccountName, AllowanceShare> shares)
+            implements PeerMessage {
+        /** Copies the map. */
+        public AllowanceGrant {
+            shares = Map.copyOf(shares);
+        }
+    }
 }
--- a/src/test/java/org/plantainwharf/forward/ForwardControllerTest.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardControllerTest.java
@@ -16,6 +16,7 @@
 import org.plantainwharf.registry.ServerPhase;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -258,4 +259,61 @@
             }
         }
     }
+
+    @Nested
+    class SilentServers {
+        private ForwardEffect.StartForward startAt(String server) {
+            for (int index = 0; index < 20; index++) {
+                ForwardEffect.StartForward start = harness.arriveAndStart("/safe/" + index);
+                if (start.server().value().equals(server)) {
+                    return start;
+                }
+            }
+            throw new AssertionError("no request went to " + server);
+        }
+
+        private boolean chosen(String server) {
+            boolean chosen = false;
+            for (int index = 0; index < 20; index++) {
+                ForwardEffect.StartForward start = harness.arriveAndStart("/safe/" + index);
+                chosen |= start.server().value().equals(server);
+            }
+            return chosen;
+        }
+
+        /** A server that went dark keeps its connections; each request sent there is lost to its deadline. */
+        @Test
+        void getNoNewRequestsWhileOneIsOverdue() {
+            String silent = harness.arriveAndStart("/safe/1").server().value();
+            harness.pass(700);
+            harness.tick();
+            assertFalse(chosen(silent), silent);
+        }
+
+        /** A long request alone does not show that its server is silent. */
+        @Test
+        void areNotThoseThatAnswerOthers() {
+            ForwardEffect.StartForward overdue = harness.arriveAndStart("/safe/1");
+            String server = overdue.server().value();
+            harness.pass(500);
+            ForwardEffect.StartForward answered = startAt(server);
+            harness.begin(answered);
+            harness.pass(200);
+            harness.tick();
+            harness.end(answered, new ForwardOutcome.Completed());
+            harness.end(overdue, new ForwardOutcome.Completed());
+            assertTrue(chosen(server), server);
+        }
+
+        @Test
+        void areTriedAgainAfterAWhile() {
+            ForwardEffect.StartForward overdue = harness.arriveAndStart("/safe/1");
+            harness.pass(700);
+            harness.tick();
+            harness.end(overdue, new ForwardOutcome.Completed());
+            harness.pass(1_100);
+            harness.tick();
+            assertTrue(chosen(overdue.server().value()));
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/org/plantainwharf/limit/AllowanceFleet.java
@@ -0,0 +1,333 @@
+package org.plantainwharf.limit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Set;
+
+import io.vavr.control.Either;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.call.Content;
+import org.plantainwharf.consensus.GroupStatus;
+import org.plantainwharf.control.ControlCycle;
+import org.plantainwharf.document.AccountRule;
+import org.plantainwharf.document.CallerBounds;
+import org.plantainwharf.document.DocumentController;
+import org.plantainwharf.document.Repeatability;
+import org.plantainwharf.document.RouteRule;
+import org.plantainwharf.document.ServiceDocument;
+import org.plantainwharf.document.ServiceRule;
+import org.plantainwharf.effect.Effect;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.forward.ForwardController;
+import org.plantainwharf.forward.ForwardHead;
+import org.plantainwharf.forward.ForwardLimits;
+import org.plantainwharf.forward.ForwardOutcome;
+import org.plantainwharf.forward.PromptShape;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.HostClass;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.RouteName;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.membership.MembershipController;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.registry.RegistryController;
+import org.plantainwharf.registry.ServerPhase;
+import org.plantainwharf.registry.ServerReport;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.settings.Settings;
+
+/**
+ * Entry daemons that pass requests on and control daemons that keep their limits, on a virtual clock, with a network
+ * that can be cut. Used by one thread.
+ */
+final class AllowanceFleet {
+    static final double RATE = 40_000;
+    static final double BURST = 40_000;
+    static final double SLACK = 140_000;
+    static final double OVERRUN = 0.1;
+    static final long WINDOW_MILLIS = 8_000;
+
+    private static final int CONTROLS = 2;
+    private static final long STEP_MILLIS = 50;
+    private static final long WAY_MILLIS = 20;
+    private static final ServiceName SERVICE = ServiceName.of("engines");
+    private static final String KEY = "key-of-acme";
+
+    private final List<Daemon> daemons = new ArrayList<>();
+    private final Set<HostId> cutOff = new HashSet<>();
+    private final PriorityQueue<Delivery> network =
+            new PriorityQueue<>(Comparator.comparingLong(Delivery::atMillis).thenComparingLong(Delivery::order));
+    private final List<Accepted> accepted = new ArrayList<>();
+    private int leader;
+    private long nowMillis = 100_000;
+    private long counter;
+
+    private record Daemon(HostId id, ControlCycle cycle, long incarnation) {}
+
+    private record Delivery(long atMillis, long order, HostId from, long incarnation, HostId to, PeerMessage message) {}
+
+    private record Accepted(long atMillis, double cost) {}
+
+    AllowanceFleet(int entries) {
+        for (int index = 0; index < CONTROLS; index++) {
+            daemons.add(control("core-" + index));
+        }
+        for (int index = 0; index < entries; index++) {
+            daemons.add(entry(index, 1));
+        }
+    }
+
+    private Daemon control(String name) {
+        return prepared(name, 1, List.of(MembershipController.create(), documents(), AllowanceController.create()));
+    }
+
+    private Daemon entry(int index, long incarnation) {
+        Daemon daemon = prepared(
+                "edge-" + index,
+                incarnation,
+                List.of(
+                        MembershipController.create(),
+                        RegistryController.learning(),
+                        documents(),
+                        AllowanceController.create(),
+                        ForwardController.create(new ForwardLimits(0.5, 10, WINDOW_MILLIS / 1_000.0, OVERRUN, SLACK))));
+        ServerReport report = new ServerReport(
+                ServerId.of("i-1"),
+                1,
+                1,
+                SERVICE,
+                "10.0.0.1:80",
+                AvailabilityZone.of("zone-a"),
+                64,
+                ServerPhase.READY,
+                0,
+                false,
+                OptionalLong.empty());
+        run(
+                daemon,
+                new PeerEvent.PeerMessageReceived(HostId.of("core-0"), 1, new PeerMessage.ServerNews(List.of(report))));
+        return daemon;
+    }
+
+    private Daemon prepared(String name, long incarnation, List<org.plantainwharf.control.Controller> controllers) {
+        Settings settings = new Settings(
+                HostId.of(name),
+                AvailabilityZone.of("zone-a"),
+                HostClass.of("any"),
+                "",
+                "",
+                "",
+                Optional.empty(),
+                List.of(),
+                0,
+                Settings.Timings.defaults(),
+                Settings.Bounds.defaults());
+        Board board = Board.create(settings, 1, name.hashCode() + incarnation);
+        Daemon daemon = new Daemon(HostId.of(name), ControlCycle.create(board, controllers), incarnation);
+        Command command = new Command.ReplaceDocument(1, Content.of("application/json", new byte[] {1}));
+        run(
+                daemon,
+                new ReplicationEvent.EntryApplied(
+                        0, 1, command, board.configuration().state().apply(command)));
+        return daemon;
+    }
+
+    private static DocumentController documents() {
+        RouteRule route = new RouteRule(
+                RouteName.of("r"),
+                "a.example",
+                "/",
+                Repeatability.SAFE,
+                5_000,
+                300,
+                0,
+                List.of(new RouteRule.Share(SERVICE, 1)),
+                2,
+                false,
+                false,
+                0);
+        ServiceDocument document = new ServiceDocument(
+                1,
+                List.of(route),
+                Map.of(SERVICE, new ServiceRule(SERVICE, 100, Optional.empty(), Optional.empty())),
+                CallerBounds.defaults(),
+                List.of(new AccountRule(
+                        AccountName.of("acme"), Set.of(KEY), OptionalInt.empty(), true, 200, RATE, BURST)));
+        return DocumentController.create(content -> Either.right(document));
+    }
+
+    /** Lets time pass with ticks and deliveries. */
+    void pass(long millis) {
+        long end = nowMillis + millis;
+        while (nowMillis < end) {
+            nowMillis += STEP_MILLIS;
+            while (!network.isEmpty() && network.peek().atMillis() <= nowMillis) {
+                deliver(network.remove());
+            }
+            for (int index = 0; index < daemons.size(); index++) {
+                Daemon daemon = daemons.get(index);
+                boolean control = index < CONTROLS;
+                daemon.cycle()
+                        .board()
+                        .consensus()
+                        .put(new GroupStatus(
+                                0,
+                                Optional.of(daemons.get(leader).id()),
+                                index == leader,
+                                1,
+                                1,
+                                1,
+                                index == leader ? nanos() + 1_000_000_000L : 0,
+                                nanos(),
+                                control));
+                link(index);
+                run(daemon, new TimerEvent.Tick());
+            }
+        }
+    }
+
+    /** Makes the other control daemon the leader. */
+    void changeLeader() {
+        leader = 1 - leader;
+    }
+
+    /** Cuts an entry daemon off from the control daemons. */
+    void cutOff(int entry) {
+        cutOff.add(daemons.get(CONTROLS + entry).id());
+    }
+
+    /** Replaces an entry daemon's process by a new one. */
+    void restart(int entry) {
+        Daemon old = daemons.get(CONTROLS + entry);
+        daemons.set(CONTROLS + entry, entry(entry, old.incarnation() + 1));
+    }
+
+    /** Sends a request to an entry daemon; says whether it was passed on. */
+    boolean ask(int entry, long inputTokens) {
+        Optional<ForwardEffect.StartForward> start = arrive(entry, inputTokens);
+        start.ifPresent(sent -> {
+            accepted.add(new Accepted(nowMillis, inputTokens));
+            end(entry, sent, new ForwardOutcome.Completed());
+        });
+        return start.isPresent();
+    }
+
+    /** Sends a request that its server refuses; says whether it was passed on. */
+    boolean askRefused(int entry, long inputTokens) {
+        Optional<ForwardEffect.StartForward> start = arrive(entry, inputTokens);
+        start.ifPresent(sent -> end(entry, sent, new ForwardOutcome.Refused(503, OptionalLong.empty())));
+        return start.isPresent();
+    }
+
+    private Optional<ForwardEffect.StartForward> arrive(int entry, long inputTokens) {
+        counter++;
+        List<Effect> effects = run(
+                daemons.get(CONTROLS + entry),
+                new ForwardEvent.ForwardArrived(
+                        counter,
+                        new ForwardHead(
+                                "id-" + counter,
+                                "a.example",
+                                "/x",
+                                Optional.of(KEY),
+                                OptionalLong.of(3_000),
+                                Optional.of(new PromptShape("m", inputTokens, 0, List.of()))),
+                        nanos()));
+        return effects.stream()
+                .filter(ForwardEffect.StartForward.class::isInstance)
+                .map(ForwardEffect.StartForward.class::cast)
+                .findFirst();
+    }
+
+    private void end(int entry, ForwardEffect.StartForward start, ForwardOutcome outcome) {
+        run(
+                daemons.get(CONTROLS + entry),
+                new ForwardEvent.ForwardEnded(start.ticket(), start.attempt(), outcome, Optional.empty()));
+    }
+
+    /** Returns the most tokens that were passed on in any window. */
+    double mostInWindow() {
+        double most = 0;
+        for (Accepted first : accepted) {
+            double sum = accepted.stream()
+                    .filter(other ->
+                            other.atMillis() >= first.atMillis() && other.atMillis() < first.atMillis() + WINDOW_MILLIS)
+                    .mapToDouble(Accepted::cost)
+                    .sum();
+            most = Math.max(most, sum);
+        }
+        return most;
+    }
+
+    /** Returns the bound on tokens in a window. */
+    static double bound() {
+        return (RATE * WINDOW_MILLIS / 1_000 + BURST) * (1 + OVERRUN) + SLACK;
+    }
+
+    private long nanos() {
+        return nowMillis * 1_000_000;
+    }
+
+    private void link(int index) {
+        boolean control = index < CONTROLS;
+        for (int other = 0; other < daemons.size(); other++) {
+            Daemon peer = daemons.get(other);
+            boolean linked = daemons.get(index)
+                    .cycle()
+                    .board()
+                    .membership()
+                    .member(peer.id())
+                    .filter(member -> member.linked() && member.incarnation() == peer.incarnation())
+                    .isPresent();
+            if (control != other < CONTROLS && !linked) {
+                run(
+                        daemons.get(index),
+                        new PeerEvent.PeerConnected(peer.id(), AvailabilityZone.of("zone-a"), peer.incarnation()));
+            }
+        }
+    }
+
+    private void deliver(Delivery delivery) {
+        if (cutOff.contains(delivery.from()) || cutOff.contains(delivery.to())) {
+            return;
+        }
+        daemons.stream()
+                .filter(daemon -> daemon.id().equals(delivery.to()))
+                .forEach(daemon -> run(
+                        daemon,
+                        new PeerEvent.PeerMessageReceived(
+                                delivery.from(), delivery.incarnation(), delivery.message())));
+    }
+
+    private List<Effect> run(Daemon daemon, Event event) {
+        List<Effect> effects = daemon.cycle().run(event, nanos(), 0);
+        for (Effect effect : effects) {
+            if (effect instanceof PeerEffect.SendToPeer send) {
+                counter++;
+                network.add(new Delivery(
+                        nowMillis + WAY_MILLIS,
+                        counter,
+                        daemon.id(),
+                        daemon.incarnation(),
+                        send.peer(),
+                        send.message()));
+            }
+        }
+        return effects;
+    }
+}
