Elect sooner after a total loss; keep engines for long prompts

Engines for long prompts. Each daemon now keeps the engines that are first by a hash for prompts of 8,192 tokens and more, as many as their part of the work.

--- a/src/main/java/org/plantainwharf/consensus/ReplicaOptions.java
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaOptions.java
@@ -47,15 +47,17 @@
     /**
      * Returns the values for groups whose hosts are discovered. A document must be in force within 2 s on a host that
      * reaches a majority, so a learner leaves a source that went silent after 1 s and asks it more often until then.
+     * After the loss of all processes no request is served before a leader is elected, so leases and elections are
+     * shorter than the design's; a lease still covers four heartbeats.
      */
     public static ReplicaOptions discovered() {
         ReplicaOptions design = defaults();
         return new ReplicaOptions(
-                design.heartbeatNanos,
-                design.leaseNanos,
-                design.refusalNanos,
-                design.electionMinimumNanos,
-                design.electionMaximumNanos,
+                TimeUnit.MILLISECONDS.toNanos(150),
+                TimeUnit.MILLISECONDS.toNanos(600),
+                TimeUnit.MILLISECONDS.toNanos(700),
+                TimeUnit.MILLISECONDS.toNanos(700),
+                TimeUnit.MILLISECONDS.toNanos(1_200),
                 design.tailEntries,
                 design.messageBytes,
                 TimeUnit.MILLISECONDS.toNanos(400),
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.plantainwharf.board.Board;
@@ -50,6 +51,9 @@
     /** Callers wait at most a third of the time they have left. */
     private static final int RETRY_AFTER_PART = 3;
 
+    /** After the loss of all processes a document is there again within one to two seconds; callers come back once. */
+    private static final long MISSING_DOCUMENT_MILLIS = 1_000;
+
     /** A server that says it is full is left alone this long unless it names a time. */
     private static final long FULL_MILLIS = 150;
 
@@ -114,7 +118,11 @@
         }
         Optional<RouteTable> table = board.documents().table();
         if (table.isEmpty()) {
-            refuse(arrived, Failure.of(ErrorKind.CONFIGURATION_MISSING).withRetryAfter(retryAfter(head, 200)), effects);
+            refuse(
+                    arrived,
+                    Failure.of(ErrorKind.CONFIGURATION_MISSING)
+                            .withRetryAfter(retryAfter(head, MISSING_DOCUMENT_MILLIS)),
+                    effects);
             return;
         }
         Optional<RouteRule> route = table.get().route(head.host(), head.path());
@@ -136,6 +144,7 @@
         board.forward()
                 .retryBudget(call.service(), limits.retryShare(), limits.retryMinimum())
                 .countAttempt(nowNanos);
+        call.head().prompt().ifPresent(board.forward().lanes(call.service())::arrived);
         send(call, board, nowNanos, effects);
     }
 
@@ -221,9 +230,11 @@
             finish(call, Failure.of(ErrorKind.DEADLINE_EXCEEDED), board, nowNanos, effects);
             return;
         }
+        List<ServerChoice.Candidate> candidates = candidates(call, board, nowNanos);
         Optional<ServerChoice.Candidate> chosen = ServerChoice.best(
-                candidates(call, board, nowNanos),
+                candidates,
                 call.head().prompt(),
+                longServers(call, candidates, board),
                 board.membership().zone(),
                 nowNanos);
         if (chosen.isEmpty()) {
@@ -272,6 +283,16 @@
                 call.route().resumable()));
     }
 
+    private static Set<ServerId> longServers(ForwardCall call, List<ServerChoice.Candidate> candidates, Board board) {
+        return call.head().prompt().isEmpty()
+                ? Set.of()
+                : board.forward()
+                        .lanes(call.service())
+                        .longServers(candidates.stream()
+                                .map(candidate -> candidate.server().report().server())
+                                .toList());
+    }
+
     private static int priority(ForwardCall call) {
         int declared = call.account()
                 .flatMap(account -> account.priority().isPresent()
--- a/src/main/java/org/plantainwharf/forward/ForwardSection.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardSection.java
@@ -16,6 +16,8 @@
     private final Map<ServerId, ServerLedger> ledgers = new HashMap<>();
     private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
 
+    private final Map<ServiceName, PromptLanes> lanes = new HashMap<>();
+
     private ForwardSection() {}
 
     /** Returns an empty section. */
@@ -52,4 +54,8 @@
     RetryBudget retryBudget(ServiceName service, double share, double minimum) {
         return retryBudgets.computeIfAbsent(service, name -> RetryBudget.create(share, minimum));
     }
+
+    PromptLanes lanes(ServiceName service) {
+        return lanes.computeIfAbsent(service, name -> new PromptLanes());
+    }
 }
--- a/src/main/java/org/plantainwharf/forward/ServerChoice.java
+++ b/src/main/java/org/plantainwharf/forward/ServerChoice.java
@@ -3,8 +3,10 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.registry.KnownServer;
 
 /**
@@ -26,6 +28,9 @@
     /** Cost of the way to another zone: two crossings and the price of its bytes. */
     private static final double OTHER_ZONE_MILLIS = 12;
 
+    /** Cost of an engine kept for prompts of the other length: the wait behind a long prompt that is half read. */
+    private static final double OTHER_LANE_MILLIS = 150;
+
     /** Duration assumed of a plain request before one was measured. */
     private static final double FIRST_DURATION_MILLIS = 50;
 
@@ -37,15 +42,31 @@
     /** A server with what this daemon knows of it. */
     record Candidate(KnownServer server, ServerLedger ledger) {}
 
-    /** Returns the best candidate. */
+    /**
+     * Returns the best candidate.
+     *
+     * @param longServers engines kept for long prompts
+     */
     static Optional<Candidate> best(
-            List<Candidate> candidates, Optional<PromptShape> prompt, AvailabilityZone zone, long nowNanos) {
+            List<Candidate> candidates,
+            Optional<PromptShape> prompt,
+            Set<ServerId> longServers,
+            AvailabilityZone zone,
+            long nowNanos) {
         Optional<String> shared = prompt.flatMap(ServerChoice::sharedPart);
         Optional<Candidate> preferred = shared.flatMap(part -> candidates.stream()
+                .filter(candidate -> inLane(candidate, prompt, longServers))
                 .max(Comparator.comparingLong(candidate ->
                         mixed(part, candidate.server().report().server().value()))));
         return candidates.stream()
-                .min(Comparator.comparingDouble(candidate -> cost(candidate, prompt, preferred, zone, nowNanos)));
+                .min(Comparator.comparingDouble(candidate -> cost(candidate, prompt, preferred, zone, nowNanos)
+                        + (inLane(candidate, prompt, longServers) ? 0 : OTHER_LANE_MILLIS)));
+    }
+
+    private static boolean inLane(Candidate candidate, Optional<PromptShape> prompt, Set<ServerId> longServers) {
+        return prompt.isEmpty()
+                || longServers.isEmpty()
+                || longServers.contains(candidate.server().report().server()) == PromptLanes.longPrompt(prompt.get());
     }
 
     private static double cost(
@@ -88,7 +109,7 @@
     }
 
     /** Spreads pairs of part and server evenly, the same on every daemon. */
-    private static long mixed(String part, String server) {
+    static long mixed(String part, String server) {
         long value = 31L * part.hashCode() + server.hashCode();
         value = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
         value = (value ^ (value >>> 27)) * 0x94d049bb133111ebL;
