Share periods and messages to all linked daemons

Five controllers of the platform each kept the time of their next period and each looped over the members with a link to send one message. They use control.Period and membership.LinkedPeers now. The registry section no longer keeps time; its controller does. Behaviour is unchanged.

--- a/src/main/java/org/plantainwharf/duty/DemandController.java
+++ b/src/main/java/org/plantainwharf/duty/DemandController.java
@@ -6,8 +6,8 @@
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
+import org.plantainwharf.control.Period;
 import org.plantainwharf.effect.Effects;
-import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
 import org.plantainwharf.event.DocumentEvent;
@@ -25,7 +25,7 @@
 import org.plantainwharf.forward.ForwardCall;
 import org.plantainwharf.forward.PromptShape;
 import org.plantainwharf.identity.ServiceName;
-import org.plantainwharf.membership.Member;
+import org.plantainwharf.membership.LinkedPeers;
 import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.message.ServiceDemand;
 
@@ -41,7 +41,7 @@
 
     private final Map<ServiceName, double[]> asked = new HashMap<>();
     private final Map<ServiceName, double[]> rates = new HashMap<>();
-    private long nextNanos;
+    private final Period period = Period.ofNanos(PERIOD_NANOS);
 
     private DemandController() {}
 
@@ -80,10 +80,9 @@
     }
 
     private void onTick(Board board, long nowNanos, Effects effects) {
-        if (nowNanos - nextNanos < 0 && nextNanos != 0) {
+        if (!period.due(nowNanos)) {
             return;
         }
-        nextNanos = nowNanos + PERIOD_NANOS;
         Map<ServiceName, Integer> inFlight = new HashMap<>();
         board.forward().calls().forEach(call -> inFlight.merge(call.service(), 1, Integer::sum));
         Map<ServiceName, ServiceDemand> demands = new HashMap<>();
@@ -96,10 +95,6 @@
             demands.put(service, new ServiceDemand(inFlight.getOrDefault(service, 0), 0, rate[0], rate[1]));
         });
         PeerMessage message = new PeerMessage.DemandReport(demands);
-        for (Member member : board.membership().members()) {
-            if (member.linked()) {
-                effects.add(new PeerEffect.SendToPeer(member.host(), message));
-            }
-        }
+        LinkedPeers.tell(message, board, effects);
     }
 }
--- a/src/main/java/org/plantainwharf/duty/ScalingController.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingController.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
+import org.plantainwharf.control.Period;
 import org.plantainwharf.document.ServiceDocument;
 import org.plantainwharf.document.ServiceRule;
 import org.plantainwharf.effect.DutyEffect;
@@ -77,7 +78,7 @@
     private final Map<Pool, Ordered> ordered = new HashMap<>();
     private final Map<AvailabilityZone, Long> dryUntilNanos = new HashMap<>();
     private final Map<ServiceName, Peak> peaks = new HashMap<>();
-    private long nextNanos;
+    private final Period period = Period.ofNanos(PERIOD_NANOS);
     private long lastFencing;
 
     /** An order under way or settled. Immutable. */
@@ -148,10 +149,9 @@
     }
 
     private void onTick(Board board, long nowNanos, Effects effects) {
-        if (nowNanos - nextNanos < 0 && nextNanos != 0) {
+        if (!period.due(nowNanos)) {
             return;
         }
-        nextNanos = nowNanos + PERIOD_NANOS;
         board.duties().demands().values().removeIf(demand -> nowNanos - demand.heardNanos() >= FORGET_DEMAND_NANOS);
         if (board.duties().fencingNumber().isEmpty()
                 || board.documents().document().isEmpty()) {
--- a/src/main/java/org/plantainwharf/duty/UsageController.java
+++ b/src/main/java/org/plantainwharf/duty/UsageController.java
@@ -10,10 +10,10 @@
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
+import org.plantainwharf.control.Period;
 import org.plantainwharf.document.AccountRule;
 import org.plantainwharf.effect.DutyEffect;
 import org.plantainwharf.effect.Effects;
-import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.event.AttemptEvent;
 import org.plantainwharf.event.CallEvent;
 import org.plantainwharf.event.DocumentEvent;
@@ -31,7 +31,7 @@
 import org.plantainwharf.forward.ForwardCall;
 import org.plantainwharf.forward.ForwardOutcome;
 import org.plantainwharf.identity.AccountName;
-import org.plantainwharf.membership.Member;
+import org.plantainwharf.membership.LinkedPeers;
 import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
@@ -60,7 +60,7 @@
     private final Set<Long> countedCalls = new HashSet<>();
     private final Set<Long> reported = new HashSet<>();
     private final Map<Long, Long> askedNanos = new HashMap<>();
-    private long nextTellNanos;
+    private final Period telling = Period.ofNanos(TELL_NANOS);
 
     private UsageController(long windowMillis, long dueMillis) {
         this.windowMillis = windowMillis;
@@ -132,8 +132,7 @@
     }
 
     private void onTick(Board board, long nowNanos, Effects effects) {
-        if (nowNanos - nextTellNanos >= 0 || nextTellNanos == 0) {
-            nextTellNanos = nowNanos + TELL_NANOS;
+        if (telling.due(nowNanos)) {
             tell(board, effects);
         }
         if (board.duties().fencingNumber().isPresent()) {
@@ -150,11 +149,7 @@
         askedNanos.keySet().removeIf(window -> !own.containsKey(window) && window < present - 8);
         for (Map.Entry<Long, Map<AccountName, Long>> entry : own.entrySet()) {
             PeerMessage message = new PeerMessage.UsageCounts(entry.getKey(), entry.getValue());
-            for (Member member : board.membership().members()) {
-                if (member.linked()) {
-                    effects.add(new PeerEffect.SendToPeer(member.host(), message));
-                }
-            }
+            LinkedPeers.tell(message, board, effects);
         }
     }
 
--- a/src/main/java/org/plantainwharf/limit/AllowanceController.java
+++ b/src/main/java/org/plantainwharf/limit/AllowanceController.java
@@ -7,6 +7,7 @@
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
+import org.plantainwharf.control.Period;
 import org.plantainwharf.document.AccountRule;
 import org.plantainwharf.effect.Effects;
 import org.plantainwharf.effect.PeerEffect;
@@ -26,7 +27,7 @@
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.HostId;
-import org.plantainwharf.membership.Member;
+import org.plantainwharf.membership.LinkedPeers;
 import org.plantainwharf.message.AllowanceShare;
 import org.plantainwharf.message.AllowanceUse;
 import org.plantainwharf.message.PeerMessage;
@@ -43,6 +44,7 @@
     /** Part of the rate of its last share that pays a daemon's use when grants stop. */
     static final double CUT_OFF_PART = 0.5;
 
+    /** Validity of a grant; it outlasts a change of the leader, which takes about a second. */
     static final long VALID_MILLIS = 2_000;
 
     private static final int CONTROL_GROUP = 0;
@@ -58,7 +60,7 @@
 
     private final Map<AccountName, Double> asked = new HashMap<>();
     private final Map<AccountName, Double> demand = new HashMap<>();
-    private long nextNanos;
+    private final Period period = Period.ofNanos(PERIOD_NANOS);
 
     private AllowanceController() {}
 
@@ -110,10 +112,9 @@
     }
 
     private void onTick(Board board, long nowNanos, Effects effects) {
-        if (nowNanos - nextNanos < 0 && nextNanos != 0) {
+        if (!period.due(nowNanos)) {
             return;
         }
-        nextNanos = nowNanos + PERIOD_NANOS;
         if (board.consensus().group(CONTROL_GROUP).leading()) {
             grantAll(board, nowNanos, effects);
         } else if (!board.consensus().group(CONTROL_GROUP).voting()) {
@@ -138,11 +139,7 @@
         asked.clear();
         PeerMessage message =
                 new PeerMessage.AllowanceReport(!board.allowances().granted(), uses);
-        for (Member member : board.membership().members()) {
-            if (member.linked()) {
-                effects.add(new PeerEffect.SendToPeer(member.host(), message));
-            }
-        }
+        LinkedPeers.tell(message, board, effects);
     }
 
     private static void grantAll(Board board, long nowNanos, Effects effects) {
--- a/src/main/java/org/plantainwharf/membership/DiscoveryController.java
+++ b/src/main/java/org/plantainwharf/membership/DiscoveryController.java
@@ -91,11 +91,7 @@
             effects.add(new PeerEffect.DialPeer(host, address));
         });
         if (tells) {
-            for (Member member : board.membership().members()) {
-                if (member.linked()) {
-                    effects.add(new PeerEffect.SendToPeer(member.host(), new PeerMessage.KnownPeers(known)));
-                }
-            }
+            LinkedPeers.tell(new PeerMessage.KnownPeers(known), board, effects);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/org/plantainwharf/membership/LinkedPeers.java
@@ -0,0 +1,28 @@
+package org.plantainwharf.membership;
+
+import java.util.Optional;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.PeerMessage;
+
+/** Sends to every daemon that this one has a link with. Stateless. */
+public final class LinkedPeers {
+    private LinkedPeers() {}
+
+    /** Sends a message to each of them. */
+    public static void tell(PeerMessage message, Board board, Effects effects) {
+        tellExcept(Optional.empty(), message, board, effects);
+    }
+
+    /** Sends a message to each of them but one, which it came from. */
+    public static void tellExcept(Optional<HostId> origin, PeerMessage message, Board board, Effects effects) {
+        for (Member member : board.membership().members()) {
+            if (member.linked() && !origin.equals(Optional.of(member.host()))) {
+                effects.add(new PeerEffect.SendToPeer(member.host(), message));
+            }
+        }
+    }
+}
--- a/src/main/java/org/plantainwharf/registry/RegistryController.java
+++ b/src/main/java/org/plantainwharf/registry/RegistryController.java
@@ -8,6 +8,7 @@
 import org.plantainwharf.board.Board;
 import org.plantainwharf.consensus.GroupStatus;
 import org.plantainwharf.control.Controller;
+import org.plantainwharf.control.Period;
 import org.plantainwharf.effect.Effects;
 import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.effect.RegistryEffect;
@@ -28,7 +29,7 @@
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.ServiceName;
-import org.plantainwharf.membership.Member;
+import org.plantainwharf.membership.LinkedPeers;
 import org.plantainwharf.message.PeerMessage;
 
 /**
@@ -48,6 +49,7 @@
     private static final long CONTACT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
     private final boolean relays;
+    private final Period refreshing = Period.ofNanos(REFRESH_NANOS);
 
     private RegistryController(boolean relays) {
         this.relays = relays;
@@ -146,16 +148,7 @@
                     "from",
                     from.map(HostId::value).orElse("server"));
             if (relays) {
-                tellAll(List.of(held), from, board, effects);
-            }
-        }
-    }
-
-    private static void tellAll(List<ServerReport> reports, Optional<HostId> except, Board board, Effects effects) {
-        PeerMessage news = new PeerMessage.ServerNews(reports);
-        for (Member member : board.membership().members()) {
-            if (member.linked() && !except.equals(Optional.of(member.host()))) {
-                effects.add(new PeerEffect.SendToPeer(member.host(), news));
+                LinkedPeers.tellExcept(from, new PeerMessage.ServerNews(List.of(held)), board, effects);
             }
         }
     }
@@ -183,10 +176,10 @@
     private void onTick(Board board, long nowNanos, Effects effects) {
         RegistrySection section = board.registry();
         section.forgetSilent(nowNanos, FORGET_NANOS);
-        if (relays) {
-            List<ServerReport> refreshed = section.takeRefreshed(nowNanos, REFRESH_NANOS);
+        if (relays && refreshing.due(nowNanos)) {
+            List<ServerReport> refreshed = section.takeRefreshed();
             if (!refreshed.isEmpty()) {
-                tellAll(refreshed, Optional.empty(), board, effects);
+                LinkedPeers.tell(new PeerMessage.ServerNews(refreshed), board, effects);
             }
         }
     }
--- a/src/main/java/org/plantainwharf/registry/RegistrySection.java
+++ b/src/main/java/org/plantainwharf/registry/RegistrySection.java
@@ -20,7 +20,6 @@
 public final class RegistrySection {
     private final Map<ServerId, KnownServer> servers = new LinkedHashMap<>();
     private final Set<ServerId> refreshed = new HashSet<>();
-    private long nextRefreshNanos;
 
     private RegistrySection() {}
 
@@ -114,12 +113,8 @@
         refreshed.add(server);
     }
 
-    /** Returns and clears the reports heard here since the last call, when one is due. For the registry controller. */
-    List<ServerReport> takeRefreshed(long nowNanos, long periodNanos) {
-        if (nowNanos - nextRefreshNanos < 0) {
-            return List.of();
-        }
-        nextRefreshNanos = nowNanos + periodNanos;
+    /** Returns and clears the reports heard here since the last call. For the registry controller. */
+    List<ServerReport> takeRefreshed() {
         List<ServerReport> reports = new ArrayList<>();
         for (ServerId server : refreshed) {
             Optional.ofNullable(servers.get(server)).map(KnownServer::report).ifPresent(reports::add);
