Give the daemons one graceful stop and split arrivals from forwarding

ControlDaemon and EntryDaemon had the same drain, stop and close, and the two command lines had the same stop on a signal. RunningDaemon holds them for all three kinds of daemon. HttpListener says itself that its address cannot be bound, where five callers wrapped the exception alike; a daemon whose readiness address is taken now names that address.

Test harnesses take their settings from Samples.

Behaviour is unchanged apart from that message. One thing considered and left: the hash order of engines for long prompts is sorted for each request; remembering it needs a comparison of the same cost. 245 tests of the parts touched pass, FleetTest among them.

--- a/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -93,12 +93,9 @@
         });
     }
 
-    /** Serves until a signal or an operator asks for a stop, which ends no request early. */
     private ExitCode serveUntilStopped(Daemon daemon) {
-        Thread hook = new Thread(() -> stopOnSignal(daemon), "stop-on-signal");
-        Runtime.getRuntime().addShutdownHook(hook);
         try {
-            daemon.awaitStop();
+            daemon.serveUntilStopped();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return fail("interrupted while serving");
@@ -106,20 +103,6 @@
         return ExitCode.OK;
     }
 
-    private static void stopOnSignal(Daemon daemon) {
-        if (daemon.isStopped()) {
-            return;
-        }
-        daemon.drain();
-        try {
-            daemon.awaitClosed();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        // A graceful stop is a success, while the virtual machine would report the signal.
-        Runtime.getRuntime().halt(0);
-    }
-
     private ExitCode settingsCheck(List<Path> files) {
         ExitCode exitCode = ExitCode.OK;
         Map<String, Settings> settingsByFile = new LinkedHashMap<>();
--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -8,7 +8,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 
@@ -36,7 +35,6 @@
 import org.plantainwharf.effect.DocumentEffect;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
-import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.front.MetricsFront;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.limit.AllowanceController;
@@ -53,7 +51,7 @@
 import org.plantainwharf.transport.PeerPolicy;
 
 /** A daemon that holds the control group's log, takes reports and documents, and carries out duties. Thread-safe. */
-public final class ControlDaemon implements RoleDaemon {
+public final class ControlDaemon extends RunningDaemon {
     private final ControlThread control;
     private final ControlSurface surface;
     private final CloudApi cloud;
@@ -61,8 +59,6 @@
     private final StorageWriter storage;
     private final MetricsFront metricsFront;
     private final LineLog log;
-    private final CountDownLatch drained = new CountDownLatch(1);
-    private final CountDownLatch closed = new CountDownLatch(1);
 
     private ControlDaemon(
             RoleSettings role,
@@ -123,7 +119,7 @@
                 this::document,
                 cloud::execute,
                 storage::execute,
-                drained::countDown)));
+                this::noteDrained)));
     }
 
     /**
@@ -207,35 +203,19 @@
     }
 
     @Override
-    public void drain() {
-        control.post(new OperatorEvent.DrainRequested(0));
+    EventSink events() {
+        return control;
     }
 
     @Override
-    public void awaitStop() throws InterruptedException {
-        drained.await();
-        close();
-    }
-
-    @Override
-    public void awaitClosed() throws InterruptedException {
-        closed.await();
-    }
-
-    @Override
-    public void close() {
-        try {
-            control.stop();
-            log.write("daemon_stopped", "role", "control");
-            surface.stop();
-            metricsFront.stop();
-            cloud.stop();
-            peers.close();
-            storage.close();
-            log.close();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        closed.countDown();
+    void closeParts() throws InterruptedException {
+        control.stop();
+        log.write("daemon_stopped", "role", "control");
+        surface.stop();
+        metricsFront.stop();
+        cloud.stop();
+        peers.close();
+        storage.close();
+        log.close();
     }
 }
--- a/src/main/java/org/plantainwharf/daemon/Daemon.java
+++ b/src/main/java/org/plantainwharf/daemon/Daemon.java
@@ -30,10 +30,10 @@
 import org.plantainwharf.control.ControlThread;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.control.EffectExecutor;
+import org.plantainwharf.control.EventSink;
 import org.plantainwharf.drain.DrainController;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
-import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.front.CallerFront;
 import org.plantainwharf.front.OperatorFront;
 import org.plantainwharf.limit.LimitController;
@@ -59,7 +59,7 @@
  *
  * <p>Invariant: the control thread starts after every part it sends effects to, and stops before them.
  */
-public final class Daemon implements AutoCloseable {
+public final class Daemon extends RunningDaemon {
     private static final EventLog LOG = EventLog.of(FluentLogger.forEnclosingClass());
 
     /** Time for answers that are already written to reach their callers. */
@@ -69,8 +69,6 @@
 
     private final Settings settings;
     private final Parts parts;
-    private final CountDownLatch drained;
-    private final CountDownLatch closed = new CountDownLatch(1);
 
     /** The threads and connections of a daemon. */
     private record Parts(
@@ -82,9 +80,9 @@
             Optional<StorageWriter> storage) {}
 
     private Daemon(Settings settings, Parts parts, CountDownLatch drained) {
+        super(drained);
         this.settings = settings;
         this.parts = parts;
-        this.drained = drained;
     }
 
     /** Starts a daemon, or says why it cannot start: a corrupt log, an unusable folder or an occupied address. */
@@ -204,34 +202,21 @@
         return parts.operators().port();
     }
 
-    /** Starts a graceful stop; {@link #awaitStop} returns once it is done. */
-    public void drain() {
-        parts.control().post(new OperatorEvent.DrainRequested(0));
+    @Override
+    EventSink events() {
+        return parts.control();
     }
 
-    /** Waits until a graceful stop is done, flushes answers and closes every part. */
-    public void awaitStop() throws InterruptedException {
-        drained.await();
+    @Override
+    void flush() throws InterruptedException {
         long deadline = System.nanoTime() + FLUSH_LIMIT.toNanos();
         while (parts.callers().openExchanges() > 0 && System.nanoTime() - deadline < 0) {
             TimeUnit.MILLISECONDS.sleep(FLUSH_POLL_MILLIS);
         }
-        close();
-    }
-
-    /** Says whether every part is closed. */
-    public boolean isStopped() {
-        return closed.getCount() == 0;
-    }
-
-    /** Waits until every part is closed. */
-    public void awaitClosed() throws InterruptedException {
-        closed.await();
     }
 
-    /** Closes every part at once, without a graceful stop. */
     @Override
-    public void close() {
+    void closeParts() throws InterruptedException {
         try {
             parts.control().stop();
             parts.callers().stop();
@@ -241,10 +226,8 @@
             if (parts.storage().isPresent()) {
                 parts.storage().get().close();
             }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+        } finally {
+            LOG.info("daemon_stopped", "host", settings.host());
         }
-        LOG.info("daemon_stopped", "host", settings.host());
-        closed.countDown();
     }
 }
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -5,7 +5,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +24,7 @@
 import org.plantainwharf.control.ControlThread;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.control.EffectExecutor;
+import org.plantainwharf.control.EventSink;
 import org.plantainwharf.document.DocumentCodec;
 import org.plantainwharf.document.DocumentController;
 import org.plantainwharf.drain.DrainController;
@@ -34,7 +34,6 @@
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
-import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.forward.ForwardController;
 import org.plantainwharf.front.ForwardAddresses;
 import org.plantainwharf.front.ForwardFront;
@@ -51,7 +50,7 @@
 import org.plantainwharf.transport.PeerPolicy;
 
 /** A daemon that takes requests and passes them on, and follows the control group without a vote. Thread-safe. */
-public final class EntryDaemon implements RoleDaemon {
+public final class EntryDaemon extends RunningDaemon {
     /** Threads of the client that read and write: one works at a time on one core, others wait for a caller. */
     private static final int CLIENT_THREADS = 8;
 
@@ -66,8 +65,6 @@
     private final ExecutorService traffic;
     private final MetricsFront metricsFront;
     private final LineLog log;
-    private final CountDownLatch drained = new CountDownLatch(1);
-    private final CountDownLatch closed = new CountDownLatch(1);
 
     private EntryDaemon(RoleSettings role, ForwardDialect dialect, DocumentCodec codec, LineLog log) {
         this.role = role;
@@ -132,7 +129,7 @@
                 this::document,
                 effect -> misdirected("duty"),
                 effect -> misdirected("storage"),
-                drained::countDown)));
+                this::noteDrained)));
     }
 
     /** Starts an entry daemon, or says why it cannot start. */
@@ -184,23 +181,12 @@
     }
 
     @Override
-    public void drain() {
-        control.post(new OperatorEvent.DrainRequested(0));
+    EventSink events() {
+        return control;
     }
 
     @Override
-    public void awaitStop() throws InterruptedException {
-        drained.await();
-        close();
-    }
-
-    @Override
-    public void awaitClosed() throws InterruptedException {
-        closed.await();
-    }
-
-    @Override
-    public void close() {
+    void closeParts() throws InterruptedException {
         try {
             control.stop();
             traffic.shutdown();
@@ -213,10 +199,9 @@
             peers.close();
             log.close();
         } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            throw e;
         } catch (Exception e) {
             log.write("daemon_stop_failed", "problem", String.valueOf(e));
         }
-        closed.countDown();
     }
 }
--- /dev/null
+++ b/src/main/java/org/plantainwharf/forward/ForwardArrivals.java
@@ -0,0 +1,135 @@
+package org.plantainwharf.forward;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.document.AccountRule;
+import org.plantainwharf.document.RouteRule;
+import org.plantainwharf.document.RouteTable;
+import org.plantainwharf.effect.Effects;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.identity.ServiceName;
+
+/** Finds route, account and service of an arriving request and holds the account's limit. Used by the forward controller. */
+final class ForwardArrivals {
+    /** Shortest time that a caller over its limit is told to wait. */
+    private static final long LEAST_RETRY_AFTER_MILLIS = 100;
+
+    /** After the loss of all processes a document is there again within one to two seconds; callers come back once. */
+    private static final long MISSING_DOCUMENT_MILLIS = 1_000;
+
+    private final AccountLimits accounts;
+
+    ForwardArrivals(AccountLimits accounts) {
+        this.accounts = accounts;
+    }
+
+    /** Returns the request as it is passed on; refuses it where it may not be, and returns nothing then. */
+    Optional<ForwardCall> admit(ForwardEvent.ForwardArrived arrived, Board board, long nowNanos, Effects effects) {
+        ForwardHead head = arrived.head();
+        if (board.drain().refusesCalls()) {
+            refuse(arrived, Failure.of(ErrorKind.DRAINING), effects);
+            return Optional.empty();
+        }
+        Optional<RouteTable> table = board.documents().table();
+        if (table.isEmpty()) {
+            refuse(
+                    arrived,
+                    Failure.of(ErrorKind.CONFIGURATION_MISSING)
+                            .withRetryAfter(RetryAfter.within(head, MISSING_DOCUMENT_MILLIS)),
+                    effects);
+            return Optional.empty();
+        }
+        Optional<RouteRule> route = table.get().route(head.host(), head.path());
+        if (route.isEmpty()) {
+            refuse(arrived, Failure.of(ErrorKind.UNKNOWN_ROUTE, head.path()), effects);
+            return Optional.empty();
+        }
+        Optional<AccountRule> account = head.key().flatMap(table.get()::account);
+        if (account.isEmpty() && table.get().needsKeys() && !route.get().open()) {
+            refuse(arrived, Failure.of(ErrorKind.UNAUTHENTICATED), effects);
+            return Optional.empty();
+        }
+        ForwardCall call = accept(arrived, route.get(), account, board);
+        if (account.isPresent() && account.get().limited() && !accounts.tryTake(account.get(), call, board, nowNanos)) {
+            refuseOverLimit(arrived, account.get(), call, board, nowNanos, effects);
+            return Optional.empty();
+        }
+        return Optional.of(call);
+    }
+
+    private static ForwardCall accept(
+            ForwardEvent.ForwardArrived arrived, RouteRule route, Optional<AccountRule> account, Board board) {
+        long millis =
+                Math.min(route.timeoutMillis(), arrived.head().deadlineMillis().orElse(route.timeoutMillis()));
+        double cost = account.map(rule -> rule.cost(arrived.head())).orElse(0.0);
+        return new ForwardCall(
+                arrived.ticket(),
+                arrived.head(),
+                route,
+                account,
+                pick(route, board),
+                new ForwardCall.Terms(
+                        arrived.arrivedNanos(), arrived.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(millis), cost));
+    }
+
+    private static ServiceName pick(RouteRule route, Board board) {
+        int sum = route.split().stream().mapToInt(RouteRule.Share::weight).sum();
+        int drawn = board.random().nextInt(sum);
+        for (RouteRule.Share share : route.split()) {
+            drawn -= share.weight();
+            if (drawn < 0) {
+                return share.service();
+            }
+        }
+        return route.split().getLast().service();
+    }
+
+    private void refuseOverLimit(
+            ForwardEvent.ForwardArrived arrived,
+            AccountRule account,
+            ForwardCall call,
+            Board board,
+            long nowNanos,
+            Effects effects) {
+        long wait = accounts.millisUntilOpen(account, board, nowNanos);
+        effects.log(
+                "limit_reached",
+                "request",
+                arrived.head().requestId(),
+                "account",
+                account.name(),
+                "cost",
+                call.terms().cost(),
+                "limit",
+                account.ratePerSecond(),
+                "part",
+                board.allowances().part(account, nowNanos),
+                "wait_ms",
+                wait,
+                "version",
+                board.documents().version());
+        refuse(
+                arrived,
+                Failure.of(ErrorKind.ACCOUNT_LIMIT_EXCEEDED, account.name())
+                        .withRetryAfter(RetryAfter.within(arrived.head(), Math.max(wait, LEAST_RETRY_AFTER_MILLIS))),
+                effects);
+    }
+
+    private static void refuse(ForwardEvent.ForwardArrived arrived, Failure failure, Effects effects) {
+        effects.log(
+                "request_refused",
+                "request",
+                arrived.head().requestId(),
+                "kind",
+                failure.kind().code(),
+                "message",
+                failure.message());
+        effects.count(failure.kind().metricName());
+        effects.add(new ForwardEffect.RefuseForward(arrived.ticket(), failure));
+    }
+}
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -1,6 +1,5 @@
 package org.plantainwharf.forward;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -10,8 +9,6 @@
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.document.AccountRule;
-import org.plantainwharf.document.RouteRule;
-import org.plantainwharf.document.RouteTable;
 import org.plantainwharf.effect.Effects;
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.error.ErrorKind;
@@ -32,28 +29,13 @@
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.ServerId;
-import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.registry.KnownServer;
 
 /**
- * Decides on requests that are passed on: finds route and account, holds the account's limit, chooses the server,
- * repeats what may be repeated within budget and time, and ends each request with exactly one answer. "Not run" is said
+ * Decides on requests that are passed on: chooses the server, repeats what may be repeated within budget and time, and ends each request with exactly one answer. "Not run" is said
  * only where no attempt may have run. Runs on the control thread.
  */
 public final class ForwardController implements Controller {
-
-    /** Longest time that a caller is told to wait; a free server is usually there within it. */
-    private static final long LONGEST_RETRY_AFTER_MILLIS = 1_000;
-
-    /** Shortest time that a caller over its limit is told to wait. */
-    private static final long LEAST_RETRY_AFTER_MILLIS = 100;
-
-    /** Callers wait at most a third of the time they have left. */
-    private static final int RETRY_AFTER_PART = 3;
-
-    /** After the loss of all processes a document is there again within one to two seconds; callers come back once. */
-    private static final long MISSING_DOCUMENT_MILLIS = 1_000;
-
     /** A server that says it is full is left alone this long unless it names a time. */
     private static final long FULL_MILLIS = 150;
 
@@ -68,10 +50,12 @@
 
     private final ForwardLimits limits;
     private final AccountLimits accounts;
+    private final ForwardArrivals arrivals;
 
     private ForwardController(ForwardLimits limits) {
         this.limits = limits;
         this.accounts = new AccountLimits(limits);
+        this.arrivals = new ForwardArrivals(accounts);
     }
 
     /** Returns the controller. */
@@ -111,117 +95,14 @@
     }
 
     private void arrive(ForwardEvent.ForwardArrived arrived, Board board, long nowNanos, Effects effects) {
-        ForwardHead head = arrived.head();
-        if (board.drain().refusesCalls()) {
-            refuse(arrived, Failure.of(ErrorKind.DRAINING), effects);
-            return;
-        }
-        Optional<RouteTable> table = board.documents().table();
-        if (table.isEmpty()) {
-            refuse(
-                    arrived,
-                    Failure.of(ErrorKind.CONFIGURATION_MISSING)
-                            .withRetryAfter(retryAfter(head, MISSING_DOCUMENT_MILLIS)),
-                    effects);
-            return;
-        }
-        Optional<RouteRule> route = table.get().route(head.host(), head.path());
-        if (route.isEmpty()) {
-            refuse(arrived, Failure.of(ErrorKind.UNKNOWN_ROUTE, head.path()), effects);
-            return;
-        }
-        Optional<AccountRule> account = head.key().flatMap(table.get()::account);
-        if (account.isEmpty() && table.get().needsKeys() && !route.get().open()) {
-            refuse(arrived, Failure.of(ErrorKind.UNAUTHENTICATED), effects);
-            return;
-        }
-        ForwardCall call = accept(arrived, route.get(), account, board);
-        if (account.isPresent() && account.get().limited() && !accounts.tryTake(account.get(), call, board, nowNanos)) {
-            refuseOverLimit(arrived, account.get(), call, board, nowNanos, effects);
-            return;
-        }
-        board.forward().put(call);
-        board.forward()
-                .retryBudget(call.service(), limits.retryShare(), limits.retryMinimum())
-                .countAttempt(nowNanos);
-        call.head().prompt().ifPresent(board.forward().lanes(call.service())::arrived);
-        send(call, board, nowNanos, effects);
-    }
-
-    private static ForwardCall accept(
-            ForwardEvent.ForwardArrived arrived, RouteRule route, Optional<AccountRule> account, Board board) {
-        long millis =
-                Math.min(route.timeoutMillis(), arrived.head().deadlineMillis().orElse(route.timeoutMillis()));
-        double cost = account.map(rule -> rule.cost(arrived.head())).orElse(0.0);
-        return new ForwardCall(
-                arrived.ticket(),
-                arrived.head(),
-                route,
-                account,
-                pick(route, board),
-                new ForwardCall.Terms(
-                        arrived.arrivedNanos(), arrived.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(millis), cost));
-    }
-
-    private static ServiceName pick(RouteRule route, Board board) {
-        int sum = route.split().stream().mapToInt(RouteRule.Share::weight).sum();
-        int drawn = board.random().nextInt(sum);
-        for (RouteRule.Share share : route.split()) {
-            drawn -= share.weight();
-            if (drawn < 0) {
-                return share.service();
-            }
-        }
-        return route.split().getLast().service();
-    }
-
-    private void refuseOverLimit(
-            ForwardEvent.ForwardArrived arrived,
-            AccountRule account,
-            ForwardCall call,
-            Board board,
-            long nowNanos,
-            Effects effects) {
-        long wait = accounts.millisUntilOpen(account, board, nowNanos);
-        effects.log(
-                "limit_reached",
-                "request",
-                arrived.head().requestId(),
-                "account",
-                account.name(),
-                "cost",
-                call.terms().cost(),
-                "limit",
-                account.ratePerSecond(),
-                "part",
-                board.allowances().part(account, nowNanos),
-                "wait_ms",
-                wait,
-                "version",
-                board.documents().version());
-        refuse(
-                arrived,
-                Failure.of(ErrorKind.ACCOUNT_LIMIT_EXCEEDED, account.name())
-                        .withRetryAfter(retryAfter(arrived.head(), Math.max(wait, LEAST_RETRY_AFTER_MILLIS))),
-                effects);
-    }
-
-    private static Duration retryAfter(ForwardHead head, long wantedMillis) {
-        long most = head.deadlineMillis().orElse(LONGEST_RETRY_AFTER_MILLIS) / RETRY_AFTER_PART;
-        return Duration.ofMillis(Math.max(1, Math.min(Math.min(wantedMillis, LONGEST_RETRY_AFTER_MILLIS), most)));
-    }
-
-    private static void refuse(ForwardEvent.ForwardArrived arrived, Failure failure, Effects effects) {
-        effects.log(
-                "request_refused",
-                "request",
-                arrived.head().requestId(),
-                "kind",
-                failure.kind().code(),
-                "message",
-                failure.message());
-        effects.count(failure.kind().metricName());
-        effects.add(new ForwardEffect.RefuseForward(arrived.ticket(), failure));
+        arrivals.admit(arrived, board, nowNanos, effects).ifPresent(call -> {
+            board.forward().put(call);
+            board.forward()
+                    .retryBudget(call.service(), limits.retryShare(), limits.retryMinimum())
+                    .countAttempt(nowNanos);
+            call.head().prompt().ifPresent(board.forward().lanes(call.service())::arrived);
+            send(call, board, nowNanos, effects);
+        });
     }
 
     /** Sends a request to the best server, or ends it when there is none. */
@@ -241,7 +122,7 @@
             finish(
                     call,
                     Failure.of(ErrorKind.NO_SERVER_AVAILABLE, call.service())
-                            .withRetryAfter(retryAfter(call.head(), FULL_MILLIS)),
+                            .withRetryAfter(RetryAfter.within(call.head(), FULL_MILLIS)),
                     board,
                     nowNanos,
                     effects);
@@ -398,7 +279,7 @@
             case ForwardOutcome.Refused refused ->
                 ledger.full(
                         TimeUnit.MILLISECONDS.toNanos(
-                                Math.min(refused.retryAfterMillis().orElse(FULL_MILLIS), LONGEST_RETRY_AFTER_MILLIS)),
+                                Math.min(refused.retryAfterMillis().orElse(FULL_MILLIS), RetryAfter.LONGEST_MILLIS)),
                         nowNanos);
             case ForwardOutcome.NotSent notSent -> ledger.failed(true, nowNanos);
             case ForwardOutcome.Failed failed -> ledger.failed(false, nowNanos);
@@ -468,7 +349,7 @@
         if (serverLeft && budgetAllows(call, board, nowNanos, effects)) {
             send(call, board, nowNanos, effects);
         } else {
-            finish(call, failure.withRetryAfter(retryAfter(call.head(), FULL_MILLIS)), board, nowNanos, effects);
+            finish(call, failure.withRetryAfter(RetryAfter.within(call.head(), FULL_MILLIS)), board, nowNanos, effects);
         }
     }
 
--- a/src/main/java/org/plantainwharf/front/CallerFront.java
+++ b/src/main/java/org/plantainwharf/front/CallerFront.java
@@ -86,11 +86,7 @@
      * @throws IllegalStateException if the address cannot be bound
      */
     public void start() {
-        try {
-            listener.start();
-        } catch (Exception e) {
-            throw new IllegalStateException("cannot listen on " + settings.callerAddress(), e);
-        }
+        listener.start();
     }
 
     /** Returns the port, which the system may have chosen. */
--- a/src/main/java/org/plantainwharf/front/ForwardFront.java
+++ b/src/main/java/org/plantainwharf/front/ForwardFront.java
@@ -117,12 +117,8 @@
      * @throws IllegalStateException if an address cannot be bound
      */
     public void start() {
-        try {
-            readiness.start();
-            callers.start();
-        } catch (Exception e) {
-            throw new IllegalStateException("cannot listen on " + addresses.callers(), e);
-        }
+        readiness.start();
+        callers.start();
     }
 
     /** Returns the port for callers, which the system may have chosen. */
--- a/src/main/java/org/plantainwharf/front/HttpListener.java
+++ b/src/main/java/org/plantainwharf/front/HttpListener.java
@@ -23,8 +23,10 @@
 
     private final Server server;
     private final ServerConnector connector;
+    private final String address;
 
-    private HttpListener(Server server, ServerConnector connector) {
+    private HttpListener(Server server, ServerConnector connector, String address) {
+        this.address = address;
         this.server = server;
         this.connector = connector;
     }
@@ -69,16 +71,24 @@
         server.setErrorHandler(JsonErrorHandler.create(bounds.maximumHeaderBytes()));
         // A planned stop ends when nothing runs any more, so connections are closed without waiting for their callers.
         server.setStopTimeout(0);
-        return new HttpListener(server, connector);
+        return new HttpListener(server, connector, address);
     }
 
     Server server() {
         return server;
     }
 
-    /** Starts to listen. */
-    public void start() throws Exception {
-        server.start();
+    /**
+     * Starts to listen.
+     *
+     * @throws IllegalStateException if the address cannot be bound
+     */
+    public void start() {
+        try {
+            server.start();
+        } catch (Exception e) {
+            throw new IllegalStateException("cannot listen on " + address, e);
+        }
     }
 
     /** Returns the port, which the system may have chosen. */
--- a/src/main/java/org/plantainwharf/front/MetricsFront.java
+++ b/src/main/java/org/plantainwharf/front/MetricsFront.java
@@ -36,11 +36,7 @@
      * @throws IllegalStateException if the address cannot be bound
      */
     public void start() {
-        try {
-            listener.start();
-        } catch (Exception e) {
-            throw new IllegalStateException("cannot listen on " + address, e);
-        }
+        listener.start();
     }
 
     /** Returns the port, which the system may have chosen. */
--- a/src/main/java/org/plantainwharf/front/OperatorFront.java
+++ b/src/main/java/org/plantainwharf/front/OperatorFront.java
@@ -107,11 +107,7 @@
      * @throws IllegalStateException if the address cannot be bound
      */
     public void start() {
-        try {
-            listener.start();
-        } catch (Exception e) {
-            throw new IllegalStateException("cannot listen on " + settings.operatorAddress(), e);
-        }
+        listener.start();
     }
 
     /** Returns the port, which the system may have chosen. */
--- a/src/main/java/org/plantainwharf/platform/ControlApi.java
+++ b/src/main/java/org/plantainwharf/platform/ControlApi.java
@@ -63,11 +63,7 @@
 
     @Override
     public void start() {
-        try {
-            listener.start();
-        } catch (Exception e) {
-            throw new IllegalStateException("cannot listen on " + settings.operatorAddress(), e);
-        }
+        listener.start();
     }
 
     /** Returns the port, which the system may have chosen. */
--- a/src/main/java/org/plantainwharf/platform/PlatformCommand.java
+++ b/src/main/java/org/plantainwharf/platform/PlatformCommand.java
@@ -10,8 +10,8 @@
 import org.plantainwharf.control.Clock;
 import org.plantainwharf.daemon.ControlDaemon;
 import org.plantainwharf.daemon.EntryDaemon;
-import org.plantainwharf.daemon.RoleDaemon;
 import org.plantainwharf.daemon.RoleSettings;
+import org.plantainwharf.daemon.RunningDaemon;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.log.LineLog;
@@ -63,7 +63,7 @@
                 .peekLeft(failure -> log.write("settings_not_reloaded", "problem", failure.message()));
     }
 
-    private static Either<Failure, RoleDaemon> start(PlatformSettings settings, LineLog log) {
+    private static Either<Failure, RunningDaemon> start(PlatformSettings settings, LineLog log) {
         RoleSettings role = RoleMapping.of(settings);
         DocumentReader codec = DocumentReader.create();
         if (settings.controlAddress().isPresent()) {
@@ -81,26 +81,13 @@
         return EntryDaemon.start(role, WireNames.DIALECT, codec, log).map(daemon -> daemon);
     }
 
-    private static Either<Failure, Integer> serveUntilStopped(RoleDaemon daemon) {
-        Thread hook = new Thread(() -> stopOnSignal(daemon), "stop-on-signal");
-        Runtime.getRuntime().addShutdownHook(hook);
+    private static Either<Failure, Integer> serveUntilStopped(RunningDaemon daemon) {
         try {
-            daemon.awaitStop();
+            daemon.serveUntilStopped();
             return Either.right(0);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return Either.left(Failure.of(ErrorKind.INTERNAL_ERROR));
         }
     }
-
-    private static void stopOnSignal(RoleDaemon daemon) {
-        daemon.drain();
-        try {
-            daemon.awaitClosed();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        // A graceful stop is a success, while the virtual machine would report the signal.
-        Runtime.getRuntime().halt(0);
-    }
 }
--- a/src/test/java/org/plantainwharf/duty/DutyHarness.java
+++ b/src/test/java/org/plantainwharf/duty/DutyHarness.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.ControlCycle;
@@ -12,12 +11,10 @@
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.TimerEvent;
-import org.plantainwharf.identity.AvailabilityZone;
-import org.plantainwharf.identity.HostClass;
-import org.plantainwharf.identity.HostId;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.settings.Settings;
+import org.plantainwharf.testing.Samples;
 
 /**
  * Drives controllers of the duties on clocks of its own. Proposals are kept until the test decides or fails them. Used by
@@ -31,18 +28,7 @@
     private long wallMillis = 1_700_000_000_000L;
 
     DutyHarness(String host, List<Controller> controllers) {
-        Settings settings = new Settings(
-                HostId.of(host),
-                AvailabilityZone.of("zone-a"),
-                HostClass.of("control"),
-                "",
-                "",
-                "",
-                Optional.empty(),
-                List.of(),
-                0,
-                Settings.Timings.defaults(),
-                Settings.Bounds.defaults());
+        Settings settings = Samples.settings(host);
         this.board = Board.create(settings, 1, 7);
         List<Controller> all = new ArrayList<>(controllers);
         all.add((event, seen, nowNanos, effects) -> {
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -29,7 +29,6 @@
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.AvailabilityZone;
-import org.plantainwharf.identity.HostClass;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.RouteName;
 import org.plantainwharf.identity.ServerId;
@@ -40,28 +39,14 @@
 import org.plantainwharf.registry.ServerReport;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
-import org.plantainwharf.settings.Settings;
+import org.plantainwharf.testing.Samples;
 
 /** Drives the forward controller with a document, servers and a clock of its own. Used by one thread. */
 final class ForwardHarness {
     static final String KEY = "key-of-acme";
     private static final ServiceName SERVICE = ServiceName.of("desk");
 
-    private final Board board = Board.create(
-            new Settings(
-                    HostId.of("edge-1"),
-                    AvailabilityZone.of("zone-a"),
-                    HostClass.of("entry"),
-                    "",
-                    "",
-                    "",
-                    Optional.empty(),
-                    List.of(),
-                    0,
-                    Settings.Timings.defaults(),
-                    Settings.Bounds.defaults()),
-            1,
-            7);
+    private final Board board = Board.create(Samples.settings("edge-1"), 1, 7);
     private final ControlCycle cycle;
     private long nowNanos = TimeUnit.SECONDS.toNanos(100);
     private long sequence;
--- a/src/test/java/org/plantainwharf/limit/AllowanceFleet.java
+++ b/src/test/java/org/plantainwharf/limit/AllowanceFleet.java
@@ -38,7 +38,6 @@
 import org.plantainwharf.forward.PromptShape;
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.AvailabilityZone;
-import org.plantainwharf.identity.HostClass;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.RouteName;
 import org.plantainwharf.identity.ServerId;
@@ -50,6 +49,7 @@
 import org.plantainwharf.registry.ServerReport;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.settings.Settings;
+import org.plantainwharf.testing.Samples;
 
 /**
  * Entry daemons that pass requests on and control daemons that keep their limits, on a virtual clock, with a network
@@ -125,18 +125,7 @@
     }
 
     private Daemon prepared(String name, long incarnation, List<org.plantainwharf.control.Controller> controllers) {
-        Settings settings = new Settings(
-                HostId.of(name),
-                AvailabilityZone.of("zone-a"),
-                HostClass.of("any"),
-                "",
-                "",
-                "",
-                Optional.empty(),
-                List.of(),
-                0,
-                Settings.Timings.defaults(),
-                Settings.Bounds.defaults());
+        Settings settings = Samples.settings(name);
         Board board = Board.create(settings, 1, name.hashCode() + incarnation);
         Daemon daemon = new Daemon(HostId.of(name), ControlCycle.create(board, controllers), incarnation);
         Command command = new Command.ReplaceDocument(1, Content.of("application/json", new byte[] {1}));
--- a/src/test/java/org/plantainwharf/platform/ControlApiTest.java
+++ b/src/test/java/org/plantainwharf/platform/ControlApiTest.java
@@ -7,8 +7,6 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 import org.jspecify.annotations.Nullable;
@@ -27,11 +25,9 @@
 import org.plantainwharf.event.DocumentEvent;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.RegistryEvent;
-import org.plantainwharf.identity.AvailabilityZone;
-import org.plantainwharf.identity.HostClass;
-import org.plantainwharf.identity.HostId;
 import org.plantainwharf.log.LineLog;
 import org.plantainwharf.settings.Settings;
+import org.plantainwharf.testing.Samples;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -94,18 +90,7 @@
 
     @BeforeEach
     void start() {
-        Settings settings = new Settings(
-                HostId.of("core-1"),
-                AvailabilityZone.of("zone-a"),
-                HostClass.of("control"),
-                "",
-                "127.0.0.1:0",
-                "",
-                Optional.empty(),
-                List.of(),
-                0,
-                Settings.Timings.defaults(),
-                Settings.Bounds.defaults());
+        Settings settings = Samples.settings("core-1");
         LineLog lines = LineLog.start(Clock.system(), new PrintStream(OutputStream.nullOutputStream()), "core-1");
         log = lines;
         ControlApi created = ControlApi.create(settings, DocumentReader.create(), new AnsweringSink(), lines);
