Read load headers with four figures

The parser took exactly three and dropped the whole header, so the daemons chose engines by their own requests alone.

Change: three figures are needed, a fourth is read, further ones are skipped and counted. An unreadable header is counted (forward.load_headers_unreadable) and costs nothing else. The figure is not used yet.

--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -27,7 +27,6 @@
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.forward.ForwardOutcome;
-import org.plantainwharf.forward.ServerLoad;
 import org.plantainwharf.forward.ServerStatus;
 import org.plantainwharf.http.EndToEndHeaders;
 import org.plantainwharf.http.ForwardDialect;
@@ -178,7 +177,7 @@
         responseState = classify(response.getStatus(), headers);
         if (!(responseState instanceof ResponseState.Invalid)) {
             status = Optional.of(new ServerStatus(
-                    parseLoad(headers.get(dialect.load())), parseLimit(headers.get(dialect.requestLimit()))));
+                    LoadHeader.parse(headers.get(dialect.load())), parseLimit(headers.get(dialect.requestLimit()))));
         }
         switch (responseState) {
             case ResponseState.Forwarding forwarding -> {
@@ -221,24 +220,6 @@
                         true, 0, EventStreamParser.MEDIA_TYPE, 0, EventStreamParser.MEDIA_TYPE.length());
     }
 
-    private static Optional<ServerLoad> parseLoad(@Nullable String text) {
-        if (text == null) {
-            return Optional.empty();
-        }
-        String[] numbers = text.split(",", -1);
-        try {
-            return numbers.length == 3
-                    ? Optional.of(new ServerLoad(
-                            Integer.parseInt(numbers[0].strip()),
-                            Integer.parseInt(numbers[1].strip()),
-                            Integer.parseInt(numbers[2].strip())))
-                    : Optional.empty();
-        } catch (NumberFormatException e) {
-            // The load is only a hint, so a malformed header is ignored.
-            return Optional.empty();
-        }
-    }
-
     /** Returns the limit in requests per second; a malformed or negative one is treated as absent. */
     private static OptionalDouble parseLimit(@Nullable String text) {
         if (text == null) {
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -262,7 +262,16 @@
 
     private static void recordStatus(
             ServerId server, ServerStatus status, Board board, long nowNanos, Effects effects) {
-        board.forward().statistics(server).recordStatus(status, nowNanos);
+        switch (status.load()) {
+            case LoadReport.Absent absent -> {}
+            case LoadReport.Unreadable unreadable -> effects.count("forward.load_headers_unreadable");
+            case LoadReport.Known known -> {
+                board.forward().statistics(server).recordLoad(known.load(), nowNanos);
+                if (known.hasUnknownFigures()) {
+                    effects.count("forward.load_headers_with_unknown_figures");
+                }
+            }
+        }
         boolean limitChanged = board.serverLimits()
                 .recordAnswer(
                         server,
--- a/src/main/java/org/plantainwharf/forward/ServerStatistics.java
+++ b/src/main/java/org/plantainwharf/forward/ServerStatistics.java
@@ -74,12 +74,8 @@
         endedSinceLoad++;
     }
 
-    /** Records what the server said about itself with an answer. */
-    void recordStatus(ServerStatus status, long nowNanos) {
-        status.load().ifPresent(newLoad -> recordLoad(newLoad, nowNanos));
-    }
-
-    private void recordLoad(ServerLoad newLoad, long nowNanos) {
+    /** Records the load that the server reported with an answer. */
+    void recordLoad(ServerLoad newLoad, long nowNanos) {
         load = newLoad;
         loadNanos = nowNanos;
         sentSinceLoad = 0;
--- a/src/main/java/org/plantainwharf/http/ForwardDialect.java
+++ b/src/main/java/org/plantainwharf/http/ForwardDialect.java
@@ -14,7 +14,8 @@
  * @param priority carries the priority for model engines; 0 runs first
  * @param seal response header that shows that the server itself produced the response
  * @param notRun response header of a refusal that states that the request has not run
- * @param load response header with the server's running requests, waiting requests and slots, separated by commas
+ * @param load response header with the server's running requests, waiting requests and slots, and from some servers the
+ *     time that work takes in percent of the usual, separated by commas
  * @param requestLimit response header with the requests per second that the server accepts from all daemons together
  * @param model carries the name of the requested model
  * @param tokenCounts carries the number of prompt tokens and the maximum number of output tokens, separated by a comma
--- a/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
+++ b/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
@@ -30,6 +30,8 @@
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.forward.ForwardOutcome;
+import org.plantainwharf.forward.LoadReport;
+import org.plantainwharf.forward.ServerLoad;
 import org.plantainwharf.http.ForwardDialect;
 import org.plantainwharf.identity.ServerId;
 
@@ -245,6 +247,41 @@
         }
     }
 
+    /**
+     * Servers append figures to the load header over time. A header that is not understood must cost neither the answer
+     * nor, while its first figures are readable, what they say about the load.
+     */
+    @Nested
+    class LoadHeaders {
+        private LoadReport reportOf(String load) throws Exception {
+            List<Event> posted = events(RESPONSE_HEAD + "X-Load: " + load + "\r\nContent-Length: 2\r\n\r\nok", ORDERLY);
+            ForwardEvent.ForwardBegan began = assertInstanceOf(ForwardEvent.ForwardBegan.class, posted.getFirst());
+            assertInstanceOf(ForwardOutcome.Completed.class, ((ForwardEvent.ForwardEnded) posted.getLast()).outcome());
+            return began.status().orElseThrow().load();
+        }
+
+        @Test
+        void withThreeFiguresDescribeAServerAtItsUsualSpeed() throws Exception {
+            assertEquals(new LoadReport.Known(new ServerLoad(3, 1, 8, 100), false), reportOf("3,1,8"));
+        }
+
+        @Test
+        void withFourFiguresNameTheSpeedOfTheMachine() throws Exception {
+            assertEquals(new LoadReport.Known(new ServerLoad(3, 0, 64, 310), false), reportOf("3, 0, 64, 310"));
+        }
+
+        @Test
+        void withMoreFiguresAreReadUpToTheFourth() throws Exception {
+            assertEquals(new LoadReport.Known(new ServerLoad(3, 0, 64, 90), true), reportOf("3,0,64,90,7"));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"3,0", "3", "3,0,x", "3,,8", "-1,0,8", "3,0,8,0", "3,0,8,99999999999", "busy"})
+        void thatAreUnreadableDoNotCostTheAnswer(String load) throws Exception {
+            assertEquals(new LoadReport.Unreadable(), reportOf(load));
+        }
+    }
+
     /** A server that crashes may end its stream in the middle of an event without a reset. */
     @Nested
     class EventStreams {
--- a/src/test/java/org/plantainwharf/limit/LimitedServers.java
+++ b/src/test/java/org/plantainwharf/limit/LimitedServers.java
@@ -14,6 +14,7 @@
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.forward.ForwardOutcome;
+import org.plantainwharf.forward.LoadReport;
 import org.plantainwharf.forward.ServerStatus;
 import org.plantainwharf.identity.ServerId;
 
@@ -118,7 +119,7 @@
         ForwardOutcome outcome = random.nextDouble() < refusedShare
                 ? new ForwardOutcome.Refused(503, OptionalLong.empty())
                 : new ForwardOutcome.Completed(false);
-        return fleet.end(entry, start, outcome, Optional.of(new ServerStatus(Optional.empty(), limit)));
+        return fleet.end(entry, start, outcome, Optional.of(new ServerStatus(new LoadReport.Absent(), limit)));
     }
 
     private OptionalDouble limitAt(ServerId server, long millis) {
