Replace reclaimed servers by reclaimable ones of other zones

Cause: the plan spread reclaimable servers evenly over all zones and then cut what a zone has not available, so a reclaimed zone's servers were replaced by ordinary ones, which cost four to five times as much, or by none.

Change: a zone takes part in the spreading up to what it has available.

Result: ScalingPlanTest$ReclaimedZones planned 4 instead of 6 reclaimable servers and passes now.

--- a/src/main/java/org/plantainwharf/duty/ScalingPlan.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingPlan.java
@@ -73,19 +73,22 @@
         return pools;
     }
 
-    /** Gives every zone the same number, the cheapest zones one more, and removes what is not available. */
+    /** Gives every zone the same number, the cheapest zones one more; other zones replace what one has not available. */
     private void spreadReclaimable(int total) {
         for (int placed = 0; placed < total; placed++) {
             Optional<AvailabilityZone> smallest = zonesByPrice.stream()
-                    .filter(zone -> reclaimable.getOrDefault(zone, 0) < scaling.maximumServers())
+                    .filter(zone -> reclaimable.getOrDefault(zone, 0) < availableReclaimable(zone))
                     .min(Comparator.comparingInt(zone -> reclaimable.getOrDefault(zone, 0)));
             if (smallest.isEmpty()) {
                 break;
             }
             reclaimable.merge(smallest.get(), 1, Integer::sum);
         }
-        state.reclaimableLimit()
-                .forEach((zone, limit) -> reclaimable.computeIfPresent(zone, (key, count) -> Math.min(count, limit)));
+    }
+
+    private int availableReclaimable(AvailabilityZone zone) {
+        return Math.min(
+                scaling.maximumServers(), state.reclaimableLimit().getOrDefault(zone, scaling.maximumServers()));
     }
 
     private void placeOrdinary(Target target) {
--- a/src/test/java/org/plantainwharf/duty/ScalingPlanTest.java
+++ b/src/test/java/org/plantainwharf/duty/ScalingPlanTest.java
@@ -66,6 +66,18 @@
         }
     }
 
+    /** Ordinary servers cost several times as much, so they must not replace what other zones still have. */
+    @Nested
+    class ReclaimedZones {
+        @Test
+        void areReplacedByReclaimableServersOfOtherZones() {
+            Map<ServerPool, Integer> plan =
+                    plan(new ScalingPlan.Target(1, 4, 7), running(Map.of(B, 1), Map.of(B, 2, C, 2), Map.of(A, 0)));
+            assertEquals(0, number(plan, A, true));
+            assertEquals(6, sum(plan, true), "plan was " + plan);
+        }
+    }
+
     @Nested
     class OrdinaryServers {
         @Test
