Refuse what engines cannot begin in time, and order engines by measured work

Change: EngineProfile learns the time for a prompt token, ServerStatistics estimates the queue of an engine in milliseconds from its report, its work time and its answers, QueueAdmission refuses before the first attempt (servers_overloaded, 503, not run), DemandController reports work and what was turned away, ScalingController keeps as many reclaimable servers beyond the demand as a zone holds.

--- a/src/main/java/org/plantainwharf/duty/DemandController.java
+++ b/src/main/java/org/plantainwharf/duty/DemandController.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 import org.plantainwharf.board.Board;
@@ -22,6 +23,7 @@
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.forward.EngineProfile;
 import org.plantainwharf.forward.ForwardCall;
 import org.plantainwharf.forward.PromptShape;
 import org.plantainwharf.identity.ServiceName;
@@ -43,6 +45,7 @@
     private static final double SMOOTHING_FACTOR = 0.12;
 
     private final Map<ServiceName, double[]> tokenCounts = new HashMap<>();
+    private final Map<ServiceName, Double> turnedAwayTokens = new HashMap<>();
     private final Map<ServiceName, double[]> smoothedRates = new HashMap<>();
     private final PeriodicTimer period = PeriodicTimer.ofNanos(PERIOD_NANOS);
 
@@ -89,6 +92,10 @@
         board.forward().calls().forEach(call -> inFlight.merge(call.service(), 1, Integer::sum));
         Map<ServiceName, ServiceDemand> demands = new HashMap<>();
         tokenCounts.forEach((service, tokens) -> {
+            EngineProfile profile = board.forward().engineProfile(service);
+            double turnedAway = profile.turnedAwayTokens();
+            tokens[0] += turnedAway - Objects.requireNonNullElse(turnedAwayTokens.put(service, turnedAway), 0.0);
+            tokens[0] *= profile.millisPerToken() / EngineProfile.INITIAL_MILLIS_PER_TOKEN;
             double[] rate = smoothedRates.computeIfAbsent(service, key -> new double[2]);
             for (int index = 0; index < rate.length; index++) {
                 rate[index] += SMOOTHING_FACTOR * (tokens[index] * 1e9 / PERIOD_NANOS - rate[index]);
--- a/src/main/java/org/plantainwharf/duty/ScalingController.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingController.java
@@ -65,8 +65,8 @@
     private static final long DEMAND_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(4);
 
     /**
-     * Prompt tokens that one engine is planned to process per second. Engines of the described kind process 90,000 and
-     * more, but prompts arrive in bursts and delay the output tokens of concurrent requests.
+     * Prompt tokens that one engine is planned to process per second, as {@link ServiceDemand} counts them. That is half
+     * of its time, since prompts arrive in bursts and delay the output tokens of concurrent requests.
      */
     private static final double PROMPT_TOKENS_PER_SECOND_PER_SERVER = 50_000;
 
@@ -76,8 +76,8 @@
     /** Ordinary servers that are always kept, so that a service survives the reclaim of all reclaimable ones. */
     private static final int MINIMUM_ORDINARY_SERVERS = 1;
 
-    /** Reclaimable servers beyond the present demand, to absorb the reclaim of a zone and bursts of prompts. */
-    private static final int SPARE_SERVERS = 3;
+    /** Least number of reclaimable servers beyond the present demand, to absorb bursts of prompts. */
+    private static final int MINIMUM_SPARE_SERVERS = 3;
 
     private final Map<ServerPool, PoolOrder> orders = new HashMap<>();
     private final Map<AvailabilityZone, Long> shortageUntilNanos = new HashMap<>();
@@ -194,7 +194,7 @@
         Map<ServerPool, Integer> plan = ScalingPlan.of(
                 service.name(),
                 scaling,
-                new ScalingPlan.Target(MINIMUM_ORDINARY_SERVERS, required, required + SPARE_SERVERS),
+                new ScalingPlan.Target(MINIMUM_ORDINARY_SERVERS, required, required + spareServers(required, scaling)),
                 currentState(service, board, bootNanos, nowNanos));
         plan.forEach((pool, servers) -> {
             int ready = countReady(pool, board);
@@ -219,6 +219,12 @@
         });
     }
 
+    /** Returns the reclaimable servers to run beyond the demand; as many as one zone holds, which may be reclaimed. */
+    private static int spareServers(int required, ServiceRule.Scaling scaling) {
+        int otherZones = Math.max(1, scaling.zonePrices().size() - 1);
+        return Math.max(MINIMUM_SPARE_SERVERS, Math.ceilDiv(required, otherZones));
+    }
+
     private ScalingPlan.State currentState(ServiceRule service, Board board, long bootNanos, long nowNanos) {
         Map<AvailabilityZone, Integer> ordinary = new HashMap<>();
         Map<AvailabilityZone, Integer> reclaimable = new HashMap<>();
--- a/src/main/java/org/plantainwharf/error/ErrorKind.java
+++ b/src/main/java/org/plantainwharf/error/ErrorKind.java
@@ -36,6 +36,7 @@
     QUEUE_TIMEOUT(503, ExecutionStatus.NO, true, "deadline passed while the request was queued"),
     NO_SERVER_AVAILABLE(503, ExecutionStatus.NO, true, "no backend server is available for %s"),
     SERVERS_AT_LIMIT(503, ExecutionStatus.NO, true, "backend servers for %s get as many requests as they accept"),
+    SERVERS_OVERLOADED(503, ExecutionStatus.NO, true, "backend servers for %s cannot begin the request in time"),
     REQUEST_QUARANTINED(
             422,
             ExecutionStatus.NO,
--- /dev/null
+++ b/src/main/java/org/plantainwharf/forward/EngineProfile.java
@@ -0,0 +1,101 @@
+package org.plantainwharf.forward;
+
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What this daemon has learned about the engines of a service and the requests to them. The time for a prompt token
+ * follows a low quantile of the time to the start of an answer over the prompt tokens processed for it: requests that
+ * waited for others only lengthen that time, so the low quantile is close to the time of an engine without a queue.
+ *
+ * <p>Invariants: the learned time stays within fixed bounds; tokens are counted once, as sent or as turned away. Owned by
+ * the control thread; modified only by the forward controller.
+ */
+public final class EngineProfile {
+    /** Time for a prompt token that is assumed before any answer, in milliseconds. */
+    public static final double INITIAL_MILLIS_PER_TOKEN = 0.01;
+
+    private static final double MINIMUM_MILLIS_PER_TOKEN = 0.001;
+    private static final double MAXIMUM_MILLIS_PER_TOKEN = 0.1;
+
+    /** Fraction of the samples that are below the learned time. */
+    private static final double QUANTILE = 0.4;
+
+    /** Shorter prompts are answered in a time that depends on other things than their length. */
+    private static final long MINIMUM_SAMPLE_TOKENS = 1_000;
+
+    /** Relative step of the first samples, which shrinks with their number to the one of later samples. */
+    private static final double FIRST_STEP = 0.4;
+
+    private static final double LATER_STEP = 0.04;
+
+    /** Weight of the newest request in the average prompt. */
+    private static final double AVERAGE_SMOOTHING_WEIGHT = 0.02;
+
+    /** Time for which a priority is remembered after a request with it. */
+    private static final long PRIORITY_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private final SortedMap<Integer, Long> prioritySeenNanos = new TreeMap<>();
+    private double millisPerToken = INITIAL_MILLIS_PER_TOKEN;
+    private double averageTokens;
+    private long samples;
+    private double turnedAwayTokens;
+
+    EngineProfile() {}
+
+    /**
+     * Records a request that is sent to an engine.
+     *
+     * @param priority 0 is the most urgent
+     */
+    void recordSent(long uncachedTokens, int priority, long nowNanos) {
+        prioritySeenNanos.put(priority, nowNanos);
+        averageTokens = averageTokens == 0
+                ? uncachedTokens
+                : averageTokens + AVERAGE_SMOOTHING_WEIGHT * (uncachedTokens - averageTokens);
+    }
+
+    /** Records a request that was refused because the engines could not begin it in time. */
+    void recordTurnedAway(PromptShape prompt) {
+        // What the engines would have found in their caches is not known; the average prompt is the best guess.
+        turnedAwayTokens += Math.min(averageTokens, prompt.inputTokens());
+    }
+
+    /** Returns the most urgent priority of recent requests; a request of it waits for none of another priority. */
+    int mostUrgentPriority(long nowNanos) {
+        return prioritySeenNanos.entrySet().stream()
+                .filter(seen -> nowNanos - seen.getValue() < PRIORITY_MEMORY_NANOS)
+                .mapToInt(Map.Entry::getKey)
+                .findFirst()
+                .orElse(0);
+    }
+
+    /** Records the time to the start of an answer of a request that found none of this daemon's prompts before it. */
+    void recordAnswer(long uncachedTokens, double millis) {
+        if (uncachedTokens < MINIMUM_SAMPLE_TOKENS) {
+            return;
+        }
+        double step = Math.max(LATER_STEP, FIRST_STEP / (1 + samples / 8.0));
+        samples++;
+        boolean above = millis / uncachedTokens > millisPerToken;
+        millisPerToken *= Math.exp(above ? step * QUANTILE / (1 - QUANTILE) : -step);
+        millisPerToken = Math.max(MINIMUM_MILLIS_PER_TOKEN, Math.min(MAXIMUM_MILLIS_PER_TOKEN, millisPerToken));
+    }
+
+    /** Returns the prompt tokens of all requests turned away since the start of the process; only grows. */
+    public double turnedAwayTokens() {
+        return turnedAwayTokens;
+    }
+
+    /** Returns the time that an engine takes for a prompt token, in milliseconds. */
+    public double millisPerToken() {
+        return millisPerToken;
+    }
+
+    /** Returns the average number of prompt tokens that an engine has to process for a request; 0 before the first. */
+    double averageTokens() {
+        return averageTokens;
+    }
+}
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -132,6 +132,15 @@
             failCall(call, failure, board, nowNanos, effects);
             return;
         }
+        if (!QueueAdmission.admits(call, priority(call), chosen.get(), board, nowNanos)) {
+            board.forward()
+                    .engineProfile(call.service())
+                    .recordTurnedAway(call.head().prompt().orElseThrow());
+            Failure failure = Failure.of(ErrorKind.SERVERS_OVERLOADED, call.service())
+                    .withRetryAfter(RetryAfter.limitedBy(call.head(), QueueAdmission.returnMillis(call, board)));
+            failCall(call, failure, board, nowNanos, effects);
+            return;
+        }
         KnownServer server = chosen.get().server();
         ServerStatistics statistics = chosen.get().statistics();
         long uncachedTokens =
@@ -156,6 +165,9 @@
                 call.remainingMillis(nowNanos),
                 "version",
                 board.documents().version());
+        if (call.head().prompt().isPresent()) {
+            board.forward().engineProfile(call.service()).recordSent(uncachedTokens, priority(call), nowNanos);
+        }
         statistics.recordSent(uncachedTokens, call.head().prompt(), nowNanos);
         board.serverLimits().charge(id, nowNanos);
         call.setState(new ForwardCall.State.Running(id, attempt, uncachedTokens, nowNanos, OptionalLong.empty()));
@@ -190,6 +202,12 @@
             ForwardCall call, ForwardEvent.ForwardBegan began, Board board, long nowNanos, Effects effects) {
         if (call.state() instanceof ForwardCall.State.Running running && running.attempt() == began.attempt()) {
             ServerStatistics statistics = board.forward().statistics(running.server());
+            if (call.head().prompt().isPresent()) {
+                statistics.recordPromptTime(
+                        running.uncachedTokens(),
+                        (nowNanos - running.sentNanos()) / 1e6,
+                        board.forward().engineProfile(call.service()));
+            }
             statistics.recordPromptProcessed(running.uncachedTokens());
             began.status().ifPresent(status -> recordStatus(running.server(), status, board, nowNanos, effects));
             statistics.recordAnswerStarted(nowNanos - running.sentNanos(), nowNanos);
--- a/src/main/java/org/plantainwharf/forward/ForwardSection.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardSection.java
@@ -21,6 +21,7 @@
     private final Map<ServerId, ServerStatistics> statistics = new HashMap<>();
     private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
     private final Map<ServiceName, LongPromptPool> longPromptPool = new HashMap<>();
+    private final Map<ServiceName, EngineProfile> engineProfiles = new HashMap<>();
     private final Map<ServiceName, Double> nextReturnMillis = new HashMap<>();
 
     private ForwardSection() {}
@@ -79,4 +80,9 @@
     LongPromptPool longPromptPool(ServiceName service) {
         return longPromptPool.computeIfAbsent(service, name -> new LongPromptPool());
     }
+
+    /** Returns what has been learned about the engines of a service; with initial values if there is nothing yet. */
+    public EngineProfile engineProfile(ServiceName service) {
+        return engineProfiles.computeIfAbsent(service, name -> new EngineProfile());
+    }
 }
--- a/src/main/java/org/plantainwharf/forward/ServerChooser.java
+++ b/src/main/java/org/plantainwharf/forward/ServerChooser.java
@@ -79,6 +79,7 @@
                 candidates,
                 call.head().prompt(),
                 longPromptServers,
+                board.forward().engineProfile(call.service()),
                 board.membership().zone(),
                 nowNanos);
     }
--- a/src/main/java/org/plantainwharf/forward/ServerSelector.java
+++ b/src/main/java/org/plantainwharf/forward/ServerSelector.java
@@ -17,8 +17,8 @@
  * processes the part. Stateless.
  */
 final class ServerSelector {
-    /** Prompt tokens that an engine processes in a millisecond; the specified engines process 90 to 140. */
-    private static final double PROMPT_TOKENS_PER_MILLISECOND = 100;
+    /** Fraction of the shared parts that the preferred server is assumed to have cached. */
+    private static final double PREFERRED_CACHED_FRACTION = 0.7;
 
     /** Additional time of a request on an engine whose slots are all in use. */
     private static final double SATURATED_ENGINE_MILLIS = 150;
@@ -51,11 +51,13 @@
      * Returns the candidate with the lowest estimated cost; empty if there are no candidates.
      *
      * @param longPromptServers pool of engines for long prompts; empty if the engines are not divided
+     * @param profile what is known about the engines of the service
      */
     static Optional<Candidate> select(
             List<Candidate> candidates,
             Optional<PromptShape> prompt,
             Set<ServerId> longPromptServers,
+            EngineProfile profile,
             AvailabilityZone zone,
             long nowNanos) {
         Optional<String> sharedPart = prompt.flatMap(ServerSelector::lastSharedPart);
@@ -65,7 +67,7 @@
                         part, candidate.server().report().server().value()))));
         return candidates.stream()
                 .min(Comparator.comparingDouble(
-                        candidate -> estimatedMillis(candidate, prompt, preferred, zone, nowNanos)
+                        candidate -> estimatedMillis(candidate, prompt, preferred, profile, zone, nowNanos)
                                 + (inMatchingPool(candidate, prompt, longPromptServers) ? 0 : OTHER_POOL_MILLIS)));
     }
 
@@ -81,6 +83,7 @@
             Candidate candidate,
             Optional<PromptShape> prompt,
             Optional<Candidate> preferred,
+            EngineProfile profile,
             AvailabilityZone zone,
             long nowNanos) {
         ServerStatistics statistics = candidate.statistics();
@@ -89,13 +92,8 @@
         double millis = candidate.server().report().zone().equals(zone) ? 0 : CROSS_ZONE_MILLIS;
         millis += Math.max(0, utilization - 1) * QUEUED_ROUND_MILLIS;
         if (prompt.isPresent()) {
-            long tokensToProcess = statistics.uncachedTokens(prompt.get()) + statistics.pendingPromptTokens();
-            millis += tokensToProcess / PROMPT_TOKENS_PER_MILLISECOND;
+            millis += promptMillis(candidate, prompt.get(), preferred, profile, nowNanos);
             millis += SATURATED_ENGINE_MILLIS * utilization * utilization;
-            if (preferred.isPresent() && preferred.get() == candidate) {
-                // The preferred server is credited with half the time that an engine needs for the shared parts.
-                millis -= sharedTokens(prompt.get()) / PROMPT_TOKENS_PER_MILLISECOND / 2;
-            }
         } else {
             double timeToAnswerMillis = statistics.averageTimeToAnswerMillis() == 0
                     ? DEFAULT_TIME_TO_ANSWER_MILLIS
@@ -106,6 +104,22 @@
         return millis + candidate.server().report().remainingWarmupMillis() / 100.0;
     }
 
+    /** Returns the time until the engine has processed the prompt and those before it. */
+    private static double promptMillis(
+            Candidate candidate,
+            PromptShape prompt,
+            Optional<Candidate> preferred,
+            EngineProfile profile,
+            long nowNanos) {
+        ServerStatistics statistics = candidate.statistics();
+        double uncached = statistics.uncachedTokens(prompt);
+        if (preferred.isPresent() && preferred.get() == candidate) {
+            // Other daemons send requests with the same part there, so that it is probably cached.
+            uncached = Math.min(uncached, prompt.inputTokens() - PREFERRED_CACHED_FRACTION * sharedTokens(prompt));
+        }
+        return statistics.queueMillis(profile, nowNanos) + statistics.millisPerToken(profile, nowNanos) * uncached;
+    }
+
     /** Returns the id of the last part that other requests may share; empty if the shared parts are too short. */
     private static Optional<String> lastSharedPart(PromptShape prompt) {
         return sharedTokens(prompt) < MINIMUM_SHARED_TOKENS
--- a/src/main/java/org/plantainwharf/forward/ServerStatistics.java
+++ b/src/main/java/org/plantainwharf/forward/ServerStatistics.java
@@ -22,6 +22,24 @@
      */
     private static final long LOAD_VALIDITY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /** Time after which a reported work time factor says nothing any more. */
+    private static final long WORK_TIME_VALIDITY_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+    /** Weight of the newest report in the work time factor. */
+    private static final double WORK_TIME_SMOOTHING_WEIGHT = 0.5;
+
+    /** Weight of the newest answer in the speed ratio. */
+    private static final double SPEED_SMOOTHING_WEIGHT = 0.1;
+
+    private static final double MINIMUM_SPEED_RATIO = 0.3;
+    private static final double MAXIMUM_SPEED_RATIO = 4;
+
+    /** Shorter prompts are answered in a time that depends on other things than their length. */
+    private static final long MINIMUM_SPEED_TOKENS = 1_000;
+
+    /** Fraction of its speed by which a server reduces its queue while other daemons add to it. */
+    private static final double NET_DRAIN_FRACTION = 0.5;
+
     private static final long INITIAL_AVOIDANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     /** Upper bound of the avoidance, so that a server restarted after a crash is used again within this time. */
@@ -51,6 +69,11 @@
     private long loadNanos;
     private int sentSinceLoad;
     private int endedSinceLoad;
+    private long tokensSentSinceLoad;
+    private double workTimeFactor = 1;
+    /** How much longer answers of this server take to start than those of the service's usual server. */
+    private double speedRatio = 1;
+
     private double failureRate;
     private int consecutiveFailures;
     private long avoidUntilNanos = Long.MIN_VALUE;
@@ -60,6 +83,7 @@
     void recordSent(long uncachedTokens, Optional<PromptShape> prompt, long nowNanos) {
         inFlight++;
         sentSinceLoad++;
+        tokensSentSinceLoad += uncachedTokens;
         pendingPromptTokens += uncachedTokens;
         prompt.ifPresent(shape -> shape.parts().forEach(part -> cachedParts.put(part.id(), nowNanos)));
     }
@@ -76,10 +100,55 @@
 
     /** Records the load that the server reported with an answer. */
     void recordLoad(ServerLoad newLoad, long nowNanos) {
+        double factor = (double) newLoad.workTimePercent() / ServerLoad.USUAL_WORK_TIME_PERCENT;
+        workTimeFactor = workTimeFactor(nowNanos) + WORK_TIME_SMOOTHING_WEIGHT * (factor - workTimeFactor(nowNanos));
         load = newLoad;
         loadNanos = nowNanos;
         sentSinceLoad = 0;
         endedSinceLoad = 0;
+        tokensSentSinceLoad = 0;
+    }
+
+    /**
+     * Returns how much longer than usual work takes on the server's machine. The figure changes within a fraction of a
+     * second, so it returns to 1 with the age of the report.
+     */
+    double workTimeFactor(long nowNanos) {
+        double age = Math.min(1, (double) (nowNanos - loadNanos) / WORK_TIME_VALIDITY_NANOS);
+        return workTimeFactor + age * (1 - workTimeFactor);
+    }
+
+    /**
+     * Records the time until the answer to a request with a prompt started. Call it before {@link
+     * #recordPromptProcessed}. Requests that waited for others of this daemon say nothing about the speed.
+     */
+    void recordPromptTime(long uncachedTokens, double millis, EngineProfile profile) {
+        if (pendingPromptTokens == uncachedTokens) {
+            profile.recordAnswer(uncachedTokens, millis);
+            double expectedMillis = profile.millisPerToken() * Math.max(MINIMUM_SPEED_TOKENS, uncachedTokens);
+            double ratio = Math.max(MINIMUM_SPEED_RATIO, Math.min(MAXIMUM_SPEED_RATIO, millis / expectedMillis));
+            speedRatio += SPEED_SMOOTHING_WEIGHT * (ratio - speedRatio);
+        }
+    }
+
+    /** Returns how long this server takes for a prompt token, in milliseconds. */
+    double millisPerToken(EngineProfile profile, long nowNanos) {
+        return profile.millisPerToken() * speedRatio * workTimeFactor(nowNanos);
+    }
+
+    /**
+     * Returns the time until this server has processed the prompts that a request sent now would find there, in
+     * milliseconds. Waiting requests of other daemons count with the average prompt, and less with the age of the report.
+     */
+    double queueMillis(EngineProfile profile, long nowNanos) {
+        double millisPerToken = millisPerToken(profile, nowNanos);
+        double queueMillis = pendingPromptTokens * millisPerToken;
+        ServerLoad current = load;
+        if (current != null && nowNanos - loadNanos <= LOAD_VALIDITY_NANOS) {
+            double reported = (current.waiting() * profile.averageTokens() + tokensSentSinceLoad) * millisPerToken;
+            queueMillis = Math.max(queueMillis, reported - NET_DRAIN_FRACTION * (nowNanos - loadNanos) / 1e6);
+        }
+        return queueMillis;
     }
 
     /** Records that an answer has started; {@code durationNanos} is the time since the request was sent. */
--- /dev/null
+++ b/src/test/java/org/plantainwharf/forward/EngineFleet.java
@@ -0,0 +1,601 @@
+package org.plantainwharf.forward;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import org.plantainwharf.board.Board;
+import org.plantainwharf.call.Content;
+import org.plantainwharf.control.ControlCycle;
+import org.plantainwharf.document.AccountRule;
+import org.plantainwharf.document.CallerBounds;
+import org.plantainwharf.document.DocumentController;
+import org.plantainwharf.document.Repeatability;
+import org.plantainwharf.document.RouteRule;
+import org.plantainwharf.document.ServiceDocument;
+import org.plantainwharf.document.ServiceRule;
+import org.plantainwharf.duty.DemandController;
+import org.plantainwharf.effect.Effect;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.effect.PeerEffect;
+import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.event.PeerEvent;
+import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.identity.AccountName;
+import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.Fingerprint;
+import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.RouteName;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.limit.AllowanceController;
+import org.plantainwharf.membership.MembershipController;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.message.ServiceDemand;
+import org.plantainwharf.registry.RegistryController;
+import org.plantainwharf.registry.ServerPhase;
+import org.plantainwharf.registry.ServerReport;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.testing.Samples;
+
+/**
+ * Entry daemons, each with the real forward controller, in front of simulated engines on a virtual clock. Callers arrive
+ * at random, return once after a refusal that names a time, and give up at their deadline. Used by one thread.
+ */
+final class EngineFleet {
+    private static final ServiceName SERVICE = ServiceName.of("engines");
+    private static final String KEY = "key-of-acme";
+    private static final HostId CONTROL_HOST = HostId.of("core-1");
+    private static final long TICK_MICROS = 50_000;
+    private static final long REPORT_MICROS = 1_000_000;
+    private static final long NETWORK_MICROS = 1_000;
+    private static final long WORK_TIME_PERIOD_MICROS = 600_000;
+    private static final double OUTPUT_TOKEN_WEIGHT = 10;
+    private static final double FIXED_WORTH = 0.3;
+    private static final double LATE_WORTH = 0.1;
+
+    private final Shape shape;
+    private final Random random;
+    private final List<Daemon> daemons = new ArrayList<>();
+    private final Map<ServerId, SimulatedEngine> engines = new HashMap<>();
+    private final Map<ServerId, Integer> zones = new HashMap<>();
+    private final PriorityQueue<Scheduled> schedule =
+            new PriorityQueue<>(Comparator.comparingLong(Scheduled::atMicros).thenComparingLong(Scheduled::order));
+    private final Map<String, Outcomes> outcomes = new HashMap<>();
+    private long nowMicros = 100_000_000;
+    private long scheduled;
+    private long tickets;
+    private long sequence;
+    private int nextRoundRobin;
+    private double load = 1;
+
+    /** Sizes of the fleet. Immutable. */
+    record Shape(int daemons, int engines, int zones, double[] speeds, double promptTokensPerMilli, Policy policy) {}
+
+    /** Chooses engines. */
+    sealed interface Policy {
+        /** The forward controller. */
+        record Product() implements Policy {}
+
+        /** Each daemon in turn. */
+        record RoundRobin() implements Policy {}
+
+        /** The better of two engines drawn at random, by the daemon's own requests and the load reported last. */
+        record TwoChoices() implements Policy {}
+
+        /** The engine with the least load reported last. */
+        record LeastReported() implements Policy {}
+    }
+
+    /**
+     * Kind of request. Immutable.
+     *
+     * @param things number of distinct second parts
+     */
+    record Kind(
+            String name,
+            int priority,
+            double perSecond,
+            double sharedTokens,
+            double thingTokens,
+            int things,
+            double ownTokens,
+            double outputTokens,
+            long targetMillis,
+            long deadlineMillis,
+            double worth) {
+        /** Returns what an answer within the target earns: in proportion to the size, and a part for any size. */
+        private double worth(PromptShape prompt) {
+            double mean = sharedTokens + thingTokens + ownTokens + OUTPUT_TOKEN_WEIGHT * outputTokens;
+            double size = prompt.inputTokens() + OUTPUT_TOKEN_WEIGHT * prompt.outputTokens();
+            return worth * Math.min(4, FIXED_WORTH + (1 - FIXED_WORTH) * size / mean);
+        }
+    }
+
+    /** How the requests of one kind ended. */
+    static final class Outcomes {
+        int asked;
+        int inTarget;
+        int late;
+        int refused;
+        int failed;
+        double owed;
+        double earned;
+        int askedLarge;
+        int servedLarge;
+
+        @Override
+        public String toString() {
+            return "asked " + asked + ", in target " + inTarget + ", late " + late + ", refused " + refused
+                    + ", failed " + failed
+                    + String.format(", worth %.2f, large %d of %d", earned / owed, servedLarge, askedLarge);
+        }
+    }
+
+    private record Scheduled(long atMicros, long order, Runnable action) {}
+
+    private static final class Daemon {
+        final int index;
+        final Board board;
+        final ControlCycle cycle;
+        final Map<Long, Request> requests = new HashMap<>();
+        final Map<ServerId, ServerLoad> reported = new HashMap<>();
+        final Map<ServerId, Integer> own = new HashMap<>();
+        double reportedPromptTokens;
+
+        Daemon(int index, Board board, ControlCycle cycle) {
+            this.index = index;
+            this.board = board;
+            this.cycle = cycle;
+        }
+    }
+
+    private static final class Request {
+        final Kind kind;
+        final PromptShape prompt;
+        final long arrivedMicros;
+        boolean returned;
+        boolean answered;
+
+        Request(Kind kind, PromptShape prompt, long arrivedMicros) {
+            this.kind = kind;
+            this.prompt = prompt;
+            this.arrivedMicros = arrivedMicros;
+        }
+
+        /** Returns whether the prompt is about among the largest tenth of its kind. */
+        boolean large() {
+            return prompt.inputTokens() > 2 * (kind.sharedTokens() + kind.thingTokens() + kind.ownTokens());
+        }
+    }
+
+    EngineFleet(Shape shape, List<Kind> kinds, long seed) {
+        this.shape = shape;
+        this.random = new Random(seed);
+        for (int index = 0; index < shape.daemons(); index++) {
+            daemons.add(createDaemon(index, kinds));
+        }
+        for (int index = 0; index < shape.engines(); index++) {
+            addEngine("i-" + index, index % shape.zones(), shape.speeds()[index % shape.speeds().length]);
+        }
+        for (Kind kind : kinds) {
+            outcomes.put(kind.name(), new Outcomes());
+            scheduleArrival(kind);
+        }
+        schedule(TICK_MICROS, this::tick);
+        schedule(0, this::report);
+        schedule(0, this::changeWorkTimes);
+    }
+
+    private Daemon createDaemon(int index, List<Kind> kinds) {
+        ServiceDocument document = new ServiceDocument(
+                1,
+                kinds.stream()
+                        .map(kind -> new RouteRule(
+                                RouteName.of(kind.name()),
+                                "a.example",
+                                "/" + kind.name() + "/",
+                                Repeatability.STREAM,
+                                kind.deadlineMillis(),
+                                kind.targetMillis(),
+                                kind.priority(),
+                                List.of(new RouteRule.Share(SERVICE, 1)),
+                                1,
+                                false,
+                                false,
+                                400))
+                        .toList(),
+                Map.of(
+                        SERVICE,
+                        new ServiceRule(
+                                SERVICE, 400, Optional.of(new ServiceRule.Engine(64, 232_000)), Optional.empty())),
+                CallerBounds.defaults(),
+                List.of(new AccountRule(
+                        AccountName.of("acme"), Set.of(KEY), OptionalInt.empty(), true, 200, 1e9, 1e9)));
+        Board board = Board.create(Samples.settings("edge-" + index), 1, 7 + index);
+        ControlCycle cycle = ControlCycle.create(
+                board,
+                List.of(
+                        MembershipController.create(),
+                        RegistryController.learning(),
+                        DocumentController.create(content -> Either.right(document)),
+                        AllowanceController.create(),
+                        ForwardController.create(new ForwardLimits(0.2, 10, 8, 0, 0)),
+                        DemandController.create()));
+        Daemon daemon = new Daemon(index, board, cycle);
+        Command command = new Command.ReplaceDocument(1, Content.of("application/json", new byte[] {1}));
+        CommandResult result = board.configuration().state().apply(command);
+        run(daemon, new ReplicationEvent.EntryApplied(0, 1, command, result));
+        run(daemon, new PeerEvent.PeerConnected(CONTROL_HOST, AvailabilityZone.of("zone-0"), 1));
+        return daemon;
+    }
+
+    void addEngine(String name, int zone, double speed) {
+        SimulatedEngine engine =
+                new SimulatedEngine(new SimulatedEngine.Traits(speed, shape.promptTokensPerMilli(), 64, 134, 232_000));
+        engines.put(ServerId.of(name), engine);
+        zones.put(ServerId.of(name), zone);
+    }
+
+    /** Stops an engine that has announced that it is leaving; its requests are lost. */
+    void stopEngine(String name) {
+        SimulatedEngine engine = Objects.requireNonNull(engines.remove(ServerId.of(name)));
+        announce(ServerId.of(name), ServerPhase.GONE);
+        engine.stop().forEach(job -> {
+            Daemon daemon = daemons.get(job.owner());
+            Request request = daemon.requests.get(job.ticket());
+            run(
+                    daemon,
+                    new ForwardEvent.ForwardEnded(
+                            job.ticket(),
+                            1,
+                            new ForwardOutcome.Broken(request != null && request.answered, true, "reset"),
+                            Optional.empty()));
+        });
+    }
+
+    void setLoad(double newLoad) {
+        load = newLoad;
+    }
+
+    void advance(long millis) {
+        long end = nowMicros + millis * 1_000;
+        while (!schedule.isEmpty() && schedule.peek().atMicros() <= end) {
+            Scheduled next = schedule.poll();
+            nowMicros = next.atMicros();
+            next.action().run();
+        }
+        nowMicros = end;
+    }
+
+    private void schedule(long delayMicros, Runnable action) {
+        schedule.add(new Scheduled(nowMicros + delayMicros, scheduled++, action));
+    }
+
+    private void tick() {
+        daemons.forEach(daemon -> run(daemon, new TimerEvent.Tick()));
+        schedule(TICK_MICROS, this::tick);
+    }
+
+    private void report() {
+        engines.keySet().forEach(server -> announce(server, ServerPhase.READY));
+        PeerMessage grant = new PeerMessage.AllowanceGrant(1, 2_000, 1.0 / shape.daemons(), Map.of(), Map.of());
+        daemons.forEach(daemon -> run(daemon, new PeerEvent.PeerMessageReceived(CONTROL_HOST, 1, grant)));
+        schedule(REPORT_MICROS, this::report);
+    }
+
+    private void announce(ServerId server, ServerPhase phase) {
+        sequence++;
+        ServerReport report = new ServerReport(
+                server,
+                1,
+                sequence,
+                SERVICE,
+                "10.0.0." + server.value().substring(2) + ":80",
+                AvailabilityZone.of("zone-" + zones.get(server)),
+                64,
+                phase,
+                0,
+                true,
+                OptionalLong.empty());
+        daemons.forEach(daemon -> run(
+                daemon,
+                new PeerEvent.PeerMessageReceived(CONTROL_HOST, 1, new PeerMessage.ServerReports(List.of(report)))));
+    }
+
+    private void changeWorkTimes() {
+        engines.values().forEach(engine -> engine.setWorkTimeFactor(random.nextDouble() < 0.15 ? 2.5 : 1));
+        schedule(WORK_TIME_PERIOD_MICROS, this::changeWorkTimes);
+    }
+
+    private void scheduleArrival(Kind kind) {
+        double meanMicros = 1e6 / (kind.perSecond() * load);
+        schedule((long) (-Math.log(1 - random.nextDouble()) * meanMicros), () -> {
+            Request request = new Request(kind, prompt(kind), nowMicros);
+            Outcomes ofKind = outcomesOf(kind);
+            ofKind.asked++;
+            ofKind.owed += kind.worth(request.prompt);
+            ofKind.askedLarge += request.large() ? 1 : 0;
+            arrive(request, random.nextInt(daemons.size()));
+            scheduleArrival(kind);
+        });
+    }
+
+    private PromptShape prompt(Kind kind) {
+        long shared = Math.round(kind.sharedTokens());
+        int thing = random.nextInt(kind.things());
+        Random ofThing = new Random(thing * 31L + kind.name().hashCode());
+        long thingTokens = Math.max(16, Math.round(kind.thingTokens() * logNormal(ofThing, 0.7)));
+        long own = Math.max(16, Math.min(40_000, Math.round(kind.ownTokens() * logNormal(random, 1.0))));
+        long output = Math.max(1, Math.min(700, Math.round(kind.outputTokens() * logNormal(random, 1.0))));
+        return new PromptShape(
+                "m",
+                shared + thingTokens + own,
+                output,
+                List.of(
+                        new PromptShape.Part(kind.name(), shared),
+                        new PromptShape.Part(kind.name() + thing, thingTokens),
+                        new PromptShape.Part("own" + tickets + "/" + nowMicros, own)));
+    }
+
+    /** Returns a factor with the mean 1. */
+    private static double logNormal(Random source, double spread) {
+        return Math.exp(spread * source.nextGaussian() - spread * spread / 2);
+    }
+
+    private void arrive(Request request, int daemonIndex) {
+        Daemon daemon = daemons.get(daemonIndex);
+        long leftMillis = request.kind.deadlineMillis() - (nowMicros - request.arrivedMicros) / 1_000;
+        if (leftMillis <= 0) {
+            outcomesOf(request.kind).failed++;
+            return;
+        }
+        tickets++;
+        long ticket = tickets;
+        daemon.requests.put(ticket, request);
+        switch (shape.policy()) {
+            case Policy.Product product ->
+                run(
+                        daemon,
+                        new ForwardEvent.ForwardArrived(
+                                ticket,
+                                ForwardHead.of(
+                                        "id-" + ticket,
+                                        "a.example",
+                                        "/" + request.kind.name() + "/x",
+                                        Optional.of(KEY),
+                                        OptionalLong.of(leftMillis),
+                                        Optional.of(request.prompt),
+                                        Fingerprint.of("content-" + ticket)),
+                                nanos()));
+            case Policy.RoundRobin roundRobin ->
+                send(daemon, ticket, 1, sortedEngines().get(nextRoundRobin++ % engines.size()), leftMillis);
+            case Policy.LeastReported leastReported ->
+                send(daemon, ticket, 1, leastLoaded(daemon, sortedEngines(), false), leftMillis);
+            case Policy.TwoChoices twoChoices -> {
+                List<ServerId> all = sortedEngines();
+                List<ServerId> two = List.of(all.get(random.nextInt(all.size())), all.get(random.nextInt(all.size())));
+                send(daemon, ticket, 1, leastLoaded(daemon, two, true), leftMillis);
+            }
+        }
+    }
+
+    private List<ServerId> sortedEngines() {
+        return engines.keySet().stream()
+                .sorted(Comparator.comparing(ServerId::value))
+                .toList();
+    }
+
+    private static ServerId leastLoaded(Daemon daemon, List<ServerId> choices, boolean withOwn) {
+        return choices.stream()
+                .min(Comparator.comparingInt(server -> {
+                    ServerLoad reported = daemon.reported.getOrDefault(server, new ServerLoad(0, 0, 64, 100));
+                    return reported.running() + reported.waiting() + (withOwn ? daemon.own.getOrDefault(server, 0) : 0);
+                }))
+                .orElseThrow();
+    }
+
+    private long nanos() {
+        return TimeUnit.MICROSECONDS.toNanos(nowMicros);
+    }
+
+    private void run(Daemon daemon, Event event) {
+        for (Effect effect : daemon.cycle.run(event, nanos(), nowMicros / 1_000)) {
+            if (effect instanceof ForwardEffect forward) {
+                execute(daemon, forward);
+            } else if (effect instanceof PeerEffect.SendToPeer send
+                    && send.message() instanceof PeerMessage.DemandReport report
+                    && report.demands().get(SERVICE) instanceof ServiceDemand demand) {
+                daemon.reportedPromptTokens = demand.promptTokensPerSecond();
+            }
+        }
+    }
+
+    private void execute(Daemon daemon, ForwardEffect effect) {
+        switch (effect) {
+            case ForwardEffect.StartForward start ->
+                send(daemon, start.ticket(), start.attempt(), start.server(), start.remainingMillis());
+            case ForwardEffect.CancelForward cancel -> {
+                engines.values().forEach(engine -> engine.cancel(cancel.ticket(), daemon.index));
+                run(
+                        daemon,
+                        new ForwardEvent.ForwardEnded(
+                                cancel.ticket(), 1, new ForwardOutcome.Cancelled(0, false), Optional.empty()));
+            }
+            case ForwardEffect.RefuseForward refuse -> refuse(daemon, refuse);
+            case ForwardEffect.BreakForward broken -> end(daemon, broken.ticket(), false);
+            case ForwardEffect.PassFailure failure -> end(daemon, failure.ticket(), false);
+            case ForwardEffect.ProbeServer probe -> {}
+        }
+    }
+
+    private void refuse(Daemon daemon, ForwardEffect.RefuseForward refuse) {
+        Request request = daemon.requests.remove(refuse.ticket());
+        if (request == null) {
+            return;
+        }
+        boolean promise = refuse.failure().kind().httpStatus() == 503
+                || refuse.failure().kind().httpStatus() == 429;
+        if (promise && !request.returned) {
+            request.returned = true;
+            long waitMicros = refuse.failure()
+                    .retryAfter()
+                    .map(wait -> wait.toMillis() * 1_000)
+                    .orElse(100_000L);
+            schedule(waitMicros, () -> arrive(request, random.nextInt(daemons.size())));
+        } else if (promise) {
+            outcomesOf(request.kind).refused++;
+        } else {
+            outcomesOf(request.kind).failed++;
+        }
+    }
+
+    private void send(Daemon daemon, long ticket, int attempt, ServerId server, long leftMillis) {
+        Request request = Objects.requireNonNull(daemon.requests.get(ticket));
+        daemon.own.merge(server, 1, Integer::sum);
+        long deadline = nowMicros + leftMillis * 1_000;
+        schedule(NETWORK_MICROS, () -> {
+            SimulatedEngine engine = engines.get(server);
+            boolean accepted = engine != null
+                    && engine.add(new SimulatedEngine.Job(
+                            ticket,
+                            daemon.index,
+                            request.kind.priority(),
+                            request.prompt,
+                            deadline,
+                            new SimulatedEngine.Listener() {
+                                @Override
+                                public void onFirstToken() {
+                                    EngineFleet.this.onFirstToken(daemon, ticket, attempt, server);
+                                }
+
+                                @Override
+                                public void onEnd(boolean complete) {
+                                    EngineFleet.this.onEnd(daemon, ticket, attempt, server, complete);
+                                }
+                            }));
+            if (engine != null && accepted) {
+                step(engine);
+            } else {
+                daemon.own.merge(server, -1, Integer::sum);
+                if (shape.policy() instanceof Policy.Product) {
+                    run(
+                            daemon,
+                            new ForwardEvent.ForwardEnded(
+                                    ticket,
+                                    attempt,
+                                    new ForwardOutcome.Refused(503, OptionalLong.empty()),
+                                    Optional.empty()));
+                } else {
+                    end(daemon, ticket, false);
+                }
+            }
+        });
+    }
+
+    private void step(SimulatedEngine engine) {
+        long micros = engine.startStep(nowMicros);
+        if (micros > 0) {
+            schedule(micros, () -> {
+                engine.endStep();
+                step(engine);
+            });
+        }
+    }
+
+    private void onFirstToken(Daemon daemon, long ticket, int attempt, ServerId server) {
+        Request request = daemon.requests.get(ticket);
+        if (request == null) {
+            return;
+        }
+        request.answered = true;
+        double millis = (nowMicros - request.arrivedMicros) / 1e3;
+        Outcomes ofKind = outcomesOf(request.kind);
+        if (millis <= request.kind.targetMillis()) {
+            ofKind.inTarget++;
+            ofKind.earned += request.kind.worth(request.prompt);
+        } else {
+            ofKind.late++;
+            ofKind.earned += LATE_WORTH * request.kind.worth(request.prompt);
+        }
+        ofKind.servedLarge += request.large() ? 1 : 0;
+        ServerLoad reported = Objects.requireNonNull(engines.get(server)).load();
+        daemon.reported.put(server, reported);
+        if (shape.policy() instanceof Policy.Product) {
+            run(
+                    daemon,
+                    new ForwardEvent.ForwardBegan(
+                            ticket,
+                            attempt,
+                            Optional.of(
+                                    new ServerStatus(new LoadReport.Known(reported, false), OptionalDouble.empty()))));
+        }
+    }
+
+    private void onEnd(Daemon daemon, long ticket, int attempt, ServerId server, boolean complete) {
+        daemon.own.merge(server, -1, Integer::sum);
+        Request request = daemon.requests.get(ticket);
+        if (request != null && !complete && request.answered) {
+            // The caller does not get the whole answer.
+            Outcomes ofKind = outcomesOf(request.kind);
+            ofKind.failed++;
+            ofKind.late--;
+            ofKind.earned -= LATE_WORTH * request.kind.worth(request.prompt);
+        }
+        if (shape.policy() instanceof Policy.Product) {
+            run(
+                    daemon,
+                    new ForwardEvent.ForwardEnded(
+                            ticket,
+                            attempt,
+                            complete ? new ForwardOutcome.Completed(false) : new ForwardOutcome.Failed(504),
+                            Optional.empty()));
+        }
+        if (request != null) {
+            end(daemon, ticket, complete || request.answered);
+        }
+    }
+
+    private void end(Daemon daemon, long ticket, boolean counted) {
+        Request request = daemon.requests.remove(ticket);
+        if (request != null && !counted && !request.answered) {
+            outcomesOf(request.kind).failed++;
+        }
+    }
+
+    /** Returns the prompt tokens per second that all daemons together report as their demand. */
+    double reportedPromptTokens() {
+        return daemons.stream()
+                .mapToDouble(daemon -> daemon.reportedPromptTokens)
+                .sum();
+    }
+
+    private Outcomes outcomesOf(Kind kind) {
+        return Objects.requireNonNull(outcomes.get(kind.name()));
+    }
+
+    Map<String, Outcomes> outcomes() {
+        return outcomes;
+    }
+
+    /** Returns what was earned over what would be earned if every request were answered within its target. */
+    double worthShare() {
+        return outcomes.values().stream().mapToDouble(ofKind -> ofKind.earned).sum()
+                / outcomes.values().stream().mapToDouble(ofKind -> ofKind.owed).sum();
+    }
+}
