Contain the failure of a controller or of an effect

Cause: an exception in one controller kept the event from the controllers after it, and the effects and events of the cycle came out with the next event. An exception in the executor of effects lost the remaining effects of the cycle. A StackOverflowError, LinkageError or AssertionError ended the control thread, while the process went on without it.

Ruled out: dropping the effects that the failed controller had added; what it wrote to the board stays, and a request that the board shows as sent must be sent.

Change: ControlCycle reports a failure to a listener and goes on; ControlThread executes each effect by itself, logs the failure once and counts it in control.failures. Without a listener, as in tests, a cycle still fails.

--- a/src/main/java/org/plantainwharf/control/ControlCycle.java
+++ b/src/main/java/org/plantainwharf/control/ControlCycle.java
@@ -36,13 +36,41 @@
         return board;
     }
 
+    /** Hears of controllers that fail. Called on the thread that runs the cycle. */
+    @FunctionalInterface
+    public interface FailureListener {
+        /** Reports that a controller threw while it handled an event. */
+        void onFailure(Controller controller, Event event, Throwable cause);
+    }
+
     /**
-     * Handles an event and all events posted as a result, and returns the effects in order.
+     * Handles an event and all events posted as a result, and returns the effects in order. Fails with what a controller
+     * throws; the rest of the cycle is then lost.
      *
      * @param nowNanos the time on the host's monotonic clock, in nanoseconds
      * @param wallClockMillis the time in milliseconds since the epoch
      */
     public List<Effect> run(Event event, long nowNanos, long wallClockMillis) {
+        return run(event, nowNanos, wallClockMillis, (controller, failed, cause) -> rethrow(cause));
+    }
+
+    private static void rethrow(Throwable cause) {
+        switch (cause) {
+            case RuntimeException exception -> throw exception;
+            case Error error -> throw error;
+            default -> throw new IllegalStateException(cause);
+        }
+    }
+
+    /**
+     * Handles an event and all events posted as a result, and returns the effects in order. A controller that throws
+     * keeps neither the other controllers from handling the event nor its earlier effects from being returned: what it
+     * wrote to the board before it failed stays there, and the effects belong to it.
+     *
+     * @param nowNanos the time on the host's monotonic clock, in nanoseconds
+     * @param wallClockMillis the time in milliseconds since the epoch
+     */
+    public List<Effect> run(Event event, long nowNanos, long wallClockMillis, FailureListener listener) {
         board.setWallClockMillis(wallClockMillis);
         @Nullable Event current = event;
         for (int count = 0; current != null; count++) {
@@ -51,7 +79,11 @@
                         + " events in one cycle, last: " + current);
             }
             for (Controller controller : controllers) {
-                controller.handle(current, board, nowNanos, effects);
+                try {
+                    controller.handle(current, board, nowNanos, effects);
+                } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError e) {
+                    listener.onFailure(controller, current, e);
+                }
             }
             current = effects.pollEvent();
         }
--- a/src/main/java/org/plantainwharf/control/ControlThread.java
+++ b/src/main/java/org/plantainwharf/control/ControlThread.java
@@ -8,6 +8,7 @@
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.board.BoardView;
 import org.plantainwharf.board.StatusView;
+import org.plantainwharf.effect.CountEffect;
 import org.plantainwharf.effect.Effect;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.TimerEvent;
@@ -21,6 +22,7 @@
  */
 public final class ControlThread implements EventSink {
     private static final EventLog LOG = EventLog.of(FluentLogger.forEnclosingClass());
+    private static final String FAILURE_METRIC = "control.failures";
     private static final long TICK_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long STATUS_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -115,13 +117,39 @@
 
     private void handle(Event event) {
         try {
-            for (Effect effect : cycle.run(event, clock.nowNanos(), clock.wallClockMillis())) {
-                executor.execute(effect);
-            }
+            cycle.run(event, clock.nowNanos(), clock.wallClockMillis(), this::onControllerFailure)
+                    .forEach(this::execute);
         } catch (RuntimeException e) {
-            // The failure is logged and the daemon continues. Changes made before the exception remain on the board.
-            LOG.severe("control_failure", e, "type", event.getClass().getSimpleName());
+            // The cycle itself failed. The failure is logged and the daemon continues.
+            onFailure(e, "type", event.getClass().getSimpleName());
         }
         view = cycle.board().publish();
     }
+
+    private void onControllerFailure(Controller controller, Event event, Throwable cause) {
+        onFailure(
+                cause,
+                "controller",
+                controller.getClass().getSimpleName(),
+                "type",
+                event.getClass().getSimpleName());
+    }
+
+    /** Executes an effect. One that fails must not take the others of its cycle with it. */
+    private void execute(Effect effect) {
+        try {
+            executor.execute(effect);
+        } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError e) {
+            onFailure(e, "effect", effect.getClass().getSimpleName());
+        }
+    }
+
+    private void onFailure(Throwable cause, Object... namesAndValues) {
+        LOG.severe("control_failure", cause, namesAndValues);
+        try {
+            executor.execute(CountEffect.one(FAILURE_METRIC));
+        } catch (RuntimeException e) {
+            LOG.severe("control_failure", e, "effect", FAILURE_METRIC);
+        }
+    }
 }
