Refuse impossible addresses and times, end attempts that cannot be sent

Cause: a heartbeat with an address such as 999.1.1.1:99999, or with a leaves_ms that is not a number, negative or out of range, was accepted; a settings file whose seeds have no port made the reader throw instead of naming the problem. A request whose sending threw, as for an address that is no URI, posted no end: it stayed in progress until its deadline and counted as load of its server for ever.

Change: FieldReader checks addresses; HeartbeatReader refuses such times; ForwardAttempt ends as not sent when it cannot be prepared, and exactly once. attempt_ended logs the time to the answer (answer_ms).

--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import org.eclipse.jetty.client.BytesRequestContent;
@@ -61,6 +62,7 @@
     private boolean endedByClose;
     private Optional<ServerStatus> status = Optional.empty();
     private int skippedBytes;
+    private final AtomicBoolean ended = new AtomicBoolean();
     private volatile Optional<ResetAwareEndPoint> endPoint = Optional.empty();
     private volatile boolean sendingBegun;
     private volatile boolean aborted;
@@ -121,7 +123,20 @@
         return start.ticket();
     }
 
+    /** Sends the request. An attempt that cannot be prepared ends like one whose connection was not opened. */
     void send() {
+        try {
+            sendRequest();
+        } catch (RuntimeException e) {
+            String reason = e.getClass().getSimpleName();
+            finish(
+                    sendingBegun
+                            ? new ForwardOutcome.Broken(false, true, reason)
+                            : new ForwardOutcome.NotSent(false, reason));
+        }
+    }
+
+    private void sendRequest() {
         Request prepared = client.newRequest(URI.create("http://" + start.address()))
                 .method(exchange.method())
                 .path(exchange.pathQuery())
@@ -316,6 +331,9 @@
     }
 
     private void finish(ForwardOutcome outcome) {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
         if (outcome instanceof ForwardOutcome.Completed) {
             exchange.complete();
         }
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -355,6 +355,10 @@
                 running.server(),
                 "outcome",
                 outcome,
+                "answer_ms",
+                running.answerStarted()
+                        ? (running.answerStartedNanos().getAsLong() - running.sentNanos()) / 1_000_000
+                        : -1,
                 "after_ms",
                 (nowNanos - running.sentNanos()) / 1_000_000);
         switch (outcome) {
--- a/src/main/java/org/plantainwharf/platform/FieldReader.java
+++ b/src/main/java/org/plantainwharf/platform/FieldReader.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
@@ -14,6 +17,12 @@
  * after a problem, so that reading continues and all problems are reported together. Used by one thread.
  */
 final class FieldReader {
+    private static final Pattern ADDRESS =
+            Pattern.compile("([0-9]{1,3})\\.([0-9]{1,3})\\.([0-9]{1,3})\\.([0-9]{1,3}):([0-9]{1,5})");
+    private static final int PORT_GROUP = 5;
+    private static final int MAXIMUM_OCTET = 255;
+    private static final int MAXIMUM_PORT = 65_535;
+
     private final JsonNode node;
     private final String path;
     private final List<String> problems;
@@ -52,6 +61,37 @@
         return value.asText();
     }
 
+    /** Returns a required IPv4 address with a port from 1 to 65535, separated by a colon. */
+    String address(String name) {
+        String value = string(name);
+        checkAddress(name, value);
+        return value;
+    }
+
+    /** Returns an address as {@link #address}, or empty if the field is absent, null or an empty string. */
+    Optional<String> optionalAddress(String name) {
+        JsonNode value = node.path(name);
+        if (value.isMissingNode()
+                || value.isNull()
+                || value.isTextual() && value.asText().isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(address(name));
+    }
+
+    /** Adds a problem unless the text is an IPv4 address with a port. */
+    void checkAddress(String name, String text) {
+        Matcher matcher = ADDRESS.matcher(text);
+        boolean valid = matcher.matches();
+        for (int group = 1; valid && group <= matcher.groupCount(); group++) {
+            int number = Integer.parseInt(matcher.group(group));
+            valid = group < PORT_GROUP ? number <= MAXIMUM_OCTET : number > 0 && number <= MAXIMUM_PORT;
+        }
+        if (!valid) {
+            addProblem(name, "must be an IPv4 address and a port");
+        }
+    }
+
     /** Returns a required integer, which must be at least the minimum. */
     long integer(String name, long minimum) {
         JsonNode value = node.path(name);
@@ -72,7 +112,7 @@
         if (value.isMissingNode() || value.isNull()) {
             return defaultValue;
         }
-        if (!value.isNumber() || value.asDouble() < 0) {
+        if (!value.isNumber() || !Double.isFinite(value.asDouble()) || value.asDouble() < 0) {
             addProblem(name, "must be a number of at least 0");
         }
         return value.asDouble();
--- a/src/main/java/org/plantainwharf/platform/HeartbeatReader.java
+++ b/src/main/java/org/plantainwharf/platform/HeartbeatReader.java
@@ -33,23 +33,21 @@
         }
         FieldReader reader = FieldReader.of(root);
         String service = reader.string("service");
-        String address = reader.string("address");
+        String address = reader.address("address");
         String zone = reader.string("zone");
         Optional<ServerPhase> phase = phase(reader.string("state"));
         if (phase.isEmpty()) {
             reader.addProblem("state", "must be ready or draining");
         }
-        if (!address.matches("[0-9]+(\\.[0-9]+){3}:[0-9]+")) {
-            reader.addProblem("address", "must be an IPv4 address and a port");
-        }
         long startEpochMillis = startEpochMillis(root, reader).orElse(0);
         long sequence = reader.integer("sequence", 0);
-        int slots = (int) reader.integer("slots", 1);
+        int slots = (int) Math.min(Integer.MAX_VALUE, reader.integer("slots", 1));
         long remainingWarmupMillis = reader.integer("warmup_remaining_ms", 0, 0);
         boolean reclaimable = reader.bool("spot");
-        OptionalLong millisUntilReclaim = root.path("leaves_ms").isNumber()
-                ? OptionalLong.of(root.path("leaves_ms").asLong())
-                : OptionalLong.empty();
+        OptionalLong millisUntilReclaim =
+                root.path("leaves_ms").isMissingNode() || root.path("leaves_ms").isNull()
+                        ? OptionalLong.empty()
+                        : OptionalLong.of((long) reader.number("leaves_ms", 0));
         if (server.isBlank()) {
             reader.addProblem("id", "must not be empty");
         }
--- a/src/main/java/org/plantainwharf/platform/PlatformSettings.java
+++ b/src/main/java/org/plantainwharf/platform/PlatformSettings.java
@@ -81,10 +81,13 @@
             return Either.left(Failure.of(ErrorKind.SETTINGS_INVALID, "not valid JSON: " + e.getOriginalMessage()));
         }
         FieldReader reader = FieldReader.of(root);
-        JsonNode listen = root.path("listen");
+        FieldReader listen = reader.nested(root.path("listen"), "listen");
         JsonNode portRange = root.path("internal_port_range");
         List<String> seeds = new ArrayList<>();
-        root.path("seed_nodes").forEach(seed -> seeds.add(seed.asText()));
+        for (JsonNode seed : reader.array("seed_nodes")) {
+            reader.checkAddress("seed_nodes", seed.asText());
+            seeds.add(seed.asText());
+        }
         JsonNode bounds = root.path("bounds");
         if (!portRange.path(0).canConvertToInt() || !portRange.path(1).canConvertToInt()) {
             reader.addProblem("internal_port_range", "must be an array of two ports");
@@ -93,9 +96,9 @@
                 reader.string("node_name"),
                 reader.string("ip"),
                 reader.string("zone"),
-                optionalText(listen.path("frontend")),
-                optionalText(listen.path("ready")),
-                optionalText(listen.path("control_plane")),
+                listen.optionalAddress("frontend"),
+                listen.optionalAddress("ready"),
+                listen.optionalAddress("control_plane"),
                 portRange.path(0).asInt(),
                 portRange.path(1).asInt(),
                 seeds,
--- a/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
+++ b/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
@@ -328,6 +328,24 @@
         }
     }
 
+    /** Without an end the request would stay in progress until its deadline, and count as load of the server for ever. */
+    @Nested
+    class RequestsThatCannotBeSent {
+        @ParameterizedTest
+        @ValueSource(strings = {"10.0.0.1:99999", "not an address", ""})
+        void endAsNotSent(String address) throws Exception {
+            ForwardEffect.StartForward start = new ForwardEffect.StartForward(
+                    1, 1, ServerId.of("i-1"), address, 5_000, Optional.empty(), 0, false);
+            ForwardAttempt.create(client, DIALECT, start, new RecordingExchange(), new QueueingEventSink(), ended -> {})
+                    .send();
+            Event event = events.poll(5, TimeUnit.SECONDS);
+            assertInstanceOf(
+                    ForwardOutcome.NotSent.class,
+                    assertInstanceOf(ForwardEvent.ForwardEnded.class, event).outcome());
+            assertEquals(null, events.poll(50, TimeUnit.MILLISECONDS));
+        }
+    }
+
     @Nested
     class TruncatedResponses {
         @Test
