Let a new duty holder wait for the lease before it acts

Ruled out: two daemons under one number; each taking has a higher number in the log.

Change: FencingController takes lease_ms of the settings and holds the duties that long after its number is committed; the first holder of the system acts at once. The elections themselves are not changed.

--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -99,7 +99,7 @@
                 DocumentController.create(codec),
                 DrainController.create(),
                 AllowanceController.create(),
-                FencingController.create(),
+                FencingController.create(role.dutyLeaseMillis()),
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
                 ScalingController.create());
         AtomicReference<EffectExecutor> dispatcher = new AtomicReference<>(effect -> {});
--- a/src/main/java/org/plantainwharf/daemon/RoleSettings.java
+++ b/src/main/java/org/plantainwharf/daemon/RoleSettings.java
@@ -16,6 +16,7 @@
  * @param initialVoters the voters when the whole system starts for the first time; empty at later starts
  * @param usageWindowMillis length of a usage window
  * @param usageReportDeadlineMillis time after the end of a usage window at which its report is late
+ * @param dutyLeaseMillis time within which duty holders must not act in turn
  * @param forwardLimits how many retries this daemon may send, and how far account limits may be exceeded
  * @param metricsAddress where the daemon serves its metrics
  * @param readyAddress where the load balancer checks whether an entry daemon is ready; empty on a control daemon
@@ -28,6 +29,7 @@
         List<HostId> initialVoters,
         long usageWindowMillis,
         long usageReportDeadlineMillis,
+        long dutyLeaseMillis,
         ForwardLimits forwardLimits,
         String metricsAddress,
         String readyAddress,
--- a/src/main/java/org/plantainwharf/duty/FencingController.java
+++ b/src/main/java/org/plantainwharf/duty/FencingController.java
@@ -1,5 +1,8 @@
 package org.plantainwharf.duty;
 
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.effect.Effects;
@@ -22,26 +25,46 @@
 
 /**
  * Makes the leader of the control group the duty holder. The leader commits a request for a fencing number once per
- * term and holds the duties from the time the number is committed. It gives them up when it loses the leadership, or
+ * term and holds the duties after a pause from the time the number is committed. It gives them up when it loses the leadership, or
  * when the cloud API reports a higher number. Runs on the control thread.
  */
 public final class FencingController implements Controller {
     private static final int CONTROL_GROUP = 0;
 
+    /** The number of the first holder, which nobody can have acted before. */
+    private static final long FIRST_NUMBER = 1;
+
+    private final long takeoverPauseNanos;
+    private Optional<CommittedNumber> committed = Optional.empty();
     private long leadingTerm;
     private boolean requested;
 
-    private FencingController() {}
+    /** A number under which this daemon will hold the duties once the pause has passed. Immutable. */
+    private record CommittedNumber(long number, long holdFromNanos) {}
 
-    public static FencingController create() {
-        return new FencingController();
+    private FencingController(long takeoverPauseMillis) {
+        this.takeoverPauseNanos = TimeUnit.MILLISECONDS.toNanos(takeoverPauseMillis);
+    }
+
+    /**
+     * Creates the controller.
+     *
+     * @param takeoverPauseMillis time from the commitment of a number until its holder acts. The provider considers
+     *     duties violated if two holders act in turn within its lease: the pause keeps the acts of successive holders that
+     *     far apart, also when the leadership returns to an earlier one.
+     */
+    public static FencingController create(long takeoverPauseMillis) {
+        return new FencingController(takeoverPauseMillis);
     }
 
     @Override
     public void handle(Event event, Board board, long nowNanos, Effects effects) {
         switch (event) {
-            case ReplicationEvent replication -> onReplication(replication, board, effects);
-            case TimerEvent.Tick tick -> requestFencingNumber(board, effects);
+            case ReplicationEvent replication -> onReplication(replication, board, nowNanos, effects);
+            case TimerEvent.Tick tick -> {
+                requestFencingNumber(board, effects);
+                holdIfDue(board, nowNanos, effects);
+            }
             case DutyEvent duty -> onDuty(duty, board, effects);
             case ForwardEvent ignored -> {}
             case DocumentEvent ignored -> {}
@@ -56,12 +79,13 @@
         }
     }
 
-    private void onReplication(ReplicationEvent event, Board board, Effects effects) {
+    private void onReplication(ReplicationEvent event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case ReplicationEvent.LeadershipChanged changed -> {
                 if (changed.group() == CONTROL_GROUP) {
                     leadingTerm = changed.leading() ? changed.term() : 0;
                     requested = false;
+                    committed = Optional.empty();
                     board.duties().clearFencingNumber();
                     effects.log("leadership_changed", "term", changed.term(), "leading", changed.leading());
                     requestFencingNumber(board, effects);
@@ -71,8 +95,9 @@
                 if (decided.proposalId().equals(proposalId(board))
                         && decided.result() instanceof CommandResult.FencingNumber number
                         && leadingTerm != 0) {
-                    board.duties().setFencingNumber(number.number());
-                    effects.log("duties_taken", "fencing", number.number(), "term", leadingTerm);
+                    long pauseNanos = number.number() == FIRST_NUMBER ? 0 : takeoverPauseNanos;
+                    committed = Optional.of(new CommittedNumber(number.number(), nowNanos + pauseNanos));
+                    holdIfDue(board, nowNanos, effects);
                 }
             }
             case ReplicationEvent.ProposalFailed failed -> {
@@ -89,6 +114,14 @@
         }
     }
 
+    private void holdIfDue(Board board, long nowNanos, Effects effects) {
+        committed.filter(due -> nowNanos - due.holdFromNanos() >= 0).ifPresent(due -> {
+            committed = Optional.empty();
+            board.duties().setFencingNumber(due.number());
+            effects.log("duties_taken", "fencing", due.number(), "term", leadingTerm);
+        });
+    }
+
     private void requestFencingNumber(Board board, Effects effects) {
         if (leadingTerm != 0 && !requested) {
             requested = true;
--- a/src/main/java/org/plantainwharf/platform/PlatformSettings.java
+++ b/src/main/java/org/plantainwharf/platform/PlatformSettings.java
@@ -58,6 +58,7 @@
      * @param retryBudgetFloor retries over all daemons that are always allowed in a window
      * @param usageWindowMillis length of a usage window
      * @param usageReportDeadlineMillis time after the end of a usage window at which its report is late
+     * @param dutyLeaseMillis time within which duty holders must not act in turn
      * @param limitWindowSeconds interval over which account limits are checked
      * @param limitOverrun fraction of a limit by which all daemons together may exceed it in a window
      * @param limitSlack tokens or requests by which they may exceed it in addition
@@ -68,6 +69,7 @@
             double retryBudgetFloor,
             long usageWindowMillis,
             long usageReportDeadlineMillis,
+            long dutyLeaseMillis,
             double limitWindowSeconds,
             double limitOverrun,
             double limitSlack) {}
@@ -111,6 +113,7 @@
                         bounds.path("retry_budget_floor").asDouble(10),
                         (long) (bounds.path("report_window_s").asDouble(5) * 1_000),
                         (long) (bounds.path("usage_late_s").asDouble(10) * 1_000),
+                        bounds.path("lease_ms").asLong(3_000),
                         bounds.path("quota_window_s").asDouble(8),
                         bounds.path("quota_overrun").asDouble(0),
                         bounds.path("quota_slack").asDouble(0)));
--- a/src/main/java/org/plantainwharf/platform/RoleSettingsMapper.java
+++ b/src/main/java/org/plantainwharf/platform/RoleSettingsMapper.java
@@ -85,6 +85,7 @@
                 platform.bootstrap() ? List.copyOf(seeds.keySet()) : List.of(),
                 platform.bounds().usageWindowMillis(),
                 platform.bounds().usageReportDeadlineMillis(),
+                platform.bounds().dutyLeaseMillis(),
                 new ForwardLimits(
                         platform.bounds().retryBudgetRatio() * RETRY_RATIO_FACTOR,
                         platform.bounds().retryBudgetFloor() * RETRY_FLOOR_FRACTION,
--- a/src/test/java/org/plantainwharf/duty/FencingControllerTest.java
+++ b/src/test/java/org/plantainwharf/duty/FencingControllerTest.java
@@ -18,7 +18,9 @@
  * lost the leadership or a higher number was used.
  */
 class FencingControllerTest {
-    private final DutyHarness harness = new DutyHarness("core-1", List.of(FencingController.create()));
+    private static final long LEASE_MILLIS = 3_000;
+
+    private final DutyHarness harness = new DutyHarness("core-1", List.of(FencingController.create(LEASE_MILLIS)));
 
     private ReplicationEvent.ProposalRequested onlyProposal() {
         List<ReplicationEvent.ProposalRequested> proposals = harness.takeProposals();
@@ -26,6 +28,11 @@
         return proposals.getFirst();
     }
 
+    private static void waitForTheLease(DutyHarness waiting) {
+        waiting.advanceTime(LEASE_MILLIS);
+        waiting.tick();
+    }
+
     private OptionalLong heldFencingNumber() {
         return harness.board().duties().fencingNumber();
     }
@@ -48,6 +55,7 @@
             harness.becomeFollower(4);
             harness.becomeLeader(5);
             harness.decide(onlyProposal());
+            waitForTheLease(harness);
             assertTrue(heldFencingNumber().orElseThrow() > first);
         }
 
@@ -90,6 +98,40 @@
         }
     }
 
+    /**
+     * The platform forbids that holders act in the order A, B, A within a lease. Elections may follow each other more
+     * quickly, for example while all daemons start.
+     */
+    @Nested
+    class Successors {
+        @Test
+        void doNotActWithinALeaseAfterTheyTookTheDuties() {
+            harness.becomeLeader(3);
+            harness.decide(onlyProposal());
+            harness.becomeFollower(4);
+            harness.becomeLeader(5);
+            harness.decide(onlyProposal());
+            harness.advanceTime(LEASE_MILLIS - 1);
+            harness.tick();
+            assertEquals(OptionalLong.empty(), heldFencingNumber());
+            harness.advanceTime(1);
+            harness.tick();
+            assertTrue(heldFencingNumber().isPresent());
+        }
+
+        @Test
+        void thatLoseTheLeadershipWhileTheyWaitNeverAct() {
+            harness.becomeLeader(3);
+            harness.decide(onlyProposal());
+            harness.becomeFollower(4);
+            harness.becomeLeader(5);
+            harness.decide(onlyProposal());
+            harness.becomeFollower(6);
+            waitForTheLease(harness);
+            assertEquals(OptionalLong.empty(), heldFencingNumber());
+        }
+    }
+
     @Nested
     class Conflicts {
         @Test
@@ -117,7 +159,7 @@
         /** Both apply the same log; the numbers must differ although each daemon makes its own request. */
         @Test
         void neverReceiveTheSameNumber() {
-            DutyHarness other = new DutyHarness("core-2", List.of(FencingController.create()));
+            DutyHarness other = new DutyHarness("core-2", List.of(FencingController.create(LEASE_MILLIS)));
             harness.becomeLeader(3);
             ReplicationEvent.ProposalRequested first = onlyProposal();
             other.becomeLeader(4);
@@ -126,6 +168,7 @@
             long firstNumber = heldFencingNumber().orElseThrow();
             other.board().configuration().state().apply(first.command());
             other.decide(second);
+            waitForTheLease(other);
             assertTrue(other.board().duties().fencingNumber().orElseThrow() > firstNumber);
             assertEquals(Map.of(), other.board().duties().usage(0));
         }
--- a/src/test/java/org/plantainwharf/duty/UsageControllerTest.java
+++ b/src/test/java/org/plantainwharf/duty/UsageControllerTest.java
@@ -27,7 +27,7 @@
 
     private final DutyHarness harness = new DutyHarness(
             "core-1",
-            List.of(FencingController.create(), UsageController.create(WINDOW_MILLIS, REPORT_DEADLINE_MILLIS)));
+            List.of(FencingController.create(3_000), UsageController.create(WINDOW_MILLIS, REPORT_DEADLINE_MILLIS)));
     private long window;
 
     @BeforeEach
