Do not believe a refusal without an id on a reused connection

Cause: a server that sends a second copy of a refusal late, on a connection that is in use again, made the next request end as refused and not run, although the server had it: a caller could repeat an unsafe request that ran.

Ruled out: bytes of another answer. In 18 of 20 combinations of moment (with the answer, on the idle connection, after the next request, in pieces around it) and framing (length, chunks, events, refusals) nothing of the copy reached the next caller before this change.

Change: a refusal without the request id counts only on a connection that has carried no other exchange; else the attempt is broken and may have run.

Result: ReusedConnectionTest, 2 of 20 failed and none now; 100 tests of the backend package pass. Servers are said to echo the id in all answers; a refusal without it now costs a retry of an unsafe request.

--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -212,7 +212,10 @@
             return new ResponseState.Invalid("response belongs to another request");
         }
         if (headers.contains(dialect.notRun()) || status == 421) {
-            return new ResponseState.Refusal(status, retryAfterMillis(headers));
+            // Without an id it may be the second copy of an answer to an earlier request, while this one runs.
+            return id == null && endPoint.map(ResetAwareEndPoint::isReused).orElse(true)
+                    ? new ResponseState.Invalid("refusal without a request id on a reused connection")
+                    : new ResponseState.Refusal(status, retryAfterMillis(headers));
         }
         if (id == null) {
             return new ResponseState.Invalid("response has no request id");
--- a/src/main/java/org/plantainwharf/backend/ResetAwareEndPoint.java
+++ b/src/main/java/org/plantainwharf/backend/ResetAwareEndPoint.java
@@ -27,6 +27,8 @@
 
     private volatile int bytesWithoutProgress;
     private volatile boolean checksProgress;
+    private volatile boolean used;
+    private volatile boolean reused;
 
     ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
         super(channel, selector, key, scheduler);
@@ -34,10 +36,17 @@
 
     /** Begins to check that the response makes progress. */
     void beginResponse() {
+        reused = used;
+        used = true;
         bytesWithoutProgress = 0;
         checksProgress = true;
     }
 
+    /** Returns whether another response began on this connection before the present one. */
+    boolean isReused() {
+        return reused;
+    }
+
     /** Records that the bytes read so far were part of the response's head or content. */
     void recordProgress() {
         bytesWithoutProgress = 0;
