--- a/src/test/java/org/plantainwharf/duty/DutyHarness.java
+++ b/src/test/java/org/plantainwharf/duty/DutyHarness.java
@@ -62,6 +62,11 @@
         wallMillis += millis;
     }
 
+    /** Advances the time of day only, as on a host that was suspended. */
+    void advanceWallClock(long millis) {
+        wallMillis += millis;
+    }
+
     long wallMillis() {
         return wallMillis;
     }
