Put no former document in force after a restart

Cause: an entry daemon learns the log from its beginning after a restart and put each document in force as it came, so that former routes and withdrawn keys were in use again until it had caught up. A source that has just restarted itself lags in the same way, and a new leader does not know yet what earlier terms committed.

A follower passes on the commit index that its leader announced and, before an entry of the term is committed, one that lies after its log. A learner leaves a source that has no entries although it knows of more.

--- a/src/main/java/org/plantainwharf/consensus/FollowerLog.java
+++ b/src/main/java/org/plantainwharf/consensus/FollowerLog.java
@@ -19,6 +19,7 @@
 
     void append(ReplicaMessage.AppendRequest request, ReplicaOutput output) {
         ReplicaLog log = state.log();
+        state.recordAnnouncedCommitIndex(request.commitIndex());
         long previous = request.previousIndex();
         // Entries up to the base index are committed, so the leader's log contains the same ones.
         if (previous >= log.baseIndex() && log.term(previous) != request.previousTerm()) {
--- a/src/main/java/org/plantainwharf/consensus/Learner.java
+++ b/src/main/java/org/plantainwharf/consensus/Learner.java
@@ -12,7 +12,8 @@
  * A member of one replicated log that stores nothing on disk. It never votes and acknowledges no entries. A source is a
  * host that streams committed entries to learners: the leader or a follower in contact with it. The learner requests
  * the entries after the last one that it applied from one source at a time, ignores entries that are not newer, and
- * switches to another source when the current one stops answering. A learner with a disk is a {@link Replica} that is
+ * switches to another source when the current one stops answering, or has no entries although it knows that more were
+ * committed. A learner with a disk is a {@link Replica} that is
  * not in the voter configuration. Deterministic; not thread-safe.
  */
 public final class Learner implements GroupMember {
@@ -95,7 +96,10 @@
     private void receive(ReplicaMessage message, long nowNanos, ReplicaOutput output) {
         switch (message) {
             case ReplicaMessage.AppendRequest request -> {
-                recordSourceContact(request, nowNanos);
+                boolean behind = !statusOnly && appliedIndex < request.commitIndex();
+                if (!behind || !request.entries().isEmpty()) {
+                    recordSourceContact(request, nowNanos);
+                }
                 commitIndex = Math.max(commitIndex, request.commitIndex());
                 if (!statusOnly) {
                     apply(request, nowNanos, output);
--- a/src/main/java/org/plantainwharf/consensus/ReplicaState.java
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaState.java
@@ -20,6 +20,7 @@
     private final WriteQueue writes;
     private final RandomGenerator random;
     private long commitIndex;
+    private long announcedCommitIndex;
     /**
      * Index of the last entry passed to the output for the state machine, or the last index of a newer snapshot. The
      * output is applied before the next step, so {@link GroupStatus} reports this as the applied index.
@@ -171,6 +172,22 @@
         commitIndex = Math.max(commitIndex, index);
     }
 
+    /** Records the commit index that the leader announced, which entries that this host lacks may precede. */
+    void recordAnnouncedCommitIndex(long index) {
+        announcedCommitIndex = Math.max(announcedCommitIndex, index);
+    }
+
+    /**
+     * Returns an index that a learner must have applied to hold everything that was committed before now. Until an entry
+     * of the current term is committed, the leader itself does not know what earlier terms committed; that entry then
+     * comes after everything in the log.
+     */
+    long catchUpIndex() {
+        return log.term(commitIndex) == term()
+                ? Math.max(commitIndex, announcedCommitIndex)
+                : Math.max(commitIndex + 1, Math.max(log.lastIndex(), announcedCommitIndex));
+    }
+
     /** Replaces the state machine's state and the log by a snapshot of committed entries. */
     void install(ReplicaSnapshot snapshot, ReplicaOutput output) {
         log.install(snapshot);
--- a/src/main/java/org/plantainwharf/consensus/StreamSource.java
+++ b/src/main/java/org/plantainwharf/consensus/StreamSource.java
@@ -74,7 +74,8 @@
                                 afterIndex + 1,
                                 state.commitIndex(),
                                 state.options().messageBytes()),
-                state.commitIndex(),
+                // Not the commit index: a source that lags tells its learners that they lag too.
+                state.catchUpIndex(),
                 // Round 0: no heartbeat round.
                 0);
         output.send(learner.host(), request);
--- a/src/main/java/org/plantainwharf/document/DocumentController.java
+++ b/src/main/java/org/plantainwharf/document/DocumentController.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import org.plantainwharf.board.Board;
+import org.plantainwharf.consensus.GroupStatus;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.effect.DocumentEffect;
 import org.plantainwharf.effect.Effects;
@@ -26,7 +27,7 @@
 
 /**
  * Proposes service documents to the control group, reads the newest one through the group's log, and puts committed
- * documents in force: the first one at once, later ones with the next tick, so that a series of large documents costs a
+ * documents in force: the first one as soon as this daemon has caught up with the log, later ones with the next tick, so that a series of large documents costs a
  * small host one decoding and not one for each. Runs on the control thread.
  */
 public final class DocumentController implements Controller {
@@ -124,11 +125,22 @@
         return new DocumentEffect.RefuseDocument(ticket);
     }
 
+    /**
+     * Returns whether this daemon has applied everything that was committed when its source last answered. A daemon
+     * that has just started learns the log from its beginning and must not serve by the documents of former days.
+     */
+    private static boolean isCaughtUp(Board board) {
+        GroupStatus status = board.consensus().group(CONTROL_GROUP);
+        return status.appliedIndex() >= status.commitIndex();
+    }
+
     private void putInForce(Board board, Effects effects) {
         DocumentSection section = board.documents();
         StateRecord.Document committed =
                 board.configuration().state().document().orElse(null);
-        if (committed == null || committed.version() <= section.newestDecodedVersion()) {
+        if (committed == null
+                || committed.version() <= section.newestDecodedVersion()
+                || section.table().isEmpty() && !isCaughtUp(board)) {
             return;
         }
         section.recordDecoded(committed.version());
--- a/src/test/java/org/plantainwharf/consensus/LearnerTest.java
+++ b/src/test/java/org/plantainwharf/consensus/LearnerTest.java
@@ -1,6 +1,8 @@
 package org.plantainwharf.consensus;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Nested;
@@ -66,4 +68,40 @@
             assertEquals(first, lastRequested(550, 10_000, HostId.of("nobody")));
         }
     }
+
+    /** A source that restarted lags behind the leader, and would give its learners a document of former days. */
+    @Nested
+    class LaggingSources {
+        private final Learner learner = Learner.create(
+                0,
+                VoterId.of(HostId.of("entry"), 0),
+                LogHosts.discovered(HOSTS),
+                ReplicaOptions.forDiscoveredHosts(),
+                0);
+
+        private ReplicaMessage.AppendRequest answer(HostId source, long commitIndex) {
+            return new ReplicaMessage.AppendRequest(1, VoterId.of(source, 9), 0, 0, List.of(), commitIndex, 0);
+        }
+
+        @Test
+        void areReplacedWhileTheyHaveNoEntries() {
+            Set<HostId> requested = new HashSet<>();
+            for (long millis = 0; millis <= DOCUMENT_DEADLINE_MILLIS; millis += 50) {
+                long now = TimeUnit.MILLISECONDS.toNanos(millis);
+                for (ReplicaOutput.Outgoing outgoing :
+                        learner.step(new ReplicaInput.Ticked(), now).messages()) {
+                    requested.add(outgoing.host());
+                    learner.step(new ReplicaInput.Received(answer(outgoing.host(), 7)), now);
+                }
+            }
+            assertTrue(requested.size() > 1, "requests only from " + requested);
+        }
+
+        @Test
+        void showThatTheLearnerIsBehind() {
+            learner.step(new ReplicaInput.Received(answer(HostId.of("a"), 7)), 0);
+            GroupStatus status = learner.status(0);
+            assertTrue(status.appliedIndex() < status.commitIndex(), status.toString());
+        }
+    }
 }
--- a/src/test/java/org/plantainwharf/consensus/ReplicaTest.java
+++ b/src/test/java/org/plantainwharf/consensus/ReplicaTest.java
@@ -80,6 +80,42 @@
                     4, written(synced(written(first).writeNumber())).entries().size());
         }
 
+        private ReplicaMessage.AppendRequest streamed(long afterIndex) {
+            return (ReplicaMessage.AppendRequest)
+                    receive(new ReplicaMessage.StreamRequest(1, VoterId.of(HostId.of("d"), 0), afterIndex), 1)
+                            .messages()
+                            .getFirst()
+                            .message();
+        }
+
+        private ReplicaMessage.AppendRequest committedUpTo(ReplicaMessage.AppendRequest request, long commitIndex) {
+            return new ReplicaMessage.AppendRequest(
+                    request.term(),
+                    request.sender(),
+                    request.previousIndex(),
+                    request.previousTerm(),
+                    request.entries(),
+                    commitIndex,
+                    request.round());
+        }
+
+        /** Otherwise a learner that starts would take the former state of this follower for the present one. */
+        @Test
+        void tellsLearnersThatItLagsBehindTheLeader() {
+            synced(written(receive(committedUpTo(append(1, 0, 0, 3), 9), 0)).writeNumber());
+            ReplicaMessage.AppendRequest stream = streamed(0);
+            assertEquals(3, stream.entries().size());
+            assertEquals(9, stream.commitIndex());
+        }
+
+        /** Until then the leader does not know what earlier terms committed. */
+        @Test
+        void tellsLearnersThatItLagsUntilAnEntryOfTheTermIsCommitted() {
+            synced(written(receive(committedUpTo(append(1, 0, 0, 3), 3), 0)).writeNumber());
+            receive(committedUpTo(new ReplicaMessage.AppendRequest(2, LEADER, 3, 1, List.of(), 0, 1), 3), 0);
+            assertTrue(streamed(0).commitIndex() > 3);
+        }
+
         @Test
         void neitherVotesNorAcknowledgesAfterAFailedWrite() {
             receive(append(1, 0, 0, 1), 0);
--- a/src/test/java/org/plantainwharf/document/DocumentControllerTest.java
+++ b/src/test/java/org/plantainwharf/document/DocumentControllerTest.java
@@ -3,12 +3,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import io.vavr.control.Either;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.plantainwharf.board.Board;
 import org.plantainwharf.call.Content;
+import org.plantainwharf.consensus.GroupStatus;
 import org.plantainwharf.control.ControlCycle;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
@@ -58,6 +60,53 @@
         }
     }
 
+    /**
+     * A daemon without a disk learns the log anew after a restart. A key that was withdrawn since, or a route that was
+     * moved, must not be in use again in the meantime.
+     */
+    @Nested
+    class RestartedDaemons {
+        private void learnUpTo(long appliedIndex, long commitIndex) {
+            board.consensus()
+                    .put(new GroupStatus(
+                            0, Optional.empty(), false, 1, commitIndex, appliedIndex, Long.MIN_VALUE, 0, false));
+        }
+
+        @Test
+        void putNoFormerDocumentInForce() {
+            learnUpTo(1, 3);
+            commit(1);
+            tick();
+            learnUpTo(2, 3);
+            commit(2);
+            tick();
+            assertEquals(Optional.empty(), board.documents().table());
+            learnUpTo(3, 3);
+            commit(3);
+            assertEquals(3, board.documents().version());
+            assertEquals(List.of(3L), decoded);
+        }
+
+        @Test
+        void putTheDocumentInForceWhenTheLastEntryIsAnotherCommand() {
+            learnUpTo(1, 2);
+            commit(1);
+            learnUpTo(2, 2);
+            tick();
+            assertEquals(1, board.documents().version());
+        }
+
+        /** A daemon that serves goes on with the document that it has while it catches up with later ones. */
+        @Test
+        void keepADocumentThatIsInForce() {
+            commit(1);
+            learnUpTo(1, 9);
+            commit(2);
+            tick();
+            assertEquals(2, board.documents().version());
+        }
+    }
+
     @Nested
     class LaterDocuments {
         @Test
