--- a/src/main/java/org/plantainwharf/duty/ScalingController.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingController.java
@@ -76,6 +76,12 @@
     /** Ordinary servers that are always kept, so that a service survives the reclaim of all reclaimable ones. */
     private static final int MINIMUM_ORDINARY_SERVERS = 1;
 
+    /**
+     * Fraction of the required servers that ordinary ones replace while reclaimable ones are short. They cost several
+     * times as much, so that beyond this a busier engine is the lesser loss.
+     */
+    private static final double ORDINARY_COVER = 0.75;
+
     /** Least number of reclaimable servers beyond the present demand, to absorb bursts of prompts. */
     private static final int MINIMUM_SPARE_SERVERS = 3;
 
@@ -194,7 +200,10 @@
         Map<ServerPool, Integer> plan = ScalingPlan.of(
                 service.name(),
                 scaling,
-                new ScalingPlan.Target(MINIMUM_ORDINARY_SERVERS, required, required + spareServers(required, scaling)),
+                new ScalingPlan.Target(
+                        MINIMUM_ORDINARY_SERVERS,
+                        (int) Math.ceil(ORDINARY_COVER * required),
+                        required + spareServers(required, scaling)),
                 currentState(service, board, bootNanos, nowNanos));
         plan.forEach((pool, servers) -> {
             int ready = countReady(pool, board);
--- a/src/main/java/org/plantainwharf/duty/ScalingPlan.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingPlan.java
@@ -31,7 +31,7 @@
      * Target numbers of servers, over all zones. Immutable.
      *
      * @param minimumOrdinary ordinary servers that are always kept
-     * @param required servers of either kind that the demand requires
+     * @param required servers of either kind below which ordinary ones replace reclaimable ones
      * @param desired servers of either kind to run as long as enough reclaimable ones are available
      */
     record Target(int minimumOrdinary, int required, int desired) {}
--- a/src/main/java/org/plantainwharf/forward/EngineProfile.java
+++ b/src/main/java/org/plantainwharf/forward/EngineProfile.java
@@ -34,6 +34,9 @@
     /** Weight of the newest request in the average prompt. */
     private static final double AVERAGE_SMOOTHING_WEIGHT = 0.02;
 
+    /** Fraction of the refusals that count as demand, as most callers return once and are counted again. */
+    private static final double RETURNING_FACTOR = 0.5;
+
     /** Time for which a priority is remembered after a request with it. */
     private static final long PRIORITY_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -60,7 +63,7 @@
     /** Records a request that was refused because the engines could not begin it in time. */
     void recordTurnedAway(PromptShape prompt) {
         // What the engines would have found in their caches is not known; the average prompt is the best guess.
-        turnedAwayTokens += Math.min(averageTokens, prompt.inputTokens());
+        turnedAwayTokens += RETURNING_FACTOR * Math.min(averageTokens, prompt.inputTokens());
     }
 
     /** Returns the most urgent priority of recent requests; a request of it waits for none of another priority. */
