--- a/src/main/java/org/plantainwharf/consensus/Learner.java
+++ b/src/main/java/org/plantainwharf/consensus/Learner.java
@@ -27,6 +27,7 @@
     private long term;
     private long appliedIndex;
     private long commitIndex;
+    private boolean caughtUp;
     private boolean sourceResponsive;
     private long lastContactNanos;
     private long lastRequestNanos;
@@ -86,7 +87,8 @@
                 leader,
                 false,
                 term,
-                commitIndex,
+                // A snapshot does not tell what was committed after it, so that more is assumed until a source says.
+                caughtUp || statusOnly ? commitIndex : Math.max(commitIndex, appliedIndex + 1),
                 appliedIndex,
                 Long.MIN_VALUE,
                 sourceResponsive ? lastContactNanos : Long.MIN_VALUE,
@@ -103,6 +105,7 @@
                 commitIndex = Math.max(commitIndex, request.commitIndex());
                 if (!statusOnly) {
                     apply(request, nowNanos, output);
+                    caughtUp = appliedIndex >= commitIndex;
                 }
             }
             case ReplicaMessage.SnapshotChunk chunk -> {
@@ -154,6 +157,7 @@
         Optional<ReplicaSnapshot> completed = receiver.receive(chunk);
         if (completed.isPresent()) {
             appliedIndex = chunk.lastIndex();
+            caughtUp = false;
             commitIndex = Math.max(commitIndex, appliedIndex);
             output.install(completed.get());
             output.send(chunk.sender().host(), new ReplicaMessage.StreamRequest(term, self, appliedIndex));
--- a/src/test/java/org/plantainwharf/consensus/LearnerTest.java
+++ b/src/test/java/org/plantainwharf/consensus/LearnerTest.java
@@ -97,6 +97,27 @@
             assertTrue(requested.size() > 1, "requests only from " + requested);
         }
 
+        /** A snapshot may be hundreds of entries older than what is committed. */
+        @Test
+        void thatSendASnapshotDoNotShowWhatWasCommittedAfterIt() {
+            VoterId source = VoterId.of(HostId.of("a"), 9);
+            learner.step(
+                    new ReplicaInput.Received(SnapshotChunks.chunkFrom(snapshotUpTo(256), 0, 1, source, 0, 1 << 20)),
+                    0);
+            GroupStatus installed = learner.status(0);
+            assertEquals(256, installed.appliedIndex());
+            assertTrue(installed.appliedIndex() < installed.commitIndex(), installed.toString());
+            learner.step(
+                    new ReplicaInput.Received(new ReplicaMessage.AppendRequest(1, source, 256, 1, List.of(), 256, 0)),
+                    0);
+            GroupStatus confirmed = learner.status(0);
+            assertEquals(confirmed.commitIndex(), confirmed.appliedIndex());
+        }
+
+        private static ReplicaSnapshot snapshotUpTo(long lastIndex) {
+            return new ReplicaSnapshot(lastIndex, 1, List.of(), List.of());
+        }
+
         @Test
         void showThatTheLearnerIsBehind() {
             learner.step(new ReplicaInput.Received(answer(HostId.of("a"), 7)), 0);
