--- a/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
+++ b/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
@@ -4,35 +4,25 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.util.Callback;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.plantainwharf.control.EventSink;
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.forward.ForwardOutcome;
 import org.plantainwharf.forward.LoadReport;
 import org.plantainwharf.forward.ServerLoad;
-import org.plantainwharf.http.ForwardDialect;
 import org.plantainwharf.identity.ServerId;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -42,29 +32,14 @@
 /** Guards against invalid, truncated or mismatched responses that reach callers as complete. */
 @Timeout(30)
 class ForwardAttemptTest {
-    private static final ForwardDialect DIALECT = new ForwardDialect(
-            "X-Id",
-            "X-Deadline",
-            "Token",
-            "X-Account",
-            "X-Server",
-            "X-Priority",
-            "X-Seal",
-            "X-Not-Run",
-            "X-Load",
-            "X-Limit",
-            "X-Model",
-            "X-Tokens",
-            "X-Prompt",
-            Set.of());
     private static final String RESPONSE_HEAD = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Seal: s\r\n";
 
     private static final End ORDERLY = new End.Orderly();
     private static final End RESET = new End.Reset();
 
     private final HttpClient client = HttpClients.start("test", 8, 4_000);
-    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
-    private final CountDownLatch bytesWritten = new CountDownLatch(1);
+    private final QueueingEventSink events = QueueingEventSink.create();
+    private final RecordingExchange exchange = RecordingExchange.create("r-1");
 
     @AfterEach
     void stopClient() throws Exception {
@@ -95,10 +70,10 @@
             thread.start();
             ForwardEffect.StartForward start = new ForwardEffect.StartForward(
                     1, 1, ServerId.of("i-1"), "127.0.0.1:" + server.getLocalPort(), 5_000, Optional.empty(), 0, false);
-            ForwardAttempt.create(client, DIALECT, start, new RecordingExchange(), new QueueingEventSink(), ended -> {})
+            ForwardAttempt.create(client, ForwardTestDialect.DIALECT, start, exchange, events, ended -> {})
                     .send();
             while (true) {
-                Event event = events.poll(20, TimeUnit.SECONDS);
+                Event event = events.poll(20_000);
                 assertNotNull(event, "the attempt did not end");
                 posted.add(event);
                 if (event instanceof ForwardEvent.ForwardEnded) {
@@ -120,7 +95,7 @@
                 case End.Orderly orderly -> {}
                 case End.Reset reset -> {
                     // Wait until the client has received the bytes, since a reset discards undelivered data.
-                    bytesWritten.await(10, TimeUnit.SECONDS);
+                    exchange.awaitBytes();
                     socket.setSoLinger(true, 0);
                 }
                 case End.Endless endless -> writeUntilClosed(socket, endless.repeated());
@@ -310,7 +285,7 @@
             assertEquals(
                     false,
                     assertInstanceOf(ForwardOutcome.Broken.class, outcome).begun());
-            assertEquals(1, bytesWritten.getCount());
+            assertEquals("", exchange.received());
         }
 
         @Test
@@ -324,7 +299,7 @@
         @Test
         void thatAreNotHttpAreNotForwarded() throws Exception {
             assertInstanceOf(ForwardOutcome.Broken.class, outcome("garbage\r\n\r\n", ORDERLY));
-            assertEquals(1, bytesWritten.getCount());
+            assertEquals("", exchange.received());
         }
     }
 
@@ -336,13 +311,13 @@
         void endAsNotSent(String address) throws Exception {
             ForwardEffect.StartForward start = new ForwardEffect.StartForward(
                     1, 1, ServerId.of("i-1"), address, 5_000, Optional.empty(), 0, false);
-            ForwardAttempt.create(client, DIALECT, start, new RecordingExchange(), new QueueingEventSink(), ended -> {})
+            ForwardAttempt.create(client, ForwardTestDialect.DIALECT, start, exchange, events, ended -> {})
                     .send();
-            Event event = events.poll(5, TimeUnit.SECONDS);
+            Event event = events.poll(5_000);
             assertInstanceOf(
                     ForwardOutcome.NotSent.class,
                     assertInstanceOf(ForwardEvent.ForwardEnded.class, event).outcome());
-            assertEquals(null, events.poll(50, TimeUnit.MILLISECONDS));
+            assertEquals(null, events.poll(50));
         }
     }
 
@@ -371,66 +346,4 @@
             assertInstanceOf(ForwardOutcome.Failed.class, outcome);
         }
     }
-
-    private final class QueueingEventSink implements EventSink {
-        @Override
-        public boolean offer(Event event) {
-            return events.offer(event);
-        }
-
-        @Override
-        public void post(Event event) {
-            events.add(event);
-        }
-    }
-
-    private final class RecordingExchange implements ForwardExchange {
-        @Override
-        public String requestId() {
-            return "r-1";
-        }
-
-        @Override
-        public String method() {
-            return "GET";
-        }
-
-        @Override
-        public String pathQuery() {
-            return "/x/1";
-        }
-
-        @Override
-        public List<HttpField> headers() {
-            return List.of(new HttpField("X-Id", "r-1"), new HttpField("Host", "a.example"));
-        }
-
-        @Override
-        public byte[] body() {
-            return new byte[0];
-        }
-
-        @Override
-        public void begin(int httpStatus, List<HttpField> headers) {}
-
-        @Override
-        public void write(ByteBuffer bytes, Callback callback) {
-            bytesWritten.countDown();
-            callback.succeeded();
-        }
-
-        @Override
-        public void complete() {}
-
-        @Override
-        public void recordFailureResponse(int httpStatus, List<HttpField> headers, byte[] body) {}
-
-        @Override
-        public Optional<String> lastEventId() {
-            return Optional.empty();
-        }
-
-        @Override
-        public void setLastEventId(String id) {}
-    }
 }
--- /dev/null
+++ b/src/test/java/org/plantainwharf/backend/ForwardTestDialect.java
@@ -0,0 +1,26 @@
+package org.plantainwharf.backend;
+
+import java.util.Set;
+
+import org.plantainwharf.http.ForwardDialect;
+
+/** Header names in tests of forwarding. */
+final class ForwardTestDialect {
+    static final ForwardDialect DIALECT = new ForwardDialect(
+            "X-Id",
+            "X-Deadline",
+            "Token",
+            "X-Account",
+            "X-Server",
+            "X-Priority",
+            "X-Seal",
+            "X-Not-Run",
+            "X-Load",
+            "X-Limit",
+            "X-Model",
+            "X-Tokens",
+            "X-Prompt",
+            Set.of());
+
+    private ForwardTestDialect() {}
+}
--- a/src/test/java/org/plantainwharf/backend/ReusedConnectionTest.java
+++ b/src/test/java/org/plantainwharf/backend/ReusedConnectionTest.java
@@ -7,23 +7,16 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.util.BufferUtil;
-import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -31,12 +24,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.plantainwharf.control.EventSink;
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.forward.ForwardOutcome;
-import org.plantainwharf.http.ForwardDialect;
 import org.plantainwharf.identity.ServerId;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -50,22 +41,6 @@
  */
 @Timeout(60)
 class ReusedConnectionTest {
-    private static final ForwardDialect DIALECT = new ForwardDialect(
-            "X-Id",
-            "X-Deadline",
-            "Token",
-            "X-Account",
-            "X-Server",
-            "X-Priority",
-            "X-Seal",
-            "X-Not-Run",
-            "X-Load",
-            "X-Limit",
-            "X-Model",
-            "X-Tokens",
-            "X-Prompt",
-            Set.of());
-
     private final HttpClient client = HttpClients.start("test", 8, 4_000);
 
     @AfterEach
@@ -241,15 +216,15 @@
             this.server = server;
         }
 
-        /** Sends a request and returns how it ended; {@code body} gets what its caller receives. */
-        ForwardOutcome send(String id, StringBuffer body) throws InterruptedException {
-            BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+        /** Sends a request and returns how it ended. */
+        ForwardOutcome send(RecordingExchange exchange) throws InterruptedException {
+            QueueingEventSink events = QueueingEventSink.create();
             ForwardEffect.StartForward start = new ForwardEffect.StartForward(
                     1, 1, ServerId.of("i-1"), server.address(), 5_000, Optional.empty(), 0, false);
-            ForwardAttempt.create(client, DIALECT, start, new Exchange(id, body), sink(events), ended -> {})
+            ForwardAttempt.create(client, ForwardTestDialect.DIALECT, start, exchange, events, ended -> {})
                     .send();
             while (true) {
-                Event event = events.poll(20, TimeUnit.SECONDS);
+                Event event = events.poll(20_000);
                 assertNotNull(event, "the attempt did not end");
                 if (event instanceof ForwardEvent.ForwardEnded ended) {
                     return ended.outcome();
@@ -265,85 +240,26 @@
         void neverReachTheNextCaller(Moment moment, Framing framing) throws Exception {
             try (CopyingServer server = new CopyingServer(moment, framing)) {
                 Requests requests = new Requests(server);
-                StringBuffer first = new StringBuffer();
-                requests.send("r-1", first);
-                assertTrue(first.toString().contains("body-of-r-1"), first.toString());
+                RecordingExchange first = RecordingExchange.create("r-1");
+                requests.send(first);
+                assertTrue(first.received().contains("body-of-r-1"), first.received());
                 assertTrue(server.firstAnswered.await(10, TimeUnit.SECONDS));
                 int attempts = 0;
-                StringBuffer second = new StringBuffer();
+                RecordingExchange second;
                 ForwardOutcome outcome;
                 do {
-                    second.setLength(0);
+                    second = RecordingExchange.create("r-2");
                     int before = server.received.size();
-                    outcome = requests.send("r-2", second);
+                    outcome = requests.send(second);
                     attempts++;
-                    assertFalse(second.toString().contains("body-of-r-1"), "the next caller got " + second);
+                    assertFalse(second.received().contains("body-of-r-1"), "the next caller got " + second.received());
                     if (outcome instanceof ForwardOutcome.Refused || outcome instanceof ForwardOutcome.NotSent) {
                         assertEquals(before, server.received.size(), "the request reached the server: " + outcome);
                     }
                 } while (!(outcome instanceof ForwardOutcome.Completed) && attempts < 3);
-                assertTrue(second.toString().contains("body-of-r-2"), outcome + ": " + second);
+                assertTrue(second.received().contains("body-of-r-2"), outcome + ": " + second.received());
                 assertTrue(attempts <= 2, "the connection was used again " + attempts + " times");
             }
         }
     }
-
-    private static EventSink sink(BlockingQueue<Event> events) {
-        return new EventSink() {
-            @Override
-            public boolean offer(Event event) {
-                return events.offer(event);
-            }
-
-            @Override
-            public void post(Event event) {
-                events.add(event);
-            }
-        };
-    }
-
-    private record Exchange(String requestId, StringBuffer received) implements ForwardExchange {
-        @Override
-        public String method() {
-            return "GET";
-        }
-
-        @Override
-        public String pathQuery() {
-            return "/x/1";
-        }
-
-        @Override
-        public List<HttpField> headers() {
-            return List.of(new HttpField("X-Id", requestId), new HttpField("Host", "a.example"));
-        }
-
-        @Override
-        public byte[] body() {
-            return new byte[0];
-        }
-
-        @Override
-        public void begin(int httpStatus, List<HttpField> headers) {}
-
-        @Override
-        public void write(ByteBuffer bytes, Callback callback) {
-            received.append(BufferUtil.toString(bytes, StandardCharsets.US_ASCII));
-            callback.succeeded();
-        }
-
-        @Override
-        public void complete() {}
-
-        @Override
-        public void recordFailureResponse(int httpStatus, List<HttpField> headers, byte[] body) {}
-
-        @Override
-        public Optional<String> lastEventId() {
-            return Optional.empty();
-        }
-
-        @Override
-        public void setLastEventId(String id) {}
-    }
 }
