Let a learner follow what its source names last

Cause: a source may name entries of a former leader, which a new one replaces by fewer. The learner kept the highest index it had heard and would have counted as behind until the log had grown to it.

Change: caught up is what the last message of the source says. EngineProfile gets a static factory; comments of FencingController and DocumentController are completed and wrapped.

It was not seen failing by itself.

--- a/src/main/java/org/plantainwharf/consensus/Learner.java
+++ b/src/main/java/org/plantainwharf/consensus/Learner.java
@@ -13,8 +13,8 @@
  * host that streams committed entries to learners: the leader or a follower in contact with it. The learner requests
  * the entries after the last one that it applied from one source at a time, ignores entries that are not newer, and
  * switches to another source when the current one stops answering, or has no entries although it knows that more were
- * committed. A learner with a disk is a {@link Replica} that is
- * not in the voter configuration. Deterministic; not thread-safe.
+ * committed. A learner with a disk is a {@link Replica} that is not in the voter configuration. Deterministic; not
+ * thread-safe.
  */
 public final class Learner implements GroupMember {
     private final int group;
@@ -87,14 +87,25 @@
                 leader,
                 false,
                 term,
-                // A snapshot does not tell what was committed after it, so that more is assumed until a source says.
-                caughtUp || statusOnly ? commitIndex : Math.max(commitIndex, appliedIndex + 1),
+                knownCommitIndex(),
                 appliedIndex,
                 Long.MIN_VALUE,
                 sourceResponsive ? lastContactNanos : Long.MIN_VALUE,
                 false);
     }
 
+    /**
+     * Returns the index that the source named last. A snapshot does not tell what was committed after it, so that more
+     * than was applied is assumed until a source says. A source may also have named entries that were never committed
+     * and name fewer later.
+     */
+    private long knownCommitIndex() {
+        if (statusOnly) {
+            return commitIndex;
+        }
+        return caughtUp ? appliedIndex : Math.max(commitIndex, appliedIndex + 1);
+    }
+
     private void receive(ReplicaMessage message, long nowNanos, ReplicaOutput output) {
         switch (message) {
             case ReplicaMessage.AppendRequest request -> {
@@ -105,7 +116,7 @@
                 commitIndex = Math.max(commitIndex, request.commitIndex());
                 if (!statusOnly) {
                     apply(request, nowNanos, output);
-                    caughtUp = appliedIndex >= commitIndex;
+                    caughtUp = appliedIndex >= request.commitIndex();
                 }
             }
             case ReplicaMessage.SnapshotChunk chunk -> {
--- a/src/main/java/org/plantainwharf/document/DocumentController.java
+++ b/src/main/java/org/plantainwharf/document/DocumentController.java
@@ -27,8 +27,8 @@
 
 /**
  * Proposes service documents to the control group, reads the newest one through the group's log, and puts committed
- * documents in force: the first one as soon as this daemon has caught up with the log, later ones with the next tick, so that a series of large documents costs a
- * small host one decoding and not one for each. Runs on the control thread.
+ * documents in force: the first one as soon as this daemon has caught up with the log, later ones with the next tick, so
+ * that a series of large documents costs a small host one decoding and not one for each. Runs on the control thread.
  */
 public final class DocumentController implements Controller {
     private static final int CONTROL_GROUP = 0;
--- a/src/main/java/org/plantainwharf/duty/FencingController.java
+++ b/src/main/java/org/plantainwharf/duty/FencingController.java
@@ -25,8 +25,9 @@
 
 /**
  * Makes the leader of the control group the duty holder. The leader commits a request for a fencing number once per
- * term and holds the duties after a pause from the time the number is committed. It gives them up when it loses the leadership, or
- * when the cloud API reports a higher number. Runs on the control thread.
+ * term and holds the duties after a pause from the time the number is committed. It gives them up when it loses the
+ * leadership, when the cloud API reports a higher number, and when it finds that it stood still, until the group commits
+ * its number again. Runs on the control thread.
  */
 public final class FencingController implements Controller {
     private static final int CONTROL_GROUP = 0;
--- a/src/main/java/org/plantainwharf/forward/EngineProfile.java
+++ b/src/main/java/org/plantainwharf/forward/EngineProfile.java
@@ -10,8 +10,8 @@
  * follows a low quantile of the time to the start of an answer over the prompt tokens processed for it: requests that
  * waited for others only lengthen that time, so the low quantile is close to the time of an engine without a queue.
  *
- * <p>Invariants: the learned time stays within fixed bounds; tokens are counted once, as sent or as turned away. Owned by
- * the control thread; modified only by the forward controller.
+ * <p>Invariants: the learned time stays within fixed bounds; the tokens turned away only grow. Owned by the control
+ * thread; modified only by the forward controller.
  */
 public final class EngineProfile {
     /** Time for a prompt token that is assumed before any answer, in milliseconds. */
@@ -46,7 +46,12 @@
     private long samples;
     private double turnedAwayTokens;
 
-    EngineProfile() {}
+    private EngineProfile() {}
+
+    /** Returns a profile with initial values. */
+    static EngineProfile create() {
+        return new EngineProfile();
+    }
 
     /**
      * Records a request that is sent to an engine.
--- a/src/main/java/org/plantainwharf/forward/ForwardSection.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardSection.java
@@ -83,6 +83,6 @@
 
     /** Returns what has been learned about the engines of a service; with initial values if there is nothing yet. */
     public EngineProfile engineProfile(ServiceName service) {
-        return engineProfiles.computeIfAbsent(service, name -> new EngineProfile());
+        return engineProfiles.computeIfAbsent(service, name -> EngineProfile.create());
     }
 }
--- a/src/test/java/org/plantainwharf/consensus/LearnerTest.java
+++ b/src/test/java/org/plantainwharf/consensus/LearnerTest.java
@@ -118,6 +118,15 @@
             return new ReplicaSnapshot(lastIndex, 1, List.of(), List.of());
         }
 
+        /** A source may name entries of a former leader that a new one replaces by fewer. */
+        @Test
+        void thatNameFewerEntriesLaterDoNotLeaveTheLearnerBehind() {
+            learner.step(new ReplicaInput.Received(answer(HostId.of("a"), 7)), 0);
+            learner.step(new ReplicaInput.Received(answer(HostId.of("a"), 0)), 0);
+            GroupStatus status = learner.status(0);
+            assertEquals(status.commitIndex(), status.appliedIndex());
+        }
+
         @Test
         void showThatTheLearnerIsBehind() {
             learner.step(new ReplicaInput.Received(answer(HostId.of("a"), 7)), 0);
--- a/src/test/java/org/plantainwharf/forward/EngineProfileTest.java
+++ b/src/test/java/org/plantainwharf/forward/EngineProfileTest.java
@@ -14,7 +14,7 @@
 class EngineProfileTest {
     private static final long SEED = 20261205;
 
-    private final EngineProfile profile = new EngineProfile();
+    private final EngineProfile profile = EngineProfile.create();
     private final Random random = new Random(SEED);
 
     /** Records answers of engines with three speeds, a part of which waited for others. */
--- a/src/test/java/org/plantainwharf/forward/ServerStatisticsTest.java
+++ b/src/test/java/org/plantainwharf/forward/ServerStatisticsTest.java
@@ -15,7 +15,7 @@
     private static final long NOW = TimeUnit.SECONDS.toNanos(100);
 
     private final ServerStatistics statistics = new ServerStatistics();
-    private final EngineProfile profile = new EngineProfile();
+    private final EngineProfile profile = EngineProfile.create();
 
     private static long later(long millis) {
         return NOW + TimeUnit.MILLISECONDS.toNanos(millis);
@@ -82,7 +82,7 @@
             for (int index = 0; index < 20; index++) {
                 statistics.recordSent(4_000, Optional.empty(), NOW);
                 statistics.recordPromptTime(
-                        4_000, 3 * 4_000 * EngineProfile.INITIAL_MILLIS_PER_TOKEN, new EngineProfile());
+                        4_000, 3 * 4_000 * EngineProfile.INITIAL_MILLIS_PER_TOKEN, EngineProfile.create());
                 statistics.recordPromptProcessed(4_000);
             }
             assertTrue(statistics.millisPerToken(profile, NOW) > 2 * profile.millisPerToken());
