Do not count the time of a slow host as work of the engines

Cause: the learned time for a prompt token contained what a slow entry host takes itself.

Change: EngineProfile learns the part that does not depend on the prompt from short prompts and takes it off.

--- a/src/main/java/org/plantainwharf/forward/EngineProfile.java
+++ b/src/main/java/org/plantainwharf/forward/EngineProfile.java
@@ -23,7 +23,7 @@
     /** Fraction of the samples that are below the learned time. */
     private static final double QUANTILE = 0.4;
 
-    /** Shorter prompts are answered in a time that depends on other things than their length. */
+    /** Shorter prompts are answered in a time that depends more on other things than on their length. */
     private static final long MINIMUM_SAMPLE_TOKENS = 1_000;
 
     /** Relative step of the first samples, which shrinks with their number to the one of later samples. */
@@ -31,6 +31,12 @@
 
     private static final double LATER_STEP = 0.04;
 
+    /** Relative step of the overhead. */
+    private static final double OVERHEAD_STEP = 0.2;
+
+    private static final double MINIMUM_OVERHEAD_STEP_MILLIS = 2;
+    private static final double MAXIMUM_OVERHEAD_MILLIS = 500;
+
     /** Weight of the newest request in the average prompt. */
     private static final double AVERAGE_SMOOTHING_WEIGHT = 0.02;
 
@@ -42,6 +48,7 @@
 
     private final SortedMap<Integer, Long> prioritySeenNanos = new TreeMap<>();
     private double millisPerToken = INITIAL_MILLIS_PER_TOKEN;
+    private double overheadMillis;
     private double averageTokens;
     private long samples;
     private double turnedAwayTokens;
@@ -80,18 +87,31 @@
                 .orElse(0);
     }
 
-    /** Records the time to the start of an answer of a request that found none of this daemon's prompts before it. */
+    /**
+     * Records the time to the start of an answer of a request that found none of this daemon's prompts before it. What
+     * short prompts take beyond their tokens is the time of the network and of a slow host itself; it is no work of the
+     * engines, for which more of them would help.
+     */
     void recordAnswer(long uncachedTokens, double millis) {
         if (uncachedTokens < MINIMUM_SAMPLE_TOKENS) {
+            boolean above = millis - uncachedTokens * millisPerToken > overheadMillis;
+            double step = Math.max(MINIMUM_OVERHEAD_STEP_MILLIS, OVERHEAD_STEP * overheadMillis);
+            overheadMillis += above ? step * QUANTILE / (1 - QUANTILE) : -step;
+            overheadMillis = Math.max(0, Math.min(MAXIMUM_OVERHEAD_MILLIS, overheadMillis));
             return;
         }
         double step = Math.max(LATER_STEP, FIRST_STEP / (1 + samples / 8.0));
         samples++;
-        boolean above = millis / uncachedTokens > millisPerToken;
+        boolean above = (millis - overheadMillis) / uncachedTokens > millisPerToken;
         millisPerToken *= Math.exp(above ? step * QUANTILE / (1 - QUANTILE) : -step);
         millisPerToken = Math.max(MINIMUM_MILLIS_PER_TOKEN, Math.min(MAXIMUM_MILLIS_PER_TOKEN, millisPerToken));
     }
 
+    /** Returns the time to the start of an answer that does not depend on the prompt, in milliseconds. */
+    double overheadMillis() {
+        return overheadMillis;
+    }
+
     /** Returns the prompt tokens of all requests turned away since the start of the process; only grows. */
     public double turnedAwayTokens() {
         return turnedAwayTokens;
--- a/src/main/java/org/plantainwharf/forward/ServerStatistics.java
+++ b/src/main/java/org/plantainwharf/forward/ServerStatistics.java
@@ -127,7 +127,8 @@
         if (pendingPromptTokens == uncachedTokens) {
             profile.recordAnswer(uncachedTokens, millis);
         }
-        double expectedMillis = profile.millisPerToken() * Math.max(MINIMUM_SPEED_TOKENS, uncachedTokens);
+        double expectedMillis =
+                profile.overheadMillis() + profile.millisPerToken() * Math.max(MINIMUM_SPEED_TOKENS, uncachedTokens);
         double ratio = Math.max(MINIMUM_SPEED_RATIO, Math.min(MAXIMUM_SPEED_RATIO, millis / expectedMillis));
         speedRatio += SPEED_SMOOTHING_WEIGHT * (ratio - speedRatio);
     }
--- a/src/test/java/org/plantainwharf/forward/EngineProfileTest.java
+++ b/src/test/java/org/plantainwharf/forward/EngineProfileTest.java
@@ -47,6 +47,18 @@
             assertLearned(1 / 140.0);
         }
 
+        /** The time that a slow host takes itself would otherwise look like slow engines, and more would be ordered. */
+        @Test
+        void doesNotContainTheTimeOfASlowHost() {
+            for (int index = 0; index < 60; index++) {
+                long tokens = 100 + random.nextInt(800);
+                profile.recordAnswer(tokens, 95 + tokens / 38.7);
+                long moreTokens = 1_000 + random.nextInt(6_000);
+                profile.recordAnswer(moreTokens, 95 + moreTokens / 38.7);
+            }
+            assertLearned(1 / 38.7);
+        }
+
         @Test
         void followsEnginesThatAreReplacedBySlowerOnes() {
             recordAnswers(300, 1 / 140.0, 0.3);
