End the process when an essential thread has died

Cause: ControlThread.run and StorageWriter.run survive the failures that they name and end with any other Error; no handler noticed. The same holds for every thread that dies of an error of the virtual machine.

Change: FatalErrorHandler is the default handler of uncaught exceptions. It ends the process when the control or the storage thread has died, or any thread has died of a VirtualMachineError other than a stack overflow. Exceptions of threads that their pools replace are logged, as one unexpected error must not take a process down.

Ruled out: catching OutOfMemoryError in the control cycle. What a controller wrote before it failed would stay half done.

--- a/src/main/java/org/plantainwharf/control/ControlThread.java
+++ b/src/main/java/org/plantainwharf/control/ControlThread.java
@@ -17,10 +17,15 @@
 /**
  * The single thread that owns the board. Other threads post events and read the published views; they share no lock
  * with the control thread beyond that of the event queue. The thread blocks on the queue until the next event or tick.
+ * It survives the failure of a controller or an effect, but not an error of the virtual machine: the state on the board
+ * is unknown then, and the process must end, see {@link FatalErrorHandler}.
  *
  * <p>Thread-safe: {@link #offer}, {@link #post}, {@link #view} and {@link #status} may be called from any thread.
  */
 public final class ControlThread implements EventSink {
+    /** Name of the thread. */
+    public static final String THREAD_NAME = "control";
+
     private static final EventLog LOG = EventLog.of(FluentLogger.forEnclosingClass());
     private static final String FAILURE_METRIC = "control.failures";
     private static final long TICK_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
@@ -42,7 +47,7 @@
         this.queue = new ArrayBlockingQueue<>(queueCapacity);
         this.view = cycle.board().publish();
         this.status = StatusView.of(cycle.board(), clock.nowNanos());
-        this.thread = new Thread(this::run, "control");
+        this.thread = new Thread(this::run, THREAD_NAME);
     }
 
     /** Returns a control thread that is not started yet. */
--- a/src/main/java/org/plantainwharf/storage/StorageWriter.java
+++ b/src/main/java/org/plantainwharf/storage/StorageWriter.java
@@ -39,6 +39,9 @@
  * each group has at most one log write in flight.
  */
 public final class StorageWriter {
+    /** Name of the thread. */
+    public static final String THREAD_NAME = "storage";
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Pattern GROUP_FILE = Pattern.compile("group-(\\d{1,6})\\.(log|snapshot)");
     private static final String IDENTITY = "identity";
@@ -50,7 +53,7 @@
     private final long diskIncarnation;
     private final Map<Integer, GroupFiles> groups;
     private final BlockingQueue<Task> queue = new LinkedBlockingQueue<>();
-    private final Thread thread = new Thread(this::run, "storage");
+    private final Thread thread = new Thread(this::run, THREAD_NAME);
     private @Nullable String failure;
 
     /** A task of the storage thread. */
--- a/src/test/java/org/plantainwharf/control/ControlFailureTest.java
+++ b/src/test/java/org/plantainwharf/control/ControlFailureTest.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -156,4 +158,53 @@
             assertEquals("last", nextExecuted());
         }
     }
+
+    /** A process that stays up without its control thread accepts connections and answers nobody. */
+    @Nested
+    @Timeout(30)
+    class FatalErrors {
+        private static final Set<String> ESSENTIAL = Set.of(ControlThread.THREAD_NAME);
+
+        private final BlockingQueue<Integer> halts = new LinkedBlockingQueue<>();
+        private final FatalErrorHandler handler = FatalErrorHandler.create(ESSENTIAL, halts::add);
+
+        private void die(String threadName, Throwable cause) throws InterruptedException {
+            Thread thread = new Thread(() -> fail(cause), threadName);
+            thread.setUncaughtExceptionHandler(handler);
+            thread.start();
+            thread.join();
+        }
+
+        @Test
+        void ofTheControlThreadEndTheProcess() throws InterruptedException {
+            Thread.@Nullable UncaughtExceptionHandler previous = Thread.getDefaultUncaughtExceptionHandler();
+            Thread.setDefaultUncaughtExceptionHandler(handler);
+            try {
+                ControlThread thread = ControlThread.create(
+                        ControlCycle.create(board, List.of(failing(new OutOfMemoryError("injected")))),
+                        Clock.system(),
+                        effect -> {},
+                        16);
+                thread.start();
+                thread.post(EVENT);
+                assertEquals(FatalErrorHandler.EXIT_STATUS, halts.poll(20, TimeUnit.SECONDS));
+                thread.stop();
+            } finally {
+                Thread.setDefaultUncaughtExceptionHandler(previous);
+            }
+        }
+
+        @Test
+        void ofTheVirtualMachineEndTheProcessOnAnyThread() throws InterruptedException {
+            die("traffic", new OutOfMemoryError("injected"));
+            assertEquals(List.of(FatalErrorHandler.EXIT_STATUS), List.copyOf(halts));
+        }
+
+        @Test
+        void doNotIncludeTheExceptionOfAReplaceableThread() throws InterruptedException {
+            die("traffic", new IllegalStateException("unexpected"));
+            die("traffic", new StackOverflowError());
+            assertEquals(List.of(), List.copyOf(halts));
+        }
+    }
 }
