Bound the replicated log by bytes

Cause: the number of entries alone decided when the log was compacted (256, with 64 retained), and an entry holds a whole document, in memory and on disk: 143 MB for a heap of 160 MB and a disk of 128 MB. A start read the log into one array, copied all records and decoded them before it dropped any. Entries that waited for a slow disk had no bound.

Change: LogBounds. GroupFiles reads and writes one record at a time, syncs between the writes of a large append, because each unsynced write may be lost by itself, deletes what an interrupted rewrite left, and rewrites a log that is mostly obsolete records.

--- a/src/main/java/org/plantainwharf/consensus/GroupDriver.java
+++ b/src/main/java/org/plantainwharf/consensus/GroupDriver.java
@@ -207,8 +207,9 @@
     private void takeSnapshotIfDue(Board board, long nowNanos, Effects effects) {
         if (machine != null
                 && member instanceof Replica replica
-                && replica.status(nowNanos).appliedIndex() - replica.snapshotIndex()
-                        >= board.settings().bounds().snapshotEntries()) {
+                && (replica.snapshotDueBySize()
+                        || replica.status(nowNanos).appliedIndex() - replica.snapshotIndex()
+                                >= board.settings().bounds().snapshotEntries())) {
             effects.count("consensus.snapshots_taken");
             execute(member.step(new ReplicaInput.SnapshotTaken(machine.records()), nowNanos), effects);
         }
--- a/src/main/java/org/plantainwharf/consensus/Leadership.java
+++ b/src/main/java/org/plantainwharf/consensus/Leadership.java
@@ -199,6 +199,8 @@
     private Optional<ProposalRefusal> refusal(Command command) {
         if (state.resigned()) {
             return Optional.of(ProposalRefusal.RESIGNING);
+        } else if (state.unsettledBytes() > state.options().logBounds().unsettledBytes()) {
+            return Optional.of(ProposalRefusal.LOG_FULL);
         }
         return command instanceof Command.ChangeVoters change ? changeRefusal(change.voters()) : Optional.empty();
     }
--- a/src/main/java/org/plantainwharf/consensus/MessageSizes.java
+++ b/src/main/java/org/plantainwharf/consensus/MessageSizes.java
@@ -65,6 +65,13 @@
                 };
     }
 
+    /** Returns an estimate in bytes. */
+    static long estimatedBytes(ReplicaSnapshot snapshot) {
+        return snapshot.records().stream()
+                .mapToLong(MessageSizes::estimatedBytes)
+                .sum();
+    }
+
     private static int estimatedBytes(Sheet sheet) {
         return ELEMENT_BYTES
                 * (sheet.accounts().size()
--- a/src/main/java/org/plantainwharf/consensus/ProposalRefusal.java
+++ b/src/main/java/org/plantainwharf/consensus/ProposalRefusal.java
@@ -6,6 +6,8 @@
 public enum ProposalRefusal {
     /** This member is not the leader. */
     NOT_LEADING,
+    /** Too many bytes of entries are not committed, or not synced to the leader's own disk. */
+    LOG_FULL,
     /** The leader is transferring its leadership. */
     RESIGNING,
     /** The leader has not committed an entry of its own term yet; voter changes are refused until then. */
--- a/src/main/java/org/plantainwharf/consensus/Replica.java
+++ b/src/main/java/org/plantainwharf/consensus/Replica.java
@@ -143,6 +143,12 @@
         return state.log().lastIndex();
     }
 
+    /** Returns whether the entries applied since the newest snapshot are so large that the next one is due. */
+    public boolean snapshotDueBySize() {
+        return state.log()
+                .exceedsSnapshotSize(state.deliveredIndex(), state.options().logBounds());
+    }
+
     /** Returns the last index covered by the newest snapshot, 0 for none. */
     public long snapshotIndex() {
         return state.log().snapshot().lastIndex();
@@ -229,7 +235,7 @@
         }
         ReplicaSnapshot snapshot =
                 new ReplicaSnapshot(index, state.log().term(index), state.log().votersAt(index), taken.records());
-        long keepFrom = Math.max(1, index - state.options().retainedEntries() + 1);
+        long keepFrom = state.log().firstRetainedIndex(index, state.options().logBounds());
         state.log().compact(snapshot, keepFrom);
         if (!state.writes().failed()) {
             output.write(new StorageEffect.WriteSnapshot(
--- a/src/main/java/org/plantainwharf/consensus/ReplicaLog.java
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaLog.java
@@ -18,10 +18,16 @@
     static final long UNKNOWN_TERM = -1;
 
     private final List<ReplicaEntry> entries = new ArrayList<>();
+    /** Sum of the estimated bytes of all entries appended up to and including the entry at the same position. */
+    private final List<Long> endOffsets = new ArrayList<>();
+
     private final List<VoterChange> voterChanges = new ArrayList<>();
     private ReplicaSnapshot snapshot;
     private long baseIndex;
     private long baseTerm;
+    private long baseOffset;
+    private long snapshotOffset;
+    private long snapshotBytes;
 
     /** The voters from an index on. Immutable. */
     private record VoterChange(long index, Set<VoterId> voters) {}
@@ -30,6 +36,7 @@
         this.snapshot = snapshot;
         this.baseIndex = snapshot.lastIndex();
         this.baseTerm = snapshot.lastTerm();
+        this.snapshotBytes = MessageSizes.estimatedBytes(snapshot);
         if (snapshot.lastIndex() > 0) {
             voterChanges.add(new VoterChange(snapshot.lastIndex(), Set.copyOf(snapshot.voters())));
         }
@@ -45,6 +52,7 @@
             remaining = remaining.subList(1, remaining.size());
         }
         remaining.forEach(log::append);
+        log.snapshotOffset = log.offsetAt(log.snapshot.lastIndex());
         return log;
     }
 
@@ -95,11 +103,38 @@
         return slice;
     }
 
+    /** Returns the estimated bytes of the entries after an index that are in memory. */
+    long bytesAfter(long index) {
+        return offsetAt(lastIndex()) - offsetAt(index);
+    }
+
+    /** Returns whether the entries from the newest snapshot up to an index are so large that a snapshot is due. */
+    boolean exceedsSnapshotSize(long index, LogBounds bounds) {
+        return offsetAt(index) - snapshotOffset >= Math.max(bounds.snapshotBytes(), snapshotBytes);
+    }
+
+    /** Returns the first index to keep in memory when a snapshot up to an index is taken. */
+    long firstRetainedIndex(long snapshotIndex, LogBounds bounds) {
+        long first = snapshotIndex + 1;
+        while (first > baseIndex + 1
+                && snapshotIndex - first + 1 < bounds.retainedEntries()
+                && offsetAt(snapshotIndex) - offsetAt(first - 2) <= bounds.retainedBytes()) {
+            first--;
+        }
+        return first;
+    }
+
+    /** Returns the sum of the estimated bytes up to and including an index, or up to the base index if that is later. */
+    private long offsetAt(long index) {
+        return index <= baseIndex ? baseOffset : endOffsets.get((int) (index - baseIndex - 1));
+    }
+
     void append(ReplicaEntry entry) {
         if (entry.index() != lastIndex() + 1) {
             throw new IllegalStateException("cannot append entry " + entry.index() + " after entry " + lastIndex()
                     + ": indexes are consecutive");
         }
+        endOffsets.add(offsetAt(lastIndex()) + MessageSizes.estimatedBytes(entry.command()));
         entries.add(entry);
         if (entry.command() instanceof Command.ChangeVoters change && entry.index() > snapshot.lastIndex()) {
             voterChanges.add(new VoterChange(entry.index(), change.voters()));
@@ -109,6 +144,7 @@
     /** Removes the entries from an index on. */
     void truncateFrom(long index) {
         entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+        endOffsets.subList(entries.size(), endOffsets.size()).clear();
         voterChanges.removeIf(change -> change.index() >= index);
     }
 
@@ -116,8 +152,8 @@
     void compact(ReplicaSnapshot newest, long keepFrom) {
         long newBase = Math.max(baseIndex, keepFrom - 1);
         long newBaseTerm = term(newBase);
-        entries.subList(0, (int) (newBase - baseIndex)).clear();
-        baseIndex = newBase;
+        snapshotOffset = offsetAt(newest.lastIndex());
+        dropThrough(newBase);
         baseTerm = newBaseTerm;
         replaceSnapshot(newest);
     }
@@ -128,12 +164,15 @@
      */
     void install(ReplicaSnapshot installed) {
         if (term(installed.lastIndex()) == installed.lastTerm()) {
-            entries.subList(0, (int) (installed.lastIndex() - baseIndex)).clear();
+            dropThrough(installed.lastIndex());
         } else {
+            baseOffset = offsetAt(lastIndex());
             entries.clear();
+            endOffsets.clear();
             voterChanges.clear();
+            baseIndex = installed.lastIndex();
         }
-        baseIndex = installed.lastIndex();
+        snapshotOffset = baseOffset;
         baseTerm = installed.lastTerm();
         replaceSnapshot(installed);
     }
@@ -182,8 +221,16 @@
         return Set.of();
     }
 
+    private void dropThrough(long newBase) {
+        baseOffset = offsetAt(newBase);
+        entries.subList(0, (int) (newBase - baseIndex)).clear();
+        endOffsets.subList(0, (int) (newBase - baseIndex)).clear();
+        baseIndex = newBase;
+    }
+
     private void replaceSnapshot(ReplicaSnapshot next) {
         snapshot = next;
+        snapshotBytes = MessageSizes.estimatedBytes(next);
         // Keeps the newest change within the snapshot, its confirming entry and the change before them: the difference
         // gives the added voter.
         while (voterChanges.size() > 3 && voterChanges.get(3).index() <= next.lastIndex()) {
--- a/src/main/java/org/plantainwharf/consensus/ReplicaOptions.java
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaOptions.java
@@ -11,7 +11,7 @@
  *     the drift between two clocks
  * @param electionMinimumNanos lower bound of the randomized election timeout
  * @param electionMaximumNanos upper bound of the randomized election timeout
- * @param retainedEntries entries retained before a snapshot, so that a slightly lagging follower needs no snapshot
+ * @param logBounds bounds of the log in memory and on disk
  * @param messageBytes limit of the estimated bytes of entries or records in one message; a frame is limited to 4 MiB
  * @param streamRenewalNanos interval at which a learner, or a replica that is not in the voter configuration, renews
  *     its stream request
@@ -27,7 +27,7 @@
         long voteRefusalNanos,
         long electionMinimumNanos,
         long electionMaximumNanos,
-        int retainedEntries,
+        LogBounds logBounds,
         int messageBytes,
         long streamRenewalNanos,
         long sourceTimeoutNanos,
@@ -40,7 +40,7 @@
                 TimeUnit.MILLISECONDS.toNanos(1_000),
                 TimeUnit.MILLISECONDS.toNanos(1_000),
                 TimeUnit.MILLISECONDS.toNanos(2_000),
-                64,
+                LogBounds.defaults(),
                 1 << 20,
                 TimeUnit.MILLISECONDS.toNanos(1_000),
                 TimeUnit.MILLISECONDS.toNanos(2_500),
@@ -61,7 +61,7 @@
                 TimeUnit.MILLISECONDS.toNanos(700),
                 TimeUnit.MILLISECONDS.toNanos(700),
                 TimeUnit.MILLISECONDS.toNanos(1_200),
-                defaults.retainedEntries,
+                defaults.logBounds,
                 defaults.messageBytes,
                 TimeUnit.MILLISECONDS.toNanos(400),
                 TimeUnit.MILLISECONDS.toNanos(1_000),
@@ -81,7 +81,7 @@
                 voteRefusalNanos,
                 electionMinimumNanos,
                 electionMaximumNanos,
-                retainedEntries,
+                logBounds,
                 messageBytes,
                 renewalNanos,
                 sourceTimeoutNanos,
--- a/src/main/java/org/plantainwharf/consensus/ReplicaState.java
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaState.java
@@ -172,6 +172,11 @@
         commitIndex = Math.max(commitIndex, index);
     }
 
+    /** Returns the estimated bytes of the entries that are not committed or not synced to this host's disk. */
+    long unsettledBytes() {
+        return log.bytesAfter(Math.min(commitIndex, writes.syncedIndex()));
+    }
+
     /** Records the commit index that the leader announced, which entries that this host lacks may precede. */
     void recordAnnouncedCommitIndex(long index) {
         announcedCommitIndex = Math.max(announcedCommitIndex, index);
--- a/src/main/java/org/plantainwharf/storage/DefaultFileAccess.java
+++ b/src/main/java/org/plantainwharf/storage/DefaultFileAccess.java
@@ -1,6 +1,8 @@
 package org.plantainwharf.storage;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -8,6 +10,7 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
@@ -36,11 +39,14 @@
     }
 
     @Override
-    public void replaceContent(Path file, ByteBuffer bytes) throws IOException {
+    public void replaceContent(Path file, Iterator<ByteBuffer> parts) throws IOException {
         try (FileChannel channel = FileChannel.open(
                 file, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
-            while (bytes.hasRemaining()) {
-                channel.write(bytes);
+            while (parts.hasNext()) {
+                ByteBuffer bytes = parts.next();
+                while (bytes.hasRemaining()) {
+                    channel.write(bytes);
+                }
             }
             channel.force(true);
         }
@@ -68,8 +74,17 @@
     }
 
     @Override
-    public byte[] read(Path file) throws IOException {
-        return Files.exists(file) ? Files.readAllBytes(file) : new byte[0];
+    public RecordReader read(Path file) throws IOException {
+        if (!Files.exists(file)) {
+            return RecordReader.of(InputStream.nullInputStream(), 0);
+        }
+        return RecordReader.of(new BufferedInputStream(Files.newInputStream(file)), Files.size(file));
+    }
+
+    @Override
+    public void delete(Path file) throws IOException {
+        closeChannel(file);
+        Files.deleteIfExists(file);
     }
 
     @Override
--- a/src/main/java/org/plantainwharf/storage/PayloadCodec.java
+++ b/src/main/java/org/plantainwharf/storage/PayloadCodec.java
@@ -4,11 +4,14 @@
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
 
 import io.vavr.control.Either;
 import org.plantainwharf.consensus.ReplicaSnapshot;
@@ -94,9 +97,9 @@
         }
     }
 
-    List<byte[]> encodeSnapshot(ReplicaSnapshot snapshot) {
-        List<byte[]> payloads = new ArrayList<>();
-        payloads.add(payload(output -> {
+    /** Returns the payloads of a snapshot's records, each encoded when the stream reaches it: a header, then the state. */
+    Stream<byte[]> encodeSnapshot(ReplicaSnapshot snapshot) {
+        byte[] header = payload(output -> {
             output.writeLong(snapshot.lastIndex());
             output.writeLong(snapshot.lastTerm());
             output.writeInt(snapshot.records().size());
@@ -105,16 +108,13 @@
                 output.writeUTF(voter.host().value());
                 output.writeLong(voter.diskIncarnation());
             }
-        }));
-        snapshot.records().forEach(record -> payloads.add(codec.encodeRecord(record)));
-        return payloads;
+        });
+        return Stream.concat(Stream.of(header), snapshot.records().stream().map(codec::encodeRecord));
     }
 
-    Either<Failure, ReplicaSnapshot> decodeSnapshot(List<byte[]> payloads) {
-        if (payloads.isEmpty()) {
-            return Either.left(Failure.of(ErrorKind.STORAGE_FAILED, "snapshot has no header record"));
-        }
-        try (DataInputStream input = new DataInputStream(new ByteArrayInputStream(payloads.getFirst()))) {
+    /** Returns the snapshot with a header and as many of the records that follow it as the header says. */
+    Either<Failure, ReplicaSnapshot> decodeSnapshot(byte[] header, RecordReader following) throws IOException {
+        try (DataInputStream input = new DataInputStream(new ByteArrayInputStream(header))) {
             long lastIndex = input.readLong();
             long lastTerm = input.readLong();
             int recordCount = input.readInt();
@@ -123,20 +123,20 @@
             for (int index = 0; index < voterCount; index++) {
                 voters.add(VoterId.of(HostId.of(input.readUTF()), input.readLong()));
             }
-            if (recordCount != payloads.size() - 1) {
-                return Either.left(Failure.of(
-                        ErrorKind.STORAGE_FAILED, "number of records in the snapshot differs from its header"));
-            }
             List<StateRecord> records = new ArrayList<>();
-            for (byte[] payload : payloads.subList(1, payloads.size())) {
-                Either<Failure, StateRecord> record = codec.decodeRecord(payload);
+            for (int index = 0; index < recordCount; index++) {
+                Optional<byte[]> payload = following.next();
+                if (payload.isEmpty()) {
+                    return Either.left(Failure.of(ErrorKind.STORAGE_FAILED, "snapshot ends before its last record"));
+                }
+                Either<Failure, StateRecord> record = codec.decodeRecord(payload.get());
                 if (record.isLeft()) {
                     return Either.left(record.getLeft());
                 }
                 records.add(record.get());
             }
             return Either.right(new ReplicaSnapshot(lastIndex, lastTerm, voters, records));
-        } catch (IOException e) {
+        } catch (EOFException e) {
             return Either.left(Failure.of(ErrorKind.STORAGE_FAILED, e));
         }
     }
--- a/src/main/java/org/plantainwharf/storage/StorageWriter.java
+++ b/src/main/java/org/plantainwharf/storage/StorageWriter.java
@@ -210,13 +210,17 @@
     private static Either<Failure, Long> readOrCreateIdentity(
             Path folder, FileAccess files, boolean empty, Optional<BootstrapState> bootstrapState) throws IOException {
         Path file = folder.resolve(IDENTITY);
-        byte[] bytes = files.read(file);
-        if (bytes.length > 0) {
-            RecordFraming.DecodedFile content = RecordFraming.decode(bytes);
-            if (content.payloads().size() != 1 || content.payloads().getFirst().length != Long.BYTES) {
+        try (RecordReader records = files.read(file)) {
+            Optional<byte[]> stored = records.next();
+            boolean whole = stored.isPresent()
+                    && stored.get().length == Long.BYTES
+                    && records.next().isEmpty();
+            if (whole) {
+                return Either.right(ByteBuffer.wrap(stored.get()).getLong());
+            }
+            if (stored.isPresent() || records.hasTail()) {
                 return Either.left(Failure.of(ErrorKind.LOG_CORRUPT, IDENTITY, 0));
             }
-            return Either.right(ByteBuffer.wrap(content.payloads().getFirst()).getLong());
         }
         if (!empty) {
             // Logs without their identity must not vote under a new one.
@@ -225,7 +229,8 @@
         long incarnation = bootstrapState.map(BootstrapState::incarnation).orElseGet(StorageWriter::randomIncarnation);
         byte[] payload = ByteBuffer.allocate(Long.BYTES).putLong(incarnation).array();
         Path temporaryFile = folder.resolve(IDENTITY + ".new");
-        files.replaceContent(temporaryFile, RecordFraming.encode(List.of(payload)));
+        files.replaceContent(
+                temporaryFile, List.of(RecordFraming.encode(payload)).iterator());
         files.rename(temporaryFile, file);
         return Either.right(incarnation);
     }
--- a/src/test/java/org/plantainwharf/consensus/RandomSchedule.java
+++ b/src/test/java/org/plantainwharf/consensus/RandomSchedule.java
@@ -78,7 +78,7 @@
                 voteDespiteLeader ? 0 : defaults.voteRefusalNanos(),
                 defaults.electionMinimumNanos(),
                 defaults.electionMaximumNanos(),
-                5,
+                defaults.logBounds().withRetainedEntries(5),
                 600,
                 defaults.streamRenewalNanos(),
                 defaults.sourceTimeoutNanos(),
--- a/src/test/java/org/plantainwharf/storage/FaultInjectingFileAccess.java
+++ b/src/test/java/org/plantainwharf/storage/FaultInjectingFileAccess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.util.Iterator;
 
 /** Accesses real files and fails a selected operation. {@link #failOn} and {@link #forces} are thread-safe. */
 final class FaultInjectingFileAccess implements FileAccess {
@@ -39,9 +40,9 @@
     }
 
     @Override
-    public void replaceContent(Path file, ByteBuffer bytes) throws IOException {
+    public void replaceContent(Path file, Iterator<ByteBuffer> parts) throws IOException {
         failIfSelected("replaceContent");
-        real.replaceContent(file, bytes);
+        real.replaceContent(file, parts);
     }
 
     @Override
@@ -57,10 +58,15 @@
     }
 
     @Override
-    public byte[] read(Path file) throws IOException {
+    public RecordReader read(Path file) throws IOException {
         return real.read(file);
     }
 
+    @Override
+    public void delete(Path file) throws IOException {
+        real.delete(file);
+    }
+
     @Override
     public void close() throws IOException {
         real.close();
--- a/src/test/java/org/plantainwharf/storage/StorageWriterTest.java
+++ b/src/test/java/org/plantainwharf/storage/StorageWriterTest.java
@@ -174,6 +174,43 @@
         }
     }
 
+    @Nested
+    class LargeLogs {
+        private static final int ENTRIES = 30_000;
+
+        /** After a loss of power each write since the last sync may be missing by itself. */
+        @Test
+        void areSyncedBetweenTheWritesOfOneAppend() throws InterruptedException {
+            execute(write(1, 1, 0, 1, 4 * ENTRIES));
+            assertEquals(5, files.forces());
+            assertEquals(4 * ENTRIES, recoveredIndexes().size());
+        }
+
+        @Test
+        void areRewrittenWhenMostOfThemIsObsolete() throws InterruptedException, IOException {
+            StorageWriter writer = open();
+            long largest = 0;
+            for (long term = 1; term <= 30; term++) {
+                writer.execute(write(term, term, 1, 1, ENTRIES));
+                nextEvent();
+                largest = Math.max(largest, Files.size(folder.resolve("group-0.log")));
+            }
+            writer.close();
+            assertTrue(largest < 12 << 20, largest + " bytes");
+            assertEquals(ENTRIES, recoveredIndexes().size());
+        }
+
+        @Test
+        void leaveNothingOfAnInterruptedRewrite() throws InterruptedException, IOException {
+            execute(write(1, 1, 0, 1, 3));
+            Files.write(folder.resolve("group-0.log.new"), new byte[100]);
+            Files.write(folder.resolve("group-0.snapshot.new"), new byte[100]);
+            assertEquals(List.of(1L, 2L, 3L), recoveredIndexes());
+            assertEquals(false, Files.exists(folder.resolve("group-0.log.new")));
+            assertEquals(false, Files.exists(folder.resolve("group-0.snapshot.new")));
+        }
+    }
+
     @Nested
     class Corruption {
         private Path logFile() {
