Record departures of servers in the log before they are acknowledged

Cause: departures lived in the memory of the registries. They were acknowledged as soon as the daemon heard from a majority, before any other daemon knew of them, so the loss of that daemon alone was enough.

Change: Command.RecordDeparture. DepartureController acknowledges a report of leaving or a deregistration once it is committed; RegistryController puts it in force at once, and from the log on every daemon. A departure concerns one start of a server and earlier ones.

Why it works: whatever the log survives (kills of all, single disks, replaced machines) it survives too, and it is compared with every report, late or relayed.

Ruled out: keeping the registry on each control daemon's own disk. The daemon that acknowledged may be lost with it.

--- a/src/main/java/org/plantainwharf/board/Board.java
+++ b/src/main/java/org/plantainwharf/board/Board.java
@@ -18,6 +18,7 @@
 import org.plantainwharf.membership.MembershipSection;
 import org.plantainwharf.quarantine.QuarantineSection;
 import org.plantainwharf.record.RecordSection;
+import org.plantainwharf.registry.DepartureSection;
 import org.plantainwharf.registry.RegistrySection;
 import org.plantainwharf.retry.RetrySection;
 import org.plantainwharf.routing.RoutingSection;
@@ -46,6 +47,7 @@
     private final CapacitySection capacity = CapacitySection.create();
     private final DocumentSection documents = DocumentSection.create();
     private final RegistrySection registry = RegistrySection.create();
+    private final DepartureSection departures = DepartureSection.create();
     private final ForwardSection forward = ForwardSection.create();
     private final AllowanceSection allowances = AllowanceSection.create();
     private final ServerLimitSection serverLimits = ServerLimitSection.create();
@@ -169,6 +171,11 @@
         return registry;
     }
 
+    /** Returns the section on servers that have announced their end. */
+    public DepartureSection departures() {
+        return departures;
+    }
+
     /** Returns the section on requests that are forwarded to backend servers. */
     public ForwardSection forward() {
         return forward;
--- a/src/main/java/org/plantainwharf/codec/CommandMapping.java
+++ b/src/main/java/org/plantainwharf/codec/CommandMapping.java
@@ -51,6 +51,8 @@
                 wire.setWithdrawCrashes(PeerProtocol.WithdrawCrashes.newBuilder()
                         .setFingerprint(withdraw.fingerprint().value())
                         .addAllReportIds(withdraw.reportIds().stream().sorted().toList()));
+            case Command.RecordDeparture departed ->
+                wire.setRecordDeparture(ValueMapping.encode(departed.departure(), departed.wallClockMillis()));
             case Command.RecordHostStart start ->
                 wire.setRecordHostStart(PeerProtocol.RecordHostStart.newBuilder()
                         .setToken(start.token())
@@ -150,6 +152,10 @@
                 new Command.WithdrawCrashes(
                         Fingerprint.of(wire.getWithdrawCrashes().getFingerprint()),
                         Set.copyOf(wire.getWithdrawCrashes().getReportIdsList()));
+            case RECORD_DEPARTURE ->
+                new Command.RecordDeparture(
+                        ValueMapping.decode(wire.getRecordDeparture()),
+                        wire.getRecordDeparture().getWallClockMillis());
             case RECORD_HOST_START -> decode(wire.getRecordHostStart());
             case FINISH_HOST_START ->
                 new Command.FinishHostStart(
--- a/src/main/java/org/plantainwharf/codec/StateRecordMapping.java
+++ b/src/main/java/org/plantainwharf/codec/StateRecordMapping.java
@@ -37,6 +37,8 @@
                         .setCount(crashes.count())
                         .setLastMillis(crashes.lastMillis())
                         .addAllReportIds(ValueMapping.encodeNames(crashes.reportIds(), report -> report)));
+            case StateRecord.Departed departed ->
+                wire.setDeparted(ValueMapping.encode(departed.departure(), departed.wallClockMillis()));
             case StateRecord.HostStart start ->
                 wire.setHostStart(PeerProtocol.HostStart.newBuilder()
                         .setToken(start.token())
@@ -125,6 +127,10 @@
                         wire.getCrashes().getCount(),
                         wire.getCrashes().getLastMillis(),
                         ValueMapping.decodeNames(wire.getCrashes().getReportIdsList(), report -> report));
+            case DEPARTED ->
+                new StateRecord.Departed(
+                        ValueMapping.decode(wire.getDeparted()),
+                        wire.getDeparted().getWallClockMillis());
             case HOST_START -> decode(wire.getHostStart());
             case ORDER -> decode(wire.getOrder());
             case WORK -> decode(wire.getWork());
--- a/src/main/java/org/plantainwharf/codec/ValueMapping.java
+++ b/src/main/java/org/plantainwharf/codec/ValueMapping.java
@@ -14,6 +14,8 @@
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.ModelName;
+import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.replicated.Departure;
 import org.plantainwharf.replicated.VoterId;
 import org.plantainwharf.wire.PeerProtocol;
 
@@ -24,6 +26,19 @@
 
     private ValueMapping() {}
 
+    static PeerProtocol.Departure encode(Departure departure, long wallClockMillis) {
+        return PeerProtocol.Departure.newBuilder()
+                .setServer(departure.server().value())
+                .setStartEpochMillis(departure.startEpochMillis())
+                .setDeregistered(departure.deregistered())
+                .setWallClockMillis(wallClockMillis)
+                .build();
+    }
+
+    static Departure decode(PeerProtocol.Departure wire) {
+        return new Departure(ServerId.of(wire.getServer()), wire.getStartEpochMillis(), wire.getDeregistered());
+    }
+
     static PeerProtocol.Content encode(Content content) {
         // The array is never modified after the content is constructed, so it need not be copied.
         return PeerProtocol.Content.newBuilder()
--- a/src/main/java/org/plantainwharf/configuration/ControlState.java
+++ b/src/main/java/org/plantainwharf/configuration/ControlState.java
@@ -16,8 +16,10 @@
 import org.plantainwharf.call.Content;
 import org.plantainwharf.identity.Fingerprint;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.Departure;
 import org.plantainwharf.replicated.Query;
 import org.plantainwharf.replicated.QueryResult;
 import org.plantainwharf.replicated.StateMachine;
@@ -26,7 +28,7 @@
 
 /**
  * The state of the control group: the newest accepted sheet, the service document, usage counts, the fencing number,
- * crash counts and host starts. Invariants: the version of the sheet never decreases, and a version never has two
+ * crash counts, host starts and departures of backend servers. Invariants: the version of the sheet never decreases, and a version never has two
  * contents. Owned by the control thread.
  */
 public final class ControlState implements StateMachine {
@@ -45,6 +47,12 @@
     /** A daemon that takes over the duties reports only the windows of the last minutes; older reports are overdue. */
     static final int MAXIMUM_REMEMBERED_USAGE_WINDOWS = 64;
 
+    /**
+     * Time after which a departure is dropped, measured from its announcement to that of a later one. A report may arrive
+     * seconds late; the clocks of two daemons may differ by seconds too.
+     */
+    static final long DEPARTURE_RETENTION_MILLIS = Duration.ofHours(1).toMillis();
+
     private Optional<Sheet> sheet = Optional.empty();
     private Optional<StateRecord.Document> document = Optional.empty();
     private final TreeMap<Long, StateRecord.Usage> usages = new TreeMap<>();
@@ -53,6 +61,8 @@
     private final Map<Fingerprint, StateRecord.Crashes> crashes = new LinkedHashMap<>();
     private final Map<String, StateRecord.HostStart> hostStarts = new LinkedHashMap<>();
 
+    private final Map<ServerId, StateRecord.Departed> departures = new LinkedHashMap<>();
+
     private ControlState() {}
 
     /** Returns an empty state. */
@@ -85,6 +95,17 @@
         return crashes.values();
     }
 
+    /** Returns the newest departure of each backend server, in the order in which they were recorded. */
+    public List<Departure> departures() {
+        return departures.values().stream().map(StateRecord.Departed::departure).toList();
+    }
+
+    /** Returns whether a departure, or one that says more, is recorded. */
+    public boolean hasDeparted(Departure departure) {
+        StateRecord.@Nullable Departed known = departures.get(departure.server());
+        return known != null && known.departure().covers(departure);
+    }
+
     /** Returns the host starts, both finished and pending. */
     public Collection<StateRecord.HostStart> hostStarts() {
         return hostStarts.values();
@@ -111,6 +132,7 @@
             case Command.TakeFencingNumber take -> takeFencingNumber(take);
             case Command.ReportCrash report -> reportCrash(report);
             case Command.WithdrawCrashes withdraw -> withdrawCrashes(withdraw);
+            case Command.RecordDeparture departure -> recordDeparture(departure);
             case Command.RecordHostStart start -> {
                 hostStarts.putIfAbsent(
                         start.token(),
@@ -201,6 +223,21 @@
         return new CommandResult.Done();
     }
 
+    private CommandResult recordDeparture(Command.RecordDeparture command) {
+        if (!hasDeparted(command.departure())) {
+            ServerId server = command.departure().server();
+            departures.remove(server);
+            departures.put(server, new StateRecord.Departed(command.departure(), command.wallClockMillis()));
+        }
+        departures
+                .values()
+                .removeIf(known -> command.wallClockMillis() - known.wallClockMillis() >= DEPARTURE_RETENTION_MILLIS);
+        if (departures.size() > Departure.MAXIMUM_REMEMBERED) {
+            departures.remove(departures.keySet().iterator().next());
+        }
+        return new CommandResult.Done();
+    }
+
     private CommandResult finishHostStart(Command.FinishHostStart finish) {
         StateRecord.@Nullable HostStart start = hostStarts.get(finish.token());
         if (start == null) {
@@ -237,6 +274,7 @@
         records.add(fencing);
         records.addAll(crashes.values());
         records.addAll(hostStarts.values());
+        records.addAll(departures.values());
         return records;
     }
 
@@ -248,6 +286,7 @@
         acceptedSheets.clear();
         crashes.clear();
         hostStarts.clear();
+        departures.clear();
         for (StateRecord stateRecord : records) {
             switch (stateRecord) {
                 case StateRecord.SheetInForce inForce -> sheet = Optional.of(inForce.sheet());
@@ -256,6 +295,8 @@
                 case StateRecord.Usage value -> usages.put(value.window(), value);
                 case StateRecord.Fencing value -> fencing = value;
                 case StateRecord.Crashes value -> crashes.put(value.fingerprint(), value);
+                case StateRecord.Departed value ->
+                    departures.put(value.departure().server(), value);
                 case StateRecord.HostStart value -> hostStarts.put(value.token(), value);
                 case StateRecord.Order order -> throw unexpected(order);
                 case StateRecord.Work work -> throw unexpected(work);
--- a/src/main/java/org/plantainwharf/consensus/MessageSizes.java
+++ b/src/main/java/org/plantainwharf/consensus/MessageSizes.java
@@ -30,6 +30,7 @@
                     case Command.ReportCrash report -> 0;
                     case Command.WithdrawCrashes withdraw ->
                         withdraw.reportIds().size() * ELEMENT_BYTES;
+                    case Command.RecordDeparture departure -> 0;
                     case Command.RecordHostStart start -> 0;
                     case Command.FinishHostStart finish -> 0;
                     case Command.RecordIntent intent -> 0;
@@ -61,6 +62,7 @@
                     case StateRecord.Usage usage -> usage.requests().size() * ELEMENT_BYTES;
                     case StateRecord.AcceptedSheet accepted -> 0;
                     case StateRecord.Fencing fencing -> 0;
+                    case StateRecord.Departed departed -> 0;
                     case StateRecord.HostStart start -> 0;
                 };
     }
--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -42,6 +42,7 @@
 import org.plantainwharf.membership.DiscoveryController;
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.metric.Counters;
+import org.plantainwharf.registry.DepartureController;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.replicated.VoterId;
 import org.plantainwharf.settings.Settings;
@@ -94,6 +95,7 @@
                 MembershipController.create(),
                 DiscoveryController.create(known, Optional.of(settings.peerAddress()), settings.host()),
                 RegistryController.relaying(),
+                DepartureController.create(),
                 consensus,
                 FailedDiskController.create(),
                 DocumentController.create(codec),
--- a/src/main/java/org/plantainwharf/record/RecordState.java
+++ b/src/main/java/org/plantainwharf/record/RecordState.java
@@ -419,6 +419,7 @@
                 case StateRecord.AcceptedSheet other -> throw unexpected(other);
                 case StateRecord.Fencing other -> throw unexpected(other);
                 case StateRecord.Crashes other -> throw unexpected(other);
+                case StateRecord.Departed other -> throw unexpected(other);
                 case StateRecord.HostStart other -> throw unexpected(other);
                 case StateRecord.Document other -> throw unexpected(other);
                 case StateRecord.Usage other -> throw unexpected(other);
--- a/src/main/java/org/plantainwharf/registry/RegistryController.java
+++ b/src/main/java/org/plantainwharf/registry/RegistryController.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 
 import org.plantainwharf.board.Board;
-import org.plantainwharf.consensus.GroupStatus;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.control.PeriodicTimer;
 import org.plantainwharf.effect.Effects;
@@ -31,9 +30,11 @@
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.membership.LinkedPeers;
 import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.replicated.Command;
+import org.plantainwharf.replicated.Departure;
 
 /**
- * Merges the reports of backend servers. A relaying daemon receives reports from servers and sends changes to its
+ * Merges the reports of backend servers and the recorded departures. A relaying daemon receives reports from servers and sends changes to its
  * peers; the other daemons only receive them. Runs on the control thread.
  */
 public final class RegistryController implements Controller {
@@ -48,9 +49,6 @@
      */
     private static final long EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(60);
 
-    /** A daemon without contact with the majority for this long may be partitioned without having detected it. */
-    private static final long MAJORITY_CONTACT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
-
     private final boolean relays;
     private final PeriodicTimer refreshPeriod = PeriodicTimer.ofNanos(REFRESH_PERIOD_NANOS);
 
@@ -77,7 +75,7 @@
             case DocumentEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case DutyEvent ignored -> {}
-            case ReplicationEvent ignored -> {}
+            case ReplicationEvent replication -> onReplication(replication, board, effects);
             case StorageEvent ignored -> {}
             case CallEvent ignored -> {}
             case AttemptEvent ignored -> {}
@@ -91,15 +89,13 @@
         switch (event) {
             case RegistryEvent.ServerReported reported -> {
                 mergeReport(reported.report(), Optional.empty(), board, nowNanos, effects);
-                boolean reportsReady = reported.report().phase() == ServerPhase.READY;
-                effects.add(new RegistryEffect.AnswerServer(
-                        reported.ticket(), reportsReady || hasMajorityContact(board, nowNanos)));
+                // The departure controller answers the others.
+                if (reported.report().phase() == ServerPhase.READY) {
+                    effects.add(new RegistryEffect.AnswerServer(reported.ticket(), true));
+                }
             }
-            case RegistryEvent.ServerDeregistered deregistered -> {
+            case RegistryEvent.ServerDeregistered deregistered ->
                 mergeReport(goneReport(deregistered, board.registry()), Optional.empty(), board, nowNanos, effects);
-                effects.add(
-                        new RegistryEffect.AnswerServer(deregistered.ticket(), hasMajorityContact(board, nowNanos)));
-            }
         }
     }
 
@@ -128,10 +124,42 @@
                 OptionalLong.empty());
     }
 
-    private static boolean hasMajorityContact(Board board, long nowNanos) {
-        GroupStatus control = board.consensus().group(CONTROL_GROUP);
-        return control.lastContactNanos() != Long.MIN_VALUE
-                && nowNanos - control.lastContactNanos() < MAJORITY_CONTACT_NANOS;
+    /** Puts recorded departures in force, also those of servers whose reports arrive later. */
+    private static void onReplication(ReplicationEvent event, Board board, Effects effects) {
+        switch (event) {
+            case ReplicationEvent.EntryApplied applied -> {
+                if (applied.command() instanceof Command.RecordDeparture recorded) {
+                    depart(recorded.departure(), board, effects);
+                }
+            }
+            case ReplicationEvent.StateReplaced replaced -> {
+                if (replaced.group() == CONTROL_GROUP) {
+                    for (Departure departure : board.configuration().state().departures()) {
+                        depart(departure, board, effects);
+                    }
+                }
+            }
+            case ReplicationEvent.ProposalRequested ignored -> {}
+            case ReplicationEvent.ProposalDecided ignored -> {}
+            case ReplicationEvent.ProposalFailed ignored -> {}
+            case ReplicationEvent.QueryRequested ignored -> {}
+            case ReplicationEvent.QueryAnswered ignored -> {}
+            case ReplicationEvent.QueryFailed ignored -> {}
+            case ReplicationEvent.LeadershipChanged ignored -> {}
+        }
+    }
+
+    private static void depart(Departure departure, Board board, Effects effects) {
+        if (board.registry().depart(departure)) {
+            effects.log(
+                    "server_departed",
+                    "server",
+                    departure.server(),
+                    "start",
+                    departure.startEpochMillis(),
+                    "deregistered",
+                    departure.deregistered());
+        }
     }
 
     private void mergeReport(
--- a/src/main/java/org/plantainwharf/registry/RegistrySection.java
+++ b/src/main/java/org/plantainwharf/registry/RegistrySection.java
@@ -11,15 +11,18 @@
 
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.replicated.Departure;
 
 /**
  * Backend servers and their newest reports. Invariants: a report that is not newer than the current one changes
- * nothing; a server that was leaving or gone does not become ready again within the same start; an address belongs to
- * at most one server that is not gone. Written by the registry controller. Owned by the control thread.
+ * nothing; a server that was leaving or gone does not become ready again within the same start, and one whose departure
+ * is recorded not even after its reports were forgotten; an address belongs to at most one server that is not gone. Written by the registry controller. Owned by the control thread.
  */
 public final class RegistrySection {
     private final Map<ServerId, KnownServer> servers = new LinkedHashMap<>();
     private final Set<ServerId> refreshed = new HashSet<>();
+    /** The newest departure of each server, in the order in which they were recorded. */
+    private final Map<ServerId, Departure> departures = new LinkedHashMap<>();
 
     private RegistrySection() {}
 
@@ -54,7 +57,8 @@
     }
 
     /** Merges a report. For the registry controller. */
-    Change merge(ServerReport report, long nowNanos) {
+    Change merge(ServerReport reported, long nowNanos) {
+        ServerReport report = afterDeparture(reported);
         @Nullable KnownServer known = servers.get(report.server());
         if (known != null && !report.newerThan(known.report())) {
             return Change.NONE;
@@ -72,6 +76,39 @@
         return isMaterial(known.report(), merged) ? Change.MATERIAL : Change.REFRESHED;
     }
 
+    /**
+     * Records a departure and puts it in force. Returns whether the phase of a known server changed. For the registry
+     * controller.
+     */
+    boolean depart(Departure departure) {
+        @Nullable Departure recorded = departures.get(departure.server());
+        if (recorded != null && recorded.covers(departure)) {
+            return false;
+        }
+        departures.remove(departure.server());
+        departures.put(departure.server(), departure);
+        if (departures.size() > Departure.MAXIMUM_REMEMBERED) {
+            departures.remove(departures.keySet().iterator().next());
+        }
+        @Nullable KnownServer known = servers.get(departure.server());
+        if (known == null) {
+            return false;
+        }
+        ServerReport departed = afterDeparture(known.report());
+        servers.put(departed.server(), new KnownServer(departed, known.firstReportNanos(), known.lastReportNanos()));
+        return departed.phase() != known.report().phase();
+    }
+
+    /** Returns the report with the phase of the server's recorded departure, if that is of this start or a later one. */
+    private ServerReport afterDeparture(ServerReport report) {
+        @Nullable Departure departure = departures.get(report.server());
+        if (departure == null || departure.startEpochMillis() < report.startEpochMillis()) {
+            return report;
+        }
+        ServerPhase phase = departure.deregistered() ? ServerPhase.GONE : ServerPhase.LEAVING;
+        return report.phase().compareTo(phase) >= 0 ? report : report.withPhase(phase);
+    }
+
     /**
      * Returns whether a server that started later has the report's address. Otherwise marks every other server with
      * this address as gone. If the start times are equal or both missing, the newest report wins.
--- a/src/main/java/org/plantainwharf/replicated/Command.java
+++ b/src/main/java/org/plantainwharf/replicated/Command.java
@@ -97,6 +97,13 @@
         }
     }
 
+    /**
+     * Records that a backend server has announced its end.
+     *
+     * @param wallClockMillis time of the announcement, in milliseconds since the epoch
+     */
+    record RecordDeparture(Departure departure, long wallClockMillis) implements Control {}
+
     /** Records that a host start is about to be requested under a token. */
     record RecordHostStart(String token, AvailabilityZone zone, HostClass hostClass) implements Control {}
 
--- a/src/main/java/org/plantainwharf/replicated/StateRecord.java
+++ b/src/main/java/org/plantainwharf/replicated/StateRecord.java
@@ -52,6 +52,9 @@
         }
     }
 
+    /** A departure and when it was announced, in milliseconds since the epoch. */
+    record Departed(Departure departure, long wallClockMillis) implements StateRecord {}
+
     /** A host start; {@code platformHost} is empty unless it succeeded. */
     record HostStart(String token, AvailabilityZone zone, HostClass hostClass, boolean finished, String platformHost)
             implements StateRecord {}
--- a/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
+++ b/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
@@ -1,13 +1,16 @@
 package org.plantainwharf.configuration;
 
+import java.util.List;
 import java.util.Set;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.plantainwharf.identity.Fingerprint;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.replicated.Departure;
 import org.plantainwharf.testing.Samples;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -143,4 +146,47 @@
                     .allMatch(crashes -> crashes.reportIds().size() <= ControlState.MAXIMUM_CRASHES_PER_CONTENT));
         }
     }
+
+    /** Guards against departures of a day with thousands of servers that are lost too early or kept for ever. */
+    @Nested
+    class Departures {
+        private void depart(String server, long start, boolean deregistered, long wallClockMillis) {
+            state.apply(new Command.RecordDeparture(
+                    new Departure(ServerId.of(server), start, deregistered), wallClockMillis));
+        }
+
+        private boolean departed(String server, long start) {
+            return state.hasDeparted(new Departure(ServerId.of(server), start, false));
+        }
+
+        @Test
+        void areBoundedInNumberAndKeepTheNewest() {
+            for (int server = 0; server < Departure.MAXIMUM_REMEMBERED + 100; server++) {
+                depart("i-" + server, 1, true, server);
+            }
+            assertEquals(Departure.MAXIMUM_REMEMBERED, state.departures().size());
+            assertEquals(false, departed("i-99", 1));
+            assertEquals(true, departed("i-100", 1));
+        }
+
+        @Test
+        void areDroppedAfterTheRetention() {
+            depart("i-1", 1, true, 0);
+            depart("i-2", 1, true, ControlState.DEPARTURE_RETENTION_MILLIS - 1);
+            assertEquals(true, departed("i-1", 1));
+            depart("i-3", 1, true, ControlState.DEPARTURE_RETENTION_MILLIS);
+            assertEquals(false, departed("i-1", 1));
+            assertEquals(true, departed("i-2", 1));
+        }
+
+        @Test
+        void areKeptBySnapshotsAndNotReplacedByEarlierOnes() {
+            depart("i-1", 2, true, 0);
+            depart("i-1", 1, true, 0);
+            depart("i-1", 2, false, 0);
+            ControlState restored = ControlState.create();
+            restored.restore(state.records());
+            assertEquals(List.of(new Departure(ServerId.of("i-1"), 2, true)), restored.departures());
+        }
+    }
 }
--- a/src/test/java/org/plantainwharf/consensus/LargeEntriesTest.java
+++ b/src/test/java/org/plantainwharf/consensus/LargeEntriesTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.plantainwharf.testing.StoredControlGroup;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/org/plantainwharf/registry/RegistrySectionTest.java
+++ b/src/test/java/org/plantainwharf/registry/RegistrySectionTest.java
@@ -7,6 +7,7 @@
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.replicated.Departure;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -67,6 +68,37 @@
         }
     }
 
+    @Nested
+    class RecordedDepartures {
+        @Test
+        void outliveTheReportsOfTheServer() {
+            merge("i-1", 5, 4, "10.0.0.1:80", ServerPhase.READY);
+            assertTrue(section.depart(new Departure(ServerId.of("i-1"), 5, false)));
+            assertFalse(ready("i-1"));
+            section.removeExpired(Long.MAX_VALUE, 1);
+            merge("i-1", 5, 3, "10.0.0.1:80", ServerPhase.READY);
+            assertFalse(ready("i-1"));
+        }
+
+        @Test
+        void ofAnEarlierStartDoNotConcernTheServer() {
+            merge("i-1", 6, 1, "10.0.0.1:80", ServerPhase.READY);
+            assertFalse(section.depart(new Departure(ServerId.of("i-1"), 5, true)));
+            assertTrue(ready("i-1"));
+        }
+
+        @Test
+        void areNotReplacedByEarlierOnes() {
+            section.depart(new Departure(ServerId.of("i-1"), 6, true));
+            section.depart(new Departure(ServerId.of("i-1"), 5, true));
+            section.depart(new Departure(ServerId.of("i-1"), 6, false));
+            merge("i-1", 6, 1, "10.0.0.1:80", ServerPhase.READY);
+            assertEquals(
+                    ServerPhase.GONE,
+                    section.server(ServerId.of("i-1")).orElseThrow().report().phase());
+        }
+    }
+
     @Nested
     class Starts {
         @Test
--- a/src/test/java/org/plantainwharf/consensus/StoredControlGroup.java
+++ b/src/test/java/org/plantainwharf/testing/StoredControlGroup.java
@@ -1,9 +1,10 @@
-package org.plantainwharf.consensus;
+package org.plantainwharf.testing;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -16,27 +17,32 @@
 import org.plantainwharf.board.Board;
 import org.plantainwharf.call.Content;
 import org.plantainwharf.codec.ProtobufRecordCodec;
+import org.plantainwharf.consensus.ConsensusController;
+import org.plantainwharf.consensus.ProposalRefusal;
+import org.plantainwharf.consensus.ReplicaSnapshot;
 import org.plantainwharf.control.ControlCycle;
 import org.plantainwharf.control.EventSink;
 import org.plantainwharf.effect.CountEffect;
 import org.plantainwharf.effect.Effect;
+import org.plantainwharf.effect.RegistryEffect;
 import org.plantainwharf.effect.StorageEffect;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.ReplicationEvent;
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.registry.DepartureController;
+import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.StateRecord;
 import org.plantainwharf.replicated.VoterId;
 import org.plantainwharf.storage.BootstrapState;
 import org.plantainwharf.storage.StorageWriter;
-import org.plantainwharf.testing.Samples;
 
 /**
- * The control group of one voter with a real log on disk and a virtual clock. Invariant: every write queued by an event
+ * The control group of one control daemon with a real log on disk and a virtual clock. Invariant: every write queued by an event
  * is synced before the next event is handled, unless {@link #stallDisk} was called. Not thread-safe.
  */
-final class StoredControlGroup implements AutoCloseable {
+public final class StoredControlGroup implements AutoCloseable {
     private static final HostId HOST = HostId.of("127.0.0.1:1");
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final int SYNC_TIMEOUT_SECONDS = 20;
@@ -45,6 +51,7 @@
     private final BlockingQueue<Event> synced = new LinkedBlockingQueue<>();
     private final StorageWriter storage;
     private final ControlCycle cycle;
+    private final List<RegistryEffect.AnswerServer> answers = new ArrayList<>();
     private long nowNanos;
     private long proposals;
     private long refusals;
@@ -63,14 +70,17 @@
         Board board = Board.create(Samples.settings(HOST.value()), 1, 7);
         this.cycle = ControlCycle.create(
                 board,
-                List.of(ConsensusController.createForDiscoveredHosts(
-                        board.settings(),
-                        List.of(),
-                        storage.diskIncarnation(),
-                        storage.recover(0),
-                        board.configuration().state(),
-                        new SplittableRandom(1),
-                        nowNanos)));
+                List.of(
+                        RegistryController.relaying(),
+                        DepartureController.create(),
+                        ConsensusController.createForDiscoveredHosts(
+                                board.settings(),
+                                List.of(),
+                                storage.diskIncarnation(),
+                                storage.recover(0),
+                                board.configuration().state(),
+                                new SplittableRandom(1),
+                                nowNanos)));
     }
 
     /** Passes the results of writes to the test. Thread-safe. */
@@ -87,7 +97,7 @@
     }
 
     /** Opens the folder, which may have content of an earlier run, and waits until the group has a leader. */
-    static StoredControlGroup open(Path folder) throws InterruptedException {
+    public static StoredControlGroup open(Path folder) throws InterruptedException {
         StoredControlGroup group = new StoredControlGroup(folder);
         for (int tick = 0; tick < 100; tick++) {
             group.handle(new TimerEvent.Tick());
@@ -96,7 +106,7 @@
     }
 
     /** Proposes a document of a number of bytes that compress badly. Returns whether it was committed at once. */
-    boolean replaceDocument(long version, int bytes) throws InterruptedException {
+    public boolean replaceDocument(long version, int bytes) throws InterruptedException {
         byte[] content = new byte[bytes];
         new SplittableRandom(version).nextBytes(content);
         long refusedBefore = refusals;
@@ -107,7 +117,7 @@
         return refusals == refusedBefore && version == documentVersion();
     }
 
-    long documentVersion() {
+    public long documentVersion() {
         return cycle.board()
                 .configuration()
                 .state()
@@ -117,17 +127,17 @@
     }
 
     /** Returns the number of proposals that the leader has refused. */
-    long refusals() {
+    public long refusals() {
         return refusals;
     }
 
     /** Lets all later writes wait. */
-    void stallDisk() {
+    public void stallDisk() {
         stalled = true;
     }
 
     /** Returns the size of all files in the folder. */
-    long bytesOnDisk() throws IOException {
+    public long bytesOnDisk() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             return files.mapToLong(StoredControlGroup::size).sum();
         }
@@ -141,7 +151,18 @@
         }
     }
 
-    private void handle(Event event) throws InterruptedException {
+    /** Returns the board of the only control daemon. */
+    public Board board() {
+        return cycle.board();
+    }
+
+    /** Returns the answers to servers so far, in order. */
+    public List<RegistryEffect.AnswerServer> answers() {
+        return answers;
+    }
+
+    /** Handles an event, and the results of the writes that it causes. */
+    public void handle(Event event) throws InterruptedException {
         nowNanos += TICK_NANOS;
         int writes = run(event);
         while (writes > 0) {
@@ -160,6 +181,8 @@
             } else if (effect instanceof CountEffect count
                     && count.metric().equals(ProposalRefusal.LOG_FULL.metricName())) {
                 refusals++;
+            } else if (effect instanceof RegistryEffect.AnswerServer answer) {
+                answers.add(answer);
             }
         }
         return writes;
