Send large contents in parts that the receiver asks for

Cause: a message was one frame, and heartbeats waited behind it until the link was closed as silent; the message then began again from nothing; a learner turned to another source, which sent the same entry over the same host's link, and a leader repeated unacknowledged entries every 150 ms; a learner got every version. Beside it: an entry with a document of 4 MiB exceeded the frame limit and was dropped for ever, so the log stood still.

Change: FrameCodec sends contents above 16 KiB by reference to their compressed bytes; ContentFetcher asks for them in parts of 32 KiB, two transfers of two parts over all links, and keeps what arrived when a link or a source is lost. StreamSource leaves out superseded documents and waits for the confirmation of a large entry; Learner stays with a source whose content arrives; Leadership sends plain heartbeats meanwhile. Frames are at most 64 KiB, messages 8 MiB. Protocol version 2.

Why it works: no frame is larger than 64 KiB and at most 128 KiB are under way to a host, so heartbeats wait 0.2 s on such a link; what has crossed it is never sent again.

Ruled out: a longer time-out of silent links; splitting documents into several log entries, which makes a commit partial.

--- a/src/main/java/org/plantainwharf/codec/Hello.java
+++ b/src/main/java/org/plantainwharf/codec/Hello.java
@@ -11,7 +11,7 @@
  */
 public record Hello(int protocolVersion, HostId host, AvailabilityZone zone, long incarnation) {
     /** The protocol version of this build. Incremented by every change that an older daemon would misinterpret. */
-    public static final int CURRENT_VERSION = 1;
+    public static final int CURRENT_VERSION = 2;
 
     /** Returns a hello with the current protocol version. */
     public static Hello of(HostId host, AvailabilityZone zone, long incarnation) {
--- a/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
+++ b/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
@@ -13,7 +13,7 @@
 import org.plantainwharf.wire.PeerProtocol;
 
 /**
- * Encodes and decodes messages between daemons as the content of one frame, without its length prefix. Decoding reports
+ * Encodes and decodes whole messages between daemons; {@link FrameCodec} makes frames of them. Decoding reports
  * malformed input as a failure and never throws. Equal messages encode to equal bytes. Stateless and thread-safe.
  */
 public final class PeerMessageCodec {
@@ -52,8 +52,12 @@
         });
     }
 
-    /** Returns the bytes of a message. */
+    /** Returns the bytes of a message, with all its contents. */
     public byte[] encode(PeerMessage message) {
+        return toFrame(message).toByteArray();
+    }
+
+    PeerProtocol.Frame toFrame(PeerMessage message) {
         PeerProtocol.Frame.Builder frame = PeerProtocol.Frame.newBuilder();
         switch (message) {
             case PeerMessage.Heartbeat heartbeat ->
@@ -116,7 +120,7 @@
             case PeerMessage.AllowanceReport report -> frame.setAllowanceReport(AllowanceMapping.encode(report));
             case PeerMessage.AllowanceGrant grant -> frame.setAllowanceGrant(AllowanceMapping.encode(grant));
         }
-        return frame.build().toByteArray();
+        return frame.build();
     }
 
     private static PeerProtocol.Rejected encode(PeerMessage.Rejected rejected) {
@@ -132,10 +136,16 @@
      * because a second hello could change the identity of a link.
      */
     public Either<Failure, PeerMessage> decode(byte[] bytes) {
-        return Decoding.run(() -> decodeFrame(PeerProtocol.Frame.parseFrom(bytes)));
+        return Decoding.run(() -> {
+            PeerProtocol.Frame frame = PeerProtocol.Frame.parseFrom(bytes);
+            if (frame.getHasReferences()) {
+                throw new DecodingException("message lacks contents");
+            }
+            return decodeFrame(frame);
+        });
     }
 
-    private static PeerMessage decodeFrame(PeerProtocol.Frame frame) {
+    static PeerMessage decodeFrame(PeerProtocol.Frame frame) {
         return switch (frame.getKindCase()) {
             case HELLO -> throw new DecodingException("hello received after the first frame");
             case HEARTBEAT ->
@@ -201,7 +211,8 @@
                         ValueMapping.decodeRates(frame.getLimitGrant().getRatesList()));
             case ALLOWANCE_REPORT -> AllowanceMapping.decode(frame.getAllowanceReport());
             case ALLOWANCE_GRANT -> AllowanceMapping.decode(frame.getAllowanceGrant());
-            case KIND_NOT_SET -> throw new DecodingException("message kind is missing or unknown");
+            case LARGE_MESSAGE, CONTENT_REQUEST, CONTENT_PART, CONTENT_UNAVAILABLE, KIND_NOT_SET ->
+                throw new DecodingException("message kind is missing or unknown");
         };
     }
 
--- a/src/main/java/org/plantainwharf/consensus/ConsensusController.java
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusController.java
@@ -219,6 +219,8 @@
         switch (event) {
             case PeerEvent.PeerConnected connected -> {}
             case PeerEvent.PeerDisconnected disconnected -> {}
+            case PeerEvent.ContentProgressed progressed ->
+                stepAll(new ReplicaInput.ContentProgressed(progressed.peer()), board, nowNanos, effects);
             case PeerEvent.PeerMessageReceived received ->
                 onMessage(received.peer(), received.message(), board, nowNanos, effects);
         }
--- a/src/main/java/org/plantainwharf/consensus/Leadership.java
+++ b/src/main/java/org/plantainwharf/consensus/Leadership.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -19,9 +20,13 @@
  * Leader role of a replica for one term: replicates entries and snapshots, advances the commit index and computes the
  * lease. At most one message with entries or snapshot records per member is unanswered, apart from heartbeats: each
  * heartbeat round sends the unacknowledged entries or records again, so a lost message delays replication to the member
- * by at most one heartbeat interval. Owned by one replica.
+ * by at most one heartbeat interval. Large ones are repeated in each {@link #LARGE_REPEAT_ROUNDS}th round only, and the
+ * rounds between send plain heartbeats, which a transfer under way does not delay. Owned by one replica.
  */
 final class Leadership implements Role {
+    /** Rounds after which unanswered large content is sent again. */
+    private static final int LARGE_REPEAT_ROUNDS = 4;
+
     private final ReplicaState state;
     private final Map<VoterId, Progress> progress = new LinkedHashMap<>();
     private final TreeMap<Long, Long> roundSendNanos = new TreeMap<>();
@@ -252,7 +257,33 @@
                         voter, absent -> Progress.create(state.log().lastIndex() + 1, nowNanos));
             }
         }
-        progress.forEach((voter, memberProgress) -> send(voter, memberProgress, output));
+        progress.forEach((voter, memberProgress) -> {
+            long largeContentRound = memberProgress.largeContentRound();
+            if (largeContentRound > 0 && round - largeContentRound < LARGE_REPEAT_ROUNDS) {
+                sendHeartbeat(voter, memberProgress, output);
+            } else {
+                send(voter, memberProgress, output);
+            }
+        });
+    }
+
+    /** Sends a message without entries after the last one that the member is known to have. */
+    private void sendHeartbeat(VoterId member, Progress memberProgress, ReplicaOutput output) {
+        long known = memberProgress.matchIndex();
+        long knownTerm = state.log().term(known);
+        // A member without the entries before the log begins at the empty state, which every log has in common.
+        boolean compacted = knownTerm == ReplicaLog.UNKNOWN_TERM;
+        output.send(
+                member.host(),
+                new ReplicaMessage.AppendRequest(
+                        state.term(),
+                        state.self(),
+                        compacted ? 0 : known,
+                        compacted ? 0 : knownTerm,
+                        List.of(),
+                        state.commitIndex(),
+                        round));
+        memberProgress.recordHeartbeat(state.commitIndex());
     }
 
     private void sendUpdates(ReplicaOutput output) {
@@ -276,16 +307,15 @@
         long previousTerm = log.term(previous);
         if (previousTerm == ReplicaLog.UNKNOWN_TERM) {
             ReplicaSnapshot snapshot = log.snapshot();
-            output.send(
-                    member.host(),
-                    SnapshotChunks.chunkFrom(
-                            snapshot,
-                            memberProgress.snapshotOffset(snapshot.lastIndex()),
-                            state.term(),
-                            state.self(),
-                            round,
-                            state.options().messageBytes()));
-            memberProgress.recordSent(true, state.commitIndex());
+            ReplicaMessage.SnapshotChunk chunk = SnapshotChunks.chunkFrom(
+                    snapshot,
+                    memberProgress.snapshotOffset(snapshot.lastIndex()),
+                    state.term(),
+                    state.self(),
+                    round,
+                    state.options().messageBytes());
+            output.send(member.host(), chunk);
+            memberProgress.recordContent(snapshot.lastIndex(), MessageSizes.isLarge(chunk), round, state.commitIndex());
             return;
         }
         ReplicaMessage.AppendRequest request = new ReplicaMessage.AppendRequest(
@@ -300,6 +330,14 @@
                 state.commitIndex(),
                 round);
         output.send(member.host(), request);
-        memberProgress.recordSent(!request.entries().isEmpty(), state.commitIndex());
+        if (request.entries().isEmpty()) {
+            memberProgress.recordHeartbeat(state.commitIndex());
+        } else {
+            memberProgress.recordContent(
+                    request.entries().getLast().index(),
+                    request.entries().stream().anyMatch(entry -> MessageSizes.isLarge(entry.command())),
+                    round,
+                    state.commitIndex());
+        }
     }
 }
--- a/src/main/java/org/plantainwharf/consensus/Learner.java
+++ b/src/main/java/org/plantainwharf/consensus/Learner.java
@@ -13,7 +13,7 @@
  * host that streams committed entries to learners: the leader or a follower in contact with it. The learner requests
  * the entries after the last one that it applied from one source at a time, ignores entries that are not newer, and
  * switches to another source when the current one stops answering, or has no entries although it knows that more were
- * committed. A learner with a disk is a {@link Replica} that is not in the voter configuration. Deterministic; not
+ * committed. A source whose large message is on the way counts as answering. A learner with a disk is a {@link Replica} that is not in the voter configuration. Deterministic; not
  * thread-safe.
  */
 public final class Learner implements GroupMember {
@@ -68,6 +68,12 @@
         switch (input) {
             case ReplicaInput.Received received -> receive(received.message(), nowNanos, output);
             case ReplicaInput.Ticked ticked -> tick(nowNanos, output);
+            case ReplicaInput.ContentProgressed progressed -> {
+                if (sourceIndex < hosts.list().size()
+                        && progressed.host().equals(hosts.list().get(sourceIndex))) {
+                    lastContactNanos = nowNanos;
+                }
+            }
             case ReplicaInput.Proposed proposed -> output.refuse(ProposalRefusal.NOT_LEADING);
             case ReplicaInput.WriteSynced synced -> {}
             case ReplicaInput.WriteFailed failed -> {}
@@ -150,13 +156,16 @@
             sendStreamRequest(hosts.list().get(sourceIndex), nowNanos, output);
             return;
         }
+        boolean confirms = false;
         for (ReplicaEntry entry : request.entries()) {
             if (entry.index() == appliedIndex + 1) {
                 appliedIndex++;
                 output.addCommitted(entry);
+                // The source sends nothing after a large entry before it is confirmed.
+                confirms |= appliedIndex < request.commitIndex() || MessageSizes.isLarge(entry.command());
             }
         }
-        if (!request.entries().isEmpty() && appliedIndex < request.commitIndex()) {
+        if (confirms) {
             sendStreamRequest(hosts.list().get(sourceIndex), nowNanos, output);
         }
     }
--- a/src/main/java/org/plantainwharf/consensus/MessageSizes.java
+++ b/src/main/java/org/plantainwharf/consensus/MessageSizes.java
@@ -1,5 +1,6 @@
 package org.plantainwharf.consensus;
 
+import org.plantainwharf.message.ReplicaMessage;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.StateRecord;
 import org.plantainwharf.sheet.Sheet;
@@ -11,8 +12,21 @@
     /** Estimated bytes of one element of a collection, such as a voter, a usage count or a route of a sheet. */
     private static final int ELEMENT_BYTES = 128;
 
+    /** Estimated bytes from which on an entry is sent only when the one before it is confirmed. */
+    private static final int LARGE_BYTES = 16 << 10;
+
     private MessageSizes() {}
 
+    /** Returns whether a command is so large that its transfer may take long on a slow link. */
+    static boolean isLarge(Command command) {
+        return estimatedBytes(command) >= LARGE_BYTES;
+    }
+
+    /** Returns whether the records of a chunk are so large that their transfer may take long on a slow link. */
+    static boolean isLarge(ReplicaMessage.SnapshotChunk chunk) {
+        return chunk.records().stream().mapToLong(MessageSizes::estimatedBytes).sum() >= LARGE_BYTES;
+    }
+
     /** Returns an estimate in bytes. */
     static int estimatedBytes(Command command) {
         return OVERHEAD_BYTES
--- a/src/main/java/org/plantainwharf/consensus/Progress.java
+++ b/src/main/java/org/plantainwharf/consensus/Progress.java
@@ -8,6 +8,8 @@
     private int snapshotOffset;
     private long snapshotIndex;
     private boolean inFlight;
+    private long sentIndex;
+    private long largeContentRound;
     private long answeredRoundSentNanos = Long.MIN_VALUE;
     private long lastContactNanos;
 
@@ -35,7 +37,7 @@
         return sentCommitIndex;
     }
 
-    /** Returns true while sent entries or a snapshot chunk are unanswered. Heartbeats repeat them. */
+    /** Returns true while sent entries or a snapshot chunk are unanswered. Heartbeats repeat them after a while. */
     boolean inFlight() {
         return inFlight;
     }
@@ -58,15 +60,35 @@
                 answeredRoundSentNanos == Long.MIN_VALUE ? sendNanos : Math.max(answeredRoundSentNanos, sendNanos);
     }
 
-    void recordSent(boolean hasContent, long commitIndex) {
-        inFlight |= hasContent;
+    /** Returns the round in which large content that is still unanswered was sent, 0 if there is none. */
+    long largeContentRound() {
+        return inFlight ? largeContentRound : 0;
+    }
+
+    /** Records a message without content. */
+    void recordHeartbeat(long commitIndex) {
         sentCommitIndex = commitIndex;
     }
 
+    /**
+     * Records a message with entries or snapshot records.
+     *
+     * @param lastIndex the last index that the member has once it has all of the content
+     * @param large whether the content may take long on a slow link
+     * @param round number of the current heartbeat round
+     */
+    void recordContent(long lastIndex, boolean large, long round, long commitIndex) {
+        inFlight = true;
+        sentIndex = lastIndex;
+        largeContentRound = large ? round : 0;
+        sentCommitIndex = commitIndex;
+    }
+
+    /** Records what the member has synced. An answer to an earlier message leaves the content sent last in flight. */
     void recordMatch(long index) {
         matchIndex = Math.max(matchIndex, index);
         nextIndex = matchIndex + 1;
-        inFlight = false;
+        inFlight &= matchIndex < sentIndex;
     }
 
     /**
--- a/src/main/java/org/plantainwharf/consensus/Replica.java
+++ b/src/main/java/org/plantainwharf/consensus/Replica.java
@@ -77,6 +77,8 @@
         ReplicaOutput output = ReplicaOutput.create();
         switch (input) {
             case ReplicaInput.Received received -> receive(received.message(), nowNanos, output);
+            // The leader's heartbeats do not wait for its large messages.
+            case ReplicaInput.ContentProgressed progressed -> {}
             case ReplicaInput.Proposed proposed -> propose(proposed.command(), output);
             case ReplicaInput.WriteSynced synced -> {
                 state.writes().synced(synced.writeNumber(), output);
--- a/src/main/java/org/plantainwharf/consensus/ReplicaInput.java
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaInput.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.plantainwharf.identity.HostId;
 import org.plantainwharf.message.ReplicaMessage;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.StateRecord;
@@ -11,6 +12,9 @@
     /** A message arrived. The caller has verified that it came from the host of its sender. */
     record Received(ReplicaMessage message) implements ReplicaInput {}
 
+    /** A part of a large message of a host arrived. */
+    record ContentProgressed(HostId host) implements ReplicaInput {}
+
     /** A command was proposed for the log. */
     record Proposed(Command command) implements ReplicaInput {}
 
--- a/src/main/java/org/plantainwharf/event/PeerEvent.java
+++ b/src/main/java/org/plantainwharf/event/PeerEvent.java
@@ -19,6 +19,9 @@
     /** The link to one incarnation of the peer closed. */
     record PeerDisconnected(HostId peer, long incarnation) implements PeerEvent {}
 
+    /** A part of a large message arrived; the message follows once it is whole. */
+    record ContentProgressed(HostId peer, long incarnation) implements PeerEvent {}
+
     /** A message arrived. */
     record PeerMessageReceived(HostId peer, long incarnation, PeerMessage message) implements PeerEvent {}
 }
--- a/src/main/java/org/plantainwharf/membership/MembershipController.java
+++ b/src/main/java/org/plantainwharf/membership/MembershipController.java
@@ -79,6 +79,10 @@
                 section.member(disconnected.peer())
                         .filter(member -> member.linked() && member.incarnation() == disconnected.incarnation())
                         .ifPresent(member -> markUnlinked(section, member));
+            case PeerEvent.ContentProgressed progressed ->
+                section.member(progressed.peer())
+                        .filter(member -> member.linked() && member.incarnation() == progressed.incarnation())
+                        .ifPresent(member -> recordHeard(section, member, nowNanos));
             case PeerEvent.PeerMessageReceived received ->
                 section.member(received.peer())
                         .filter(member -> member.linked() && member.incarnation() == received.incarnation())
@@ -99,6 +103,17 @@
                 member.host(), member.zone(), member.incarnation(), true, nowNanos, draining, configurationVersion));
     }
 
+    private static void recordHeard(MembershipSection section, Member member, long nowNanos) {
+        section.put(new Member(
+                member.host(),
+                member.zone(),
+                member.incarnation(),
+                true,
+                nowNanos,
+                member.draining(),
+                member.configurationVersion()));
+    }
+
     private static void markUnlinked(MembershipSection section, Member member) {
         section.put(new Member(
                 member.host(),
--- a/src/main/java/org/plantainwharf/registry/RegistryController.java
+++ b/src/main/java/org/plantainwharf/registry/RegistryController.java
@@ -203,6 +203,7 @@
                 }
             }
             case PeerEvent.PeerDisconnected disconnected -> {}
+            case PeerEvent.ContentProgressed progressed -> {}
             case PeerEvent.PeerMessageReceived received -> {
                 if (received.message() instanceof PeerMessage.ServerReports news) {
                     for (ServerReport report : news.reports()) {
--- a/src/main/java/org/plantainwharf/server/ServerController.java
+++ b/src/main/java/org/plantainwharf/server/ServerController.java
@@ -198,6 +198,7 @@
             case PeerEvent.PeerConnected connected -> board.servers().setLastRelayedChange(connected.peer(), 0);
             case PeerEvent.PeerDisconnected disconnected ->
                 board.servers().setLastRelayedChange(disconnected.peer(), 0);
+            case PeerEvent.ContentProgressed progressed -> {}
             case PeerEvent.PeerMessageReceived received -> {
                 if (received.message() instanceof PeerMessage.ServerLeases leases) {
                     onRelayedLeases(received.peer(), leases, board, nowNanos, effects);
--- a/src/main/java/org/plantainwharf/transport/LinkHandler.java
+++ b/src/main/java/org/plantainwharf/transport/LinkHandler.java
@@ -11,10 +11,11 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
+import org.plantainwharf.codec.FrameCodec;
 import org.plantainwharf.codec.Hello;
+import org.plantainwharf.codec.LinkFrame;
 import org.plantainwharf.codec.PeerMessageCodec;
 import org.plantainwharf.error.Failure;
-import org.plantainwharf.message.PeerMessage;
 
 /**
  * Handles the frames received on one link: first the hello, then messages. A frame that cannot be decoded closes this
@@ -28,6 +29,7 @@
 
     private final PeerNetwork network;
     private final PeerMessageCodec codec;
+    private final FrameCodec frames;
     private final LinkMetrics metrics;
     private final HelloValidator helloValidator;
     private @Nullable PeerLink link;
@@ -35,6 +37,7 @@
     LinkHandler(PeerNetwork network, PeerMessageCodec codec, LinkMetrics metrics, HelloValidator helloValidator) {
         this.network = network;
         this.codec = codec;
+        this.frames = FrameCodec.create(codec);
         this.metrics = metrics;
         this.helloValidator = helloValidator;
     }
@@ -63,16 +66,18 @@
             handleHello(context, codec.decodeHello(bytes));
             return;
         }
-        Either<Failure, PeerMessage> message = codec.decode(bytes);
-        if (message.isLeft()) {
-            metrics.framesInvalid().inc();
-            LOGGER.atWarning().log(
-                    "event=frame_invalid peer=%s problem=%s",
-                    open.remoteHello().host(), message.getLeft().message());
-            context.close();
+        Either<Failure, LinkFrame> decoded = frames.decode(bytes);
+        if (decoded.isLeft()) {
+            network.frameInvalid(open, decoded.getLeft());
             return;
         }
-        network.messageReceived(open, message.get());
+        switch (decoded.get()) {
+            case LinkFrame.Whole whole -> network.messageReceived(open, whole.message());
+            case LinkFrame.Referring referring -> network.envelopeReceived(open, referring.envelope());
+            case LinkFrame.Requested request -> open.answer(request);
+            case LinkFrame.Part part -> network.partReceived(open, part);
+            case LinkFrame.Unavailable unavailable -> network.contentUnavailable(open, unavailable);
+        }
     }
 
     private void handleHello(ChannelHandlerContext context, Either<Failure, Hello> decoded) {
@@ -91,7 +96,7 @@
             context.close();
             return;
         }
-        PeerLink opened = PeerLink.create(hello, context.channel(), codec, metrics);
+        PeerLink opened = PeerLink.create(hello, context.channel(), frames, network.contents(), metrics);
         link = opened;
         network.linkOpened(opened);
     }
--- a/src/main/java/org/plantainwharf/transport/LinkMetrics.java
+++ b/src/main/java/org/plantainwharf/transport/LinkMetrics.java
@@ -15,7 +15,15 @@
         Counter framesInvalid,
         Counter framesTooLong,
         Counter helloRefused,
-        Counter helloMissing) {
+        Counter helloMissing,
+        Counter transfersBegun,
+        Counter transfersResumed,
+        Counter transfersStalled,
+        Counter partsReceived,
+        Counter partsIgnored,
+        Counter contentsCorrupt,
+        Counter contentsUnavailable,
+        Counter messagesNotAwaited) {
     static LinkMetrics of(MetricRegistry registry) {
         return new LinkMetrics(
                 registry.counter("links.opened"),
@@ -28,6 +36,14 @@
                 registry.counter("links.frames_invalid"),
                 registry.counter("links.frames_too_long"),
                 registry.counter("links.hello_refused"),
-                registry.counter("links.hello_missing"));
+                registry.counter("links.hello_missing"),
+                registry.counter("links.transfers.begun"),
+                registry.counter("links.transfers.resumed"),
+                registry.counter("links.transfers.stalled"),
+                registry.counter("links.parts.received"),
+                registry.counter("links.parts.ignored"),
+                registry.counter("links.contents.corrupt"),
+                registry.counter("links.contents.unavailable"),
+                registry.counter("links.dropped.not_awaited"));
     }
 }
--- a/src/main/java/org/plantainwharf/transport/PeerLink.java
+++ b/src/main/java/org/plantainwharf/transport/PeerLink.java
@@ -5,8 +5,12 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.vavr.control.Either;
+import org.plantainwharf.codec.FrameCodec;
 import org.plantainwharf.codec.Hello;
-import org.plantainwharf.codec.PeerMessageCodec;
+import org.plantainwharf.codec.LinkFrame;
+import org.plantainwharf.error.Failure;
 import org.plantainwharf.message.PeerMessage;
 
 /**
@@ -21,19 +25,22 @@
 
     private final Hello remoteHello;
     private final Channel channel;
-    private final PeerMessageCodec codec;
+    private final FrameCodec codec;
+    private final ContentStore contents;
     private final LinkMetrics metrics;
     private final AtomicInteger queued = new AtomicInteger();
 
-    private PeerLink(Hello remoteHello, Channel channel, PeerMessageCodec codec, LinkMetrics metrics) {
+    private PeerLink(Hello remoteHello, Channel channel, FrameCodec codec, ContentStore contents, LinkMetrics metrics) {
         this.remoteHello = remoteHello;
         this.channel = channel;
         this.codec = codec;
+        this.contents = contents;
         this.metrics = metrics;
     }
 
-    static PeerLink create(Hello remoteHello, Channel channel, PeerMessageCodec codec, LinkMetrics metrics) {
-        return new PeerLink(remoteHello, channel, codec, metrics);
+    static PeerLink create(
+            Hello remoteHello, Channel channel, FrameCodec codec, ContentStore contents, LinkMetrics metrics) {
+        return new PeerLink(remoteHello, channel, codec, contents, metrics);
     }
 
     Hello remoteHello() {
@@ -70,13 +77,38 @@
             metrics.droppedQueueFull().inc();
             return;
         }
-        byte[] bytes = codec.encode(message);
-        if (bytes.length > PeerNetwork.MAXIMUM_FRAME_BYTES) {
+        Either<Failure, byte[]> frame = codec.encode(message, contents::put);
+        if (frame.isLeft()) {
             queued.decrementAndGet();
             metrics.droppedTooLarge().inc();
             return;
         }
+        write(frame.get()).addListener(written -> queued.decrementAndGet());
+    }
+
+    /** Answers a request of the receiver. To be called on the event loop. */
+    void answer(LinkFrame.Requested request) {
+        writeFrame(contents.part(request.digest(), request.offset(), request.length())
+                .map(bytes -> codec.encodePart(new LinkFrame.Part(request.digest(), request.offset(), bytes)))
+                .orElseGet(() -> codec.encodeUnavailable(new LinkFrame.Unavailable(request.digest()))));
+    }
+
+    /** Asks for a part of a content. To be called on the event loop. */
+    void request(LinkFrame.Requested request) {
+        writeFrame(codec.encodeRequest(request));
+    }
+
+    /** Writes a frame of a transfer, or drops it if the channel is not writable; the receiver asks again. */
+    private void writeFrame(byte[] bytes) {
+        if (channel.isActive() && channel.isWritable()) {
+            write(bytes);
+        } else {
+            metrics.droppedQueueFull().inc();
+        }
+    }
+
+    private ChannelFuture write(byte[] bytes) {
         metrics.sentBytes().inc(PeerNetwork.LENGTH_BYTES + bytes.length);
-        channel.writeAndFlush(Unpooled.wrappedBuffer(bytes)).addListener(written -> queued.decrementAndGet());
+        return channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
     }
 }
--- a/src/main/java/org/plantainwharf/transport/PeerNetwork.java
+++ b/src/main/java/org/plantainwharf/transport/PeerNetwork.java
@@ -30,7 +30,10 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
+import org.plantainwharf.codec.Envelope;
+import org.plantainwharf.codec.FrameCodec;
 import org.plantainwharf.codec.Hello;
+import org.plantainwharf.codec.LinkFrame;
 import org.plantainwharf.codec.PeerMessageCodec;
 import org.plantainwharf.control.EventSink;
 import org.plantainwharf.effect.PeerEffect;
@@ -52,8 +55,8 @@
  * {@link #execute} is thread-safe and never blocks. Close the network before the control thread stops.
  */
 public final class PeerNetwork implements AutoCloseable {
-    /** Maximum length of a frame without its prefix. A longer received frame closes the link; a longer message is not sent. */
-    static final int MAXIMUM_FRAME_BYTES = 4 << 20;
+    /** Maximum length of a frame without its prefix. A longer received frame closes the link. */
+    static final int MAXIMUM_FRAME_BYTES = FrameCodec.MAXIMUM_FRAME_BYTES;
 
     /** Size of the length prefix of a frame. */
     static final int LENGTH_BYTES = 4;
@@ -62,11 +65,13 @@
     private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
 
     /**
-     * Allows unsent data of two frames of maximum length in a channel. Beyond that, messages are dropped until at most
-     * one such frame remains.
+     * Allows unsent data of eight frames of maximum length in a channel. Beyond that, messages are dropped until at most
+     * four such frames remain.
      */
     private static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
-            new WriteBufferWaterMark(MAXIMUM_FRAME_BYTES, 2 * MAXIMUM_FRAME_BYTES);
+            new WriteBufferWaterMark(4 * MAXIMUM_FRAME_BYTES, 8 * MAXIMUM_FRAME_BYTES);
+
+    private static final long TRANSFER_CHECK_MILLIS = 250;
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -80,6 +85,10 @@
     private final Map<HostId, PeerLink> links = new ConcurrentHashMap<>();
     private final PeerPolicy policy;
     private final Map<HostId, Dialer> dialers = new HashMap<>();
+    private final ContentStore contents = ContentStore.create();
+    private final ContentFetcher fetcher;
+    private final ContentFetcher.Output fetcherOutput = new FetcherOutput();
+    private boolean transferCheckScheduled;
     private volatile int port;
     private volatile boolean closing;
 
@@ -96,6 +105,7 @@
         this.codec = codec;
         this.events = events;
         this.metrics = LinkMetrics.of(registry);
+        this.fetcher = ContentFetcher.create(metrics);
         this.eventLoopGroup = new MultiThreadIoEventLoopGroup(
                 1, new DefaultThreadFactory("links-" + settings.host(), true), NioIoHandler.newFactory());
         this.channels = new DefaultChannelGroup(eventLoopGroup.next());
@@ -270,6 +280,75 @@
                 link.remoteHello().incarnation()));
     }
 
+    /** Returns the contents that this host has referred to. For the event loop. */
+    ContentStore contents() {
+        return contents;
+    }
+
+    /** Closes a link that sent a frame or a content that cannot be decoded. */
+    void frameInvalid(PeerLink link, Failure failure) {
+        metrics.framesInvalid().inc();
+        LOGGER.atWarning().log(
+                "event=frame_invalid peer=%s problem=%s", link.remoteHello().host(), failure.message());
+        link.close();
+    }
+
+    void envelopeReceived(PeerLink link, Envelope envelope) {
+        fetcher.receive(link, envelope, System.nanoTime(), fetcherOutput);
+        scheduleTransferCheck();
+    }
+
+    /** Checks the transfers periodically as long as any message waits. */
+    private void scheduleTransferCheck() {
+        if (!transferCheckScheduled && fetcher.hasWaitingMessages()) {
+            transferCheckScheduled = true;
+            eventLoopGroup
+                    .next()
+                    .schedule(
+                            () -> {
+                                transferCheckScheduled = false;
+                                fetcher.checkProgress(System.nanoTime(), fetcherOutput);
+                                scheduleTransferCheck();
+                            },
+                            TRANSFER_CHECK_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    void partReceived(PeerLink link, LinkFrame.Part part) {
+        fetcher.receive(link, part, System.nanoTime(), fetcherOutput);
+    }
+
+    void contentUnavailable(PeerLink link, LinkFrame.Unavailable unavailable) {
+        fetcher.receive(link, unavailable, System.nanoTime(), fetcherOutput);
+    }
+
+    /** Executes what the fetcher decides. Confined to the event loop. */
+    private final class FetcherOutput implements ContentFetcher.Output {
+        @Override
+        public void request(PeerLink link, LinkFrame.Requested request) {
+            link.request(request);
+        }
+
+        @Override
+        public void deliver(PeerLink link, PeerMessage message) {
+            messageReceived(link, message);
+        }
+
+        @Override
+        public void progressed(PeerLink link) {
+            if (links.get(link.remoteHello().host()) == link) {
+                events.post(new PeerEvent.ContentProgressed(
+                        link.remoteHello().host(), link.remoteHello().incarnation()));
+            }
+        }
+
+        @Override
+        public void invalid(PeerLink link, Failure failure) {
+            frameInvalid(link, failure);
+        }
+    }
+
     /** Posts a received message. Messages of a replaced link are dropped, as it was already reported as disconnected. */
     void messageReceived(PeerLink link, PeerMessage message) {
         if (links.get(link.remoteHello().host()) == link) {
@@ -280,6 +359,7 @@
 
     /** Removes a closed link. Does nothing if the link was replaced. */
     void linkClosed(PeerLink link) {
+        fetcher.linkClosed(link, System.nanoTime(), fetcherOutput);
         if (links.remove(link.remoteHello().host(), link)) {
             reportClosed(link);
         }
--- a/src/test/java/org/plantainwharf/transport/PeerNetworkTest.java
+++ b/src/test/java/org/plantainwharf/transport/PeerNetworkTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.plantainwharf.call.Content;
+import org.plantainwharf.codec.FrameCodec;
 import org.plantainwharf.codec.Hello;
 import org.plantainwharf.codec.PeerMessageCodec;
 import org.plantainwharf.effect.PeerEffect;
@@ -273,7 +274,7 @@
             try (RawPeer peer = RawPeer.connect(b.port())) {
                 peer.sendHello(Hello.of(A, ZONE, 10));
                 events.expect(new PeerEvent.PeerConnected(A, ZONE, 10));
-                b.execute(new PeerEffect.SendToPeer(A, answerOf(PeerNetwork.MAXIMUM_FRAME_BYTES)));
+                b.execute(new PeerEffect.SendToPeer(A, answerOf(FrameCodec.MAXIMUM_MESSAGE_BYTES)));
                 b.execute(new PeerEffect.SendToPeer(A, HEARTBEAT));
                 assertTrue(CODEC.decodeHello(peer.readFrame()).isRight());
                 assertEquals(HEARTBEAT, CODEC.decode(peer.readFrame()).get());
