Heed what servers say of themselves in their answers

Cause: Server-Leaving was read nowhere. Retry-After ended as an avoidance of at most 1 s, which a later answer shortened and which was passed over when no other server was left.

Change: ForwardAttempt posts ServerNoticed from the head of any valid answer, with the start of the server that it was sent to. The registry takes a leaving server out as a departure, which outlives its reports; the section of limits holds a pause for its whole time, for one start of the server. If all servers of a service have asked for a pause, callers are refused at once with times to return that follow each other.

Ruled out: telling other daemons (decision 016).

ForwardAttemptTest: 3 new tests passed.

--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -20,6 +20,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
@@ -28,6 +29,8 @@
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.forward.ForwardOutcome;
+import org.plantainwharf.forward.RequestedPause;
+import org.plantainwharf.forward.ServerNotice;
 import org.plantainwharf.forward.ServerStatus;
 import org.plantainwharf.http.EndToEndHeaders;
 import org.plantainwharf.http.ForwardDialect;
@@ -45,6 +48,7 @@
     /** Events of streams have some hundred bytes. Larger ones would fill the memory before they could be passed on. */
     private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
 
+    private static final String LEAVING = "1";
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -193,6 +197,12 @@
         if (!(responseState instanceof ResponseState.Invalid)) {
             status = Optional.of(new ServerStatus(
                     LoadHeader.parse(headers.get(dialect.load())), parseLimit(headers.get(dialect.requestLimit()))));
+            // At once: the answer itself may take long, and no other request may be sent there meanwhile.
+            ServerNotice notice = notice(response.getStatus(), headers);
+            if (notice.isPresent()) {
+                events.post(new ForwardEvent.ServerNoticed(
+                        start.ticket(), start.server(), start.startEpochMillis(), notice));
+            }
         }
         switch (responseState) {
             case ResponseState.Forwarding forwarding -> {
@@ -251,6 +261,15 @@
         }
     }
 
+    private ServerNotice notice(int httpStatus, HttpFields headers) {
+        String leaving = headers.get(dialect.leaving());
+        return new ServerNotice(
+                leaving != null && leaving.strip().equals(LEAVING),
+                httpStatus == HttpStatus.SERVICE_UNAVAILABLE_503
+                        ? RequestedPause.parse(headers.get(HttpHeader.RETRY_AFTER))
+                        : new RequestedPause.None());
+    }
+
     private static OptionalLong retryAfterMillis(HttpFields headers) {
         String text = headers.get(HttpHeader.RETRY_AFTER);
         if (text == null) {
--- a/src/main/java/org/plantainwharf/duty/UsageController.java
+++ b/src/main/java/org/plantainwharf/duty/UsageController.java
@@ -121,6 +121,7 @@
             }
             case ForwardEvent.ForwardArrived arrived -> {}
             case ForwardEvent.ForwardLeft left -> {}
+            case ForwardEvent.ServerNoticed noticed -> {}
             case ForwardEvent.ServerUnreachable unreachable -> {}
         }
     }
--- a/src/main/java/org/plantainwharf/effect/ForwardEffect.java
+++ b/src/main/java/org/plantainwharf/effect/ForwardEffect.java
@@ -14,6 +14,7 @@
     /**
      * Sends the request to a server.
      *
+     * @param startEpochMillis the start of the server that is meant, in milliseconds since the epoch
      * @param remainingMillis time until the caller's deadline, sent to the server
      * @param account account name, sent to the server in place of the caller's key
      * @param priority scheduling priority sent to a model engine; 0 is the highest
@@ -23,6 +24,7 @@
             long ticket,
             int attempt,
             ServerId server,
+            long startEpochMillis,
             String address,
             long remainingMillis,
             Optional<AccountName> account,
--- a/src/main/java/org/plantainwharf/event/ForwardEvent.java
+++ b/src/main/java/org/plantainwharf/event/ForwardEvent.java
@@ -4,6 +4,7 @@
 
 import org.plantainwharf.forward.ForwardHead;
 import org.plantainwharf.forward.ForwardOutcome;
+import org.plantainwharf.forward.ServerNotice;
 import org.plantainwharf.forward.ServerStatus;
 import org.plantainwharf.identity.ServerId;
 
@@ -25,6 +26,14 @@
     /** A server's successful response to this attempt has started and is being forwarded to the caller. */
     record ForwardBegan(long ticket, int attempt, Optional<ServerStatus> status) implements ForwardEvent {}
 
+    /**
+     * The head of a server's answer says something of the server. Posted before the answer is.
+     *
+     * @param startEpochMillis the start of the server to which the request was sent
+     */
+    record ServerNoticed(long ticket, ServerId server, long startEpochMillis, ServerNotice notice)
+            implements ForwardEvent {}
+
     /** Nothing accepts connections at the address of a server that was probed. Other results are not reported. */
     record ServerUnreachable(long ticket, ServerId server) implements ForwardEvent {}
 
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -1,9 +1,11 @@
 package org.plantainwharf.forward;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import org.plantainwharf.board.Board;
@@ -86,6 +88,7 @@
         switch (event) {
             case ForwardEvent.ForwardArrived arrived -> onArrived(arrived, board, nowNanos, effects);
             case ForwardEvent.ServerUnreachable unreachable -> {}
+            case ForwardEvent.ServerNoticed noticed -> onNotice(noticed, board, nowNanos, effects);
             case ForwardEvent.ForwardLeft left ->
                 board.forward().call(left.ticket()).ifPresent(call -> onCallerDisconnected(call, board, effects));
             case ForwardEvent.ForwardBegan began ->
@@ -127,8 +130,12 @@
                     ? Failure.of(ErrorKind.NO_SERVER_AVAILABLE, call.service())
                             .withRetryAfter(RetryAfter.limitedBy(call.head(), OVERLOAD_BACKOFF_MILLIS))
                     : Failure.of(ErrorKind.SERVERS_AT_LIMIT, call.service())
-                            .withRetryAfter(RetryAfter.limitedBy(
-                                    call.head(), ServerChooser.returnMillis(call, candidates, board, nowNanos)));
+                            .withRetryAfter(timeToReturn(
+                                    call,
+                                    () -> RetryAfter.limitedBy(
+                                            call.head(), ServerChooser.returnMillis(call, candidates, board, nowNanos)),
+                                    board,
+                                    nowNanos));
             failCall(call, failure, board, nowNanos, effects);
             return;
         }
@@ -175,6 +182,7 @@
                 call.ticket(),
                 attempt,
                 id,
+                server.report().startEpochMillis(),
                 server.report().address(),
                 call.remainingMillis(nowNanos),
                 call.account().map(AccountRule::name),
@@ -182,6 +190,13 @@
                 call.route().mayResumeStream()));
     }
 
+    /** Returns when a caller of servers that accept no request now should return. */
+    private static Duration timeToReturn(
+            ForwardCall call, Supplier<Duration> unlessPaused, Board board, long nowNanos) {
+        OptionalLong afterPauses = ServerChooser.returnMillisAfterPauses(call, board, nowNanos);
+        return afterPauses.isPresent() ? RetryAfter.known(afterPauses.getAsLong()) : unlessPaused.get();
+    }
+
     /** Returns whether content of the request is blamed for crashes of servers. */
     static boolean isQuarantined(ForwardCall call, Board board, long nowNanos) {
         return board.quarantine()
@@ -198,6 +213,29 @@
         return Math.max(0, Math.min(LOWEST_PRIORITY, declared));
     }
 
+    /** Holds requests back from a server that wants none for a time. The registry controller heeds those that leave. */
+    private static void onNotice(ForwardEvent.ServerNoticed noticed, Board board, long nowNanos, Effects effects) {
+        switch (noticed.notice().pause()) {
+            case RequestedPause.None none -> {}
+            case RequestedPause.Unusable unusable -> {
+                effects.count("forward.pauses_unusable");
+                effects.log("server_pause_unusable", "server", noticed.server(), "value", unusable.text());
+            }
+            case RequestedPause.For pause -> {
+                effects.count(pause.bounded() ? "forward.pauses_bounded" : "forward.pauses_requested");
+                effects.log(
+                        "server_paused",
+                        "server",
+                        noticed.server(),
+                        "for_ms",
+                        pause.millis(),
+                        "bounded",
+                        pause.bounded());
+                board.serverLimits().pause(noticed.server(), noticed.startEpochMillis(), pause.millis(), nowNanos);
+            }
+        }
+    }
+
     private static void onAnswerStarted(
             ForwardCall call, ForwardEvent.ForwardBegan began, Board board, long nowNanos, Effects effects) {
         if (call.state() instanceof ForwardCall.State.Running running && running.attempt() == began.attempt()) {
@@ -436,7 +474,8 @@
         } else {
             failCall(
                     call,
-                    failure.withRetryAfter(RetryAfter.limitedBy(call.head(), OVERLOAD_BACKOFF_MILLIS)),
+                    failure.withRetryAfter(timeToReturn(
+                            call, () -> RetryAfter.limitedBy(call.head(), OVERLOAD_BACKOFF_MILLIS), board, nowNanos)),
                     board,
                     nowNanos,
                     effects);
--- a/src/main/java/org/plantainwharf/forward/RetryAfter.java
+++ b/src/main/java/org/plantainwharf/forward/RetryAfter.java
@@ -15,6 +15,11 @@
 
     private RetryAfter() {}
 
+    /** Returns the time until a server accepts requests again, which is known and so not shortened; at least 1 ms. */
+    static Duration known(long millis) {
+        return Duration.ofMillis(Math.max(1, millis));
+    }
+
     /**
      * Returns the desired time, but at most {@link #MAXIMUM_MILLIS}, at most a third of the caller's deadline (a third
      * of {@link #MAXIMUM_MILLIS} if it sent none), and at least 1 ms.
--- a/src/main/java/org/plantainwharf/forward/ServerChooser.java
+++ b/src/main/java/org/plantainwharf/forward/ServerChooser.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -44,8 +45,8 @@
 
     /** Returns whether there is a server that this daemon may send the request now. */
     static boolean canChoose(ForwardCall call, Board board, long nowNanos) {
-        return candidates(call, board, nowNanos).stream()
-                .anyMatch(candidate -> board.serverLimits().permits(candidate.id(), nowNanos));
+        return candidates(call, board, nowNanos).stream().anyMatch(candidate -> board.serverLimits()
+                .permits(candidate.server().report(), nowNanos));
     }
 
     /** Selects the best server; if it has reached its request limit, the best of those that have not. */
@@ -54,11 +55,12 @@
         Set<ServerId> longPromptServers = longPromptServers(call, candidates, board);
         Optional<ServerSelector.Candidate> best = select(call, candidates, longPromptServers, board, nowNanos);
         best.ifPresent(candidate -> board.serverLimits().recordWanted(candidate.id()));
-        if (best.isEmpty() || board.serverLimits().permits(best.get().id(), nowNanos)) {
+        if (best.isEmpty() || board.serverLimits().permits(best.get().server().report(), nowNanos)) {
             return best;
         }
         List<ServerSelector.Candidate> permitted = candidates.stream()
-                .filter(candidate -> board.serverLimits().permits(candidate.id(), nowNanos))
+                .filter(candidate ->
+                        board.serverLimits().permits(candidate.server().report(), nowNanos))
                 .toList();
         if (permitted.isEmpty()) {
             candidates.forEach(candidate -> board.serverLimits().recordWanted(candidate.id()));
@@ -90,7 +92,8 @@
      */
     static long returnMillis(ForwardCall call, List<ServerSelector.Candidate> candidates, Board board, long nowNanos) {
         long untilPermitted = candidates.stream()
-                .mapToLong(candidate -> board.serverLimits().millisUntilPermitted(candidate.id(), nowNanos))
+                .mapToLong(candidate -> board.serverLimits()
+                        .millisUntilPermitted(candidate.server().report(), nowNanos))
                 .min()
                 .orElse(RetryAfter.MAXIMUM_MILLIS);
         double ratePerSecond = candidates.stream()
@@ -100,6 +103,27 @@
                 .reserveReturn(call.service(), untilPermitted, ratePerSecond, RetryAfter.MAXIMUM_MILLIS, nowNanos);
     }
 
+    /**
+     * Returns when a caller should return if every server of its service has requested a pause; empty if one has not.
+     * Callers get times one after the other from the end of the first pause on, as if each slot of the servers took one
+     * a second, so that the pauses do not end with a burst.
+     */
+    static OptionalLong returnMillisAfterPauses(ForwardCall call, Board board, long nowNanos) {
+        long firstEnd = Long.MAX_VALUE;
+        long slots = 0;
+        for (KnownServer server : board.registry().servers()) {
+            if (server.ready() && server.report().service().equals(call.service())) {
+                firstEnd = Math.min(firstEnd, board.serverLimits().pauseMillis(server.report(), nowNanos));
+                slots += Math.max(1, server.report().slots());
+            }
+        }
+        return slots == 0 || firstEnd == 0
+                ? OptionalLong.empty()
+                : OptionalLong.of(board.forward()
+                        .reserveReturn(
+                                call.service(), firstEnd, slots, firstEnd + RetryAfter.MAXIMUM_MILLIS, nowNanos));
+    }
+
     private static Set<ServerId> longPromptServers(
             ForwardCall call, List<ServerSelector.Candidate> candidates, Board board) {
         return call.head().prompt().isEmpty()
--- a/src/main/java/org/plantainwharf/http/ForwardDialect.java
+++ b/src/main/java/org/plantainwharf/http/ForwardDialect.java
@@ -17,6 +17,7 @@
  * @param load response header with the server's running requests, waiting requests and slots, and from some servers the
  *     time that work takes in percent of the usual, separated by commas
  * @param requestLimit response header with the requests per second that the server accepts from all daemons together
+ * @param leaving response header of a server that wants no new requests any more; its value is 1
  * @param model carries the name of the requested model
  * @param tokenCounts carries the number of prompt tokens and the maximum number of output tokens, separated by a comma
  * @param promptParts carries the parts of the prompt as id:tokens, separated by commas
@@ -33,6 +34,7 @@
         String notRun,
         String load,
         String requestLimit,
+        String leaving,
         String model,
         String tokenCounts,
         String promptParts,
--- a/src/main/java/org/plantainwharf/limit/ServerLimitSection.java
+++ b/src/main/java/org/plantainwharf/limit/ServerLimitSection.java
@@ -13,6 +13,7 @@
 import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.message.ServerLimitShare;
 import org.plantainwharf.message.ServerLimitUse;
+import org.plantainwharf.registry.ServerReport;
 
 /**
  * Request limits that servers name in their answers and that all daemons together keep to. Entry daemons hold their part
@@ -27,9 +28,16 @@
     /** Time for which the end of a limit is reported, so that daemons that do not use the server learn of it. */
     private static final long ENDED_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /** Pauses kept; the ones requested first are dropped first. */
+    private static final int MAXIMUM_PAUSES = 8_192;
+
     private final Map<ServerId, ServerLimit> limits = new HashMap<>();
+    private final Map<ServerId, Pause> pauses = new LinkedHashMap<>();
     private final ServerLimitAggregator aggregator = new ServerLimitAggregator();
 
+    /** A pause that one start of a server has requested of this daemon. Immutable. */
+    private record Pause(long startEpochMillis, long untilNanos) {}
+
     private ServerLimitSection() {}
 
     /** Returns a section without limits. */
@@ -58,16 +66,48 @@
         return changed;
     }
 
-    /** Returns whether this daemon may send a server a request now. */
-    public boolean permits(ServerId server, long nowNanos) {
-        @Nullable ServerLimit limit = limits.get(server);
-        return limit == null || limit.permits(nowNanos);
+    /**
+     * Records that a start of a server wants no requests of this daemon for a time. A pause is never shortened by the same
+     * start, nor replaced by an earlier one.
+     */
+    public void pause(ServerId server, long startEpochMillis, long millis, long nowNanos) {
+        long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+        @Nullable Pause known = pauses.get(server);
+        if (known != null
+                && (known.startEpochMillis() > startEpochMillis
+                        || known.startEpochMillis() == startEpochMillis && known.untilNanos() - untilNanos >= 0)) {
+            return;
+        }
+        pauses.remove(server);
+        pauses.put(server, new Pause(startEpochMillis, untilNanos));
+        if (pauses.size() > MAXIMUM_PAUSES) {
+            pauses.remove(pauses.keySet().iterator().next());
+        }
+    }
+
+    /**
+     * Returns whether this daemon may send a server a request now: the server wants no pause, and this daemon's part of
+     * its limit suffices.
+     */
+    public boolean permits(ServerReport server, long nowNanos) {
+        @Nullable ServerLimit limit = limits.get(server.server());
+        return pauseMillis(server, nowNanos) == 0 && (limit == null || limit.permits(nowNanos));
     }
 
     /** Returns the time until this daemon may send a server a request, in milliseconds. */
-    public long millisUntilPermitted(ServerId server, long nowNanos) {
-        @Nullable ServerLimit limit = limits.get(server);
-        return limit == null ? 0 : limit.millisUntilPermitted(nowNanos);
+    public long millisUntilPermitted(ServerReport server, long nowNanos) {
+        @Nullable ServerLimit limit = limits.get(server.server());
+        return Math.max(pauseMillis(server, nowNanos), limit == null ? 0 : limit.millisUntilPermitted(nowNanos));
+    }
+
+    /** Returns the rest of the pause that this start of the server has requested, in milliseconds; 0 without one. */
+    public long pauseMillis(ServerReport server, long nowNanos) {
+        @Nullable Pause pause = pauses.get(server.server());
+        if (pause == null || pause.startEpochMillis() != server.startEpochMillis()) {
+            return 0;
+        }
+        long remainingNanos = pause.untilNanos() - nowNanos;
+        return remainingNanos <= 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(remainingNanos) + 1;
     }
 
     /** Returns the requests per second that this daemon may send a server; infinite if the server has no limit. */
@@ -104,6 +144,7 @@
                 .removeIf(entry ->
                         !isKnown.test(entry.getKey()) || entry.getValue().isIdle(nowNanos, ENDED_LIMIT_NANOS));
         limits.values().forEach(limit -> limit.endPeriod(periodSeconds));
+        pauses.values().removeIf(pause -> pause.untilNanos() - nowNanos <= 0);
         Map<ServerId, ServerLimitUse> report = new LinkedHashMap<>();
         limits.entrySet().stream()
                 .sorted(Comparator.comparingDouble((Map.Entry<ServerId, ServerLimit> entry) ->
--- a/src/main/java/org/plantainwharf/platform/WireNames.java
+++ b/src/main/java/org/plantainwharf/platform/WireNames.java
@@ -28,6 +28,7 @@
             "X-Plantainwharf-Not-Executed",
             "X-Plantainwharf-Server-Load",
             "Server-Limit",
+            "Server-Leaving",
             "X-Plantainwharf-Model",
             "X-Plantainwharf-Token-Counts",
             "X-Plantainwharf-Prefix-Hash",
--- a/src/main/java/org/plantainwharf/quarantine/ForwardQuarantineController.java
+++ b/src/main/java/org/plantainwharf/quarantine/ForwardQuarantineController.java
@@ -107,6 +107,7 @@
                         .call(began.ticket())
                         .flatMap(call -> runningAttempt(call, began.attempt()))
                         .ifPresent(running -> recordResponse(running, board));
+            case ForwardEvent.ServerNoticed noticed -> {}
             case ForwardEvent.ServerUnreachable unreachable ->
                 confirmCrash(unreachable.server(), "refuses_connections", board, nowNanos, effects);
             case ForwardEvent.ForwardEnded ended ->
--- a/src/main/java/org/plantainwharf/registry/RegistryController.java
+++ b/src/main/java/org/plantainwharf/registry/RegistryController.java
@@ -73,7 +73,7 @@
             case PeerEvent peer -> onPeer(peer, board, nowNanos, effects);
             case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
             case DocumentEvent ignored -> {}
-            case ForwardEvent ignored -> {}
+            case ForwardEvent forward -> onForward(forward, board, effects);
             case DutyEvent ignored -> {}
             case ReplicationEvent replication -> onReplication(replication, board, effects);
             case StorageEvent ignored -> {}
@@ -149,6 +149,18 @@
         }
     }
 
+    /**
+     * Takes a server out of use that has told this daemon that it leaves. The others hear of it from the server itself,
+     * or from its reports.
+     */
+    private static void onForward(ForwardEvent event, Board board, Effects effects) {
+        if (event instanceof ForwardEvent.ServerNoticed noticed
+                && noticed.notice().leaving()) {
+            effects.count("registry.servers_said_leaving");
+            depart(new Departure(noticed.server(), noticed.startEpochMillis(), false), board, effects);
+        }
+    }
+
     private static void depart(Departure departure, Board board, Effects effects) {
         if (board.registry().depart(departure)) {
             effects.log(
--- a/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
+++ b/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
@@ -22,12 +22,15 @@
 import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.forward.ForwardOutcome;
 import org.plantainwharf.forward.LoadReport;
+import org.plantainwharf.forward.RequestedPause;
 import org.plantainwharf.forward.ServerLoad;
+import org.plantainwharf.forward.ServerNotice;
 import org.plantainwharf.identity.ServerId;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against invalid, truncated or mismatched responses that reach callers as complete. */
 @Timeout(30)
@@ -69,7 +72,15 @@
             Thread thread = new Thread(() -> serve(server, response, end), "scripted-server");
             thread.start();
             ForwardEffect.StartForward start = new ForwardEffect.StartForward(
-                    1, 1, ServerId.of("i-1"), "127.0.0.1:" + server.getLocalPort(), 5_000, Optional.empty(), 0, false);
+                    1,
+                    1,
+                    ServerId.of("i-1"),
+                    1,
+                    "127.0.0.1:" + server.getLocalPort(),
+                    5_000,
+                    Optional.empty(),
+                    0,
+                    false);
             ForwardAttempt.create(client, ForwardTestDialect.DIALECT, start, exchange, events, ended -> {})
                     .send();
             while (true) {
@@ -222,6 +233,43 @@
         }
     }
 
+    /** A server's word about itself must be heard before the next request is sent, not when its answer has ended. */
+    @Nested
+    class ServerNotices {
+        private ServerNotice firstNotice(String head) throws Exception {
+            List<Event> posted = events(head + "Content-Length: 2\r\n\r\nok", ORDERLY);
+            return assertInstanceOf(ForwardEvent.ServerNoticed.class, posted.getFirst())
+                    .notice();
+        }
+
+        @Test
+        void areReportedBeforeAnyKindOfAnswer() throws Exception {
+            List<String> heads = List.of(
+                    RESPONSE_HEAD,
+                    "HTTP/1.1 500 Broken\r\nX-Id: r-1\r\nX-Seal: s\r\n",
+                    "HTTP/1.1 503 Full\r\nX-Id: r-1\r\nX-Not-Run: 1\r\n");
+            for (String head : heads) {
+                assertTrue(firstNotice(head + "X-Leaving: 1\r\n").leaving(), head);
+            }
+        }
+
+        @Test
+        void nameThePauseOfARefusalOnly() throws Exception {
+            assertEquals(
+                    new RequestedPause.For(2_500, false),
+                    firstNotice("HTTP/1.1 503 Full\r\nX-Id: r-1\r\nX-Not-Run: 1\r\nRetry-After: 2.5\r\n")
+                            .pause());
+            List<Event> posted = events(RESPONSE_HEAD + "Retry-After: 2.5\r\nContent-Length: 2\r\n\r\nok", ORDERLY);
+            assertInstanceOf(ForwardEvent.ForwardBegan.class, posted.getFirst());
+        }
+
+        @Test
+        void areNotTakenFromAnAnswerToAnotherRequest() throws Exception {
+            List<Event> posted = events("HTTP/1.1 200 OK\r\nX-Id: r-0\r\nX-Seal: s\r\nX-Leaving: 1\r\n\r\n", ORDERLY);
+            assertInstanceOf(ForwardEvent.ForwardEnded.class, posted.getFirst());
+        }
+    }
+
     /**
      * Servers append figures to the load header over time. A header that is not understood must cost neither the answer
      * nor, while its first figures are readable, what they say about the load.
@@ -310,7 +358,7 @@
         @ValueSource(strings = {"10.0.0.1:99999", "not an address", ""})
         void endAsNotSent(String address) throws Exception {
             ForwardEffect.StartForward start = new ForwardEffect.StartForward(
-                    1, 1, ServerId.of("i-1"), address, 5_000, Optional.empty(), 0, false);
+                    1, 1, ServerId.of("i-1"), 1, address, 5_000, Optional.empty(), 0, false);
             ForwardAttempt.create(client, ForwardTestDialect.DIALECT, start, exchange, events, ended -> {})
                     .send();
             Event event = events.poll(5_000);
--- a/src/test/java/org/plantainwharf/backend/ForwardTestDialect.java
+++ b/src/test/java/org/plantainwharf/backend/ForwardTestDialect.java
@@ -17,6 +17,7 @@
             "X-Not-Run",
             "X-Load",
             "X-Limit",
+            "X-Leaving",
             "X-Model",
             "X-Tokens",
             "X-Prompt",
--- a/src/test/java/org/plantainwharf/backend/ReusedConnectionTest.java
+++ b/src/test/java/org/plantainwharf/backend/ReusedConnectionTest.java
@@ -220,7 +220,7 @@
         ForwardOutcome send(RecordingExchange exchange) throws InterruptedException {
             QueueingEventSink events = QueueingEventSink.create();
             ForwardEffect.StartForward start = new ForwardEffect.StartForward(
-                    1, 1, ServerId.of("i-1"), server.address(), 5_000, Optional.empty(), 0, false);
+                    1, 1, ServerId.of("i-1"), 1, server.address(), 5_000, Optional.empty(), 0, false);
             ForwardAttempt.create(client, ForwardTestDialect.DIALECT, start, exchange, events, ended -> {})
                     .send();
             while (true) {
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -98,10 +98,14 @@
     }
 
     void reportServer(String server, ServerPhase phase) {
+        reportServer(server, 1, phase);
+    }
+
+    void reportServer(String server, long startEpochMillis, ServerPhase phase) {
         sequence++;
         ServerReport report = new ServerReport(
                 ServerId.of(server),
-                1,
+                startEpochMillis,
                 sequence,
                 SERVICE,
                 "10.0.0." + server.substring(2) + ":80",
