Read and decode one large document at a time

Operators would see: a control daemon that ends when eight documents of 4.1 MB, as many as may be in progress, arrive at once.

Cause: the control API read and decoded any number of documents at the same time; decoding takes several times the memory of the text.

Change: one document above 256 KB, or of unknown size, at a time; others get 503 and go to another daemon.

ControlApiTest$Operators: the new test fails without the change, as the second document gets no answer; it passes now.

--- a/src/main/java/org/plantainwharf/platform/ControlApi.java
+++ b/src/main/java/org/plantainwharf/platform/ControlApi.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -40,6 +41,13 @@
     /** Largest service document accepted; one of the planned size has some thousand routes. */
     private static final int MAXIMUM_BODY_BYTES = 4 << 20;
 
+    /**
+     * Documents above this size, or of unknown size, are read and decoded one at a time: decoding takes many times the
+     * memory of the text. Others meanwhile are told to go to another daemon.
+     */
+    private static final int LARGE_DOCUMENT_BYTES = 256 << 10;
+
+    private final Semaphore largeDocuments = new Semaphore(1);
     private final Settings settings;
     private final DocumentCodec codec;
     private final EventSink events;
@@ -127,11 +135,36 @@
     private final class RequestHandler extends Handler.Abstract {
         @Override
         public boolean handle(Request request, Response response, Callback callback) {
-            RequestReader.readBody(
-                    request, MAXIMUM_BODY_BYTES, read -> read.peek(body -> route(request, response, callback, body))
-                            .peekLeft(failure -> sendError(response, callback, failure)));
+            if (!isLargeDocument(request)) {
+                readAndRoute(request, response, callback);
+            } else if (largeDocuments.tryAcquire()) {
+                readAndRoute(request, response, releasing(callback));
+            } else {
+                log.write("large_document_turned_away", "bytes", request.getLength());
+                sendResponse(response, callback, 503, "{}".getBytes(StandardCharsets.UTF_8));
+            }
             return true;
         }
+
+        private Callback releasing(Callback callback) {
+            return new Callback.Nested(callback) {
+                @Override
+                public void completed() {
+                    largeDocuments.release();
+                }
+            };
+        }
+    }
+
+    private static boolean isLargeDocument(Request request) {
+        return WireNames.REPLACE_DOCUMENT_PATH.equals(request.getHttpURI().getDecodedPath())
+                && (request.getLength() < 0 || request.getLength() > LARGE_DOCUMENT_BYTES);
+    }
+
+    private void readAndRoute(Request request, Response response, Callback callback) {
+        RequestReader.readBody(
+                request, MAXIMUM_BODY_BYTES, read -> read.peek(body -> route(request, response, callback, body))
+                        .peekLeft(failure -> sendError(response, callback, failure)));
     }
 
     private void route(Request request, Response response, Callback callback, byte[] body) {
--- a/src/test/java/org/plantainwharf/platform/ControlApiTest.java
+++ b/src/test/java/org/plantainwharf/platform/ControlApiTest.java
@@ -7,7 +7,11 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
@@ -31,6 +35,7 @@
 import org.plantainwharf.testing.Samples;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against wrong response statuses, and against invalid input that reaches the control thread. */
@@ -43,6 +48,7 @@
     private final ConcurrentLinkedQueue<Event> events = new ConcurrentLinkedQueue<>();
     private final HttpClient client = HttpClient.newHttpClient();
     private volatile boolean queueFull;
+    private volatile boolean documentsWait;
     private volatile boolean acknowledged = true;
     private @Nullable LineLog log;
     private @Nullable ControlApi api;
@@ -61,9 +67,12 @@
                     target.execute(new RegistryEffect.AnswerServer(reported.ticket(), acknowledged));
                 case RegistryEvent.ServerDeregistered ended ->
                     target.execute(new RegistryEffect.AnswerServer(ended.ticket(), acknowledged));
-                case DocumentEvent.DocumentSubmitted submitted ->
-                    target.execute(new DocumentEffect.AcknowledgeDocument(
-                            submitted.ticket(), submitted.document().version()));
+                case DocumentEvent.DocumentSubmitted submitted -> {
+                    if (!documentsWait) {
+                        target.execute(new DocumentEffect.AcknowledgeDocument(
+                                submitted.ticket(), submitted.document().version()));
+                    }
+                }
                 case DocumentEvent.DocumentRequested requested ->
                     target.execute(
                             acknowledged
@@ -243,6 +252,49 @@
             assertTrue(events.isEmpty());
         }
 
+        private String largeDocument(int version) {
+            String routes = IntStream.range(0, 2_000)
+                    .mapToObj(route ->
+                            ("{\"name\":\"r%d\",\"host\":\"a.example\",\"path_prefix\":\"/p%d/\",\"type\":\"safe\","
+                                            + "\"timeout_ms\":3000,\"target_latency_ms\":300,\"priority\":0,\"service\":\"app\","
+                                            + "\"max_attempts\":2,\"public\":true,\"session_affinity\":false,"
+                                            + "\"stream_resume\":false,\"itl_target_ms\":0}")
+                                    .formatted(route, route))
+                    .collect(Collectors.joining(","));
+            return "{\"version\":" + version + ",\"routes\":[" + routes
+                    + "],\"services\":[{\"name\":\"app\",\"health_path\":\"/healthz\",\"max_connections\":100,"
+                    + "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"max_header_bytes\":16384,"
+                    + "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+                    + "\"tenants\":[]}";
+        }
+
+        private CompletableFuture<HttpResponse<String>> postLater(String body) {
+            return client.sendAsync(
+                    HttpRequest.newBuilder(URI.create(
+                                    "http://127.0.0.1:" + startedApi().port() + "/Config.Replace"))
+                            .POST(HttpRequest.BodyPublishers.ofString(body))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+        }
+
+        /** Eight documents of 4 MiB at once exhausted the heap of a control daemon. */
+        @Test
+        void withLargeDocumentsAreServedOneAtATime() throws Exception {
+            documentsWait = true;
+            CompletableFuture<HttpResponse<String>> first = postLater(largeDocument(1));
+            while (events.isEmpty()) {
+                TimeUnit.MILLISECONDS.sleep(5);
+            }
+            assertEquals(503, post("/Config.Replace", largeDocument(2)).statusCode());
+            documentsWait = false;
+            assertEquals(200, post("/Instances.Heartbeat/i-7f", REPORT).statusCode());
+            DocumentEvent.DocumentSubmitted submitted =
+                    assertInstanceOf(DocumentEvent.DocumentSubmitted.class, events.peek());
+            startedApi().execute(new DocumentEffect.AcknowledgeDocument(submitted.ticket(), 1));
+            assertEquals(200, first.get(20, TimeUnit.SECONDS).statusCode());
+            assertEquals(200, post("/Config.Replace", largeDocument(3)).statusCode());
+        }
+
         @Tag("known-red")
         @Test
         void withTooLargeDocumentsAreRejectedWithoutAnEvent() throws Exception {
