--- a/src/test/java/org/plantainwharf/platform/ControlApiTest.java
+++ b/src/test/java/org/plantainwharf/platform/ControlApiTest.java
@@ -7,6 +7,8 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +21,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -33,6 +36,7 @@
 import org.plantainwharf.log.LineLog;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.testing.Samples;
+import org.plantainwharf.testing.TestProcesses;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -278,13 +282,12 @@
         }
 
         /** Eight documents of 4 MiB at once exhausted the heap of a control daemon. */
+        @Timeout(60)
         @Test
         void withLargeDocumentsAreServedOneAtATime() throws Exception {
             documentsWait = true;
             CompletableFuture<HttpResponse<String>> first = postLater(largeDocument(1));
-            while (events.isEmpty()) {
-                TimeUnit.MILLISECONDS.sleep(5);
-            }
+            TestProcesses.await("the first document", Duration.ofSeconds(20), Path.of("."), () -> !events.isEmpty());
             assertEquals(503, post("/Config.Replace", largeDocument(2)).statusCode());
             documentsWait = false;
             assertEquals(200, post("/Instances.Heartbeat/i-7f", REPORT).statusCode());
