Keep the contents that receivers are fetching

Callers would see: an entry daemon behind a slow link that never gets a document of 4 MiB while others are committed every few seconds.

Cause: ContentStore dropped the content that was referred to longest ago. Requests for its parts did not count as a use, although the class comment said so, so that two newer contents ended a transfer that was under way.

Change: the contents are kept in the order of their last use, a request for a part included.

Ruled out: a larger bound, which only moves the number of contents.

--- a/src/main/java/org/plantainwharf/transport/ContentStore.java
+++ b/src/main/java/org/plantainwharf/transport/ContentStore.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -20,14 +21,16 @@
     /** Bound of the compressed and the plain bytes together; the plain ones are mostly shared with other messages. */
     static final long MAXIMUM_BYTES = 24L << 20;
 
-    private final Map<PlainKey, Stored> byPlain = new LinkedHashMap<>(16, 0.75f, true);
-    private final Map<String, byte[]> byDigest = new LinkedHashMap<>();
+    /** Contents by digest, the one used longest ago first. */
+    private final Map<String, Stored> byDigest = new LinkedHashMap<>(16, 0.75f, true);
+
+    private final Map<PlainKey, String> digests = new HashMap<>();
     private long bytes;
 
     /** Finds equal bytes; the bytes themselves are compared as well. Immutable. */
     private record PlainKey(int length, long checksum) {}
 
-    private record Stored(ByteBuffer plain, ContentReference.Compressed compressed) {
+    private record Stored(PlainKey key, ByteBuffer plain, ContentReference.Compressed compressed) {
         long size() {
             return plain.remaining() + compressed.bytes().length;
         }
@@ -44,36 +47,38 @@
         CRC32C checksum = new CRC32C();
         checksum.update(plain.duplicate());
         PlainKey key = new PlainKey(plain.remaining(), checksum.getValue());
-        @Nullable Stored known = byPlain.get(key);
+        @Nullable String digest = digests.get(key);
+        @Nullable Stored known = digest == null ? null : byDigest.get(digest);
         if (known != null && known.plain().equals(plain)) {
             return known.compressed().reference();
         }
         if (known != null) {
-            remove(key, known);
+            remove(known);
         }
-        Stored stored = new Stored(plain, ContentReference.compress(plain));
-        byPlain.put(key, stored);
-        byDigest.put(
-                stored.compressed().reference().digest(), stored.compressed().bytes());
+        Stored stored = new Stored(key, plain, ContentReference.compress(plain));
+        digests.put(key, stored.compressed().reference().digest());
+        byDigest.put(stored.compressed().reference().digest(), stored);
         bytes += stored.size();
-        while (bytes > MAXIMUM_BYTES && byPlain.size() > 1) {
-            Map.Entry<PlainKey, Stored> eldest = byPlain.entrySet().iterator().next();
-            remove(eldest.getKey(), eldest.getValue());
+        while (bytes > MAXIMUM_BYTES && byDigest.size() > 1) {
+            remove(byDigest.values().iterator().next());
         }
         return stored.compressed().reference();
     }
 
-    private void remove(PlainKey key, Stored stored) {
-        byPlain.remove(key);
+    private void remove(Stored stored) {
+        digests.remove(stored.key());
         byDigest.remove(stored.compressed().reference().digest());
         bytes -= stored.size();
     }
 
     /** Returns compressed bytes from an offset on; empty if the content is not kept or ends before the offset. */
     Optional<byte[]> part(String digest, int offset, int length) {
-        byte @Nullable [] content = byDigest.get(digest);
-        return content == null || offset >= content.length
-                ? Optional.empty()
-                : Optional.of(Arrays.copyOfRange(content, offset, Math.min(content.length, offset + length)));
+        // The lookup counts as a use, so a content that a receiver is fetching stays while newer ones come.
+        @Nullable Stored stored = byDigest.get(digest);
+        if (stored == null || offset >= stored.compressed().bytes().length) {
+            return Optional.empty();
+        }
+        byte[] content = stored.compressed().bytes();
+        return Optional.of(Arrays.copyOfRange(content, offset, Math.min(content.length, offset + length)));
     }
 }
--- a/src/test/java/org/plantainwharf/transport/LargeMessageTest.java
+++ b/src/test/java/org/plantainwharf/transport/LargeMessageTest.java
@@ -1,6 +1,7 @@
 package org.plantainwharf.transport;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -230,6 +231,25 @@
         }
     }
 
+    @Nested
+    class Senders {
+        /** A content may take a slow receiver longer than it takes the next ones to be committed. */
+        @Test
+        void keepWhatAReceiverIsFetching() {
+            ContentStore store = ContentStore.create();
+            SplittableRandom random = new SplittableRandom(1);
+            byte[] first = new byte[4 << 20];
+            random.nextBytes(first);
+            String digest = store.put(ByteBuffer.wrap(first)).digest();
+            for (int later = 1; later <= 6; later++) {
+                assertTrue(store.part(digest, later, 1).isPresent(), "after " + (later - 1) + " later contents");
+                byte[] content = new byte[4 << 20];
+                random.nextBytes(content);
+                store.put(ByteBuffer.wrap(content));
+            }
+        }
+    }
+
     @Nested
     class Peers {
         /** What one daemon sent of a content counts when another one sends the same content. */
