Read what is left of a body before closing its connection

Callers and operators saw: a closed connection instead of 413, or 503 for a second large document.

Cause: Jetty closes a connection whose body was not read when the answer ends. A close with unread bytes is a reset, which discards the answer that the client has not read yet. Which of the two arrives first decided the outcome.

The answer itself is not delayed. ControlApiTest$Operators.withTooLargeDocumentsAreRejectedWithoutAnEvent leaves the group known-red.

Ruled out: waiting for the body before the answer, which holds callers who wait for it; a wider wait in the test.

--- a/src/main/java/org/plantainwharf/front/HttpListener.java
+++ b/src/main/java/org/plantainwharf/front/HttpListener.java
@@ -69,7 +69,7 @@
         connector.setPort(Integer.parseInt(address.substring(colon + 1)));
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         server.addConnector(connector);
-        server.setHandler(handler);
+        server.setHandler(UnreadBodyHandler.create(handler));
         server.setErrorHandler(JsonErrorHandler.create(bounds.maximumHeaderBytes()));
         // A drain ends only when no request is running, so connections are closed without waiting for their callers.
         server.setStopTimeout(0);
--- /dev/null
+++ b/src/test/java/org/plantainwharf/front/HttpListenerTest.java
@@ -0,0 +1,148 @@
+package org.plantainwharf.front;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.plantainwharf.testing.Samples;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against answers that are lost because their connection was closed too early. */
+@Timeout(60)
+class HttpListenerTest {
+    private static final int BODY_BYTES = 5 << 20;
+
+    private final AtomicInteger requests = new AtomicInteger();
+    private @Nullable HttpListener listener;
+
+    /** Answers every request with status 413 without reading its body. */
+    private final class RejectingHandler extends Handler.Abstract {
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            requests.incrementAndGet();
+            response.setStatus(413);
+            response.getHeaders().put(HttpHeader.CONTENT_LENGTH, 2);
+            response.write(true, ByteBuffer.wrap("{}".getBytes(StandardCharsets.UTF_8)), callback);
+            return true;
+        }
+    }
+
+    private Socket connect() throws IOException {
+        HttpListener started = HttpListener.create(
+                "test", "127.0.0.1:0", false, Samples.settings("core-1").bounds(), new RejectingHandler());
+        started.start();
+        listener = started;
+        return new Socket(InetAddress.getLoopbackAddress(), started.port());
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        HttpListener started = listener;
+        if (started != null) {
+            started.stop();
+        }
+    }
+
+    private static byte[] head(String headers) {
+        return ("POST /x HTTP/1.1\r\nHost: a.example\r\n" + headers + "\r\n").getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** Reads one answer with the body of {@link RejectingHandler}. */
+    private static String readAnswer(InputStream input) throws IOException {
+        StringBuilder text = new StringBuilder();
+        while (!text.toString().endsWith("\r\n\r\n{}")) {
+            int next = input.read();
+            if (next < 0) {
+                throw new IOException("connection ended after: " + text);
+            }
+            text.append((char) next);
+        }
+        return text.toString();
+    }
+
+    @Nested
+    class UnreadBodies {
+        /** Closing a connection with unread bytes resets it, and the reset discards the answer at the receiver. */
+        @Test
+        void doNotLoseTheAnswerOfAClientThatReadsAfterSending() throws Exception {
+            try (Socket client = connect()) {
+                OutputStream output = client.getOutputStream();
+                output.write(head("Content-Length: " + BODY_BYTES + "\r\n"));
+                output.write(new byte[BODY_BYTES]);
+                output.flush();
+                assertTrue(readAnswer(client.getInputStream()).startsWith("HTTP/1.1 413 "));
+            }
+        }
+
+        /** A client that waits for the answer before it sends the rest must get it without sending more. */
+        @Test
+        void doNotDelayTheAnswer() throws Exception {
+            try (Socket client = connect()) {
+                OutputStream output = client.getOutputStream();
+                output.write(head("Content-Length: " + BODY_BYTES + "\r\n"));
+                output.write(new byte[BODY_BYTES / 2]);
+                output.flush();
+                assertTrue(readAnswer(client.getInputStream()).startsWith("HTTP/1.1 413 "));
+            }
+        }
+
+        /** Body bytes must not be taken for the next request of the connection. */
+        @Test
+        void leaveTheConnectionUsable() throws Exception {
+            try (Socket client = connect()) {
+                OutputStream output = client.getOutputStream();
+                for (int index = 0; index < 3; index++) {
+                    output.write(head("Content-Length: " + BODY_BYTES + "\r\n"));
+                    output.write(new byte[BODY_BYTES]);
+                    output.flush();
+                    assertTrue(readAnswer(client.getInputStream()).startsWith("HTTP/1.1 413 "));
+                }
+                assertEquals(3, requests.get());
+            }
+        }
+
+        /** Endless bytes must not hold the connection for ever. */
+        @Test
+        void areNotReadWithoutEnd() throws Exception {
+            boolean closed = false;
+            try (Socket client = connect()) {
+                OutputStream output = client.getOutputStream();
+                output.write(head("Content-Length: " + Long.MAX_VALUE + "\r\n"));
+                byte[] part = new byte[1 << 20];
+                for (int megabytes = 0; megabytes < 1_024; megabytes++) {
+                    output.write(part);
+                }
+            } catch (IOException e) {
+                closed = true;
+            }
+            assertTrue(closed);
+        }
+
+        /** A client that waits for permission to send may never send the body. */
+        @Test
+        void thatAreOnlyAnnouncedEndTheConnection() throws Exception {
+            try (Socket client = connect()) {
+                client.getOutputStream().write(head("Content-Length: 10\r\nExpect: 100-continue\r\n"));
+                assertTrue(readAnswer(client.getInputStream()).startsWith("HTTP/1.1 413 "));
+                assertEquals(-1, client.getInputStream().read());
+            }
+        }
+    }
+}
--- a/src/test/java/org/plantainwharf/platform/ControlApiTest.java
+++ b/src/test/java/org/plantainwharf/platform/ControlApiTest.java
@@ -19,7 +19,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -298,7 +297,7 @@
             assertEquals(200, post("/Config.Replace", largeDocument(3)).statusCode());
         }
 
-        @Tag("known-red")
+        /** The connection was closed with unread bytes, so that the reset overtook the answer. */
         @Test
         void withTooLargeDocumentsAreRejectedWithoutAnEvent() throws Exception {
             assertEquals(413, post("/Config.Replace", " ".repeat((4 << 20) + 1)).statusCode());
