Bound the memory that bodies of unfinished requests take

Cause: every body was collected in direct buffers of Jetty, copied, and kept until its answer had ended; nothing bounded how many. A lack of memory was reported as the caller's fault.

Change: BodyBudget and BodyReader, for all listeners. A declared length is reserved before reading, an undeclared one as it grows; what has no room is refused at once as not run (503 body_memory_full, times to return that spread the callers), the last quarter is kept for bodies of up to 256 KiB. A body has 30 s to arrive (408 body_timeout).

Ruled out: reading after admission, more heap, and direct copies of large arrays on writing (none on JDK 25, a trial with 16 MB).

--- a/src/main/java/org/plantainwharf/alarm/AlarmController.java
+++ b/src/main/java/org/plantainwharf/alarm/AlarmController.java
@@ -136,7 +136,7 @@
      */
     private static boolean countsAsServiceFailure(Call call, ErrorKind kind, Board board) {
         return switch (kind) {
-            case RANK_QUEUE_FULL, ENTRY_QUEUE_FULL, DEADLINE_UNREACHABLE, QUEUE_TIMEOUT ->
+            case RANK_QUEUE_FULL, ENTRY_QUEUE_FULL, BODY_MEMORY_FULL, DEADLINE_UNREACHABLE, QUEUE_TIMEOUT ->
                 hasHighestWorthRank(call, board);
             case NO_QUORUM_NOT_RUN, DRAINING, CONFIGURATION_MISSING -> false;
             default -> kind.httpStatus() >= 500;
--- a/src/main/java/org/plantainwharf/error/ErrorKind.java
+++ b/src/main/java/org/plantainwharf/error/ErrorKind.java
@@ -12,6 +12,8 @@
     MALFORMED_JSON(400, ExecutionStatus.NO, false, "body is not valid JSON: %s"),
     REQUEST_INVALID(400, ExecutionStatus.NO, false, "request is invalid: %s"),
     BODY_TOO_LARGE(413, ExecutionStatus.NO, false, "body exceeds %s bytes"),
+    BODY_TIMEOUT(408, ExecutionStatus.NO, true, "body did not arrive in time"),
+    BODY_MEMORY_FULL(503, ExecutionStatus.NO, true, "this host has no memory left for a body of %s bytes"),
     HEADERS_TOO_LARGE(431, ExecutionStatus.NO, false, "headers exceed %s bytes"),
     METHOD_NOT_ALLOWED(405, ExecutionStatus.NO, false, "method %s is not allowed here"),
     UNAUTHENTICATED(401, ExecutionStatus.NO, false, "account key is missing or unknown"),
--- a/src/main/java/org/plantainwharf/front/CallerFrontend.java
+++ b/src/main/java/org/plantainwharf/front/CallerFrontend.java
@@ -47,10 +47,14 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Share of the heap for the bodies of unfinished requests. */
+    private static final double BODY_HEAP_SHARE = 0.3;
+
     private static final long FLUSH_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final Settings settings;
     private final Clock clock;
+    private final BodyBudget bodies;
     private final Supplier<BoardView> view;
     private final EventSink events;
     private final MetricRegistry metrics;
@@ -64,6 +68,7 @@
             Settings settings, Clock clock, Supplier<BoardView> view, EventSink events, MetricRegistry metrics) {
         this.settings = settings;
         this.clock = clock;
+        this.bodies = BodyBudget.ofHeap(clock, BODY_HEAP_SHARE);
         this.view = view;
         this.events = events;
         this.metrics = metrics;
@@ -215,7 +220,7 @@
             target.flatMap(known -> headers.flatMap(present -> requestParser.authorize(view.get(), known, present)))
                     .peekLeft(failure -> refuse(exchange, failure))
                     .peek(checked -> RequestReader.readBody(
-                            request, settings.bounds().maximumBodyBytes(), body -> body.flatMap(bytes ->
+                            request, settings.bounds().maximumBodyBytes(), bodies, body -> body.flatMap(bytes ->
                                             requestParser.parse(id, checked, headers.get(), bytes, clock.nowNanos()))
                                     .peekLeft(failure -> refuse(exchange, failure))
                                     .peek(event -> submit(id, exchange, event))));
--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -55,11 +55,15 @@
     /** Number of latest samples in each histogram, which cover about one minute at 20 requests per second. */
     private static final int HISTOGRAM_SAMPLES = 1_024;
 
+    /** Share of the heap for bodies, which are kept until their requests have ended. */
+    private static final double BODY_HEAP_SHARE = 0.5;
+
     private static final Duration QUEUE_FULL_RETRY_AFTER = Duration.ofMillis(200);
 
     private final ForwardDialect dialect;
     private final ListenAddresses addresses;
     private final Clock clock;
+    private final BodyBudget bodies;
     private final Supplier<BoardView> view;
     private final EventSink events;
     private final MetricRegistry metrics;
@@ -83,6 +87,7 @@
         this.dialect = dialect;
         this.addresses = addresses;
         this.clock = clock;
+        this.bodies = BodyBudget.ofHeap(clock, BODY_HEAP_SHARE);
         this.view = view;
         this.events = events;
         this.metrics = metrics;
@@ -201,7 +206,7 @@
         @Override
         public boolean handle(Request request, Response response, Callback callback) {
             metrics.counter("front.requests").inc();
-            RequestReader.readBody(request, bounds.maximumBodyBytes(), read -> read.peek(
+            RequestReader.readBody(request, bounds.maximumBodyBytes(), bodies, read -> read.peek(
                             body -> submit(new HttpTransaction(request, response, callback), body))
                     .peekLeft(failure -> refuse(new HttpTransaction(request, response, callback), failure)));
             return true;
@@ -255,6 +260,9 @@
         metrics.counter(failure.kind().metricName()).inc();
         String id = Optional.ofNullable(transaction.request().getHeaders().get(dialect.requestId()))
                 .orElse("");
+        LOGGER.atInfo().log(
+                "event=request_refused request=%s kind=%s message=\"%s\"",
+                ExternalText.sanitize(id), failure.kind().code(), failure.message());
         new ForwardedCall(id, transaction, List.of(), new byte[0], true, ForwardedCall.Callbacks.none())
                 .refuse(failure);
     }
--- a/src/main/java/org/plantainwharf/front/HttpListener.java
+++ b/src/main/java/org/plantainwharf/front/HttpListener.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.plantainwharf.control.Clock;
 import org.plantainwharf.settings.Settings;
 
 /** A Jetty server on one address, with the limits and the error format of this system. Thread-safe. */
@@ -69,7 +70,7 @@
         connector.setPort(Integer.parseInt(address.substring(colon + 1)));
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         server.addConnector(connector);
-        server.setHandler(UnreadBodyHandler.create(handler));
+        server.setHandler(UnreadBodyHandler.create(handler, Clock.system()));
         server.setErrorHandler(JsonErrorHandler.create(bounds.maximumHeaderBytes()));
         // A drain ends only when no request is running, so connections are closed without waiting for their callers.
         server.setStopTimeout(0);
--- a/src/main/java/org/plantainwharf/front/OperatorFrontend.java
+++ b/src/main/java/org/plantainwharf/front/OperatorFrontend.java
@@ -28,6 +28,7 @@
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.board.BoardView;
 import org.plantainwharf.call.Content;
+import org.plantainwharf.control.Clock;
 import org.plantainwharf.control.EventSink;
 import org.plantainwharf.effect.OperatorEffect;
 import org.plantainwharf.effect.ServerEffect;
@@ -54,6 +55,10 @@
     private static final long ANNOUNCEMENT_TIMEOUT_MILLIS = 2_000;
     private static final String JSON_TYPE = "application/json";
 
+    /** Share of the heap for the bodies of unfinished requests. */
+    private static final double BODY_HEAP_SHARE = 0.1;
+
+    private final BodyBudget bodies = BodyBudget.ofHeap(Clock.system(), BODY_HEAP_SHARE);
     private final Settings settings;
     private final Supplier<BoardView> view;
     private final Supplier<String> status;
@@ -261,7 +266,7 @@
             refuse(exchange, Failure.of(ErrorKind.METHOD_NOT_ALLOWED, ExternalText.sanitize(method)));
             return;
         }
-        RequestReader.readBody(request, settings.bounds().maximumBodyBytes(), body -> body.peek(onBody)
+        RequestReader.readBody(request, settings.bounds().maximumBodyBytes(), bodies, body -> body.peek(onBody)
                 .peekLeft(failure -> refuse(exchange, failure)));
     }
 
--- a/src/main/java/org/plantainwharf/front/RequestReader.java
+++ b/src/main/java/org/plantainwharf/front/RequestReader.java
@@ -6,10 +6,7 @@
 
 import io.vavr.control.Either;
 import org.eclipse.jetty.http.HttpField;
-import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
-import org.eclipse.jetty.util.Promise;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 
@@ -39,29 +36,15 @@
     }
 
     /**
-     * Reads the body of a request without blocking.
+     * Reads the body of a request without blocking. Its memory stays reserved until the request has ended.
      *
-     * @param onRead receives the body, or a failure if it is too large or incomplete; run on an HTTP server thread
+     * @param maximumBytes largest body
+     * @param budget memory that all bodies share
+     * @param onRead receives the body, or a failure if it is too large, incomplete or late, or has no memory left; run on
+     *     an HTTP server thread
      */
-    public static void readBody(Request request, int maximumBytes, Consumer<Either<Failure, byte[]>> onRead) {
-        if (request.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH) > maximumBytes) {
-            onRead.accept(Either.left(Failure.of(ErrorKind.BODY_TOO_LARGE, maximumBytes)));
-            return;
-        }
-        Content.Source.asByteArrayAsync(request, maximumBytes, new Promise.Invocable<>() {
-            @Override
-            public void succeeded(byte[] bytes) {
-                onRead.accept(Either.right(bytes));
-            }
-
-            @Override
-            public void failed(Throwable cause) {
-                // Jetty reports a body above the limit as IllegalStateException, and any other failure as an I/O error.
-                onRead.accept(Either.left(
-                        cause instanceof IllegalStateException
-                                ? Failure.of(ErrorKind.BODY_TOO_LARGE, maximumBytes)
-                                : Failure.of(ErrorKind.REQUEST_INVALID, "the body could not be read completely")));
-            }
-        });
+    public static void readBody(
+            Request request, int maximumBytes, BodyBudget budget, Consumer<Either<Failure, byte[]>> onRead) {
+        BodyReader.start(request, maximumBytes, budget, onRead);
     }
 }
--- a/src/main/java/org/plantainwharf/front/UnreadBodyHandler.java
+++ b/src/main/java/org/plantainwharf/front/UnreadBodyHandler.java
@@ -1,8 +1,6 @@
 package org.plantainwharf.front;
 
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
@@ -11,8 +9,8 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.Scheduler;
 import org.jspecify.annotations.Nullable;
+import org.plantainwharf.control.Clock;
 
 /**
  * Reads and discards what is left of a request's body after its answer has been written. Without it, Jetty closes the
@@ -25,14 +23,17 @@
     /** Several times the largest body that a configuration allows. */
     private static final long MAXIMUM_BYTES = 32 << 20;
 
-    private static final long MAXIMUM_MILLIS = 30_000;
+    private static final long MAXIMUM_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-    private UnreadBodyHandler(Handler handler) {
+    private final Clock clock;
+
+    private UnreadBodyHandler(Handler handler, Clock clock) {
         super(handler);
+        this.clock = clock;
     }
 
-    static UnreadBodyHandler create(Handler handler) {
-        return new UnreadBodyHandler(handler);
+    static UnreadBodyHandler create(Handler handler, Clock clock) {
+        return new UnreadBodyHandler(handler, clock);
     }
 
     @Override
@@ -42,69 +43,48 @@
             return super.handle(request, response, callback);
         }
         return super.handle(
-                request, response, Callback.from(() -> new Discard(request, callback).read(), callback::failed));
+                request, response, Callback.from(() -> new Discard(request, callback, clock).read(), callback::failed));
     }
 
-    /** Discards the rest of one body. Jetty calls {@link #read} sequentially; the time limit may end it meanwhile. */
+    /** Discards the rest of one body. Jetty calls {@link #read} sequentially. */
     private static final class Discard {
         private final Request request;
         private final Callback callback;
-        private final AtomicBoolean ended = new AtomicBoolean();
-        private volatile Scheduler.@Nullable Task timeLimit;
+        private final long startNanos;
+        private final Clock clock;
         private long discardedBytes;
 
-        private Discard(Request request, Callback callback) {
+        private Discard(Request request, Callback callback, Clock clock) {
             this.request = request;
             this.callback = callback;
+            this.clock = clock;
+            this.startNanos = clock.nowNanos();
         }
 
         private void read() {
-            while (!ended.get()) {
+            while (true) {
                 Content.@Nullable Chunk chunk = request.read();
                 if (chunk == null) {
-                    if (timeLimit == null) {
-                        timeLimit = request.getComponents()
-                                .getScheduler()
-                                .schedule(
-                                        () -> fail(new TimeoutException("the body was not sent in time")),
-                                        MAXIMUM_MILLIS,
-                                        TimeUnit.MILLISECONDS);
-                    }
+                    // If nothing more arrives, the idle time-out of the connection ends it.
                     request.demand(this::read);
                     return;
                 }
+                if (Content.Chunk.isFailure(chunk)) {
+                    callback.failed(chunk.getFailure());
+                    return;
+                }
                 boolean last = chunk.isLast();
                 discardedBytes += chunk.remaining();
                 chunk.release();
                 if (last) {
-                    succeed();
-                } else if (discardedBytes > MAXIMUM_BYTES) {
-                    fail(new EofException("the unread body exceeds " + MAXIMUM_BYTES + " bytes"));
+                    callback.succeeded();
+                    return;
+                }
+                if (discardedBytes > MAXIMUM_BYTES || clock.nowNanos() - startNanos > MAXIMUM_NANOS) {
+                    callback.failed(new EofException("the unread body is too large or too slow"));
+                    return;
                 }
             }
         }
-
-        private void succeed() {
-            if (end()) {
-                callback.succeeded();
-            }
-        }
-
-        private void fail(Throwable cause) {
-            if (end()) {
-                callback.failed(cause);
-            }
-        }
-
-        private boolean end() {
-            if (!ended.compareAndSet(false, true)) {
-                return false;
-            }
-            Scheduler.Task scheduled = timeLimit;
-            if (scheduled != null) {
-                scheduled.cancel();
-            }
-            return true;
-        }
     }
 }
--- a/src/main/java/org/plantainwharf/platform/ControlApi.java
+++ b/src/main/java/org/plantainwharf/platform/ControlApi.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.call.Content;
+import org.plantainwharf.control.Clock;
 import org.plantainwharf.control.EventSink;
 import org.plantainwharf.daemon.ControlFrontend;
 import org.plantainwharf.document.DocumentCodec;
@@ -24,6 +25,7 @@
 import org.plantainwharf.event.DocumentEvent;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.front.BodyBudget;
 import org.plantainwharf.front.HttpListener;
 import org.plantainwharf.front.RequestReader;
 import org.plantainwharf.identity.ServerId;
@@ -47,6 +49,10 @@
      */
     private static final int LARGE_DOCUMENT_BYTES = 256 << 10;
 
+    /** Share of the heap for bodies; decoding and the log need most of it. */
+    private static final double BODY_HEAP_SHARE = 0.1;
+
+    private final BodyBudget bodies = BodyBudget.ofHeap(Clock.system(), BODY_HEAP_SHARE);
     private final Semaphore largeDocuments = new Semaphore(1);
     private final Settings settings;
     private final DocumentCodec codec;
@@ -163,7 +169,7 @@
 
     private void readAndRoute(Request request, Response response, Callback callback) {
         RequestReader.readBody(
-                request, MAXIMUM_BODY_BYTES, read -> read.peek(body -> route(request, response, callback, body))
+                request, MAXIMUM_BODY_BYTES, bodies, read -> read.peek(body -> route(request, response, callback, body))
                         .peekLeft(failure -> sendError(response, callback, failure)));
     }
 
