Log events that occupy the control thread for long

Cause: on hosts of 0.12 cores links are closed as silent while a document with 1,070 routes comes into force; the log did not say what the control thread did meanwhile.

Change: an event that takes over 250 ms is logged with its type and the time to decide and to execute.

--- a/src/main/java/org/plantainwharf/control/ControlThread.java
+++ b/src/main/java/org/plantainwharf/control/ControlThread.java
@@ -1,5 +1,6 @@
 package org.plantainwharf.control;
 
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +32,9 @@
     private static final long TICK_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final long STATUS_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Events that take longer are logged: no heartbeat is sent meanwhile, and peers soon consider this host silent. */
+    private static final long SLOW_EVENT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     private final ControlCycle cycle;
     private final Clock clock;
     private final EffectExecutor executor;
@@ -121,14 +125,28 @@
     }
 
     private void handle(Event event) {
+        long startNanos = clock.nowNanos();
+        long decidedNanos = startNanos;
         try {
-            cycle.run(event, clock.nowNanos(), clock.wallClockMillis(), this::onControllerFailure)
-                    .forEach(this::execute);
+            List<Effect> effects = cycle.run(event, startNanos, clock.wallClockMillis(), this::onControllerFailure);
+            decidedNanos = clock.nowNanos();
+            effects.forEach(this::execute);
         } catch (RuntimeException e) {
             // The cycle itself failed. The failure is logged and the daemon continues.
             onFailure(e, "type", event.getClass().getSimpleName());
         }
         view = cycle.board().publish();
+        long endNanos = clock.nowNanos();
+        if (endNanos - startNanos > SLOW_EVENT_NANOS) {
+            LOG.info(
+                    "event_slow",
+                    "type",
+                    event.getClass().getSimpleName(),
+                    "decide_ms",
+                    TimeUnit.NANOSECONDS.toMillis(decidedNanos - startNanos),
+                    "execute_ms",
+                    TimeUnit.NANOSECONDS.toMillis(endNanos - decidedNanos));
+        }
     }
 
     private void onControllerFailure(Controller controller, Event event, Throwable cause) {
