Withhold requests that nobody waits for any more

Cause: the deadline was checked when the control thread decided. The effect then waited for the traffic thread, a connection and the first run of that code; nothing looked again, and the server was told the time that was left at the decision. A request whose caller had left before it was sent counted as a failure of the server.

Change: StartForward carries the deadline; ForwardAttempt checks it and the caller at the last moment before the first byte, and sends the time that is left then. What is not sent ends as Withheld: not run, and no server is blamed.

Ruled out: a check on the traffic thread alone, since opening the connection may take a second.

--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -25,6 +25,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
+import org.plantainwharf.control.Clock;
 import org.plantainwharf.control.EventSink;
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.event.ForwardEvent;
@@ -55,6 +56,7 @@
 
     private final HttpClient client;
     private final ForwardDialect dialect;
+    private final Clock clock;
     private final ForwardEffect.StartForward start;
     private final ForwardExchange exchange;
     private final EventSink events;
@@ -69,6 +71,7 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile Optional<ResetAwareEndPoint> endPoint = Optional.empty();
     private volatile boolean sendingBegun;
+    private volatile Optional<ForwardOutcome.Withheld.Reason> withheld = Optional.empty();
     private volatile boolean aborted;
     private volatile boolean cancelled;
     private volatile boolean waitingForCaller;
@@ -100,12 +103,14 @@
     private ForwardAttempt(
             HttpClient client,
             ForwardDialect dialect,
+            Clock clock,
             ForwardEffect.StartForward start,
             ForwardExchange exchange,
             EventSink events,
             Consumer<ForwardAttempt> onEnd) {
         this.client = client;
         this.dialect = dialect;
+        this.clock = clock;
         this.start = start;
         this.exchange = exchange;
         this.events = events;
@@ -116,11 +121,12 @@
     static ForwardAttempt create(
             HttpClient client,
             ForwardDialect dialect,
+            Clock clock,
             ForwardEffect.StartForward start,
             ForwardExchange exchange,
             EventSink events,
             Consumer<ForwardAttempt> onEnd) {
-        return new ForwardAttempt(client, dialect, start, exchange, events, onEnd);
+        return new ForwardAttempt(client, dialect, clock, start, exchange, events, onEnd);
     }
 
     long ticket() {
@@ -150,11 +156,7 @@
             prepared.body(new BytesRequestContent((String) null, exchange.body()));
         }
         request = prepared;
-        prepared.onRequestBegin(begun -> {
-                    sendingBegun = true;
-                    endPoint = ResetAwareEndPoint.of(begun);
-                    endPoint.ifPresent(ResetAwareEndPoint::beginResponse);
-                })
+        prepared.onRequestBegin(this::onSendingBegins)
                 .onResponseHeaders(this::onHeaders)
                 .onResponseContentAsync(this::onContent)
                 .send(this::onComplete);
@@ -163,6 +165,28 @@
         }
     }
 
+    /**
+     * Withholds a request that nobody waits for any more: this daemon may have been paused, or the connection may have
+     * taken long to open. Called when a connection is there, before the first byte.
+     */
+    @SuppressWarnings("FutureReturnValueIgnored")
+    private void onSendingBegins(Request begun) {
+        long remainingMillis = start.remainingMillis(clock.nowNanos());
+        if (!exchange.isOpen()) {
+            withheld = Optional.of(ForwardOutcome.Withheld.Reason.CALLER_LEFT);
+        } else if (remainingMillis <= 0) {
+            withheld = Optional.of(ForwardOutcome.Withheld.Reason.DEADLINE_PASSED);
+        }
+        if (withheld.isPresent()) {
+            begun.abort(new IOException("withheld"));
+            return;
+        }
+        begun.headers(headers -> headers.put(dialect.deadline(), String.valueOf(remainingMillis)));
+        sendingBegun = true;
+        endPoint = ResetAwareEndPoint.of(begun);
+        endPoint.ifPresent(ResetAwareEndPoint::beginResponse);
+    }
+
     private Request newRequest() {
         String server = "http://" + start.address();
         // Request.path() takes what follows two slashes for an authority and drops it.
@@ -176,7 +200,6 @@
         exchange.headers().stream()
                 .filter(field -> !field.is(dialect.deadline()))
                 .forEach(headers::add);
-        headers.put(dialect.deadline(), String.valueOf(start.remainingMillis()));
         headers.put(dialect.expectedServer(), start.server().value());
         start.account().ifPresent(account -> headers.put(dialect.account(), account.value()));
         if (headers.contains(dialect.model())) {
@@ -374,6 +397,9 @@
     }
 
     private ForwardOutcome outcome(Result result) {
+        if (withheld.isPresent()) {
+            return new ForwardOutcome.Withheld(withheld.get());
+        }
         if (cancelled) {
             return new ForwardOutcome.Cancelled(forwardedBytes, waitingForCaller);
         }
--- a/src/main/java/org/plantainwharf/backend/ForwardClient.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardClient.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.Promise;
 import org.jspecify.annotations.Nullable;
+import org.plantainwharf.control.Clock;
 import org.plantainwharf.control.EventSink;
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.event.ForwardEvent;
@@ -25,6 +26,7 @@
 public final class ForwardClient {
     private final HttpClient client;
     private final ForwardDialect dialect;
+    private final Clock clock;
     private final LongFunction<Optional<? extends ForwardExchange>> exchanges;
     private final EventSink events;
     private final Executor executor;
@@ -33,11 +35,13 @@
     private ForwardClient(
             HttpClient client,
             ForwardDialect dialect,
+            Clock clock,
             LongFunction<Optional<? extends ForwardExchange>> exchanges,
             EventSink events,
             Executor executor) {
         this.client = client;
         this.dialect = dialect;
+        this.clock = clock;
         this.exchanges = exchanges;
         this.events = events;
         this.executor = executor;
@@ -53,10 +57,11 @@
     public static ForwardClient create(
             HttpClient client,
             ForwardDialect dialect,
+            Clock clock,
             LongFunction<Optional<? extends ForwardExchange>> exchanges,
             EventSink events,
             Executor executor) {
-        return new ForwardClient(client, dialect, exchanges, events, executor);
+        return new ForwardClient(client, dialect, clock, exchanges, events, executor);
     }
 
     /** Sends a request to a server. If its caller has disconnected, the attempt ends as not sent. */
@@ -67,12 +72,18 @@
                 events.post(new ForwardEvent.ForwardEnded(
                         start.ticket(),
                         start.attempt(),
-                        new ForwardOutcome.NotSent(false, "caller disconnected"),
+                        new ForwardOutcome.Withheld(ForwardOutcome.Withheld.Reason.CALLER_LEFT),
                         Optional.empty()));
                 return;
             }
             ForwardAttempt attempt = ForwardAttempt.create(
-                    client, dialect, start, exchange.get(), events, ended -> running.remove(ended.ticket(), ended));
+                    client,
+                    dialect,
+                    clock,
+                    start,
+                    exchange.get(),
+                    events,
+                    ended -> running.remove(ended.ticket(), ended));
             running.put(start.ticket(), attempt);
             attempt.send();
         });
--- a/src/main/java/org/plantainwharf/backend/ForwardExchange.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardExchange.java
@@ -24,6 +24,9 @@
     /** Returns the complete body. The array must not be changed. */
     byte[] body();
 
+    /** Returns whether the caller still waits for the response or its rest. */
+    boolean isOpen();
+
     /** Begins the response. Has no effect if an earlier attempt has begun it. */
     void begin(int httpStatus, List<HttpField> headers);
 
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -114,7 +114,7 @@
                 trafficExecutor);
         this.serverClient = HttpClients.start("servers", CLIENT_THREADS, SERVER_IDLE_TIMEOUT_MILLIS);
         ForwardClient forwardClient =
-                ForwardClient.create(serverClient, dialect, frontend::call, control, trafficExecutor);
+                ForwardClient.create(serverClient, dialect, clock, frontend::call, control, trafficExecutor);
         this.peers = PeerNetwork.create(
                 settings,
                 new PeerPolicy.Discovered(role.seeds()),
--- a/src/main/java/org/plantainwharf/effect/ForwardEffect.java
+++ b/src/main/java/org/plantainwharf/effect/ForwardEffect.java
@@ -15,7 +15,8 @@
      * Sends the request to a server.
      *
      * @param startEpochMillis the start of the server that is meant, in milliseconds since the epoch
-     * @param remainingMillis time until the caller's deadline, sent to the server
+     * @param deadlineNanos the caller's deadline on the monotonic clock; the request is not sent after it, however long
+     *     the effect has waited
      * @param account account name, sent to the server in place of the caller's key
      * @param priority scheduling priority sent to a model engine; 0 is the highest
      * @param resumable whether only complete events are forwarded, so that another server can resume after the last one
@@ -26,11 +27,16 @@
             ServerId server,
             long startEpochMillis,
             String address,
-            long remainingMillis,
+            long deadlineNanos,
             Optional<AccountName> account,
             int priority,
             boolean resumable)
-            implements ForwardEffect {}
+            implements ForwardEffect {
+        /** Returns the time until the caller's deadline in milliseconds, which is told to the server; at least 0. */
+        public long remainingMillis(long nowNanos) {
+            return Math.max(0, (deadlineNanos - nowNanos) / 1_000_000);
+        }
+    }
 
     /** Cancels the running attempt by closing its connection, so that the server stops working on it. */
     record CancelForward(long ticket) implements ForwardEffect {}
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -184,7 +184,7 @@
                 id,
                 server.report().startEpochMillis(),
                 server.report().address(),
-                call.remainingMillis(nowNanos),
+                call.admission().deadlineNanos(),
                 call.account().map(AccountRule::name),
                 priority(call),
                 call.route().mayResumeStream()));
@@ -365,6 +365,7 @@
         switch (ended.outcome()) {
             case ForwardOutcome.Completed completed -> {}
             case ForwardOutcome.Cancelled cancelled -> {}
+            case ForwardOutcome.Withheld withheld -> {}
             case ForwardOutcome.Refused refused ->
                 statistics.avoidFor(
                         TimeUnit.MILLISECONDS.toNanos(Math.min(
@@ -402,6 +403,11 @@
         switch (outcome) {
             case ForwardOutcome.Completed completed -> board.forward().remove(call.ticket());
             case ForwardOutcome.Cancelled cancelled -> board.forward().remove(call.ticket());
+            case ForwardOutcome.Withheld withheld -> {
+                effects.count("forward.withheld");
+                // A caller who has left is not there to read it.
+                failCall(call, Failure.of(ErrorKind.QUEUE_TIMEOUT), board, nowNanos, effects);
+            }
             case ForwardOutcome.Refused refused -> {
                 effects.count("forward.server_refused");
                 retryOrFail(call, Failure.of(ErrorKind.SERVER_REFUSED), board, nowNanos, effects);
--- a/src/main/java/org/plantainwharf/forward/ForwardOutcome.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardOutcome.java
@@ -26,6 +26,21 @@
      */
     record NotSent(boolean connectionRefused, String reason) implements ForwardOutcome {}
 
+    /**
+     * This daemon did not send the request, for a reason that lies not with the server.
+     *
+     * @param reason what had happened before the request could be sent
+     */
+    record Withheld(Reason reason) implements ForwardOutcome {
+        /** Why a request was not sent. */
+        public enum Reason {
+            /** The caller had closed its connection. */
+            CALLER_LEFT,
+            /** The caller's deadline had passed. */
+            DEADLINE_PASSED
+        }
+    }
+
     /** The server ran the request and answered with an error, which is held back until the controller decides. */
     record Failed(int httpStatus) implements ForwardOutcome {}
 
--- a/src/main/java/org/plantainwharf/front/ForwardedCall.java
+++ b/src/main/java/org/plantainwharf/front/ForwardedCall.java
@@ -111,6 +111,11 @@
         return body;
     }
 
+    @Override
+    public synchronized boolean isOpen() {
+        return !ended;
+    }
+
     /** Starts watching for a disconnect of the caller. */
     void watchCaller() {
         DisconnectWatch.start(request, () -> callerLost(new EofException("the caller disconnected")));
--- a/src/main/java/org/plantainwharf/quarantine/ForwardQuarantineController.java
+++ b/src/main/java/org/plantainwharf/quarantine/ForwardQuarantineController.java
@@ -145,6 +145,7 @@
                 }
             }
             case ForwardOutcome.Cancelled cancelled -> {}
+            case ForwardOutcome.Withheld withheld -> {}
             case ForwardOutcome.NotSent notSent -> {
                 if (notSent.connectionRefused()) {
                     confirmCrash(running.server(), "refuses_connections", board, nowNanos, effects);
--- a/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
+++ b/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.plantainwharf.control.Clock;
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.ForwardEvent;
@@ -79,11 +80,12 @@
                     ServerId.of("i-1"),
                     1,
                     "127.0.0.1:" + server.getLocalPort(),
-                    5_000,
+                    System.nanoTime() + 5_000_000_000L,
                     Optional.empty(),
                     0,
                     false);
-            ForwardAttempt.create(client, ForwardTestDialect.DIALECT, start, exchange, events, ended -> {})
+            ForwardAttempt.create(
+                            client, ForwardTestDialect.DIALECT, Clock.system(), start, exchange, events, ended -> {})
                     .send();
             while (true) {
                 Event event = events.poll(20_000);
@@ -246,12 +248,13 @@
                         ServerId.of("i-1"),
                         1,
                         "127.0.0.1:" + server.getLocalPort(),
-                        5_000,
+                        System.nanoTime() + 5_000_000_000L,
                         Optional.empty(),
                         0,
                         false);
                 RecordingExchange sent = RecordingExchange.create("r-1", pathQuery);
-                ForwardAttempt.create(client, ForwardTestDialect.DIALECT, start, sent, events, ended -> {})
+                ForwardAttempt.create(
+                                client, ForwardTestDialect.DIALECT, Clock.system(), start, sent, events, ended -> {})
                         .send();
                 try (Socket socket = server.accept()) {
                     return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
@@ -404,8 +407,17 @@
         @ValueSource(strings = {"10.0.0.1:99999", "not an address", ""})
         void endAsNotSent(String address) throws Exception {
             ForwardEffect.StartForward start = new ForwardEffect.StartForward(
-                    1, 1, ServerId.of("i-1"), 1, address, 5_000, Optional.empty(), 0, false);
-            ForwardAttempt.create(client, ForwardTestDialect.DIALECT, start, exchange, events, ended -> {})
+                    1,
+                    1,
+                    ServerId.of("i-1"),
+                    1,
+                    address,
+                    System.nanoTime() + 5_000_000_000L,
+                    Optional.empty(),
+                    0,
+                    false);
+            ForwardAttempt.create(
+                            client, ForwardTestDialect.DIALECT, Clock.system(), start, exchange, events, ended -> {})
                     .send();
             Event event = events.poll(5_000);
             assertInstanceOf(
@@ -415,6 +427,57 @@
         }
     }
 
+    /** A daemon that was paused, or a connection that opened slowly, must not send what the caller has given up. */
+    @Nested
+    class RequestsThatNobodyWaitsFor {
+        /** Returns the outcome of an attempt, and fails if the server gets a byte. */
+        private ForwardOutcome outcomeWithoutBytes(long deadlineNanos) throws Exception {
+            try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                server.setSoTimeout(5_000);
+                ForwardEffect.StartForward start = new ForwardEffect.StartForward(
+                        1,
+                        1,
+                        ServerId.of("i-1"),
+                        1,
+                        "127.0.0.1:" + server.getLocalPort(),
+                        deadlineNanos,
+                        Optional.empty(),
+                        0,
+                        false);
+                ForwardAttempt.create(
+                                client,
+                                ForwardTestDialect.DIALECT,
+                                Clock.system(),
+                                start,
+                                exchange,
+                                events,
+                                ended -> {})
+                        .send();
+                Event event = events.poll(5_000);
+                try (Socket connection = server.accept()) {
+                    client.stop();
+                    assertEquals(-1, connection.getInputStream().read());
+                }
+                return assertInstanceOf(ForwardEvent.ForwardEnded.class, event).outcome();
+            }
+        }
+
+        @Test
+        void areNotSentAfterTheDeadline() throws Exception {
+            assertEquals(
+                    new ForwardOutcome.Withheld(ForwardOutcome.Withheld.Reason.DEADLINE_PASSED),
+                    outcomeWithoutBytes(System.nanoTime() - 1));
+        }
+
+        @Test
+        void areNotSentAfterTheCallerHasLeft() throws Exception {
+            exchange.close();
+            assertEquals(
+                    new ForwardOutcome.Withheld(ForwardOutcome.Withheld.Reason.CALLER_LEFT),
+                    outcomeWithoutBytes(System.nanoTime() + 5_000_000_000L));
+        }
+    }
+
     @Nested
     class TruncatedResponses {
         @Test
--- a/src/test/java/org/plantainwharf/backend/RecordingExchange.java
+++ b/src/test/java/org/plantainwharf/backend/RecordingExchange.java
@@ -17,6 +17,7 @@
     private final String pathQuery;
     private final StringBuffer received = new StringBuffer();
     private final CountDownLatch firstBytes = new CountDownLatch(1);
+    private volatile boolean open = true;
 
     private RecordingExchange(String requestId, String pathQuery) {
         this.requestId = requestId;
@@ -66,6 +67,15 @@
         return new byte[0];
     }
 
+    void close() {
+        open = false;
+    }
+
+    @Override
+    public boolean isOpen() {
+        return open;
+    }
+
     @Override
     public void begin(int httpStatus, List<HttpField> headers) {}
 
--- a/src/test/java/org/plantainwharf/backend/ReusedConnectionTest.java
+++ b/src/test/java/org/plantainwharf/backend/ReusedConnectionTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.plantainwharf.control.Clock;
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.ForwardEvent;
@@ -220,8 +221,17 @@
         ForwardOutcome send(RecordingExchange exchange) throws InterruptedException {
             QueueingEventSink events = QueueingEventSink.create();
             ForwardEffect.StartForward start = new ForwardEffect.StartForward(
-                    1, 1, ServerId.of("i-1"), 1, server.address(), 5_000, Optional.empty(), 0, false);
-            ForwardAttempt.create(client, ForwardTestDialect.DIALECT, start, exchange, events, ended -> {})
+                    1,
+                    1,
+                    ServerId.of("i-1"),
+                    1,
+                    server.address(),
+                    System.nanoTime() + 5_000_000_000L,
+                    Optional.empty(),
+                    0,
+                    false);
+            ForwardAttempt.create(
+                            client, ForwardTestDialect.DIALECT, Clock.system(), start, exchange, events, ended -> {})
                     .send();
             while (true) {
                 Event event = events.poll(20_000);
--- a/src/test/java/org/plantainwharf/forward/EngineFleet.java
+++ b/src/test/java/org/plantainwharf/forward/EngineFleet.java
@@ -429,7 +429,7 @@
     private void execute(Daemon daemon, ForwardEffect effect) {
         switch (effect) {
             case ForwardEffect.StartForward start ->
-                send(daemon, start.ticket(), start.attempt(), start.server(), start.remainingMillis());
+                send(daemon, start.ticket(), start.attempt(), start.server(), start.remainingMillis(nanos()));
             case ForwardEffect.CancelForward cancel -> {
                 engines.values().forEach(engine -> engine.cancel(cancel.ticket(), daemon.index));
                 run(
--- a/src/test/java/org/plantainwharf/forward/ForwardControllerTest.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardControllerTest.java
@@ -133,13 +133,23 @@
                     refusal(harness.endAttempt(third, refusedOutcome())).executionStatus());
         }
 
+        /** Callers who leave early must not have sound servers avoided. */
+        @Test
+        void thatWereWithheldAreNotRunAndBlameNoServer() {
+            ForwardEffect.StartForward first = harness.arriveAndStart("/safe/1");
+            Failure failure = refusal(harness.endAttempt(
+                    first, new ForwardOutcome.Withheld(ForwardOutcome.Withheld.Reason.DEADLINE_PASSED)));
+            assertEquals(ExecutionStatus.NO, failure.executionStatus());
+            assertFalse(harness.board().forward().statistics(first.server()).isAvoided(harness.nowNanos()));
+        }
+
         @Test
         void passOnlyTheRemainingTimeToTheSecondServer() {
             ForwardEffect.StartForward first = harness.arriveAndStart("/safe/1");
+            assertEquals(3_000, first.remainingMillis(harness.nowNanos()));
             harness.advance(700);
             ForwardEffect.StartForward second = started(harness.endAttempt(first, brokenOutcome(false)));
-            assertEquals(3_000, first.remainingMillis());
-            assertEquals(2_300, second.remainingMillis());
+            assertEquals(2_300, second.remainingMillis(harness.nowNanos()));
         }
 
         /**
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -128,6 +128,14 @@
         return effects;
     }
 
+    long nowNanos() {
+        return nowNanos;
+    }
+
+    Board board() {
+        return board;
+    }
+
     void advance(long millis) {
         nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
     }
--- a/src/test/java/org/plantainwharf/transport/LargeMessageTest.java
+++ b/src/test/java/org/plantainwharf/transport/LargeMessageTest.java
@@ -51,6 +51,7 @@
 
     private final List<AutoCloseable> open = new ArrayList<>();
     private final BlockingQueue<Event> received = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Event> senderEvents = new LinkedBlockingQueue<>();
     private final MetricRegistry receiverMetrics = new MetricRegistry();
     private long token;
 
@@ -91,21 +92,28 @@
     }
 
     private PeerNetwork startSender() {
-        return start(SENDER, Map.of(), sink(new LinkedBlockingQueue<>()), new MetricRegistry());
+        return start(SENDER, Map.of(), sink(senderEvents), new MetricRegistry());
     }
 
-    /** Starts the receiver, which dials the sender through the proxy, and waits for the link. */
+    /** Starts the receiver, which dials the sender through the proxy, and waits until both know the link. */
     private SlowLinkProxy connect(PeerNetwork sender, double megabitsPerSecond) throws Exception {
         SlowLinkProxy proxy = SlowLinkProxy.start(sender.port(), megabitsPerSecond);
         open.add(proxy);
         start(RECEIVER, Map.of(SENDER, proxy.port()), sink(received), receiverMetrics);
         awaitEvent(PeerEvent.PeerConnected.class);
+        // Messages to a host without a link are dropped.
+        awaitEvent(PeerEvent.PeerConnected.class, senderEvents);
         return proxy;
     }
 
     private <T extends Event> T awaitEvent(Class<T> type) throws InterruptedException {
+        return awaitEvent(type, received);
+    }
+
+    private static <T extends Event> T awaitEvent(Class<T> type, BlockingQueue<Event> queue)
+            throws InterruptedException {
         while (true) {
-            @Nullable Event event = received.poll(20, TimeUnit.SECONDS);
+            @Nullable Event event = queue.poll(20, TimeUnit.SECONDS);
             if (event == null) {
                 throw new AssertionError("no " + type.getSimpleName() + " within 20 s");
             } else if (type.isInstance(event)) {
