Refuse targets that cannot be sent

Callers could see: every server of a service avoided for seconds, because of one caller that asks for /a%zz.

Cause: the listener accepts an invalid percent escape and the HTTP client fails on it while it writes the head, which looked like a broken connection to each server in turn.

Change: 400 before the body is read.

--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -206,6 +206,13 @@
         @Override
         public boolean handle(Request request, Response response, Callback callback) {
             metrics.counter("front.requests").inc();
+            // The HTTP client cannot send such a target, which would look like a failure of each server in turn.
+            if (!RequestReader.hasValidEscapes(request.getHttpURI().getPathQuery())) {
+                refuse(
+                        new HttpTransaction(request, response, callback),
+                        Failure.of(ErrorKind.REQUEST_INVALID, "the target has an invalid percent escape"));
+                return true;
+            }
             RequestReader.readBody(request, bounds.maximumBodyBytes(), bodies, read -> read.peek(
                             body -> submit(new HttpTransaction(request, response, callback), body))
                     .peekLeft(failure -> refuse(new HttpTransaction(request, response, callback), failure)));
--- a/src/main/java/org/plantainwharf/front/RequestReader.java
+++ b/src/main/java/org/plantainwharf/front/RequestReader.java
@@ -1,5 +1,6 @@
 package org.plantainwharf.front;
 
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -7,6 +8,7 @@
 import io.vavr.control.Either;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.server.Request;
+import org.jspecify.annotations.Nullable;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 
@@ -31,6 +33,21 @@
                 value(request, "Content-Type")));
     }
 
+    /** Returns whether two hexadecimal digits follow each percent sign of a request target. */
+    static boolean hasValidEscapes(@Nullable String target) {
+        if (target == null) {
+            return true;
+        }
+        for (int at = target.indexOf('%'); at >= 0; at = target.indexOf('%', at + 1)) {
+            if (at + 2 >= target.length()
+                    || !HexFormat.isHexDigit(target.charAt(at + 1))
+                    || !HexFormat.isHexDigit(target.charAt(at + 2))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static Optional<String> value(Request request, String name) {
         return Optional.ofNullable(request.getHeaders().getField(name)).map(HttpField::getValue);
     }
--- a/src/test/java/org/plantainwharf/platform/PlatformFleet.java
+++ b/src/test/java/org/plantainwharf/platform/PlatformFleet.java
@@ -1,11 +1,15 @@
 package org.plantainwharf.platform;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -155,6 +159,19 @@
                 .build());
     }
 
+    /** Sends a request line with this target to an entry daemon, and returns the status line of the answer. */
+    String sendTarget(int entry, String target) throws IOException {
+        try (Socket socket = new Socket(entryAddress(entry), callerPort)) {
+            socket.setSoTimeout(8_000);
+            String head = "GET " + target + " HTTP/1.1\r\nHost: " + entryAddress(entry)
+                    + "\r\nX-Plantainwharf-Attempt-Id: q-" + requests.incrementAndGet()
+                    + "\r\nX-Plantainwharf-Deadline-Ms: 3000\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
+                    .readLine();
+        }
+    }
+
     private int status(HttpRequest request) {
         try {
             return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
--- a/src/test/java/org/plantainwharf/platform/PlatformFleetTest.java
+++ b/src/test/java/org/plantainwharf/platform/PlatformFleetTest.java
@@ -170,6 +170,19 @@
         }
     }
 
+    @Nested
+    class TargetsThatCannotBeSent {
+        /** One caller could have every server of a service avoided for seconds. */
+        @Test
+        void areRefusedAndBlameNoEngine() throws Exception {
+            for (int request = 0; request < 12; request++) {
+                String status = fleet.sendTarget(0, "/r/a%zz");
+                assertTrue(status.startsWith("HTTP/1.1 400 "), status);
+                assertEquals(200, fleet.send(0, "t" + request + ":5"));
+            }
+        }
+    }
+
     @Nested
     class EndlessBytes {
         @ParameterizedTest
