Limit the log lines of requests refused before their body is read

Cause: each such refusal wrote a line past the bounded log of the daemon, so that a flood of large bodies would flood it.

Change: at most one line in 50 ms; the counter of the error kind has every refusal.

Result: DocumentationTest, LayeringTest and the fleet test of endless bytes pass.

--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
@@ -58,6 +59,8 @@
     /** Share of the heap for bodies, which are kept until their requests have ended. */
     private static final double BODY_HEAP_SHARE = 0.5;
 
+    private static final int REFUSAL_LOG_MILLIS = 50;
+
     private static final Duration QUEUE_FULL_RETRY_AFTER = Duration.ofMillis(200);
 
     private final ForwardDialect dialect;
@@ -267,7 +270,8 @@
         metrics.counter(failure.kind().metricName()).inc();
         String id = Optional.ofNullable(transaction.request().getHeaders().get(dialect.requestId()))
                 .orElse("");
-        LOGGER.atInfo().log(
+        // A flood of callers must not flood the log; the counter has every refusal.
+        LOGGER.atInfo().atMostEvery(REFUSAL_LOG_MILLIS, TimeUnit.MILLISECONDS).log(
                 "event=request_refused request=%s kind=%s message=\"%s\"",
                 ExternalText.sanitize(id), failure.kind().code(), failure.message());
         new ForwardedCall(id, transaction, List.of(), new byte[0], true, ForwardedCall.Callbacks.none())
