Find callers who have left before their request is read

Cause: a daemon with little processor time reads a request seconds after it was sent. The close of its channel is there by then, but the watch for it waited for the selector, and the request was submitted and sent on first.

Change: the watch reads once, without blocking, when it starts; a request whose caller has left is not submitted.

Ruled out: the time to live of the request, which begins when it is read, since the wire gives no time of sending.

Result: HttpListenerTest$CallersWhoLeaveBeforeTheirRequestIsRead failed before (false instead of true) and passes; 179 tests of the listeners pass.

--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -234,6 +234,10 @@
         // The watch starts before the event is offered: the answer may be complete at once, and Jetty then reuses the
         // request's objects for the next request of the connection.
         call.watchCaller();
+        if (!call.isOpen()) {
+            metrics.counter("front.callers_gone").inc();
+            return;
+        }
         if (events.offer(new ForwardEvent.ForwardArrived(ticket, head(id, request, body), arrivedNanos))) {
             call.markSubmitted();
         } else {
--- a/src/main/java/org/plantainwharf/front/WatchedEndPoint.java
+++ b/src/main/java/org/plantainwharf/front/WatchedEndPoint.java
@@ -46,11 +46,35 @@
         return new WatchedEndPoint(channel, selector, key, scheduler, executor);
     }
 
-    /** Runs a task once if the peer closes the connection or it fails before {@link #stopWatching} is called. */
+    /**
+     * Runs a task once if the peer closes the connection or it fails before {@link #stopWatching} is called. If the peer
+     * has closed it already, the task has run when this method returns: a host that was paused must not work for callers
+     * who gave up meanwhile.
+     */
     void watch(Runnable onDisconnect) {
+        boolean closed;
         synchronized (lock) {
-            this.onDisconnect = onDisconnect;
-            registerWatch();
+            if (!watchRegistered && !readAhead.hasRemaining()) {
+                readAheadWithoutBlocking();
+            }
+            closed = endOfInput;
+            if (!closed) {
+                this.onDisconnect = onDisconnect;
+                registerWatch();
+            }
+        }
+        if (closed) {
+            onDisconnect.run();
+        }
+    }
+
+    private void readAheadWithoutBlocking() {
+        if (!endOfInput) {
+            try {
+                endOfInput = super.fill(readAhead) < 0;
+            } catch (IOException e) {
+                endOfInput = true;
+            }
         }
     }
 
@@ -117,11 +141,7 @@
             reader = pendingReader;
             pendingReader = null;
             if (reader == null && onDisconnect != null) {
-                try {
-                    endOfInput = super.fill(readAhead) < 0;
-                } catch (IOException e) {
-                    endOfInput = true;
-                }
+                readAheadWithoutBlocking();
                 if (endOfInput) {
                     disconnected = onDisconnect;
                     onDisconnect = null;
--- a/src/test/java/org/plantainwharf/front/HttpListenerTest.java
+++ b/src/test/java/org/plantainwharf/front/HttpListenerTest.java
@@ -7,6 +7,10 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.eclipse.jetty.http.HttpHeader;
@@ -19,6 +23,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.plantainwharf.control.Clock;
 import org.plantainwharf.testing.Samples;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -45,8 +50,12 @@
     }
 
     private Socket connect() throws IOException {
+        return connect(new RejectingHandler());
+    }
+
+    private Socket connect(Handler handler) throws IOException {
         HttpListener started = HttpListener.create(
-                "test", "127.0.0.1:0", false, Samples.settings("core-1").bounds(), new RejectingHandler());
+                "test", "127.0.0.1:0", false, Samples.settings("core-1").bounds(), handler);
         started.start();
         listener = started;
         return new Socket(InetAddress.getLoopbackAddress(), started.port());
@@ -77,6 +86,39 @@
         return text.toString();
     }
 
+    /** Reads the body only once the caller has left, as a daemon does that was paused or has too little processor time. */
+    @Nested
+    class CallersWhoLeaveBeforeTheirRequestIsRead {
+        private final CountDownLatch left = new CountDownLatch(1);
+        private final CompletableFuture<Boolean> knownAtOnce = new CompletableFuture<>();
+
+        private final class LateHandler extends Handler.Abstract {
+            @Override
+            public boolean handle(Request request, Response response, Callback callback) throws Exception {
+                left.await();
+                BodyBudget budget = BodyBudget.ofBytes(Clock.system(), BODY_BYTES);
+                RequestReader.readBody(request, 100, budget, body -> {
+                    AtomicBoolean disconnected = new AtomicBoolean();
+                    DisconnectWatch.start(request, () -> disconnected.set(true));
+                    knownAtOnce.complete(disconnected.get());
+                    callback.succeeded();
+                });
+                return true;
+            }
+        }
+
+        /** The request was passed on to a server, and the caller was found to have left only afterwards. */
+        @Test
+        void areKnownWhenTheWatchStarts() throws Exception {
+            try (Socket client = connect(new LateHandler())) {
+                client.getOutputStream().write(head("Content-Length: 2\r\n"));
+                client.getOutputStream().write(new byte[2]);
+            }
+            left.countDown();
+            assertTrue(knownAtOnce.get(20, TimeUnit.SECONDS));
+        }
+    }
+
     @Nested
     class UnreadBodies {
         /** Closing a connection with unread bytes resets it, and the reset discards the answer at the receiver. */
