Expect refusals within the retry budget while notices cross

Cause, trial on a scratch copy with 4 and 3 repetitions: one caller was not answered 200 for each daemon that sent the engine two requests before it had read the first answer, within 45 ms of the start. Both were turned away by the engine; the retry budget of a daemon that has just started allows one, and the other caller got 503 server_refused, not run, after one attempt.

Change: the test counts by daemon, as the rule does, and allows callers who are refused only while the notices cross: none later than a second after the start. It demands more than before of each daemon.

--- a/src/test/java/org/plantainwharf/platform/PlatformFleetTest.java
+++ b/src/test/java/org/plantainwharf/platform/PlatformFleetTest.java
@@ -3,7 +3,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -109,17 +112,20 @@
     class ServerNotices {
         private static final long CROSSING_MILLIS = 1_000;
 
-        /** Sends requests to both daemons, and returns those that were not answered with status 200. */
-        private int callFor(long millis) throws InterruptedException {
-            AtomicInteger failed = new AtomicInteger();
-            long endMillis = System.currentTimeMillis() + millis;
+        /**
+         * Sends requests to both daemons, and returns when those were sent that were not answered with status 200, in
+         * milliseconds after the start.
+         */
+        private List<Long> callFor(long millis) throws InterruptedException {
+            List<Long> refused = new CopyOnWriteArrayList<>();
+            long startMillis = System.currentTimeMillis();
             List<Thread> callers = new ArrayList<>();
             for (int caller = 0; caller < 8; caller++) {
                 int entry = caller % PlatformFleet.ENTRIES;
                 Thread thread = new Thread(() -> {
-                    while (System.currentTimeMillis() < endMillis) {
+                    for (long sent = 0; sent < millis; sent = System.currentTimeMillis() - startMillis) {
                         if (fleet.send(entry, "n" + System.nanoTime() + ":5") != 200) {
-                            failed.incrementAndGet();
+                            refused.add(sent);
                         }
                     }
                 });
@@ -129,7 +135,7 @@
             for (Thread caller : callers) {
                 caller.join();
             }
-            return failed.get();
+            return refused;
         }
 
         private static long arrivalsAfter(ScriptedEngine engine, long millis) {
@@ -143,12 +149,12 @@
         void keepLeavingEnginesFreeOfRequests() throws Exception {
             fleet.engines().forEach(engine -> engine.setMode(new ScriptedEngine.Mode.Leaving()));
             long startMillis = System.currentTimeMillis();
-            int refused = callFor(5_000);
+            List<Long> refused = callFor(5_000);
             for (ScriptedEngine engine : fleet.engines()) {
                 assertTrue(arrivalsAfter(engine, startMillis) > 0, "no answer could say that the engine leaves");
                 assertEquals(0, arrivalsAfter(engine, startMillis + CROSSING_MILLIS));
             }
-            assertTrue(refused > 0, "no caller was refused");
+            assertTrue(!refused.isEmpty(), "no caller was refused");
         }
 
         @Test
@@ -156,17 +162,24 @@
             ScriptedEngine engine = fleet.engines().getFirst();
             engine.setMode(new ScriptedEngine.Mode.Pausing(4));
             long startMillis = System.currentTimeMillis();
-            int failed = callFor(7_000);
-            List<Long> arrivals = engine.arrivalMillis().stream()
-                    .filter(arrival -> arrival >= startMillis)
-                    .toList();
-            assertTrue(!arrivals.isEmpty(), "no answer could ask for a pause");
-            long firstMillis = arrivals.getFirst();
-            long inPause = arrivals.stream()
-                    .filter(arrival -> arrival > firstMillis + CROSSING_MILLIS && arrival < firstMillis + 4_000)
-                    .count();
-            assertEquals(0, inPause);
-            assertEquals(0, failed);
+            List<Long> refused = callFor(7_000);
+            // Callers name the daemon that they send to as the host. Each daemon is told by its own first answer.
+            Map<String, List<ScriptedEngine.Arrival>> arrivalsByDaemon = engine.arrivals().stream()
+                    .filter(arrival -> arrival.millis() >= startMillis)
+                    .collect(Collectors.groupingBy(ScriptedEngine.Arrival::host));
+            assertTrue(!arrivalsByDaemon.isEmpty(), "no answer could ask for a pause");
+            arrivalsByDaemon.forEach((daemon, arrivals) -> {
+                long firstMillis = arrivals.getFirst().millis();
+                List<Long> inPause = arrivals.stream()
+                        .map(arrival -> arrival.millis() - firstMillis)
+                        .filter(after -> after > CROSSING_MILLIS && after < 4_000)
+                        .toList();
+                assertEquals(List.of(), inPause, daemon + ", milliseconds after its first request");
+            });
+            // The first requests may cross the notices, and the retry budget of a daemon is small at its start.
+            assertEquals(
+                    List.of(),
+                    refused.stream().filter(sent -> sent > CROSSING_MILLIS).toList());
         }
     }
 
--- a/src/test/java/org/plantainwharf/platform/ScriptedEngine.java
+++ b/src/test/java/org/plantainwharf/platform/ScriptedEngine.java
@@ -42,7 +42,7 @@
     private final String service;
     private final int port;
     private final AtomicInteger crashes = new AtomicInteger();
-    private final List<Long> arrivalMillis = new CopyOnWriteArrayList<>();
+    private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
     private volatile Mode mode = new Mode.Sound();
     private volatile Life life;
     private volatile boolean closed;
@@ -64,6 +64,9 @@
         record Endless(String head, String repeated) implements Mode {}
     }
 
+    /** A request that arrived, at a time in milliseconds since the epoch, with the host that its caller named. */
+    record Arrival(long millis, String host) {}
+
     /** One start of the engine, with its connections. */
     private record Life(String id, long bornMillis, ServerSocket socket, Set<Socket> connections) {}
 
@@ -106,7 +109,11 @@
 
     /** Returns when requests arrived, in milliseconds since the epoch. */
     List<Long> arrivalMillis() {
-        return arrivalMillis;
+        return arrivals.stream().map(Arrival::millis).toList();
+    }
+
+    List<Arrival> arrivals() {
+        return arrivals;
     }
 
     private void reportUntilClosed() {
@@ -155,7 +162,7 @@
             String head = readHead(in);
             while (!head.isEmpty()) {
                 in.readNBytes(Integer.parseInt(header(head, "Content-Length", "0")));
-                arrivalMillis.add(System.currentTimeMillis());
+                arrivals.add(new Arrival(System.currentTimeMillis(), header(head, "Host", "")));
                 answer(present, connection.getOutputStream(), head);
                 head = readHead(in);
             }
