Mark the end of every answer, so that one that is cut never looks whole

Cause: Jetty uses chunks only on connections that stay open. On others (Connection: close by the caller or by a daemon that drains, HTTP/1.0) the orderly close is the mark, and aborted answers, a listener that stops and a killed process close the connection in order.

Change: EndMarker chooses the mark before the first byte: chunks for HTTP/1.1 whatever becomes of the connection; HTTP/1.0 connections are set to be reset on close until the body is complete, which the operating system keeps to when the process is killed. Both request paths use it. Broken answers are logged with their mark and counted.

--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -44,6 +44,7 @@
 import org.plantainwharf.membership.DiscoveryController;
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.metric.Counters;
+import org.plantainwharf.metric.Telemetry;
 import org.plantainwharf.quarantine.ForwardQuarantineController;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.settings.Settings;
@@ -110,7 +111,7 @@
                 clock,
                 control::view,
                 control,
-                metrics,
+                new Telemetry(metrics, log),
                 trafficExecutor);
         this.serverClient = HttpClients.start("servers", CLIENT_THREADS, SERVER_IDLE_TIMEOUT_MILLIS);
         ForwardClient forwardClient =
--- a/src/main/java/org/plantainwharf/front/ForwardedCall.java
+++ b/src/main/java/org/plantainwharf/front/ForwardedCall.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
@@ -20,7 +21,7 @@
 /**
  * HTTP side of a forwarded request: the exchange with the caller. Its state on the control thread is a {@link
  * org.plantainwharf.forward.ForwardCall}; the ticket, a number unique within the daemon, joins the two. Invariants: at
- * most one answer is started; if an answer cannot be completed, its connection is closed, so that the caller cannot
+ * most one answer is started; an answer that cannot be completed lacks its {@link EndMarker}, so that the caller cannot
  * mistake it for a complete one.
  *
  * <p>Thread-safe: the state is guarded by this object's lock, which is not held while Jetty is called.
@@ -38,6 +39,7 @@
     private final Callbacks callbacks;
     private @Nullable HeldFailure heldFailure;
     private @Nullable String lastEventId;
+    private Optional<EndMarker> endMarker = Optional.empty();
     private boolean answerStarted;
     private boolean ended;
     private boolean submitted;
@@ -48,13 +50,16 @@
      *
      * @param onBegin run once when the answer of a server starts
      * @param onEnd run once when the answer has ended or the caller has disconnected
+     * @param onBrokenOff receives, before {@code onEnd}, the mark that the caller misses and the reason, if an answer that
+     *     has started is not completed although the caller is there
      * @param onDisconnect run once if the caller disconnects before the answer has ended, but not before the request
      *     was submitted to the control thread
      */
-    record Callbacks(Runnable onBegin, Runnable onEnd, Runnable onDisconnect) {
+    record Callbacks(
+            Runnable onBegin, Runnable onEnd, BiConsumer<EndMarker, String> onBrokenOff, Runnable onDisconnect) {
         /** Returns callbacks that do nothing. */
         static Callbacks none() {
-            return new Callbacks(() -> {}, () -> {}, () -> {});
+            return new Callbacks(() -> {}, () -> {}, (marker, reason) -> {}, () -> {});
         }
     }
 
@@ -146,6 +151,10 @@
         }
         callbacks.onBegin().run();
         setHead(httpStatus, answerHeaders);
+        EndMarker marker = EndMarker.prepare(request, response);
+        synchronized (this) {
+            endMarker = Optional.of(marker);
+        }
     }
 
     private void setHead(int httpStatus, List<HttpField> answerHeaders) {
@@ -177,10 +186,15 @@
         if (markEnded()) {
             DisconnectWatch.stop(request);
             callbacks.onEnd().run();
+            endMarker().ifPresent(EndMarker::beforeLastWrite);
             callback.succeeded();
         }
     }
 
+    private synchronized Optional<EndMarker> endMarker() {
+        return endMarker;
+    }
+
     @Override
     public synchronized void recordFailureResponse(int httpStatus, List<HttpField> answerHeaders, byte[] answerBody) {
         heldFailure = new HeldFailure(httpStatus, List.copyOf(answerHeaders), answerBody);
@@ -235,7 +249,9 @@
     void abort(String reason) {
         if (markEnded()) {
             DisconnectWatch.stop(request);
+            endMarker().ifPresent(marker -> callbacks.onBrokenOff().accept(marker, reason));
             callbacks.onEnd().run();
+            endMarker().ifPresent(EndMarker::breakOff);
             callback.failed(new EofException(reason));
         }
     }
--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -11,7 +11,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
@@ -42,6 +41,8 @@
 import org.plantainwharf.http.EndToEndHeaders;
 import org.plantainwharf.http.ForwardDialect;
 import org.plantainwharf.identity.Fingerprint;
+import org.plantainwharf.log.LogSink;
+import org.plantainwharf.metric.Telemetry;
 import org.plantainwharf.record.Digests;
 
 /**
@@ -59,8 +60,6 @@
     /** Share of the heap for bodies, which are kept until their requests have ended. */
     private static final double BODY_HEAP_SHARE = 0.5;
 
-    private static final int REFUSAL_LOG_MILLIS = 50;
-
     private static final Duration QUEUE_FULL_RETRY_AFTER = Duration.ofMillis(200);
 
     private final ForwardDialect dialect;
@@ -71,6 +70,7 @@
     private final EventSink events;
     private final MetricRegistry metrics;
     private final Executor executor;
+    private final LogSink log;
     private final Map<Long, ForwardedCall> calls = new ConcurrentHashMap<>();
     private final AtomicLong lastTicket = new AtomicLong();
     private final Histogram firstByteMillis;
@@ -85,7 +85,7 @@
             Clock clock,
             Supplier<BoardView> view,
             EventSink events,
-            MetricRegistry metrics,
+            Telemetry telemetry,
             Executor executor) {
         this.dialect = dialect;
         this.addresses = addresses;
@@ -93,7 +93,8 @@
         this.bodies = BodyBudget.ofHeap(clock, BODY_HEAP_SHARE);
         this.view = view;
         this.events = events;
-        this.metrics = metrics;
+        this.metrics = telemetry.metrics();
+        this.log = telemetry.log();
         this.executor = executor;
         this.firstByteMillis = metrics.histogram("forward.first_byte_millis", ForwardingFrontend::histogram);
         this.totalMillis = metrics.histogram("forward.total_millis", ForwardingFrontend::histogram);
@@ -111,6 +112,7 @@
      * Returns a server that does not listen yet.
      *
      * @param view supplies the latest published view of the board
+     * @param telemetry receives what the control thread does not see
      * @param executor executes effects, so that they do not block the control thread
      */
     public static ForwardingFrontend create(
@@ -119,9 +121,9 @@
             Clock clock,
             Supplier<BoardView> view,
             EventSink events,
-            MetricRegistry metrics,
+            Telemetry telemetry,
             Executor executor) {
-        return new ForwardingFrontend(dialect, addresses, clock, view, events, metrics, executor);
+        return new ForwardingFrontend(dialect, addresses, clock, view, events, telemetry, executor);
     }
 
     /** Uses a fixed-size reservoir, which costs one array slot per request; a decaying one would cost a sorted map. */
@@ -267,17 +269,35 @@
                             calls.remove(ticket);
                             totalMillis.update(millisSince(arrivedNanos));
                         },
+                        (marker, reason) -> recordBrokenOff(id, marker, reason),
                         () -> events.post(new ForwardEvent.ForwardLeft(ticket))));
     }
 
+    private void recordBrokenOff(String id, EndMarker marker, String reason) {
+        metrics.counter("front.answers_broken_off").inc();
+        metrics.counter("front.answers_broken_off." + marker.code()).inc();
+        log.write(
+                "answer_broken_off",
+                "request",
+                ExternalText.sanitize(id),
+                "end_marker",
+                marker.code(),
+                "reason",
+                reason);
+    }
+
     private void refuse(HttpTransaction transaction, Failure failure) {
         metrics.counter(failure.kind().metricName()).inc();
         String id = Optional.ofNullable(transaction.request().getHeaders().get(dialect.requestId()))
                 .orElse("");
-        // A flood of callers must not flood the log; the counter has every refusal.
-        LOGGER.atInfo().atMostEvery(REFUSAL_LOG_MILLIS, TimeUnit.MILLISECONDS).log(
-                "event=request_refused request=%s kind=%s message=\"%s\"",
-                ExternalText.sanitize(id), failure.kind().code(), failure.message());
+        log.write(
+                "request_refused",
+                "request",
+                ExternalText.sanitize(id),
+                "kind",
+                failure.kind().code(),
+                "message",
+                failure.message());
         new ForwardedCall(id, transaction, List.of(), new byte[0], true, ForwardedCall.Callbacks.none())
                 .refuse(failure);
     }
--- a/src/main/java/org/plantainwharf/front/HttpExchange.java
+++ b/src/main/java/org/plantainwharf/front/HttpExchange.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.EofException;
@@ -53,6 +54,7 @@
     private final Runnable onEnd;
     private final Deque<PendingWrite> queue = new ArrayDeque<>();
     private AnswerState state = new AnswerState.NotStarted();
+    private Optional<EndMarker> endMarker = Optional.empty();
     private boolean writing;
     private boolean submitted;
     private boolean disconnectedBeforeSubmission;
@@ -106,6 +108,7 @@
                 response.setStatus(httpStatus);
                 response.getHeaders().put(HttpHeader.CONTENT_TYPE, EVENT_STREAM);
                 response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
+                endMarker = Optional.of(EndMarker.prepare(request, response));
                 state = new AnswerState.Streaming();
             } else {
                 state = new AnswerState.Buffering(httpStatus, mediaType, new ByteArrayOutputStream());
@@ -226,15 +229,18 @@
 
     private void writeNext() {
         PendingWrite next;
+        Optional<EndMarker> marker;
         synchronized (this) {
             if (writing || closed || queue.isEmpty()) {
                 return;
             }
             next = queue.remove();
             writing = true;
+            marker = endMarker;
         }
         if (next.last()) {
             DisconnectWatch.stop(request);
+            marker.ifPresent(EndMarker::beforeLastWrite);
         }
         response.write(next.last(), ByteBuffer.wrap(next.bytes()), Callback.from(() -> onWritten(next), cause -> {
             next.onConsumed().run();
@@ -299,6 +305,7 @@
     /** Ends the exchange after a disconnect or a failed write; discards the writes that are queued. */
     private void abort(Throwable cause) {
         boolean undecided;
+        Optional<EndMarker> marker;
         Deque<PendingWrite> discarded;
         synchronized (this) {
             if (closed) {
@@ -307,6 +314,7 @@
             closed = true;
             undecided = !(state instanceof AnswerState.Ended);
             state = new AnswerState.Ended();
+            marker = endMarker;
             discarded = new ArrayDeque<>(queue);
             queue.clear();
         }
@@ -316,6 +324,7 @@
             reportDisconnect();
         }
         discarded.forEach(write -> write.onConsumed().run());
+        marker.ifPresent(EndMarker::breakOff);
         callback.failed(cause);
     }
 }
--- a/src/main/java/org/plantainwharf/front/WatchedEndPoint.java
+++ b/src/main/java/org/plantainwharf/front/WatchedEndPoint.java
@@ -1,6 +1,7 @@
 package org.plantainwharf.front;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadPendingException;
 import java.nio.channels.SelectionKey;
@@ -85,6 +86,19 @@
         }
     }
 
+    /**
+     * Sets whether closing the connection resets it. The operating system keeps to it when this process is killed, so that
+     * the peer cannot take the close for the end of an answer. Bytes that the peer has not received by then are lost. Has
+     * no effect on a connection that is closed already.
+     */
+    void setResetOnClose(boolean reset) {
+        try {
+            getChannel().setOption(StandardSocketOptions.SO_LINGER, reset ? 0 : -1);
+        } catch (IOException e) {
+            close(e);
+        }
+    }
+
     private void registerWatch() {
         if (!watchRegistered && !endOfInput && !readAhead.hasRemaining()) {
             watchRegistered = super.tryFillInterested(new WatchCallback());
--- a/src/main/java/org/plantainwharf/log/LineLog.java
+++ b/src/main/java/org/plantainwharf/log/LineLog.java
@@ -22,7 +22,7 @@
  *
  * <p>{@link #write} is thread-safe and never blocks. The state of the rate limit is confined to the writer thread.
  */
-public final class LineLog implements AutoCloseable {
+public final class LineLog implements LogSink, AutoCloseable {
     /**
      * Lines that can wait for the writer thread: those of one second at the highest rate that the rate limits allow.
      */
@@ -60,11 +60,8 @@
         return log;
     }
 
-    /**
-     * Queues a line for the writer thread, or drops and counts it if the queue is full.
-     *
-     * @param namesAndValues field names, each followed by its value
-     */
+    /** Queues a line for the writer thread, or drops and counts it if the queue is full. */
+    @Override
     public void write(String event, Object... namesAndValues) {
         if (!queue.offer(new Line(event, clock.wallClockMillis(), namesAndValues))) {
             dropped.incrementAndGet();
--- a/src/test/java/org/plantainwharf/front/CallerFrontendTest.java
+++ b/src/test/java/org/plantainwharf/front/CallerFrontendTest.java
@@ -390,13 +390,20 @@
     class Streams {
         private CompletableFuture<HttpResponse<String>> response = new CompletableFuture<>();
 
+        @SuppressWarnings("NullAway.Init")
+        private Call begun;
+
         private Call begin(HttpClient client) {
             response = client.sendAsync(chat(GOOD_CHAT).build(), BodyHandlers.ofString());
             Call call = events.next(CallEvent.CallArrived.class).call();
+            writeFirstEvent(call);
+            return call;
+        }
+
+        private void writeFirstEvent(Call call) {
             ResponseSink sink = front.sink(call.id()).orElseThrow();
             sink.begin(200, "text/event-stream");
             sink.write("data: 1\n\n".getBytes(StandardCharsets.UTF_8), () -> {});
-            return call;
         }
 
         @Test
@@ -426,6 +433,37 @@
             assertTrue(front.sink(call.id()).isEmpty());
         }
 
+        /** A caller without the end marker of the protocol may take the end of its connection for the end of the body. */
+        @ParameterizedTest
+        @EnumSource(RawCaller.Connection.class)
+        void lookBrokenOffWhenTheDaemonStops(RawCaller.Connection connection) throws Exception {
+            try (RawCaller caller = beginFor(connection)) {
+                caller.awaitAnswer();
+                front.stop();
+                assertFalse(caller.receive().complete());
+            }
+        }
+
+        @ParameterizedTest
+        @EnumSource(RawCaller.Connection.class)
+        void lookCompleteWhenFinished(RawCaller.Connection connection) throws Exception {
+            try (RawCaller caller = beginFor(connection)) {
+                caller.awaitAnswer();
+                front.execute(new CallEffect.FinishStream(begun.id()));
+                RawCaller.Answer answer = caller.receive();
+                assertTrue(answer.complete());
+                assertEquals("data: 1\n\ndata: [DONE]\n\n", answer.body());
+            }
+        }
+
+        private RawCaller beginFor(RawCaller.Connection connection) throws IOException {
+            RawCaller caller = RawCaller.connect("127.0.0.1", front.port());
+            caller.post(connection, CHAT, "Authorization: Bearer mill-key\r\n", GOOD_CHAT);
+            begun = events.next(CallEvent.CallArrived.class).call();
+            writeFirstEvent(begun);
+            return caller;
+        }
+
         @Test
         void workOverHttp2OnTheSamePort() throws Exception {
             try (HttpClient second = http2()) {
--- a/src/test/java/org/plantainwharf/platform/PlatformFleet.java
+++ b/src/test/java/org/plantainwharf/platform/PlatformFleet.java
@@ -20,6 +20,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
+import org.plantainwharf.front.RawCaller;
 import org.plantainwharf.testing.TestProcesses;
 
 /**
@@ -172,6 +173,27 @@
         }
     }
 
+    /** Sends a request to an entry daemon; returns the caller, who has not read the answer yet. */
+    RawCaller call(int entry, RawCaller.Connection connection) throws IOException {
+        RawCaller caller = RawCaller.connect(entryAddress(entry), callerPort);
+        caller.send(
+                connection,
+                "/r/" + requests.incrementAndGet(),
+                entryAddress(entry),
+                "X-Plantainwharf-Attempt-Id: q-" + requests.get() + "\r\nX-Plantainwharf-Deadline-Ms: 6000\r\n");
+        return caller;
+    }
+
+    /** Kills an entry daemon without a word. */
+    void kill(int entry) throws InterruptedException {
+        processes.get(1 + entry).destroyForcibly().waitFor();
+    }
+
+    /** Asks an entry daemon to stop. */
+    void terminate(int entry) {
+        processes.get(1 + entry).destroy();
+    }
+
     private int status(HttpRequest request) {
         try {
             return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
--- a/src/test/java/org/plantainwharf/platform/PlatformFleetTest.java
+++ b/src/test/java/org/plantainwharf/platform/PlatformFleetTest.java
@@ -16,8 +16,10 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.plantainwharf.front.RawCaller;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against faults of engines that entry daemons must bear together, in real processes. */
@@ -107,6 +109,45 @@
         }
     }
 
+    /** Callers must see that the rest of a stream is missing, however its daemon ends. */
+    @Nested
+    class StreamsOfDaemonsThatEnd {
+        private List<RawCaller> startStreams() throws Exception {
+            fleet.engines().forEach(engine -> engine.setMode(new ScriptedEngine.Mode.Unending()));
+            List<RawCaller> callers = new ArrayList<>();
+            for (RawCaller.Connection connection : RawCaller.Connection.values()) {
+                RawCaller caller = fleet.call(0, connection);
+                caller.awaitAnswer();
+                callers.add(caller);
+            }
+            return callers;
+        }
+
+        private static void assertBrokenOff(List<RawCaller> callers) throws Exception {
+            for (RawCaller caller : callers) {
+                RawCaller.Answer answer = caller.receive();
+                caller.close();
+                assertEquals(200, answer.status());
+                assertFalse(answer.complete(), "looks complete: " + answer.headers());
+            }
+        }
+
+        /** The operating system closes the connections of a killed process in order. */
+        @Test
+        void withoutAWordLookBrokenOff() throws Exception {
+            List<RawCaller> callers = startStreams();
+            fleet.kill(0);
+            assertBrokenOff(callers);
+        }
+
+        @Test
+        void inAPlannedStopLookBrokenOff() throws Exception {
+            List<RawCaller> callers = startStreams();
+            fleet.terminate(0);
+            assertBrokenOff(callers);
+        }
+    }
+
     /** The engine reports itself ready all the while; only its answers say what it wants. */
     @Nested
     class ServerNotices {
--- a/src/test/java/org/plantainwharf/platform/ScriptedEngine.java
+++ b/src/test/java/org/plantainwharf/platform/ScriptedEngine.java
@@ -60,6 +60,9 @@
         /** It turns each request away and wants none for some seconds. */
         record Pausing(int seconds) implements Mode {}
 
+        /** It sends events, one after the other, until its connection is closed. */
+        record Unending() implements Mode {}
+
         /** It sends these bytes until its connection is closed. */
         record Endless(String head, String repeated) implements Mode {}
     }
@@ -204,6 +207,13 @@
             case Mode.Limited limited ->
                 answerWithEvents(present, out, head, id, "Server-Limit: " + limited.requestsPerSecond() + "\r\n");
             case Mode.Leaving leaving -> answerWithEvents(present, out, head, id, "Server-Leaving: 1\r\n");
+            case Mode.Unending unending -> {
+                writeEventStreamHead(out, id, "");
+                for (int event = 1; !closed; event++) {
+                    writeChunk(out, "id: " + event + "\ndata: t\n\n");
+                    Thread.sleep(EVENT_INTERVAL_MILLIS);
+                }
+            }
             case Mode.Pausing pausing ->
                 write(
                         out,
@@ -221,11 +231,7 @@
 
     private void answerWithEvents(Life present, OutputStream out, String head, String id, String moreHeaders)
             throws IOException, InterruptedException {
-        write(
-                out,
-                "HTTP/1.1 200 OK\r\nX-Plantainwharf-Attempt-Id: " + id
-                        + "\r\nX-Plantainwharf-Response-Seal: s\r\nContent-Type: text/event-stream\r\n"
-                        + moreHeaders + "Transfer-Encoding: chunked\r\n\r\n");
+        writeEventStreamHead(out, id, moreHeaders);
         for (int event = 1; event <= EVENTS; event++) {
             writeChunk(out, "id: " + event + "\ndata: t\n\n");
             Thread.sleep(EVENT_INTERVAL_MILLIS);
@@ -236,6 +242,14 @@
         write(out, "0\r\n\r\n");
     }
 
+    private static void writeEventStreamHead(OutputStream out, String id, String moreHeaders) throws IOException {
+        write(
+                out,
+                "HTTP/1.1 200 OK\r\nX-Plantainwharf-Attempt-Id: " + id
+                        + "\r\nX-Plantainwharf-Response-Seal: s\r\nContent-Type: text/event-stream\r\n"
+                        + moreHeaders + "Transfer-Encoding: chunked\r\n\r\n");
+    }
+
     private static void writeChunk(OutputStream out, String text) throws IOException {
         write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
