Do not call a request wrong that the HTTP library could not serve

What callers saw: nothing shown; found while looking for the cause of DENIED. A request that the HTTP library ended with 408 or 503 was answered 400 request_invalid, which callers never repeat.

Cause: the error handler took every status that it did not know for a malformed message.

Evidence: blameTheRequestOnlyIfItIsWrong failed before for 408 and 503. No run shows that the library gives them here: 20 stops of a listener under six callers gave no status from 300 to 499.

Change: 408 is body_timeout and 503 is draining; both may be repeated.

Result: HttpListenerTest, CallerFrontendTest and OperatorFrontendTest pass.

--- a/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
+++ b/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
@@ -43,7 +43,9 @@
         return switch (status) {
             case 431 -> Failure.of(ErrorKind.HEADERS_TOO_LARGE, maximumHeaderBytes);
             case 404 -> Failure.of(ErrorKind.UNKNOWN_ROUTE, "of this request");
+            case 408 -> Failure.of(ErrorKind.BODY_TIMEOUT);
             case 500 -> Failure.of(ErrorKind.INTERNAL_ERROR);
+            case 503 -> Failure.of(ErrorKind.DRAINING);
             default -> Failure.of(ErrorKind.REQUEST_INVALID, "the HTTP message is malformed or not supported");
         };
     }
--- a/src/test/java/org/plantainwharf/front/HttpListenerTest.java
+++ b/src/test/java/org/plantainwharf/front/HttpListenerTest.java
@@ -28,13 +28,15 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.plantainwharf.control.Clock;
 import org.plantainwharf.testing.Samples;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against answers that are lost because their connection was closed too early. */
+/** Guards against answers that are lost because their connection was closed too early, and against wrong statuses. */
 @Timeout(60)
 class HttpListenerTest {
     private static final int BODY_BYTES = 5 << 20;
@@ -188,6 +190,27 @@
         }
     }
 
+    /** A host that is stopping, or a slow connection, is no fault of the request. */
+    @Nested
+    class ErrorsOfTheHttpLibrary {
+        @ParameterizedTest
+        @CsvSource({"400,400", "408,408", "431,431", "500,500", "503,503", "505,400"})
+        void blameTheRequestOnlyIfItIsWrong(int status, String expected) throws Exception {
+            Handler handler = new Handler.Abstract() {
+                @Override
+                public boolean handle(Request request, Response response, Callback callback) {
+                    Response.writeError(request, response, callback, status);
+                    return true;
+                }
+            };
+            try (Socket client = connect(handler)) {
+                client.getOutputStream().write(head("Content-Length: 0\r\nConnection: close\r\n"));
+                String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                assertTrue(answer.startsWith("HTTP/1.1 " + expected + " "), answer);
+            }
+        }
+    }
+
     @Nested
     class UnreadBodies {
         /** Closing a connection with unread bytes resets it, and the reset discards the answer at the receiver. */
