Do not take the death of a server for the end of its answer

What callers saw: streams that ended early looked complete (ORDER), at two daemons of one zone at the same moment.

Cause: the operating system closes the connections of a process that dies in order. Behind an answer without length and chunks that is the mark of a whole body, and every daemon that reads from the server passes it on as whole.

Evidence: AnswerEndTest without this change: after 56 draws, a server that dies after 9 bytes.

Change: after such an answer a connection to the server is opened before the end is marked towards the caller; if it is refused, the answer is broken off. ServerProbe serves this and the search for crashes.

Result: AnswerEndTest with 600 draws and ForwardAttemptTest pass. A first run failed by a fault of the test: bytes beyond the end of a plain body filled its declared length; only streams get a piece too long now.

--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -371,6 +371,25 @@
     private void onComplete(Result result) {
         endPoint.ifPresent(ResetAwareEndPoint::endResponse);
         ForwardOutcome outcome = outcome(result);
+        if (outcome instanceof ForwardOutcome.Completed completed && completed.endedByClose()) {
+            // The operating system also closes the connections of a process that has crashed in order.
+            ServerProbe.send(
+                    client, start.address(), refused -> forwardRemainder(outcomeAfterProbe(completed, refused)));
+        } else {
+            forwardRemainder(outcome);
+        }
+    }
+
+    private ForwardOutcome outcomeAfterProbe(ForwardOutcome.Completed completed, boolean refused) {
+        if (cancelled) {
+            return new ForwardOutcome.Cancelled(forwardedBytes, waitingForCaller);
+        }
+        return refused
+                ? new ForwardOutcome.Broken(true, true, "server is gone after an answer without an end marker")
+                : completed;
+    }
+
+    private void forwardRemainder(ForwardOutcome outcome) {
         if (outcome instanceof ForwardOutcome.Completed) {
             byte[] remainder = eventBuffer.remainder();
             if (remainder.length > 0) {
--- a/src/main/java/org/plantainwharf/backend/ForwardClient.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardClient.java
@@ -1,16 +1,12 @@
 package org.plantainwharf.backend;
 
-import java.net.ConnectException;
-import java.net.URI;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.function.LongFunction;
 
-import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.util.Promise;
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.control.Clock;
 import org.plantainwharf.control.EventSink;
@@ -94,20 +90,11 @@
      * Any other result does not tell whether the server's process exists.
      */
     public void probe(ForwardEffect.ProbeServer probe) {
-        executor.execute(() -> client.resolveDestination(client.newRequest(URI.create("http://" + probe.address())))
-                .newConnection(new Promise<>() {
-                    @Override
-                    public void succeeded(Connection connection) {
-                        connection.close();
-                    }
-
-                    @Override
-                    public void failed(Throwable cause) {
-                        if (cause instanceof ConnectException) {
-                            events.post(new ForwardEvent.ServerUnreachable(probe.ticket(), probe.server()));
-                        }
-                    }
-                }));
+        executor.execute(() -> ServerProbe.send(client, probe.address(), refused -> {
+            if (refused) {
+                events.post(new ForwardEvent.ServerUnreachable(probe.ticket(), probe.server()));
+            }
+        }));
     }
 
     /** Cancels the running attempt of a request. Has no effect if none is running. */
--- a/src/test/java/org/plantainwharf/front/AnswerEndTest.java
+++ b/src/test/java/org/plantainwharf/front/AnswerEndTest.java
@@ -37,6 +37,8 @@
         SERVER_RESETS,
         /** The server closes its connection without the mark that it has declared. */
         SERVER_CLOSES,
+        /** The server's process ends, and the operating system closes its sockets in order. */
+        SERVER_DIES,
         DEADLINE,
         /** An event that is too long to be passed on; a body that is no stream of events may have any length. */
         PIECE_TOO_LONG,
@@ -114,10 +116,12 @@
                 }
             } else if (cut == Cut.SERVER_RESETS) {
                 socket.setSoLinger(true, 0);
-            } else if (cut == Cut.PIECE_TOO_LONG) {
+            } else if (cut == Cut.SERVER_DIES) {
+                listener.close();
+            } else if (cut == Cut.PIECE_TOO_LONG && eventStream) {
                 writePiece(out, "x".repeat(LARGEST_EVENT_BYTES));
             }
-            if (cut != Cut.NONE && cut != Cut.SERVER_RESETS && cut != Cut.SERVER_CLOSES) {
+            if (cut == Cut.PIECE_TOO_LONG || cut == Cut.DEADLINE || cut == Cut.DAEMON_STOPS) {
                 // The connection stays open until the daemon closes it.
                 socket.getInputStream().read();
             }
