Test with real processes that a part at some of many crashes is not refused as wrong

Change: PlatformFleetTest crashes all engines four times within requests, one of which has the same rare part each time.

--- a/src/test/java/org/plantainwharf/platform/PlatformFleetTest.java
+++ b/src/test/java/org/plantainwharf/platform/PlatformFleetTest.java
@@ -69,6 +69,47 @@
         }
     }
 
+    /** A part that was at some of many crashes is no proof that requests with it are wrong. */
+    @Nested
+    class PartsAtCrashesWithAnotherCause {
+        private static final String RARE_PART = "rare:40";
+        private static final int ROUNDS = 4;
+        private static final int NEIGHBOURS = 12;
+
+        private void crashAllEnginesWithinRequests(int round) throws Exception {
+            List<Thread> callers = new ArrayList<>();
+            for (int caller = 0; caller <= NEIGHBOURS; caller++) {
+                String own = "r" + round + "n" + caller + ":5";
+                String parts = "c0:50," + (caller == 0 ? RARE_PART + "," : "") + own;
+                int entry = caller % PlatformFleet.ENTRIES;
+                Thread thread = new Thread(() -> fleet.send(entry, parts));
+                thread.start();
+                callers.add(thread);
+            }
+            Thread.sleep(100);
+            for (ScriptedEngine engine : fleet.engines()) {
+                engine.crash();
+            }
+            for (Thread caller : callers) {
+                caller.join();
+            }
+            fleet.awaitCondition("an answer after the crashes", () -> fleet.send(0, "c0:50,a" + round + ":5") == 200);
+        }
+
+        @Test
+        void areNotRefusedAsWrong() throws Exception {
+            for (int round = 0; round < ROUNDS; round++) {
+                crashAllEnginesWithinRequests(round);
+            }
+            List<Integer> statuses = new ArrayList<>();
+            fleet.awaitCondition("an answer to a request with the part", () -> {
+                statuses.add(fleet.send(0, "c0:50," + RARE_PART + ",z" + statuses.size() + ":5"));
+                return statuses.getLast() == 200;
+            });
+            assertFalse(statuses.contains(422), "statuses " + statuses);
+        }
+    }
+
     @Nested
     class RequestLimits {
         private static final double REQUESTS_PER_SECOND = 4;
--- a/src/test/java/org/plantainwharf/platform/ScriptedEngine.java
+++ b/src/test/java/org/plantainwharf/platform/ScriptedEngine.java
@@ -106,6 +106,11 @@
         mode = newMode;
     }
 
+    /** Crashes the engine for a reason that has nothing to do with its requests. */
+    void crash() throws IOException {
+        crash(life);
+    }
+
     int crashes() {
         return crashes.get();
     }
