Use one dialect in the tests of forwarding

Cause: ForwardingRelay repeated the header names of ForwardTestDialect.

Change: the dialect is public within the tests. Behaviour stays as it is.

--- a/src/test/java/org/plantainwharf/backend/ForwardTestDialect.java
+++ b/src/test/java/org/plantainwharf/backend/ForwardTestDialect.java
@@ -5,8 +5,8 @@
 import org.plantainwharf.http.ForwardDialect;
 
 /** Header names in tests of forwarding. */
-final class ForwardTestDialect {
-    static final ForwardDialect DIALECT = new ForwardDialect(
+public final class ForwardTestDialect {
+    public static final ForwardDialect DIALECT = new ForwardDialect(
             "X-Id",
             "X-Deadline",
             "Token",
--- a/src/test/java/org/plantainwharf/front/ForwardingRelay.java
+++ b/src/test/java/org/plantainwharf/front/ForwardingRelay.java
@@ -11,6 +11,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.eclipse.jetty.client.HttpClient;
 import org.plantainwharf.backend.ForwardClient;
+import org.plantainwharf.backend.ForwardTestDialect;
 import org.plantainwharf.backend.HttpClients;
 import org.plantainwharf.control.Clock;
 import org.plantainwharf.control.EventSink;
@@ -21,7 +22,6 @@
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.forward.ForwardOutcome;
-import org.plantainwharf.http.ForwardDialect;
 import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.metric.Telemetry;
 
@@ -31,22 +31,6 @@
  */
 final class ForwardingRelay implements EventSink, AutoCloseable {
     private static final long DEADLINE_NANOS = 10_000_000_000L;
-    private static final ForwardDialect DIALECT = new ForwardDialect(
-            "X-Id",
-            "X-Deadline",
-            "Token",
-            "X-Account",
-            "X-Server",
-            "X-Priority",
-            "X-Seal",
-            "X-Not-Run",
-            "X-Load",
-            "X-Limit",
-            "X-Leaving",
-            "X-Model",
-            "X-Tokens",
-            "X-Prompt",
-            Set.of());
 
     private final String serverAddress;
     private final HttpClient httpClient = HttpClients.start("relay", 4, 4_000);
@@ -61,7 +45,7 @@
         this.serverAddress = serverAddress;
         DrainPhase phase = draining ? new DrainPhase.Announcing(0) : new DrainPhase.Serving();
         this.frontend = ForwardingFrontend.create(
-                DIALECT,
+                ForwardTestDialect.DIALECT,
                 new ListenAddresses(
                         "127.0.0.1:0",
                         "127.0.0.1:0",
@@ -72,7 +56,8 @@
                 this,
                 new Telemetry(metrics, (event, fields) -> {}),
                 executor);
-        this.client = ForwardClient.create(httpClient, DIALECT, Clock.system(), frontend::call, this, executor);
+        this.client = ForwardClient.create(
+                httpClient, ForwardTestDialect.DIALECT, Clock.system(), frontend::call, this, executor);
     }
 
     static ForwardingRelay start(String serverAddress, boolean draining) {
