Log and count the answers that the HTTP library gives by itself

All listeners now share one mechanism, LibraryAnswers: a line library_answer with the status that the library chose, the status sent, the kind, the cause, the request id if the head was read, and how much of the body was read; counters front.library_answers, the same by kind, and errors.KIND. A line request_refused has the cause and the bytes read. The control API and the metrics listener get the telemetry of their daemon for this.

--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
@@ -42,6 +43,7 @@
 import org.plantainwharf.membership.DiscoveryController;
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.metric.Counters;
+import org.plantainwharf.metric.Telemetry;
 import org.plantainwharf.registry.DepartureController;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.replicated.VoterId;
@@ -67,7 +69,7 @@
     private ControlDaemon(
             RoleSettings role,
             DocumentCodec codec,
-            Function<EventSink, ControlFrontend> frontendFactory,
+            BiFunction<EventSink, Telemetry, ControlFrontend> frontendFactory,
             Function<EventSink, CloudApi> cloudApiFactory,
             DeferredEventSink deferredEvents,
             StorageWriter storage,
@@ -79,7 +81,8 @@
         SecureRandom random = new SecureRandom();
         long incarnation = random.nextLong(1, Long.MAX_VALUE);
         MetricRegistry metrics = new MetricRegistry();
-        this.metricsFrontend = MetricsFrontend.create(role.metricsAddress(), settings.bounds(), metrics);
+        Telemetry telemetry = new Telemetry(metrics, log);
+        this.metricsFrontend = MetricsFrontend.create(role.metricsAddress(), settings.bounds(), telemetry);
         Board board = Board.create(settings, incarnation, random.nextLong());
         RecoveredGroup recovered = storage.recover(0);
         Map<HostId, String> known = knownDaemons(role, recovered);
@@ -111,7 +114,7 @@
                 effect -> Objects.requireNonNull(dispatcher.get()).execute(effect),
                 settings.bounds().eventQueueCapacity());
         deferredEvents.connect(control);
-        this.frontend = frontendFactory.apply(control);
+        this.frontend = frontendFactory.apply(control, telemetry);
         this.cloudApi = cloudApiFactory.apply(control);
         this.peers = PeerNetwork.create(
                 settings, new PeerPolicy.Discovered(known), incarnation, PeerMessageCodec.create(), control, metrics);
@@ -136,7 +139,7 @@
     public static Either<Failure, ControlDaemon> start(
             RoleSettings role,
             DocumentCodec codec,
-            Function<EventSink, ControlFrontend> frontendFactory,
+            BiFunction<EventSink, Telemetry, ControlFrontend> frontendFactory,
             Function<EventSink, CloudApi> cloudApiFactory,
             LineLog log) {
         DeferredEventSink deferredEvents = DeferredEventSink.create();
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -76,7 +76,8 @@
         SecureRandom random = new SecureRandom();
         long incarnation = random.nextLong(1, Long.MAX_VALUE);
         MetricRegistry metrics = new MetricRegistry();
-        this.metricsFrontend = MetricsFrontend.create(role.metricsAddress(), settings.bounds(), metrics);
+        Telemetry telemetry = new Telemetry(metrics, log);
+        this.metricsFrontend = MetricsFrontend.create(role.metricsAddress(), settings.bounds(), telemetry);
         Board board = Board.create(settings, incarnation, random.nextLong());
         ConsensusController consensus = ConsensusController.createForDiscoveredHosts(
                 settings,
@@ -111,7 +112,7 @@
                 clock,
                 control::view,
                 control,
-                new Telemetry(metrics, log),
+                telemetry,
                 trafficExecutor);
         this.serverClient = HttpClients.start("servers", CLIENT_THREADS, SERVER_IDLE_TIMEOUT_MILLIS);
         ForwardClient forwardClient =
--- a/src/main/java/org/plantainwharf/front/BodyReader.java
+++ b/src/main/java/org/plantainwharf/front/BodyReader.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -24,6 +25,7 @@
  */
 final class BodyReader {
     private static final int FIRST_BYTES = 8 << 10;
+    private static final String CAUSE_ATTRIBUTE = BodyReader.class.getName() + ".cause";
 
     private final Request request;
     private final long maximumBytes;
@@ -59,6 +61,11 @@
         reader.read();
     }
 
+    /** Returns why the HTTP library could not read the body of a request; empty if it could. */
+    static Optional<Throwable> cause(Request request) {
+        return Optional.ofNullable(request.getAttribute(CAUSE_ATTRIBUTE)).map(Throwable.class::cast);
+    }
+
     private void read() {
         while (true) {
             Content.@Nullable Chunk chunk = request.read();
@@ -67,7 +74,9 @@
                 return;
             }
             if (Content.Chunk.isFailure(chunk)) {
-                fail(failure(chunk.getFailure()));
+                Throwable cause = chunk.getFailure();
+                request.setAttribute(CAUSE_ATTRIBUTE, cause);
+                fail(failure(cause));
                 return;
             }
             boolean appended = append(chunk.getByteBuffer());
--- a/src/main/java/org/plantainwharf/front/CallerFrontend.java
+++ b/src/main/java/org/plantainwharf/front/CallerFrontend.java
@@ -34,6 +34,8 @@
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.CallEvent;
 import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.log.EventLog;
+import org.plantainwharf.metric.Telemetry;
 import org.plantainwharf.settings.Settings;
 
 /**
@@ -72,8 +74,13 @@
         this.view = view;
         this.events = events;
         this.metrics = metrics;
-        this.listener =
-                HttpListener.create("callers", settings.callerAddress(), true, settings.bounds(), new CallerHandler());
+        this.listener = HttpListener.create(
+                "callers",
+                settings.callerAddress(),
+                true,
+                settings.bounds(),
+                new CallerHandler(),
+                LibraryAnswers.create("callers", new Telemetry(metrics, EventLog.of(LOGGER)::info)));
     }
 
     /**
--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -99,13 +99,19 @@
         this.firstByteMillis = metrics.histogram("forward.first_byte_millis", ForwardingFrontend::histogram);
         this.totalMillis = metrics.histogram("forward.total_millis", ForwardingFrontend::histogram);
         this.callerListener = HttpListener.create(
-                "callers", addresses.callerAddress(), false, addresses.bounds(), new ForwardHandler());
+                "callers",
+                addresses.callerAddress(),
+                false,
+                addresses.bounds(),
+                new ForwardHandler(),
+                LibraryAnswers.create("callers", dialect.requestId(), telemetry));
         this.readinessListener = HttpListener.create(
                 "readiness",
                 addresses.readinessAddress(),
                 false,
                 addresses.bounds(),
-                new ReadinessHandler(addresses.readinessPath()));
+                new ReadinessHandler(addresses.readinessPath()),
+                LibraryAnswers.create("readiness", telemetry));
     }
 
     /**
@@ -297,7 +303,13 @@
                 "kind",
                 failure.kind().code(),
                 "message",
-                failure.message());
+                failure.message(),
+                "cause",
+                BodyReader.cause(transaction.request())
+                        .map(LibraryAnswers::describe)
+                        .orElse(""),
+                "body_bytes",
+                Request.getContentBytesRead(transaction.request()));
         new ForwardedCall(id, transaction, List.of(), new byte[0], true, ForwardedCall.Callbacks.none())
                 .refuse(failure);
     }
--- a/src/main/java/org/plantainwharf/front/HttpListener.java
+++ b/src/main/java/org/plantainwharf/front/HttpListener.java
@@ -38,9 +38,15 @@
      * @param name prefix of the names of the threads
      * @param address IP address and port; with port 0 the operating system chooses one
      * @param http2 whether HTTP/2 cleartext is served as well as HTTP/1.1
+     * @param answers receives the answers that the HTTP library gives by itself
      */
     public static HttpListener create(
-            String name, String address, boolean http2, Settings.Bounds bounds, Handler handler) {
+            String name,
+            String address,
+            boolean http2,
+            Settings.Bounds bounds,
+            Handler handler,
+            LibraryAnswers answers) {
         QueuedThreadPool threads = new QueuedThreadPool(MAXIMUM_THREADS, 4);
         threads.setName(name);
         Server server = new Server(threads);
@@ -71,7 +77,7 @@
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         server.addConnector(connector);
         server.setHandler(UnreadBodyHandler.create(handler, Clock.system()));
-        server.setErrorHandler(JsonErrorHandler.create(bounds.maximumHeaderBytes()));
+        server.setErrorHandler(JsonErrorHandler.create(bounds.maximumHeaderBytes(), answers));
         // A drain ends only when no request is running, so connections are closed without waiting for their callers.
         server.setStopTimeout(0);
         return new HttpListener(server, connector, address);
--- a/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
+++ b/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
@@ -15,20 +15,24 @@
 /** Answers requests that Jetty itself rejects, in the format of all other errors. Immutable; thread-safe. */
 final class JsonErrorHandler implements Request.Handler {
     private final int maximumHeaderBytes;
+    private final LibraryAnswers answers;
 
-    private JsonErrorHandler(int maximumHeaderBytes) {
+    private JsonErrorHandler(int maximumHeaderBytes, LibraryAnswers answers) {
         this.maximumHeaderBytes = maximumHeaderBytes;
+        this.answers = answers;
     }
 
-    static JsonErrorHandler create(int maximumHeaderBytes) {
-        return new JsonErrorHandler(maximumHeaderBytes);
+    static JsonErrorHandler create(int maximumHeaderBytes, LibraryAnswers answers) {
+        return new JsonErrorHandler(maximumHeaderBytes, answers);
     }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        Failure failure = failure(response.getStatus());
+        int libraryStatus = response.getStatus();
+        Failure failure = failure(libraryStatus);
         @Nullable String present = response.getHeaders().get("X-Request-Id");
         String id = present == null ? UUID.randomUUID().toString() : present;
+        answers.record(request, libraryStatus, failure, id);
         response.setStatus(failure.kind().httpStatus());
         response.getHeaders()
                 .put("X-Request-Id", id)
--- a/src/main/java/org/plantainwharf/front/MetricsFrontend.java
+++ b/src/main/java/org/plantainwharf/front/MetricsFrontend.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.plantainwharf.metric.Telemetry;
 import org.plantainwharf.settings.Settings;
 
 /** Serves the metrics of a daemon in the Prometheus text format, which is generated for each request. Thread-safe. */
@@ -19,15 +20,16 @@
     private final MetricRegistry metrics;
     private final HttpListener listener;
 
-    private MetricsFrontend(String address, Settings.Bounds bounds, MetricRegistry metrics) {
+    private MetricsFrontend(String address, Settings.Bounds bounds, Telemetry telemetry) {
         this.address = address;
-        this.metrics = metrics;
-        this.listener = HttpListener.create("metrics", address, false, bounds, new MetricsHandler());
+        this.metrics = telemetry.metrics();
+        this.listener = HttpListener.create(
+                "metrics", address, false, bounds, new MetricsHandler(), LibraryAnswers.create("metrics", telemetry));
     }
 
     /** Returns a server that does not listen yet. */
-    public static MetricsFrontend create(String address, Settings.Bounds bounds, MetricRegistry metrics) {
-        return new MetricsFrontend(address, bounds, metrics);
+    public static MetricsFrontend create(String address, Settings.Bounds bounds, Telemetry telemetry) {
+        return new MetricsFrontend(address, bounds, telemetry);
     }
 
     /**
--- a/src/main/java/org/plantainwharf/front/OperatorFrontend.java
+++ b/src/main/java/org/plantainwharf/front/OperatorFrontend.java
@@ -37,6 +37,8 @@
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.OperatorEvent;
 import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.log.EventLog;
+import org.plantainwharf.metric.Telemetry;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.sheet.Sheet;
 
@@ -87,7 +89,12 @@
         this.events = events;
         this.metrics = metrics;
         this.listener = HttpListener.create(
-                "operators", settings.operatorAddress(), false, settings.bounds(), new OperatorHandler());
+                "operators",
+                settings.operatorAddress(),
+                false,
+                settings.bounds(),
+                new OperatorHandler(),
+                LibraryAnswers.create("operators", new Telemetry(metrics, EventLog.of(LOGGER)::info)));
     }
 
     /**
--- a/src/main/java/org/plantainwharf/platform/ControlApi.java
+++ b/src/main/java/org/plantainwharf/platform/ControlApi.java
@@ -27,9 +27,11 @@
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.front.BodyBudget;
 import org.plantainwharf.front.HttpListener;
+import org.plantainwharf.front.LibraryAnswers;
 import org.plantainwharf.front.RequestReader;
 import org.plantainwharf.identity.ServerId;
-import org.plantainwharf.log.LineLog;
+import org.plantainwharf.log.LogSink;
+import org.plantainwharf.metric.Telemetry;
 import org.plantainwharf.settings.Settings;
 
 /**
@@ -57,7 +59,7 @@
     private final Settings settings;
     private final DocumentCodec codec;
     private final EventSink events;
-    private final LineLog log;
+    private final LogSink log;
     private final HttpListener listener;
     private final AtomicLong lastTicket = new AtomicLong();
     private final Map<Long, PendingCall> pendingCalls = new ConcurrentHashMap<>();
@@ -65,17 +67,22 @@
     /** An HTTP exchange that waits for its response. */
     private record PendingCall(Response response, Callback callback) {}
 
-    private ControlApi(Settings settings, DocumentCodec codec, EventSink events, LineLog log) {
+    private ControlApi(Settings settings, DocumentCodec codec, EventSink events, Telemetry telemetry) {
         this.settings = settings;
         this.codec = codec;
         this.events = events;
-        this.log = log;
+        this.log = telemetry.log();
         this.listener = HttpListener.create(
-                "control-api", settings.operatorAddress(), false, settings.bounds(), new RequestHandler());
+                "control-api",
+                settings.operatorAddress(),
+                false,
+                settings.bounds(),
+                new RequestHandler(),
+                LibraryAnswers.create("control-api", telemetry));
     }
 
-    static ControlApi create(Settings settings, DocumentCodec codec, EventSink events, LineLog log) {
-        return new ControlApi(settings, codec, events, log);
+    static ControlApi create(Settings settings, DocumentCodec codec, EventSink events, Telemetry telemetry) {
+        return new ControlApi(settings, codec, events, telemetry);
     }
 
     @Override
--- a/src/main/java/org/plantainwharf/platform/PlatformCommand.java
+++ b/src/main/java/org/plantainwharf/platform/PlatformCommand.java
@@ -71,7 +71,7 @@
             return ControlDaemon.start(
                             role,
                             codec,
-                            events -> ControlApi.create(role.settings(), codec, events, log),
+                            (events, telemetry) -> ControlApi.create(role.settings(), codec, events, telemetry),
                             events -> settings.cloudAddress()
                                     .<org.plantainwharf.daemon.CloudApi>map(
                                             address -> CloudApiClient.create(address, settings.nodeName(), events, log))
--- a/src/test/java/org/plantainwharf/front/BodyBudgetTest.java
+++ b/src/test/java/org/plantainwharf/front/BodyBudgetTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import com.codahale.metrics.MetricRegistry;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -31,6 +32,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.plantainwharf.control.Clock;
 import org.plantainwharf.error.Failure;
+import org.plantainwharf.metric.Telemetry;
 import org.plantainwharf.testing.Samples;
 import org.plantainwharf.testing.TestProcesses;
 
@@ -135,7 +137,12 @@
             HttpListener started = listener;
             if (started == null) {
                 started = HttpListener.create(
-                        "test", "127.0.0.1:0", false, Samples.settings("core-1").bounds(), new BodyHandler());
+                        "test",
+                        "127.0.0.1:0",
+                        false,
+                        Samples.settings("core-1").bounds(),
+                        new BodyHandler(),
+                        LibraryAnswers.create("test", new Telemetry(new MetricRegistry(), (event, fields) -> {})));
                 started.start();
                 listener = started;
             }
--- a/src/test/java/org/plantainwharf/front/ForwardingRelay.java
+++ b/src/test/java/org/plantainwharf/front/ForwardingRelay.java
@@ -1,8 +1,12 @@
 package org.plantainwharf.front;
 
+import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -15,6 +19,7 @@
 import org.plantainwharf.backend.HttpClients;
 import org.plantainwharf.control.Clock;
 import org.plantainwharf.control.EventSink;
+import org.plantainwharf.document.CallerBounds;
 import org.plantainwharf.drain.DrainPhase;
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.error.ErrorKind;
@@ -38,6 +43,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final Set<Long> begun = ConcurrentHashMap.newKeySet();
     private final CountDownLatch answerBegun = new CountDownLatch(1);
+    private final Queue<String> lines = new ConcurrentLinkedQueue<>();
     private final ForwardingFrontend frontend;
     private final ForwardClient client;
 
@@ -54,7 +60,7 @@
                 Clock.system(),
                 () -> Fixture.view(phase),
                 this,
-                new Telemetry(metrics, (event, fields) -> {}),
+                new Telemetry(metrics, (event, fields) -> lines.add(event + " " + Arrays.toString(fields))),
                 executor);
         this.client = ForwardClient.create(
                 httpClient, ForwardTestDialect.DIALECT, Clock.system(), frontend::call, this, executor);
@@ -70,6 +76,16 @@
         return frontend.port();
     }
 
+    /** Returns the log lines of an event so far: its name and its fields. */
+    List<String> lines(String event) {
+        return lines.stream().filter(line -> line.startsWith(event + " ")).toList();
+    }
+
+    /** Applies limits as a document that comes into force does. */
+    void apply(CallerBounds bounds) {
+        frontend.apply(bounds);
+    }
+
     long counter(String name) {
         return metrics.counter(name).getCount();
     }
--- a/src/test/java/org/plantainwharf/front/HttpListenerTest.java
+++ b/src/test/java/org/plantainwharf/front/HttpListenerTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import com.codahale.metrics.MetricRegistry;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -32,6 +33,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.plantainwharf.control.Clock;
+import org.plantainwharf.metric.Telemetry;
 import org.plantainwharf.testing.Samples;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -63,7 +65,12 @@
 
     private Socket connect(Handler handler) throws IOException {
         HttpListener started = HttpListener.create(
-                "test", "127.0.0.1:0", false, Samples.settings("core-1").bounds(), handler);
+                "test",
+                "127.0.0.1:0",
+                false,
+                Samples.settings("core-1").bounds(),
+                handler,
+                LibraryAnswers.create("test", new Telemetry(new MetricRegistry(), (event, fields) -> {})));
         started.start();
         listener = started;
         return new Socket(InetAddress.getLoopbackAddress(), started.port());
--- a/src/test/java/org/plantainwharf/front/RawCaller.java
+++ b/src/test/java/org/plantainwharf/front/RawCaller.java
@@ -74,6 +74,17 @@
         socket.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
     }
 
+    /** Sends a text as it is, such as a part of a request. */
+    void sendText(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** Sends nothing more; the answer can still be read. */
+    void endOutput() throws IOException {
+        socket.shutdownOutput();
+    }
+
     /** Waits until the first byte of the answer has arrived. */
     public void awaitAnswer() throws IOException {
         in.mark(1);
--- a/src/test/java/org/plantainwharf/platform/ControlApiTest.java
+++ b/src/test/java/org/plantainwharf/platform/ControlApiTest.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
+import com.codahale.metrics.MetricRegistry;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -33,6 +34,7 @@
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.log.LineLog;
+import org.plantainwharf.metric.Telemetry;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.testing.Samples;
 import org.plantainwharf.testing.TestProcesses;
@@ -106,7 +108,11 @@
         Settings settings = Samples.settings("core-1");
         LineLog lines = LineLog.start(Clock.system(), new PrintStream(OutputStream.nullOutputStream()), "core-1");
         log = lines;
-        ControlApi created = ControlApi.create(settings, DocumentReader.create(), new RespondingEventSink(), lines);
+        ControlApi created = ControlApi.create(
+                settings,
+                DocumentReader.create(),
+                new RespondingEventSink(),
+                new Telemetry(new MetricRegistry(), lines));
         api = created;
         created.start();
     }
