Refuse a body that did not arrive as not received, not as malformed

Callers whose body was on its way when an entry daemon stopped, or whose connection ended, got 400 request_invalid, which forbids to repeat the request, although nothing was wrong with it.

Cause: BodyReader took every IOException and HttpException of the library for a malformed body. At a stop the library fails the read with an EofException, at the end of the connection with an early EOF that has status 400, the same as for a malformed chunk. A drain does not wait for requests whose body has not been read, so that every planned stop meets some.

MessageFault now tells the causes apart by the failure and by the state of the connection: malformed bytes get 400, a time-out 408, and an early end, a close on this side or an unexpected failure get 503 request_not_received (not run, may be repeated).

--- a/src/main/java/org/plantainwharf/error/ErrorKind.java
+++ b/src/main/java/org/plantainwharf/error/ErrorKind.java
@@ -13,6 +13,7 @@
     REQUEST_INVALID(400, ExecutionStatus.NO, false, "request is invalid: %s"),
     BODY_TOO_LARGE(413, ExecutionStatus.NO, false, "body exceeds %s bytes"),
     BODY_TIMEOUT(408, ExecutionStatus.NO, true, "body did not arrive in time"),
+    REQUEST_NOT_RECEIVED(503, ExecutionStatus.NO, true, "the request was not received completely: %s"),
     BODY_MEMORY_FULL(503, ExecutionStatus.NO, true, "this host has no memory left for a body of %s bytes"),
     HEADERS_TOO_LARGE(431, ExecutionStatus.NO, false, "headers exceed %s bytes"),
     METHOD_NOT_ALLOWED(405, ExecutionStatus.NO, false, "method %s is not allowed here"),
--- a/src/main/java/org/plantainwharf/front/BodyReader.java
+++ b/src/main/java/org/plantainwharf/front/BodyReader.java
@@ -1,15 +1,12 @@
 package org.plantainwharf.front;
 
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.Optional;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
-import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.jspecify.annotations.Nullable;
@@ -76,7 +73,7 @@
             if (Content.Chunk.isFailure(chunk)) {
                 Throwable cause = chunk.getFailure();
                 request.setAttribute(CAUSE_ATTRIBUTE, cause);
-                fail(failure(cause));
+                fail(MessageFault.of(request, cause).failure());
                 return;
             }
             boolean appended = append(chunk.getByteBuffer());
@@ -125,15 +122,6 @@
         return true;
     }
 
-    private static Failure failure(Throwable cause) {
-        if (cause instanceof TimeoutException) {
-            return Failure.of(ErrorKind.BODY_TIMEOUT);
-        }
-        return cause instanceof IOException || cause instanceof HttpException
-                ? Failure.of(ErrorKind.REQUEST_INVALID, "the body could not be read completely")
-                : Failure.of(ErrorKind.INTERNAL_ERROR);
-    }
-
     private void fail(Failure failure) {
         bytes = new byte[0];
         release();
--- a/src/main/java/org/plantainwharf/front/WatchedEndPoint.java
+++ b/src/main/java/org/plantainwharf/front/WatchedEndPoint.java
@@ -143,7 +143,16 @@
             if (readAhead.hasRemaining()) {
                 return BufferUtil.append(buffer, readAhead);
             }
-            return endOfInput ? -1 : super.fill(buffer);
+            int count = endOfInput ? -1 : super.fill(buffer);
+            endOfInput |= count < 0;
+            return count;
+        }
+    }
+
+    /** Returns whether the end of the peer's bytes has been read; those before it may still be in a buffer. */
+    boolean isInputEnded() {
+        synchronized (lock) {
+            return endOfInput;
         }
     }
 
--- a/src/test/java/org/plantainwharf/front/MessageFailureTest.java
+++ b/src/test/java/org/plantainwharf/front/MessageFailureTest.java
@@ -1,8 +1,14 @@
 package org.plantainwharf.front;
 
+import java.util.ArrayList;
+import java.util.List;
+
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.plantainwharf.document.CallerBounds;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -22,6 +28,94 @@
         }
     }
 
+    private static final int CALLERS = 8;
+
+    /** Sends a part of a request from several callers, stops the listener and returns what they receive. */
+    private static List<RawCaller.Answer> answersAtStop(ForwardingRelay relay, String part, long requests)
+            throws Exception {
+        List<RawCaller> callers = new ArrayList<>();
+        List<RawCaller.Answer> answers = new ArrayList<>();
+        for (int index = 0; index < CALLERS; index++) {
+            RawCaller caller = RawCaller.connect("127.0.0.1", relay.port());
+            callers.add(caller);
+            caller.sendText(part);
+        }
+        while (relay.counter("front.requests") < requests) {
+            Thread.sleep(1);
+        }
+        relay.stopListening();
+        for (RawCaller caller : callers) {
+            answers.add(caller.receive());
+            caller.close();
+        }
+        return answers;
+    }
+
+    /** A caller must not repeat a request after 400, although it would succeed at the next daemon. */
+    @Nested
+    class BodiesThatDoNotArrive {
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Content-Length: 10\r\n\r\nabc",
+                    "Content-Length: 10\r\n\r\n",
+                    "Content-Length: 10\r\nConnection: close\r\n\r\nabc",
+                    "Content-Length: 10\r\nExpect: 100-continue\r\n\r\n",
+                    "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                    "Transfer-Encoding: chunked\r\n\r\n3\r\nab"
+                })
+        void areNoFaultOfTheirCallersAtAStop(String rest) throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                for (RawCaller.Answer received : answersAtStop(relay, HEAD + rest, CALLERS)) {
+                    // A close without an answer blames nobody.
+                    assertTrue(List.of(0, 503).contains(received.status()), received.toString());
+                    assertTrue(
+                            received.status() != 503
+                                    || received.body().contains("\"code\":\"request_not_received\"")
+                                            && received.body().contains("\"ran\":\"no\",\"retry\":true"),
+                            received.toString());
+                }
+            }
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Content-Length: 10\r\n\r\nabc",
+                    "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                    "Transfer-Encoding: chunked\r\n\r\n3\r\nab"
+                })
+        void areNoFaultOfTheRequestIfItsConnectionEnds(String rest) throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false);
+                    RawCaller caller = RawCaller.connect("127.0.0.1", relay.port())) {
+                caller.sendText(HEAD + rest);
+                caller.endOutput();
+                RawCaller.Answer received = caller.receive();
+                assertEquals(503, received.status(), received.toString());
+                assertTrue(received.body().contains("\"code\":\"request_not_received\""), received.toString());
+            }
+        }
+
+        @Test
+        void areTimedOutAfterTheIdleTime() throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                relay.apply(new CallerBounds(4_096, 4_096, 3_000, 100));
+                assertEquals(
+                        408,
+                        answer(relay, HEAD + "Content-Length: 10\r\n\r\nabc").status());
+            }
+        }
+
+        /** The other direction: a body that can never be read is the fault of its caller. */
+        @Test
+        void areWrongIfTheirBytesAreMalformed() throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                RawCaller.Answer received = answer(relay, HEAD + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nx\r\n");
+                assertEquals(400, received.status(), received.toString());
+            }
+        }
+    }
+
     /** Callers got statuses of which no log told. */
     @Nested
     class LogLines {
--- a/src/test/java/org/plantainwharf/front/RawCaller.java
+++ b/src/test/java/org/plantainwharf/front/RawCaller.java
@@ -100,6 +100,11 @@
         boolean complete = false;
         try {
             String line = readLine();
+            if (line.startsWith("HTTP/1.1 100 ")) {
+                // The permission to send a body is no answer.
+                readLine();
+                line = readLine();
+            }
             if (!line.isEmpty()) {
                 status = Integer.parseInt(line.split(" ")[1]);
                 for (line = readLine(); !line.isEmpty(); line = readLine()) {
