Refuse a head that did not arrive as not received, with a truthful X-Ran

A caller whose head was half read when an entry daemon stopped got 500 internal_error with an unknown outcome; one whose connection ended in the head got 400 request_invalid or nothing, depending on which thread came first. No line told of either. Neither request had run, and nothing was wrong with it.

Cause: JsonErrorHandler looked only at the status that the library chose, which is 400 for an early end and 500 for a connection that the listener closes.

It now decides by MessageFault as the reader of bodies does. Whether a request was passed to the handlers of this system is noted in the request: before that, not run is certain; after it, an answer of the library says that the outcome is unknown.

--- a/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
+++ b/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.error.ErrorKind;
+import org.plantainwharf.error.ExecutionStatus;
 import org.plantainwharf.error.Failure;
 
 /** Answers requests that Jetty itself rejects, in the format of all other errors. Immutable; thread-safe. */
@@ -29,7 +30,7 @@
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         int libraryStatus = response.getStatus();
-        Failure failure = failure(libraryStatus);
+        Failure failure = failure(request, libraryStatus);
         @Nullable String present = response.getHeaders().get("X-Request-Id");
         String id = present == null ? UUID.randomUUID().toString() : present;
         answers.record(request, libraryStatus, failure, id);
@@ -43,6 +44,29 @@
         return true;
     }
 
+    private Failure failure(Request request, int status) {
+        @Nullable Throwable cause = LibraryAnswers.cause(request);
+        if (cause == null) {
+            return failure(status);
+        }
+        boolean handled = UnreadBodyHandler.hasHandled(request);
+        MessageFault fault = MessageFault.of(request, cause);
+        Failure failure =
+                switch (fault) {
+                    case MessageFault.Malformed malformed -> failure(status);
+                    case MessageFault.EndedEarly ended -> notReceived(fault, handled);
+                    case MessageFault.ClosedHere closed -> notReceived(fault, handled);
+                    case MessageFault.TimedOut timedOut -> notReceived(fault, handled);
+                    case MessageFault.Unexpected unexpected -> notReceived(fault, handled);
+                };
+        return handled ? failure.withExecutionStatus(ExecutionStatus.UNKNOWN) : failure;
+    }
+
+    /** A request that was passed on may have run, so that its caller is told nothing about its message. */
+    private static Failure notReceived(MessageFault fault, boolean handled) {
+        return handled ? Failure.of(ErrorKind.INTERNAL_ERROR) : fault.failure();
+    }
+
     private Failure failure(int status) {
         return switch (status) {
             case 431 -> Failure.of(ErrorKind.HEADERS_TOO_LARGE, maximumHeaderBytes);
--- a/src/main/java/org/plantainwharf/front/UnreadBodyHandler.java
+++ b/src/main/java/org/plantainwharf/front/UnreadBodyHandler.java
@@ -25,6 +25,8 @@
 
     private static final long MAXIMUM_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+    private static final String HANDLED_ATTRIBUTE = UnreadBodyHandler.class.getName() + ".handled";
+
     private final Clock clock;
 
     private UnreadBodyHandler(Handler handler, Clock clock) {
@@ -36,8 +38,14 @@
         return new UnreadBodyHandler(handler, clock);
     }
 
+    /** Returns whether a request has been passed to the handlers of this system; before that it cannot have run. */
+    static boolean hasHandled(Request request) {
+        return request.getAttribute(HANDLED_ATTRIBUTE) != null;
+    }
+
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
+        request.setAttribute(HANDLED_ATTRIBUTE, true);
         // A client that waits for permission may never send its body.
         if (request.getHeaders().contains(HttpHeader.EXPECT)) {
             return super.handle(request, response, callback);
--- a/src/test/java/org/plantainwharf/front/MessageFailureTest.java
+++ b/src/test/java/org/plantainwharf/front/MessageFailureTest.java
@@ -51,6 +51,90 @@
         return answers;
     }
 
+    /** A caller got 400, or 500 with an unknown outcome, for a head that this side had not read to its end. */
+    @Nested
+    class HeadsThatDoNotArrive {
+        private static final String FIRST = HEAD + "Content-Length: 1\r\n\r\na";
+
+        /** Returns whether an answer is a truthful refusal, or the connection was closed without one. */
+        private static boolean isTruthful(RawCaller.Answer received) {
+            return received.status() == 0
+                    || received.status() == 503
+                            && received.body().contains("\"code\":\"request_not_received\"")
+                            && received.body().contains("\"retry\":true")
+                            && "no".equals(received.headers().get("x-ran"));
+        }
+
+        private static void awaitLine(ForwardingRelay relay, String text) throws InterruptedException {
+            while (relay.lines("library_answer").isEmpty()) {
+                Thread.sleep(1);
+            }
+            String line = relay.lines("library_answer").getFirst();
+            assertTrue(line.contains(text), line);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"PO", "POST /x HT", "POST /x HTTP/1.1\r\nHo", HEAD, HEAD + "Content-Length: 1\r\n\r"})
+        void areNoFaultOfTheirCallersAtAStop(String part) throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                List<RawCaller> callers = new ArrayList<>();
+                for (int index = 0; index < CALLERS; index++) {
+                    RawCaller caller = RawCaller.connect("127.0.0.1", relay.port());
+                    callers.add(caller);
+                    // The part arrives with the request before it, so that it has been read once that is answered.
+                    caller.sendText(FIRST + part);
+                    assertEquals(503, caller.receive().status());
+                }
+                relay.stopListening();
+                for (RawCaller caller : callers) {
+                    RawCaller.Answer received = caller.receive();
+                    assertTrue(isTruthful(received), received.toString());
+                    caller.close();
+                }
+            }
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"PO", "POST /x HT", "POST /x HTTP/1.1\r\nHo", HEAD, HEAD + "Content-Length: 1\r\n\r"})
+        void areNoFaultOfTheRequestIfItsConnectionEnds(String part) throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                for (int index = 0; index < CALLERS; index++) {
+                    try (RawCaller caller = RawCaller.connect("127.0.0.1", relay.port())) {
+                        caller.sendText(part);
+                        caller.endOutput();
+                        RawCaller.Answer received = caller.receive();
+                        assertTrue(isTruthful(received), received.toString());
+                    }
+                }
+                awaitLine(relay, "library_status, 400, status, 503, kind, request_not_received");
+            }
+        }
+
+        @Test
+        void areNoFaultOfTheirCallersAfterTheIdleTime() throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                relay.apply(new CallerBounds(4_096, 4_096, 3_000, 50));
+                RawCaller.Answer received = answer(relay, HEAD);
+                assertTrue(isTruthful(received), received.toString());
+                awaitLine(relay, "status, 503, kind, request_not_received");
+            }
+        }
+
+        /** An ordinary head on a slow connection. */
+        @Test
+        void butComeInManyPiecesAreRead() throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false);
+                    RawCaller caller = RawCaller.connect("127.0.0.1", relay.port())) {
+                for (char letter : ("\r\n" + FIRST).toCharArray()) {
+                    caller.sendText(String.valueOf(letter));
+                    Thread.sleep(1);
+                }
+                RawCaller.Answer received = caller.receive();
+                assertTrue(received.body().contains("no_server_available"), received.toString());
+            }
+        }
+    }
+
     /** A caller must not repeat a request after 400, although it would succeed at the next daemon. */
     @Nested
     class BodiesThatDoNotArrive {
