Judge the size of heads and bodies by the service document only

Callers got 431 for heads that max_header_bytes of the service document allows, and 413, 431 or 400 for sizes above the limits that hold until the first document, which may allow more. Callers repeat none of these.

Cause: the listener of an entry daemon had the limit of its settings for heads, whatever the document said, and reported a request line that is too long as 400. Bodies were held to the default of 4 MiB before the first document.

A document now raises the limit on heads of new connections; it does not lower it below the settings, so that nothing that was accepted is refused now. Before the first document a size above the provisional limit is answered 503 configuration_missing, like every other request then. A long request line gets 431.

Before, the three cases of MessageFailureTest$Sizes failed (431, 431 and 400); they pass now, with HttpListenerTest, BodyBudgetTest, CallerFrontendTest, DocumentationTest and PlatformFleetTest.

Left: a connection that was open before the document keeps its limit.

--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -77,7 +77,8 @@
     private final Histogram totalMillis;
     private final HttpListener callerListener;
     private final HttpListener readinessListener;
-    private volatile CallerBounds bounds = CallerBounds.defaults();
+    /** Limits of the document in force; null before the first document. */
+    private volatile @Nullable CallerBounds documentBounds;
 
     private ForwardingFrontend(
             ForwardDialect dialect,
@@ -105,6 +106,8 @@
                 addresses.bounds(),
                 new ForwardHandler(),
                 LibraryAnswers.create("callers", dialect.requestId(), telemetry));
+        callerListener.setHeaderLimit(
+                new HeaderLimit.Provisional(addresses.bounds().maximumHeaderBytes()));
         this.readinessListener = HttpListener.create(
                 "readiness",
                 addresses.readinessAddress(),
@@ -177,9 +180,14 @@
         }
     }
 
-    /** Applies new limits: the body size to requests, the idle time-out to connections that are opened from now on. */
+    /**
+     * Applies the limits of a document: the body size to requests, the others to connections that are opened from now on.
+     * Heads may always be as long as the settings allow.
+     */
     public void apply(CallerBounds newBounds) {
-        bounds = newBounds;
+        documentBounds = newBounds;
+        callerListener.setHeaderLimit(new HeaderLimit.InForce(
+                Math.max(newBounds.maximumHeaderBytes(), addresses.bounds().maximumHeaderBytes())));
         callerListener.setIdleTimeoutMillis(newBounds.idleTimeoutMillis());
     }
 
@@ -224,11 +232,20 @@
                         Failure.of(ErrorKind.REQUEST_INVALID, "the target has an invalid percent escape"));
                 return true;
             }
-            RequestReader.readBody(request, bounds.maximumBodyBytes(), bodies, read -> read.peek(
+            @Nullable CallerBounds known = documentBounds;
+            int maximumBytes = (known == null ? CallerBounds.defaults() : known).maximumBodyBytes();
+            RequestReader.readBody(request, maximumBytes, bodies, read -> read.peek(
                             body -> submit(new HttpTransaction(request, response, callback), body))
-                    .peekLeft(failure -> refuse(new HttpTransaction(request, response, callback), failure)));
+                    .peekLeft(failure -> refuse(
+                            new HttpTransaction(request, response, callback),
+                            known == null ? beforeDocument(failure) : failure)));
             return true;
         }
+
+        /** The first document may allow larger bodies than the limit that holds until then. */
+        private Failure beforeDocument(Failure failure) {
+            return failure.kind() == ErrorKind.BODY_TOO_LARGE ? Failure.of(ErrorKind.CONFIGURATION_MISSING) : failure;
+        }
     }
 
     private void submit(HttpTransaction transaction, byte[] body) {
--- a/src/main/java/org/plantainwharf/front/HttpListener.java
+++ b/src/main/java/org/plantainwharf/front/HttpListener.java
@@ -2,6 +2,7 @@
 
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
@@ -25,9 +26,18 @@
     private final Server server;
     private final ServerConnector connector;
     private final String address;
+    private final HttpConfiguration configuration;
+    private final AtomicReference<HeaderLimit> headerLimit;
 
-    private HttpListener(Server server, ServerConnector connector, String address) {
+    private HttpListener(
+            Server server,
+            ServerConnector connector,
+            String address,
+            HttpConfiguration configuration,
+            AtomicReference<HeaderLimit> headerLimit) {
         this.address = address;
+        this.configuration = configuration;
+        this.headerLimit = headerLimit;
         this.server = server;
         this.connector = connector;
     }
@@ -76,11 +86,13 @@
         connector.setPort(Integer.parseInt(address.substring(colon + 1)));
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         server.addConnector(connector);
+        AtomicReference<HeaderLimit> headerLimit =
+                new AtomicReference<>(new HeaderLimit.InForce(bounds.maximumHeaderBytes()));
         server.setHandler(UnreadBodyHandler.create(handler, Clock.system()));
-        server.setErrorHandler(JsonErrorHandler.create(bounds.maximumHeaderBytes(), answers));
+        server.setErrorHandler(JsonErrorHandler.create(headerLimit::get, answers));
         // A drain ends only when no request is running, so connections are closed without waiting for their callers.
         server.setStopTimeout(0);
-        return new HttpListener(server, connector, address);
+        return new HttpListener(server, connector, address, configuration, headerLimit);
     }
 
     Server server() {
@@ -110,6 +122,17 @@
         connector.setIdleTimeout(timeoutMillis);
     }
 
+    /** Sets the limit on heads of new connections; open connections keep theirs. */
+    void setHeaderLimit(HeaderLimit limit) {
+        int bytes =
+                switch (limit) {
+                    case HeaderLimit.InForce inForce -> inForce.bytes();
+                    case HeaderLimit.Provisional provisional -> provisional.bytes();
+                };
+        headerLimit.set(limit);
+        configuration.setRequestHeaderSize(bytes);
+    }
+
     /** Closes all connections and stops listening. */
     public void stop() throws Exception {
         server.stop();
--- a/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
+++ b/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.UUID;
+import java.util.function.Supplier;
 
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
@@ -15,16 +16,16 @@
 
 /** Answers requests that Jetty itself rejects, in the format of all other errors. Immutable; thread-safe. */
 final class JsonErrorHandler implements Request.Handler {
-    private final int maximumHeaderBytes;
+    private final Supplier<HeaderLimit> headerLimit;
     private final LibraryAnswers answers;
 
-    private JsonErrorHandler(int maximumHeaderBytes, LibraryAnswers answers) {
-        this.maximumHeaderBytes = maximumHeaderBytes;
+    private JsonErrorHandler(Supplier<HeaderLimit> headerLimit, LibraryAnswers answers) {
+        this.headerLimit = headerLimit;
         this.answers = answers;
     }
 
-    static JsonErrorHandler create(int maximumHeaderBytes, LibraryAnswers answers) {
-        return new JsonErrorHandler(maximumHeaderBytes, answers);
+    static JsonErrorHandler create(Supplier<HeaderLimit> headerLimit, LibraryAnswers answers) {
+        return new JsonErrorHandler(headerLimit, answers);
     }
 
     @Override
@@ -69,7 +70,8 @@
 
     private Failure failure(int status) {
         return switch (status) {
-            case 431 -> Failure.of(ErrorKind.HEADERS_TOO_LARGE, maximumHeaderBytes);
+            // A request line that is too long is reported as 414; the limit is the same.
+            case 414, 431 -> headerLimit.get().failure();
             case 404 -> Failure.of(ErrorKind.UNKNOWN_ROUTE, "of this request");
             case 408 -> Failure.of(ErrorKind.BODY_TIMEOUT);
             case 500 -> Failure.of(ErrorKind.INTERNAL_ERROR);
--- a/src/test/java/org/plantainwharf/front/MessageFailureTest.java
+++ b/src/test/java/org/plantainwharf/front/MessageFailureTest.java
@@ -200,6 +200,45 @@
         }
     }
 
+    /** A caller was refused as wrong for a size that the service document allows. */
+    @Nested
+    class Sizes {
+        private static final String LONG_HEAD = HEAD + "X-Long: " + "a".repeat(6_000) + "\r\n\r\n";
+        private static final String LONG_TARGET = "GET /" + "a".repeat(6_000) + " HTTP/1.1\r\nHost: a.example\r\n\r\n";
+        private static final String LARGE_BODY = HEAD + "Content-Length: 5000000\r\n\r\n";
+
+        @Test
+        void areJudgedByTheDocument() throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                relay.apply(new CallerBounds(16_384, 4_096, 3_000, 15_000));
+                assertEquals(503, answer(relay, LONG_HEAD).status());
+                assertEquals(503, answer(relay, LONG_TARGET).status());
+            }
+        }
+
+        @Test
+        void areRefusedAboveTheLimit() throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                relay.apply(new CallerBounds(4_096, 4_096, 3_000, 15_000));
+                assertEquals(431, answer(relay, LONG_HEAD).status());
+                assertEquals(431, answer(relay, LONG_TARGET).status());
+                assertEquals(413, answer(relay, LARGE_BODY).status());
+            }
+        }
+
+        /** The limits are not known yet, so that nothing can be too large. */
+        @Test
+        void areNotWrongBeforeTheFirstDocument() throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                for (String text : List.of(LONG_HEAD, LONG_TARGET, LARGE_BODY)) {
+                    RawCaller.Answer received = answer(relay, text);
+                    assertEquals(503, received.status(), received.toString());
+                    assertTrue(received.body().contains("\"code\":\"configuration_missing\""), received.toString());
+                }
+            }
+        }
+    }
+
     /** Callers got statuses of which no log told. */
     @Nested
     class LogLines {
