Test the answers on connections that carry more than one message

Guards against bytes of one message being taken for a part of the next: requests sent at once, empty lines between them, a refusal before the body, bytes after the declared body, and the idle time between two messages. The cases of MessageFailureTest$KeptConnections pass without a change: a refusal before the body ends the connection.

--- a/src/test/java/org/plantainwharf/front/MessageFailureTest.java
+++ b/src/test/java/org/plantainwharf/front/MessageFailureTest.java
@@ -239,6 +239,64 @@
         }
     }
 
+    /** Bytes of one message must not be taken for a part of another one of the connection. */
+    @Nested
+    class KeptConnections {
+        private static final String SMALL = HEAD + "Content-Length: 1\r\n\r\na";
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "\r\n", "\r\n\r\n"})
+        void answerRequestsThatAreSentAtOnce(String between) throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false);
+                    RawCaller caller = RawCaller.connect("127.0.0.1", relay.port())) {
+                caller.sendText(SMALL + between + SMALL + between + SMALL);
+                for (int index = 0; index < 3; index++) {
+                    RawCaller.Answer received = caller.receive();
+                    assertTrue(received.body().contains("no_server_available"), received.toString());
+                }
+            }
+        }
+
+        /** After a refusal that came before the body, the next request could be read as a part of that body. */
+        @ParameterizedTest
+        @ValueSource(strings = {"", "Expect: 100-continue\r\n"})
+        void endWithARefusalBeforeTheBody(String header) throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false);
+                    RawCaller caller = RawCaller.connect("127.0.0.1", relay.port())) {
+                relay.apply(new CallerBounds(4_096, 4_096, 3_000, 200));
+                caller.sendText(HEAD + header + "Content-Length: 5000\r\n\r\n");
+                RawCaller.Answer refusal = caller.receive();
+                assertEquals(413, refusal.status());
+                assertEquals("close", refusal.headers().get("connection"));
+                assertEquals(0, caller.receive().status());
+            }
+        }
+
+        /** Bytes after the declared body are no request; they must not touch the answer before them. */
+        @Test
+        void refuseExcessBytesAfterTheAnswer() throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false);
+                    RawCaller caller = RawCaller.connect("127.0.0.1", relay.port())) {
+                caller.sendText(SMALL + "bcd\r\n");
+                assertEquals(503, caller.receive().status());
+                assertEquals(400, caller.receive().status());
+            }
+        }
+
+        @Test
+        void endWithoutAnAnswerAfterTheIdleTime() throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                relay.apply(new CallerBounds(4_096, 4_096, 3_000, 50));
+                try (RawCaller caller = RawCaller.connect("127.0.0.1", relay.port())) {
+                    caller.sendText(SMALL);
+                    assertEquals(503, caller.receive().status());
+                    assertEquals(0, caller.receive().status());
+                }
+                assertEquals(List.of(), relay.lines("library_answer"));
+            }
+        }
+    }
+
     /** Callers got statuses of which no log told. */
     @Nested
     class LogLines {
