Reduce size limits of a document that are beyond the range of int

A service document with a max_body_bytes of 2 GiB or more was read as a negative limit or 0, so that every request would have been refused with 413. Found by reading.

Such values are reduced to the largest int. The limit on heads is held to 512 KiB besides, since heads are kept in memory and the HTTP client passes on none above 1 MiB.

--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -60,6 +60,9 @@
     /** Share of the heap for bodies, which are kept until their requests have ended. */
     private static final double BODY_HEAP_SHARE = 0.5;
 
+    /** Heads are kept in memory without a budget, and the HTTP client passes on none above 1 MiB. */
+    private static final int MAXIMUM_HEADER_BYTES = 512 << 10;
+
     private static final Duration QUEUE_FULL_RETRY_AFTER = Duration.ofMillis(200);
 
     private final ForwardDialect dialect;
@@ -186,8 +189,9 @@
      */
     public void apply(CallerBounds newBounds) {
         documentBounds = newBounds;
-        callerListener.setHeaderLimit(new HeaderLimit.InForce(
-                Math.max(newBounds.maximumHeaderBytes(), addresses.bounds().maximumHeaderBytes())));
+        callerListener.setHeaderLimit(new HeaderLimit.InForce(Math.max(
+                Math.min(newBounds.maximumHeaderBytes(), MAXIMUM_HEADER_BYTES),
+                addresses.bounds().maximumHeaderBytes())));
         callerListener.setIdleTimeoutMillis(newBounds.idleTimeoutMillis());
     }
 
--- a/src/main/java/org/plantainwharf/platform/DocumentReader.java
+++ b/src/main/java/org/plantainwharf/platform/DocumentReader.java
@@ -98,12 +98,17 @@
         }
         FieldReader limits = reader.nested(node, "limits");
         return new CallerBounds(
-                (int) limits.integer("max_header_bytes", 1, defaults.maximumHeaderBytes()),
-                (int) limits.integer("max_body_bytes", 1, defaults.maximumBodyBytes()),
+                bytes(limits, "max_header_bytes", defaults.maximumHeaderBytes()),
+                bytes(limits, "max_body_bytes", defaults.maximumBodyBytes()),
                 limits.integer("header_timeout_ms", 1, defaults.headerTimeoutMillis()),
                 limits.integer("idle_timeout_ms", 1, defaults.idleTimeoutMillis()));
     }
 
+    /** Returns a size limit. Values that no message reaches are reduced to the largest int. */
+    private static int bytes(FieldReader limits, String name, int defaultValue) {
+        return (int) Math.min(Integer.MAX_VALUE, limits.integer(name, 1, defaultValue));
+    }
+
     private static Optional<ServiceRule> readService(FieldReader reader, JsonNode node) {
         String name = reader.string("name");
         long connections = reader.integer("max_connections", 0, 0);
--- a/src/test/java/org/plantainwharf/platform/DocumentReaderTest.java
+++ b/src/test/java/org/plantainwharf/platform/DocumentReaderTest.java
@@ -12,8 +12,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.plantainwharf.call.Content;
 import org.plantainwharf.document.AccountRule;
+import org.plantainwharf.document.CallerBounds;
 import org.plantainwharf.document.Repeatability;
 import org.plantainwharf.document.RouteRule;
 import org.plantainwharf.document.ServiceDocument;
@@ -98,6 +100,18 @@
             assertEquals(0.8, scaling.zonePrices().get(AvailabilityZone.of("zone-b")));
         }
 
+        /** A limit beyond the range of int became negative, so that every request was too large. */
+        @ParameterizedTest
+        @ValueSource(longs = {Integer.MAX_VALUE, 1L << 31, 1L << 32, Long.MAX_VALUE})
+        void readsLimitsThatAreLargerThanAnyMessage(long limit) {
+            CallerBounds bounds = decode(
+                            VALID.replace("16384", String.valueOf(limit)).replace("4194304", String.valueOf(limit)))
+                    .get()
+                    .bounds();
+            assertEquals(Integer.MAX_VALUE, bounds.maximumBodyBytes());
+            assertEquals(Integer.MAX_VALUE, bounds.maximumHeaderBytes());
+        }
+
         @Test
         void readsAccountsWithATokenLimitAndWithoutLimit() {
             AccountRule limited = document.accounts().get(0);
