Refuse unknown routes and keys as wrong only while the document is known to be the newest

What callers saw: an entry daemon that was cut off from the control group, was paused, or waited for a large document answered 401 or 404 to requests with a key or for a route that had been added meanwhile. Callers do not repeat those.

Cause: the daemon refused by the document that it had, however old. It knew what its source had named as committed, but not how long ago that was: a message that waited in the queue of a paused process, or passed a large one, looked new.

Change: a learner records how complete its copy of the log is (consensus.LogCopy): unconfirmed, incomplete, or complete until a time. The time is when this daemon sent the newest heartbeat that the source had echoed before the confirming message, so no field is added to any message. ForwardAdmission gives 401 and 404 while the copy was complete at most 2 s ago and its newest document is in force, else 503 configuration_outdated with Retry-After. What the document allows is served as before. A line document_lacks_entry shows the version and the state of the copy.

Why 2 s: within that time a document must be in force on a host that reaches a majority. In steady state the copy is confirmed every 0.4 s; the loss of a leader leaves it unconfirmed for less than that bound.

ForwardHarness now states that its copy of the log is complete, without which ForwardControllerTest could not expect 401 and 404.

--- a/src/main/java/org/plantainwharf/alarm/AlarmController.java
+++ b/src/main/java/org/plantainwharf/alarm/AlarmController.java
@@ -138,7 +138,7 @@
         return switch (kind) {
             case RANK_QUEUE_FULL, ENTRY_QUEUE_FULL, BODY_MEMORY_FULL, DEADLINE_UNREACHABLE, QUEUE_TIMEOUT ->
                 hasHighestWorthRank(call, board);
-            case NO_QUORUM_NOT_RUN, DRAINING, CONFIGURATION_MISSING -> false;
+            case NO_QUORUM_NOT_RUN, DRAINING, CONFIGURATION_MISSING, CONFIGURATION_OUTDATED -> false;
             default -> kind.httpStatus() >= 500;
         };
     }
--- a/src/main/java/org/plantainwharf/consensus/ConsensusController.java
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusController.java
@@ -284,7 +284,8 @@
             effects.count("consensus.messages_refused");
             return;
         }
-        driver.step(new ReplicaInput.Received(message), board, nowNanos, effects);
+        driver.step(
+                new ReplicaInput.Received(message, board.membership().sentAfterNanos(peer)), board, nowNanos, effects);
     }
 
     private static void sendRejection(HostId peer, String id, int group, Board board, Effects effects) {
--- a/src/main/java/org/plantainwharf/consensus/ConsensusSection.java
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusSection.java
@@ -4,13 +4,17 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import org.jspecify.annotations.Nullable;
+
 /**
- * The status of the replicated logs: a section of the board, the state owned by the control thread. Written by the
+ * The status of the replicated logs and of their copies on this host: a section of the board, the state owned by the control thread. Written by the
  * controllers of this package; not thread-safe.
  */
 public final class ConsensusSection {
     private final Map<Integer, GroupStatus> groups = new TreeMap<>();
 
+    private final Map<Integer, LogCopy> copies = new TreeMap<>();
+
     private ConsensusSection() {}
 
     /** Returns a section in which the status of every group is unknown. */
@@ -33,4 +37,15 @@
     public void put(GroupStatus status) {
         groups.put(status.group(), status);
     }
+
+    /** Returns how complete this host's copy of a group's log is. */
+    public LogCopy copy(int group) {
+        @Nullable LogCopy copy = copies.get(group);
+        return copy == null ? new LogCopy.Unconfirmed() : copy;
+    }
+
+    /** Replaces what is known about the copy of a group's log. Called by the consensus controller only. */
+    public void putCopy(int group, LogCopy copy) {
+        copies.put(group, copy);
+    }
 }
--- a/src/main/java/org/plantainwharf/consensus/GroupDriver.java
+++ b/src/main/java/org/plantainwharf/consensus/GroupDriver.java
@@ -78,9 +78,7 @@
         ReplicaOutput output = member.step(input, nowNanos);
         execute(output, effects);
         takeSnapshotIfDue(board, nowNanos, effects);
-        GroupStatus status = member.status(nowNanos);
-        board.consensus().put(status);
-        publishLeadershipChange(status, effects);
+        publishLeadershipChange(publishStatus(board, nowNanos), effects);
         return output;
     }
 
@@ -98,10 +96,17 @@
         }
         execute(output, effects);
         takeSnapshotIfDue(board, nowNanos, effects);
-        board.consensus().put(member.status(nowNanos));
+        publishStatus(board, nowNanos);
         return output.refusal().isEmpty();
     }
 
+    private GroupStatus publishStatus(Board board, long nowNanos) {
+        GroupStatus status = member.status(nowNanos);
+        board.consensus().put(status);
+        board.consensus().putCopy(group, member.copy(nowNanos));
+        return status;
+    }
+
     /** Stops tracking a proposal of this host whose request has ended. The entry may still be applied. */
     void abandon(String proposalId) {
         @Nullable Long index = indexByProposalId.get(proposalId);
--- a/src/main/java/org/plantainwharf/consensus/GroupMember.java
+++ b/src/main/java/org/plantainwharf/consensus/GroupMember.java
@@ -14,4 +14,7 @@
 
     /** Returns the group's status as known to this member. */
     GroupStatus status(long nowNanos);
+
+    /** Returns how complete this member's copy of the log is. */
+    LogCopy copy(long nowNanos);
 }
--- a/src/main/java/org/plantainwharf/consensus/Learner.java
+++ b/src/main/java/org/plantainwharf/consensus/Learner.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.message.ReplicaEntry;
@@ -23,11 +24,13 @@
     private final boolean statusOnly;
     private final ReplicaOptions options;
     private final SnapshotReceiver receiver = SnapshotReceiver.create();
+    private final long createdNanos;
     private int sourceIndex;
     private long term;
     private long appliedIndex;
     private long commitIndex;
     private boolean caughtUp;
+    private LogCopy copy = new LogCopy.Unconfirmed();
     private boolean sourceResponsive;
     private long lastContactNanos;
     private long lastRequestNanos;
@@ -39,6 +42,7 @@
         this.hosts = hosts;
         this.statusOnly = statusOnly;
         this.options = options;
+        this.createdNanos = nowNanos;
         this.lastContactNanos = nowNanos;
         this.lastRequestNanos = nowNanos - options.streamRenewalNanos();
         // The hash of the name distributes learners over the sources.
@@ -66,7 +70,7 @@
     public ReplicaOutput step(ReplicaInput input, long nowNanos) {
         ReplicaOutput output = ReplicaOutput.create();
         switch (input) {
-            case ReplicaInput.Received received -> receive(received.message(), nowNanos, output);
+            case ReplicaInput.Received received -> receive(received, nowNanos, output);
             case ReplicaInput.Ticked ticked -> tick(nowNanos, output);
             case ReplicaInput.ContentProgressed progressed -> {
                 if (sourceIndex < hosts.list().size()
@@ -112,8 +116,13 @@
         return caughtUp ? appliedIndex : Math.max(commitIndex, appliedIndex + 1);
     }
 
-    private void receive(ReplicaMessage message, long nowNanos, ReplicaOutput output) {
-        switch (message) {
+    @Override
+    public LogCopy copy(long nowNanos) {
+        return copy;
+    }
+
+    private void receive(ReplicaInput.Received received, long nowNanos, ReplicaOutput output) {
+        switch (received.message()) {
             case ReplicaMessage.AppendRequest request -> {
                 boolean behind = !statusOnly && appliedIndex < request.commitIndex();
                 if (!behind || !request.entries().isEmpty()) {
@@ -123,6 +132,7 @@
                 if (!statusOnly) {
                     apply(request, nowNanos, output);
                     caughtUp = appliedIndex >= request.commitIndex();
+                    updateCopy(request, received.sentAfterNanos());
                 }
             }
             case ReplicaMessage.SnapshotChunk chunk -> {
@@ -140,6 +150,35 @@
         }
     }
 
+    /**
+     * Records what a message says about this copy. Messages to this process were sent after its start. Large entries
+     * arrive after messages that were sent later, so a message with some does not tell when it was sent.
+     */
+    private void updateCopy(ReplicaMessage.AppendRequest request, OptionalLong sentAfterNanos) {
+        if (caughtUp) {
+            if (!MessageSizes.isLarge(request)) {
+                long timeNanos = sentAfterNanos.orElse(createdNanos);
+                copy = new LogCopy.CompleteUntil(
+                        copy instanceof LogCopy.CompleteUntil earlier && earlier.timeNanos() - timeNanos > 0
+                                ? earlier.timeNanos()
+                                : timeNanos);
+            }
+        } else if (namesCommittedEntry(request)) {
+            copy = new LogCopy.Incomplete();
+        }
+    }
+
+    /**
+     * Returns whether an entry that this learner lacks is committed for certain. Until an entry of the present term is
+     * committed, a source names one index too many, because it does not know what earlier terms committed.
+     */
+    private boolean namesCommittedEntry(ReplicaMessage.AppendRequest request) {
+        long lastTerm = request.entries().isEmpty()
+                ? request.previousTerm()
+                : request.entries().getLast().term();
+        return request.previousIndex() > appliedIndex || lastTerm == request.term();
+    }
+
     private void recordSourceContact(ReplicaMessage message, long nowNanos) {
         term = Math.max(term, message.term());
         int sender = hosts.list().indexOf(message.sender().host());
@@ -174,6 +213,7 @@
         if (statusOnly || chunk.lastIndex() <= appliedIndex) {
             return;
         }
+        copy = new LogCopy.Incomplete();
         Optional<ReplicaSnapshot> completed = receiver.receive(chunk);
         if (completed.isPresent()) {
             appliedIndex = chunk.lastIndex();
--- a/src/main/java/org/plantainwharf/consensus/MessageSizes.java
+++ b/src/main/java/org/plantainwharf/consensus/MessageSizes.java
@@ -27,6 +27,14 @@
         return chunk.records().stream().mapToLong(MessageSizes::estimatedBytes).sum() >= LARGE_BYTES;
     }
 
+    /** Returns whether the entries of a message are so large that their transfer may take long on a slow link. */
+    static boolean isLarge(ReplicaMessage.AppendRequest request) {
+        return request.entries().stream()
+                        .mapToLong(entry -> estimatedBytes(entry.command()))
+                        .sum()
+                >= LARGE_BYTES;
+    }
+
     /** Returns an estimate in bytes. */
     static int estimatedBytes(Command command) {
         return OVERHEAD_BYTES
--- a/src/main/java/org/plantainwharf/consensus/Replica.java
+++ b/src/main/java/org/plantainwharf/consensus/Replica.java
@@ -128,6 +128,21 @@
                 state.voting());
     }
 
+    /**
+     * A leader's copy is complete until the newest heartbeat round that a majority answered was sent. A follower does
+     * not know when the leader sent what arrives.
+     */
+    @Override
+    public LogCopy copy(long nowNanos) {
+        if (role instanceof Leadership leadership && leadership.hasCommittedInTerm()) {
+            long contactNanos = leadership.majorityContactNanos(nowNanos);
+            if (contactNanos != Long.MIN_VALUE) {
+                return new LogCopy.CompleteUntil(contactNanos);
+            }
+        }
+        return new LogCopy.Unconfirmed();
+    }
+
     /** Returns the voters after the newest change in the log, committed or not. */
     public Set<VoterId> voters() {
         return state.configuration().voters();
--- a/src/main/java/org/plantainwharf/consensus/ReplicaInput.java
+++ b/src/main/java/org/plantainwharf/consensus/ReplicaInput.java
@@ -1,6 +1,7 @@
 package org.plantainwharf.consensus;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.message.ReplicaMessage;
@@ -9,8 +10,18 @@
 
 /** An input to a member of a replicated log. Immutable. */
 public sealed interface ReplicaInput {
-    /** A message arrived. The caller has verified that it came from the host of its sender. */
-    record Received(ReplicaMessage message) implements ReplicaInput {}
+    /**
+     * A message arrived. The caller has verified that it came from the host of its sender.
+     *
+     * @param sentAfterNanos a time on this host's monotonic clock after which a message without large content was sent,
+     *     if one is known
+     */
+    record Received(ReplicaMessage message, OptionalLong sentAfterNanos) implements ReplicaInput {
+        /** A message of which it is not known when it was sent. */
+        public Received(ReplicaMessage message) {
+            this(message, OptionalLong.empty());
+        }
+    }
 
     /** A part of a large message of a host arrived. */
     record ContentProgressed(HostId host) implements ReplicaInput {}
--- a/src/main/java/org/plantainwharf/error/ErrorKind.java
+++ b/src/main/java/org/plantainwharf/error/ErrorKind.java
@@ -58,6 +58,11 @@
     RETRY_BUDGET_EXHAUSTED(503, ExecutionStatus.UNKNOWN, true, "retry budget is exhausted after: %s"),
     DRAINING(503, ExecutionStatus.NO, true, "this host is stopping"),
     CONFIGURATION_MISSING(503, ExecutionStatus.NO, true, "this host has no configuration yet"),
+    CONFIGURATION_OUTDATED(
+            503,
+            ExecutionStatus.NO,
+            true,
+            "route or account key is unknown to this host, whose configuration may be outdated"),
     WORK_NOT_FOUND(404, ExecutionStatus.NO, false, "work %s does not exist for this account"),
     WORK_NOT_FINISHED(409, ExecutionStatus.UNKNOWN, true, "work %s is not finished"),
     CALLER_CANCELLED(499, ExecutionStatus.UNKNOWN, false, "caller closed the connection"),
--- a/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
@@ -5,6 +5,7 @@
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.document.AccountRule;
+import org.plantainwharf.document.NewestDocument;
 import org.plantainwharf.document.RouteRule;
 import org.plantainwharf.document.RouteTable;
 import org.plantainwharf.effect.Effects;
@@ -55,12 +56,12 @@
         }
         Optional<RouteRule> route = table.get().route(head.host(), head.path());
         if (route.isEmpty()) {
-            refuse(arrived, Failure.of(ErrorKind.UNKNOWN_ROUTE, head.path()), effects);
+            refuseUnknown(arrived, Failure.of(ErrorKind.UNKNOWN_ROUTE, head.path()), board, nowNanos, effects);
             return Optional.empty();
         }
         Optional<AccountRule> account = head.key().flatMap(table.get()::account);
         if (account.isEmpty() && table.get().requiresKeys() && !route.get().allowsAnonymous()) {
-            refuse(arrived, Failure.of(ErrorKind.UNAUTHENTICATED), effects);
+            refuseUnknown(arrived, Failure.of(ErrorKind.UNAUTHENTICATED), board, nowNanos, effects);
             return Optional.empty();
         }
         Optional<Blame> blame = board.quarantine().blame(head.fingerprints(), nowNanos, board.wallClockMillis());
@@ -79,6 +80,26 @@
         return Optional.of(call);
     }
 
+    /** Refuses what the document in force does not know. The request is wrong only if that document is the newest one. */
+    private static void refuseUnknown(
+            ForwardEvent.ForwardArrived arrived, Failure unknown, Board board, long nowNanos, Effects effects) {
+        Failure failure = NewestDocument.isInForce(board, nowNanos)
+                ? unknown
+                : Failure.of(ErrorKind.CONFIGURATION_OUTDATED)
+                        .withRetryAfter(RetryAfter.limitedBy(arrived.head(), DOCUMENT_RETRY_AFTER_MILLIS));
+        effects.log(
+                "document_lacks_entry",
+                "request",
+                arrived.head().requestId(),
+                "kind",
+                unknown.kind().code(),
+                "version",
+                board.documents().version(),
+                "log_copy",
+                NewestDocument.describeLogCopy(board, nowNanos));
+        refuse(arrived, failure, effects);
+    }
+
     private static void logBlame(ForwardHead head, RouteRule route, Blame blame, Effects effects) {
         Blame.Evidence evidence = blame.evidence();
         effects.log(
--- a/src/main/java/org/plantainwharf/membership/MembershipController.java
+++ b/src/main/java/org/plantainwharf/membership/MembershipController.java
@@ -96,6 +96,8 @@
         if (message instanceof PeerMessage.Heartbeat heartbeat) {
             draining = heartbeat.draining();
             configurationVersion = heartbeat.configurationVersion();
+            section.heartbeatSentNanos(member.host(), heartbeat.echoedToken())
+                    .ifPresent(sentNanos -> section.recordHeartbeatEchoed(member.host(), sentNanos));
             section.recordHeartbeatReceived(
                     member.host(), Math.max(heartbeat.token(), section.newestReceivedToken(member.host())));
         }
--- a/src/main/java/org/plantainwharf/membership/MembershipSection.java
+++ b/src/main/java/org/plantainwharf/membership/MembershipSection.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.jspecify.annotations.Nullable;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.HostId;
 
@@ -23,6 +24,7 @@
     private final Map<HostId, Member> members = new LinkedHashMap<>();
 
     private final Map<HostId, Map<Long, Long>> sentHeartbeats = new LinkedHashMap<>();
+    private final Map<HostId, Long> echoedHeartbeats = new LinkedHashMap<>();
     private final Map<HostId, Long> receivedTokens = new LinkedHashMap<>();
     private boolean initialized;
     private long nextToken;
@@ -95,6 +97,22 @@
         return sentHeartbeats.containsKey(peer);
     }
 
+    /** Records that another daemon echoed a heartbeat of this host. For the membership controller. */
+    public void recordHeartbeatEchoed(HostId peer, long sentNanos) {
+        echoedHeartbeats.merge(peer, sentNanos, (earlier, later) -> later - earlier > 0 ? later : earlier);
+    }
+
+    /**
+     * Returns a time on this host's monotonic clock after which another daemon sent the messages that arrive from it
+     * from now on: when this host sent the newest heartbeat that the other daemon has echoed. Messages of one link are
+     * handled in the order in which they were sent, except those with large content, which may be older. A message that
+     * waited while this process was paused is not taken for a new one.
+     */
+    public OptionalLong sentAfterNanos(HostId peer) {
+        @Nullable Long sent = echoedHeartbeats.get(peer);
+        return sent == null ? OptionalLong.empty() : OptionalLong.of(sent);
+    }
+
     /** Records the newest token received over the link to another daemon, 0 for none. For the membership controller. */
     public void recordHeartbeatReceived(HostId peer, long token) {
         receivedTokens.put(peer, token);
--- a/src/test/java/org/plantainwharf/consensus/LearnerTest.java
+++ b/src/test/java/org/plantainwharf/consensus/LearnerTest.java
@@ -2,16 +2,21 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.message.ReplicaEntry;
 import org.plantainwharf.message.ReplicaMessage;
+import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.VoterId;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
@@ -134,4 +139,66 @@
             assertTrue(status.appliedIndex() < status.commitIndex(), status.toString());
         }
     }
+
+    /** A copy that is taken for complete too early or too long makes a daemon refuse as unknown what was added meanwhile. */
+    @Nested
+    class CopiesOfTheLog {
+        private static final VoterId SOURCE = VoterId.of(HostId.of("a"), 9);
+
+        private final Learner learner = Learner.create(
+                0,
+                VoterId.of(HostId.of("entry"), 0),
+                LogHosts.discovered(HOSTS),
+                ReplicaOptions.forDiscoveredHosts(),
+                1_000);
+
+        private LogCopy receive(long term, long previousTerm, long entries, long commitIndex, long sentAfterNanos) {
+            long applied = learner.status(0).appliedIndex();
+            List<ReplicaEntry> appended = LongStream.rangeClosed(applied + 1, applied + entries)
+                    .mapToObj(index -> ReplicaEntry.of(index, term, new Command.NoOperation()))
+                    .toList();
+            learner.step(
+                    new ReplicaInput.Received(
+                            new ReplicaMessage.AppendRequest(
+                                    term, SOURCE, applied, previousTerm, appended, commitIndex, 0),
+                            OptionalLong.of(sentAfterNanos)),
+                    9_000);
+            return learner.copy(9_000);
+        }
+
+        @Test
+        void areUnconfirmedBeforeASourceAnswers() {
+            assertEquals(new LogCopy.Unconfirmed(), learner.copy(9_000));
+        }
+
+        @Test
+        void areCompleteUntilTheConfirmingMessageWasSentAtTheEarliest() {
+            assertEquals(new LogCopy.CompleteUntil(2_000), receive(1, 0, 2, 2, 2_000));
+            assertEquals(new LogCopy.CompleteUntil(3_000), receive(1, 1, 0, 2, 3_000));
+            assertEquals(new LogCopy.CompleteUntil(3_000), receive(1, 1, 0, 2, 2_500));
+        }
+
+        @Test
+        void areIncompleteAsSoonAsASourceNamesAnEntryThatTheyLack() {
+            receive(1, 0, 2, 2, 2_000);
+            assertEquals(new LogCopy.Incomplete(), receive(1, 1, 0, 3, 3_000));
+            assertEquals(new LogCopy.CompleteUntil(4_000), receive(1, 1, 1, 3, 4_000));
+        }
+
+        /** A new leader names one index too many until it has committed, so that each change would show as a gap. */
+        @Test
+        void stayAsTheyAreWhileANewLeaderDoesNotKnowWhatIsCommitted() {
+            receive(1, 0, 2, 2, 2_000);
+            assertEquals(new LogCopy.CompleteUntil(2_000), receive(2, 1, 0, 3, 3_000));
+            assertEquals(new LogCopy.CompleteUntil(4_000), receive(2, 1, 1, 3, 4_000));
+        }
+
+        @Test
+        void areCurrentForALimitedTime() {
+            LogCopy copy = receive(1, 0, 2, 2, 2_000);
+            assertTrue(copy.isCurrent(2_500, 500));
+            assertFalse(copy.isCurrent(2_501, 500));
+            assertFalse(new LogCopy.Incomplete().isCurrent(2_000, 500));
+        }
+    }
 }
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -12,6 +12,7 @@
 import io.vavr.control.Either;
 import org.plantainwharf.board.Board;
 import org.plantainwharf.call.Content;
+import org.plantainwharf.consensus.LogCopy;
 import org.plantainwharf.control.ControlCycle;
 import org.plantainwharf.document.AccountRule;
 import org.plantainwharf.document.CallerBounds;
@@ -91,7 +92,9 @@
                 0);
     }
 
+    /** Commits the document and confirms that this daemon has applied everything that was committed until now. */
     void applyDocument() {
+        board.consensus().putCopy(0, new LogCopy.CompleteUntil(nowNanos));
         Command command = new Command.ReplaceDocument(1, Content.of("application/json", new byte[] {1}));
         CommandResult result = board.configuration().state().apply(command);
         run(new ReplicationEvent.EntryApplied(0, 1, command, result));
