Put the first document of an entry daemon in force once it is known to be the newest

What callers saw: an entry daemon that had just started served by a document that had been superseded before: withdrawn keys were accepted, and moved routes led astray.

Cause: the daemon compared what it had applied with what its source had named, whenever that was. A large document that takes seconds to arrive brings the index that was committed when it was sent, and a message that waited while the process was paused brings an older one.

Change: DocumentController.learning, used by EntryDaemon, also asks that the copy of the log was complete at most 2 s ago. A daemon that cannot find that out within 5 s serves by what it has, so that neither a cut nor a series of large documents keeps it from serving; what its document lacks is then refused as configuration_outdated. Control daemons, which keep the log on their disks, are as before.

DocumentFleet now reports the parts of a large document that arrive, as the transport does, so that a learner stays with its source.

--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -92,7 +92,7 @@
                 DiscoveryController.create(role.seeds(), Optional.empty(), settings.host()),
                 RegistryController.learning(),
                 consensus,
-                DocumentController.create(codec),
+                DocumentController.learning(codec),
                 DrainController.create(),
                 AllowanceController.create(),
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
--- a/src/main/java/org/plantainwharf/document/DocumentController.java
+++ b/src/main/java/org/plantainwharf/document/DocumentController.java
@@ -1,5 +1,7 @@
 package org.plantainwharf.document;
 
+import java.time.Duration;
+
 import io.vavr.control.Either;
 import org.plantainwharf.board.Board;
 import org.plantainwharf.consensus.GroupStatus;
@@ -33,22 +35,36 @@
 public final class DocumentController implements Controller {
     private static final int CONTROL_GROUP = 0;
 
+    /**
+     * A document is in force on every reachable host within 5 s. A daemon that cannot find out for that long whether it
+     * has the newest one serves with what it has, as one that is cut off later does.
+     */
+    private static final long FIRST_DOCUMENT_WAIT_NANOS = Duration.ofSeconds(5).toNanos();
+
     private final DocumentCodec codec;
+    private final boolean learning;
 
-    private DocumentController(DocumentCodec codec) {
+    private DocumentController(DocumentCodec codec, boolean learning) {
         this.codec = codec;
+        this.learning = learning;
     }
 
+    /** Returns a controller for a daemon that keeps the log on its disk. */
     public static DocumentController create(DocumentCodec codec) {
-        return new DocumentController(codec);
+        return new DocumentController(codec, false);
+    }
+
+    /** Returns a controller for a daemon without a disk, which learns the log anew after each start. */
+    public static DocumentController learning(DocumentCodec codec) {
+        return new DocumentController(codec, true);
     }
 
     @Override
     public void handle(Event event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case DocumentEvent document -> onDocument(document, board, effects);
-            case ReplicationEvent replication -> onReplication(replication, board, effects);
-            case TimerEvent.Tick tick -> putInForce(board, effects);
+            case ReplicationEvent replication -> onReplication(replication, board, nowNanos, effects);
+            case TimerEvent.Tick tick -> putInForce(board, nowNanos, effects);
             case PeerEvent ignored -> {}
             case RegistryEvent ignored -> {}
             case ForwardEvent ignored -> {}
@@ -82,7 +98,7 @@
         effects.post(new ReplicationEvent.ProposalRequested(proposalId, CONTROL_GROUP, command));
     }
 
-    private void onReplication(ReplicationEvent event, Board board, Effects effects) {
+    private void onReplication(ReplicationEvent event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case ReplicationEvent.ProposalDecided decided ->
                 board.documents()
@@ -98,12 +114,12 @@
                 if (applied.group() == CONTROL_GROUP
                         && applied.command() instanceof Command.ReplaceDocument
                         && board.documents().table().isEmpty()) {
-                    putInForce(board, effects);
+                    putInForce(board, nowNanos, effects);
                 }
             }
             case ReplicationEvent.StateReplaced replaced -> {
                 if (replaced.group() == CONTROL_GROUP) {
-                    putInForce(board, effects);
+                    putInForce(board, nowNanos, effects);
                 }
             }
             case ReplicationEvent.ProposalRequested ignored -> {}
@@ -126,21 +142,27 @@
     }
 
     /**
-     * Returns whether this daemon has applied everything that was committed when its source last answered. A daemon
-     * that has just started learns the log from its beginning and must not serve by the documents of former days.
+     * Returns whether the first document may be put in force: this daemon has applied everything that was committed when
+     * its source last answered, and a learner has done so lately. A daemon that has just started learns the log from its
+     * beginning and must not serve by the documents of former days, nor by one that is superseded on its way.
      */
-    private static boolean isCaughtUp(Board board) {
+    private boolean mayServe(Board board, long nowNanos) {
         GroupStatus status = board.consensus().group(CONTROL_GROUP);
-        return status.appliedIndex() >= status.commitIndex();
+        if (status.appliedIndex() < status.commitIndex()) {
+            return false;
+        }
+        return !learning
+                || NewestDocument.isKnown(board, nowNanos)
+                || nowNanos - board.documents().heldSince(nowNanos) >= FIRST_DOCUMENT_WAIT_NANOS;
     }
 
-    private void putInForce(Board board, Effects effects) {
+    private void putInForce(Board board, long nowNanos, Effects effects) {
         DocumentSection section = board.documents();
         StateRecord.Document committed =
                 board.configuration().state().document().orElse(null);
         if (committed == null
                 || committed.version() <= section.newestDecodedVersion()
-                || section.table().isEmpty() && !isCaughtUp(board)) {
+                || section.table().isEmpty() && !mayServe(board, nowNanos)) {
             return;
         }
         section.recordDecoded(committed.version());
--- a/src/main/java/org/plantainwharf/document/DocumentSection.java
+++ b/src/main/java/org/plantainwharf/document/DocumentSection.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * The service document in force on this daemon. Its version never decreases while the process runs. Written by the
@@ -11,6 +12,7 @@
 public final class DocumentSection {
     private final Map<String, Long> ticketsByProposal = new HashMap<>();
     private Optional<RouteTable> table = Optional.empty();
+    private OptionalLong firstHeldNanos = OptionalLong.empty();
     private long newestDecodedVersion = Long.MIN_VALUE;
 
     private DocumentSection() {}
@@ -40,6 +42,14 @@
         return newestDecodedVersion;
     }
 
+    /** Returns when a document was first held that could be put in force; sets it to the given time if there was none. */
+    long heldSince(long nowNanos) {
+        if (firstHeldNanos.isEmpty()) {
+            firstHeldNanos = OptionalLong.of(nowNanos);
+        }
+        return firstHeldNanos.getAsLong();
+    }
+
     void recordDecoded(long version) {
         newestDecodedVersion = version;
     }
--- a/src/test/java/org/plantainwharf/document/DocumentFleet.java
+++ b/src/test/java/org/plantainwharf/document/DocumentFleet.java
@@ -71,6 +71,7 @@
     private static final int TICK_MILLIS = 50;
     private static final int LATENCY_MILLIS = 5;
     private static final int LARGE_BYTES = 16 << 10;
+    private static final int PART_MILLIS = 200;
     private static final ServiceName SERVICE = ServiceName.of("desk");
 
     private final long seed;
@@ -150,7 +151,7 @@
                         MembershipController.create(),
                         RegistryController.learning(),
                         consensus,
-                        DocumentController.create(DocumentFleet::decode),
+                        DocumentController.learning(DocumentFleet::decode),
                         ForwardController.create(new ForwardLimits(0.5, 10, 8, 0, 0))));
         return host;
     }
@@ -247,10 +248,36 @@
         daemon(host).paused = false;
     }
 
-    /** Returns the version of the document in force on a daemon; empty before the first. */
-    OptionalLong versionInForce(HostId host) {
-        DocumentSection documents = daemon(host).cycle.board().documents();
-        return documents.table().isEmpty() ? OptionalLong.empty() : OptionalLong.of(documents.version());
+    /** Returns whether a daemon has applied a version of the document. */
+    boolean hasApplied(HostId host, int version) {
+        return daemon(host)
+                .cycle
+                .board()
+                .configuration()
+                .state()
+                .document()
+                .filter(document -> document.version() >= version)
+                .isPresent();
+    }
+
+    /** Returns whether a request of a daemon for entries after the snapshot is on its way over a link. */
+    boolean hasRequestedEntries(HostId host) {
+        return network.stream()
+                .filter(delivery -> delivery.from().equals(host))
+                .anyMatch(delivery -> delivery.event() instanceof PeerEvent.PeerMessageReceived received
+                        && received.message() instanceof PeerMessage.Replication replication
+                        && replication.message() instanceof ReplicaMessage.StreamRequest request
+                        && request.afterIndex() > 0);
+    }
+
+    /** Returns whether a document is in force on a daemon. */
+    boolean hasDocument(HostId host) {
+        return daemon(host).cycle.board().documents().table().isPresent();
+    }
+
+    /** Returns the version of the document in force on a daemon. */
+    long versionInForce(HostId host) {
+        return daemon(host).cycle.board().documents().version();
     }
 
     /** Advances the clock, delivers messages and ticks the daemons. */
@@ -347,19 +374,25 @@
         if (!daemons.containsKey(send.peer()) || closedLinks.contains(Set.of(host, send.peer()))) {
             return;
         }
-        counter++;
         long bytes = size(send.message());
         long transferMillis = bytes < LARGE_BYTES || CONTROL.contains(send.peer())
                 ? 0
                 : TimeUnit.SECONDS.toMillis(bytes) / linkBytesPerSecond;
         long incarnation = daemon(host).incarnation;
-        network.add(new Delivery(
-                nowMillis + LATENCY_MILLIS + transferMillis,
-                counter,
+        for (long millis = PART_MILLIS; millis < transferMillis; millis += PART_MILLIS) {
+            enqueue(host, send.peer(), millis, new PeerEvent.ContentProgressed(host, incarnation));
+        }
+        enqueue(
                 host,
-                incarnation,
                 send.peer(),
-                new PeerEvent.PeerMessageReceived(host, incarnation, send.message())));
+                transferMillis,
+                new PeerEvent.PeerMessageReceived(host, incarnation, send.message()));
+    }
+
+    private void enqueue(HostId from, HostId to, long transferMillis, Event event) {
+        counter++;
+        long atMillis = nowMillis + LATENCY_MILLIS + transferMillis;
+        network.add(new Delivery(atMillis, counter, from, daemon(from).incarnation, to, event));
     }
 
     private static long size(PeerMessage message) {
@@ -401,15 +434,8 @@
     }
 
     private void announce(HostId from, HostId to) {
-        counter++;
-        long incarnation = daemon(from).incarnation;
-        network.add(new Delivery(
-                nowMillis + LATENCY_MILLIS,
-                counter,
-                from,
-                incarnation,
-                to,
-                new PeerEvent.PeerConnected(from, AvailabilityZone.of("zone-a"), incarnation)));
+        AvailabilityZone zone = AvailabilityZone.of("zone-a");
+        enqueue(from, to, 0, new PeerEvent.PeerConnected(from, zone, daemon(from).incarnation));
     }
 
     private Daemon daemon(HostId host) {
