Take crashes at the same moment for one piece of evidence

Callers saw: in a fleet of 94 daemons and 53 engines, sound requests of a whole kind are refused with 422 request_quarantined, and running ones are cut as request_crashed_servers, after 9 engines crashed at the same moment shortly after requests of the kind had begun.

Cause: a report on content whose answer had begun counts in full, so that one moment at which several engines crash gave three and more recorded crashes of the part that all requests of the kind share. The proof then cut the requests under way, so that none could clear the part, and refused the kind for up to 4 min. The time of crashes was that of the reporters' clocks, which may differ by an hour.

Change: proof needs crashes at three moments, apart both by the clocks of the reporters and by the monotonic clock of this daemon, and two thirds of the crashes known of their time. Otherwise the content is suspected for as long as before: 503 with a time to return, and nothing under way is cut. Known crashes are counted on the monotonic clock.

BlameTest.goesBeforeSuspicion has six crashes of nine instead of three of six, since half is no longer proof.

--- a/src/main/java/org/plantainwharf/quarantine/Blame.java
+++ b/src/main/java/org/plantainwharf/quarantine/Blame.java
@@ -7,7 +7,10 @@
     /** Returns what the blame stands on. */
     Evidence evidence();
 
-    /** The content was at half or more of the crashes of its time, and every daemon in touch could object. Its requests are wrong. */
+    /**
+     * The content was at two thirds or more of the crashes of its time, those happened one after the other, and every daemon in
+     * touch could object. Its requests are wrong.
+     */
     record Proven(Evidence evidence) implements Blame {}
 
     /**
@@ -22,12 +25,18 @@
      *
      * @param crashes number of crashes that the content was at
      * @param knownCrashes number of all crashes in that time
+     * @param moments number of different moments at which the content was at crashes
      * @param sinceLastCrashMillis age of the last one
      */
-    record Evidence(Fingerprint content, int crashes, int knownCrashes, long sinceLastCrashMillis) {
+    record Evidence(Fingerprint content, int crashes, int knownCrashes, int moments, long sinceLastCrashMillis) {
         /** Returns whether the content was at half of the crashes or more. */
         boolean explainsCrashes() {
             return 2 * crashes >= knownCrashes;
         }
+
+        /** Returns whether the content was at most of the crashes and servers crashed one after the other. */
+        boolean isConclusive() {
+            return moments >= CrashAttribution.MINIMUM_CRASHES && 3 * crashes >= 2 * knownCrashes;
+        }
     }
 }
--- a/src/main/java/org/plantainwharf/quarantine/CrashReports.java
+++ b/src/main/java/org/plantainwharf/quarantine/CrashReports.java
@@ -32,12 +32,13 @@
             double share,
             int precedingCrashes,
             Board board,
+            long nowNanos,
             Effects effects) {
         String reportId = reportId(crash.server(), crash.incarnation(), content);
         Command.ReportCrash report =
                 new Command.ReportCrash(reportId, content, share, precedingCrashes, board.wallClockMillis());
         board.quarantine().uncommittedReports().put(reportId, report);
-        recordCrash(report, board);
+        recordCrash(report, board, nowNanos);
         propose(report, effects);
     }
 
@@ -74,18 +75,18 @@
     }
 
     /** Records the crash of a report, also if the report is not attributed to its content. */
-    static void recordCrash(Command.ReportCrash report, Board board) {
+    static void recordCrash(Command.ReportCrash report, Board board, long nowNanos) {
         board.quarantine()
                 .crashHistory()
-                .record(crashId(report.reportId(), report.fingerprint()), report.wallClockMillis());
+                .record(crashId(report.reportId(), report.fingerprint()), report.wallClockMillis(), nowNanos);
     }
 
     /** Records the crashes that the replicated counts include, for a daemon that did not see their reports. */
-    static void recordCommittedCrashes(Board board) {
+    static void recordCommittedCrashes(Board board, long nowNanos) {
         board.configuration().state().crashes().forEach(crashes -> crashes.reportIds()
                 .forEach(reportId -> board.quarantine()
                         .crashHistory()
-                        .record(crashId(reportId, crashes.fingerprint()), crashes.lastMillis())));
+                        .record(crashId(reportId, crashes.fingerprint()), crashes.lastMillis(), nowNanos)));
     }
 
     /** Copies the replicated counts to the section. */
--- a/src/main/java/org/plantainwharf/quarantine/ForwardQuarantineController.java
+++ b/src/main/java/org/plantainwharf/quarantine/ForwardQuarantineController.java
@@ -307,7 +307,7 @@
                 section.attributedCrashes(content) + 1);
         int precedingCrashes = unusual ? Command.ReportCrash.UNRESTRICTED : section.attributedCrashes(content);
         double count = crash.wasAnswering(content) ? ANSWERING_COUNT : WAITING_COUNT;
-        CrashReports.report(crash, content, count, precedingCrashes, board, effects);
+        CrashReports.report(crash, content, count, precedingCrashes, board, nowNanos, effects);
         section.recordAttribution(content, nowNanos);
     }
 
@@ -331,7 +331,7 @@
                 }
                 if (applied.command() instanceof Command.ReportCrash report) {
                     board.quarantine().uncommittedReports().remove(report.reportId());
-                    CrashReports.recordCrash(report, board);
+                    CrashReports.recordCrash(report, board, nowNanos);
                     CrashReports.copyCommittedCounts(board);
                     board.quarantine().recordAttribution(report.fingerprint(), nowNanos);
                     scheduleObjection(report.fingerprint(), board, nowNanos);
@@ -344,7 +344,7 @@
             }
             case ReplicationEvent.StateReplaced replaced -> {
                 if (replaced.group() == CrashReports.CONTROL_GROUP) {
-                    CrashReports.recordCommittedCrashes(board);
+                    CrashReports.recordCommittedCrashes(board, nowNanos);
                     CrashReports.copyCommittedCounts(board);
                     updateBlame(board, nowNanos, effects);
                 }
--- a/src/main/java/org/plantainwharf/quarantine/QuarantineController.java
+++ b/src/main/java/org/plantainwharf/quarantine/QuarantineController.java
@@ -186,6 +186,7 @@
                     full ? FULL_COUNT : PARTIAL_COUNT,
                     Command.ReportCrash.UNRESTRICTED,
                     board,
+                    nowNanos,
                     effects);
         }
         board.quarantine().setProposedNanos(nowNanos);
--- a/src/main/java/org/plantainwharf/quarantine/QuarantineSection.java
+++ b/src/main/java/org/plantainwharf/quarantine/QuarantineSection.java
@@ -37,7 +37,7 @@
 
     private static final long MAXIMUM_BLAME_MILLIS = 4 * 60 * 1_000;
 
-    /** The same for content that is only suspected. */
+    /** The same for content whose crashes are not recorded or are few among those of its time. */
     private static final long MINIMUM_SUSPICION_MILLIS = 4_000;
 
     /**
@@ -142,11 +142,16 @@
             return Optional.empty();
         }
         Set<String> crashIds = crashIds(content);
-        Blame.Evidence evidence =
-                new Blame.Evidence(content, crashIds.size(), crashHistory.crashesDuring(crashIds), sinceCrashMillis);
-        boolean proven =
+        Blame.Evidence evidence = new Blame.Evidence(
+                content,
+                crashIds.size(),
+                crashHistory.crashesDuring(crashIds),
+                crashHistory.moments(crashIds),
+                sinceCrashMillis);
+        boolean strong =
                 committedReports(content).size() >= CrashAttribution.MINIMUM_CRASHES && evidence.explainsCrashes();
-        long remainingMillis = blameMillis(proven, crashIds.size()) - sinceLearned(content, sinceCrashMillis, nowNanos);
+        boolean proven = strong && evidence.isConclusive();
+        long remainingMillis = blameMillis(strong, crashIds.size()) - sinceLearned(content, sinceCrashMillis, nowNanos);
         if (remainingMillis <= 0) {
             return Optional.empty();
         }
@@ -186,8 +191,8 @@
         return last;
     }
 
-    private static long blameMillis(boolean proven, int crashes) {
-        long millis = proven ? MINIMUM_BLAME_MILLIS : MINIMUM_SUSPICION_MILLIS;
+    private static long blameMillis(boolean strong, int crashes) {
+        long millis = strong ? MINIMUM_BLAME_MILLIS : MINIMUM_SUSPICION_MILLIS;
         for (int crash = CrashAttribution.MINIMUM_CRASHES; crash < crashes && millis < MAXIMUM_BLAME_MILLIS; crash++) {
             millis *= 2;
         }
--- a/src/test/java/org/plantainwharf/quarantine/BlameTest.java
+++ b/src/test/java/org/plantainwharf/quarantine/BlameTest.java
@@ -11,6 +11,8 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.plantainwharf.identity.Fingerprint;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.StateRecord;
@@ -38,7 +40,10 @@
                 IntStream.range(0, count).mapToObj(index -> "i-" + index + "/7").toList();
         for (int index = 0; index < count; index++) {
             section.crashHistory()
-                    .record(crashes.get(index), LAST_CRASH_MILLIS - CRASH_INTERVAL_MILLIS * (count - 1 - index));
+                    .record(
+                            crashes.get(index),
+                            LAST_CRASH_MILLIS - CRASH_INTERVAL_MILLIS * (count - 1 - index),
+                            LEARNED_NANOS - TimeUnit.MILLISECONDS.toNanos(CRASH_INTERVAL_MILLIS * (count - 1 - index)));
         }
         section.recordAttribution(CONTENT, LEARNED_NANOS);
         return crashes.stream().map(crash -> reportId(crash, CONTENT)).collect(Collectors.toSet());
@@ -52,7 +57,11 @@
 
     private void recordOtherCrashes(int count) {
         for (int index = 0; index < count; index++) {
-            section.crashHistory().record("i-other-" + index + "/7", LAST_CRASH_MILLIS - CRASH_INTERVAL_MILLIS);
+            section.crashHistory()
+                    .record(
+                            "i-other-" + index + "/7",
+                            LAST_CRASH_MILLIS - CRASH_INTERVAL_MILLIS,
+                            LEARNED_NANOS - TimeUnit.MILLISECONDS.toNanos(CRASH_INTERVAL_MILLIS));
         }
     }
 
@@ -73,7 +82,7 @@
         void isContentAtAllCrashesOfItsTime() {
             commit(recordCrashes(3));
             Blame.Proven proven = assertInstanceOf(Blame.Proven.class, blameAfter(1_000));
-            assertEquals(new Blame.Evidence(CONTENT, 3, 3, 1_000), proven.evidence());
+            assertEquals(new Blame.Evidence(CONTENT, 3, 3, 3, 1_000), proven.evidence());
         }
 
         @Test
@@ -86,6 +95,37 @@
             assertEquals(3_000, suspected.remainingMillis());
         }
 
+        /** Servers that crash together for another reason have shared contents in common. */
+        @Test
+        void isMissingIfTheServersCrashedTogether() {
+            Set<String> reports = new HashSet<>();
+            for (int index = 0; index < 9; index++) {
+                section.crashHistory().record("i-" + index + "/7", LAST_CRASH_MILLIS - index, LEARNED_NANOS - index);
+                reports.add(reportId("i-" + index + "/7", CONTENT));
+            }
+            section.recordAttribution(CONTENT, LEARNED_NANOS);
+            commit(reports);
+            assertInstanceOf(Blame.Suspected.class, blameAfter(1_000));
+        }
+
+        /** Neither clocks that differ nor reports that arrive late show that servers crashed one after the other. */
+        @ParameterizedTest
+        @CsvSource({"2400000, 0", "0, 2400000"})
+        void isMissingIfOnlyOneClockTellsTheCrashesApart(long wallClockMillis, long learnedMillis) {
+            Set<String> reports = new HashSet<>();
+            for (int index = 0; index < 3; index++) {
+                section.crashHistory()
+                        .record(
+                                "i-" + index + "/7",
+                                LAST_CRASH_MILLIS - index * wallClockMillis,
+                                LEARNED_NANOS - TimeUnit.MILLISECONDS.toNanos(index * learnedMillis));
+                reports.add(reportId("i-" + index + "/7", CONTENT));
+            }
+            section.recordAttribution(CONTENT, LEARNED_NANOS);
+            commit(reports);
+            assertInstanceOf(Blame.Suspected.class, blameAfter(1_000));
+        }
+
         /** Nobody could object to the reports of a daemon that is cut off from the control group. */
         @Test
         void isMissingIfTheReportsAreNotCommitted() {
@@ -104,14 +144,14 @@
         @Test
         void goesBeforeSuspicion() {
             Fingerprint other = Fingerprint.ofPromptPart("s2");
-            Set<String> reports = recordCrashes(3);
+            Set<String> reports = recordCrashes(6);
             recordOtherCrashes(3);
             Set<String> otherReports = new HashSet<>();
             for (int index = 0; index < 3; index++) {
                 otherReports.add(reportId("i-other-" + index + "/7", other));
             }
             List<StateRecord.Crashes> records = new ArrayList<>();
-            records.add(new StateRecord.Crashes(CONTENT, 3, LAST_CRASH_MILLIS, reports));
+            records.add(new StateRecord.Crashes(CONTENT, 6, LAST_CRASH_MILLIS, reports));
             records.add(new StateRecord.Crashes(other, 3, LAST_CRASH_MILLIS, otherReports));
             section.setCommittedCounts(records);
             section.updateBlame(LEARNED_NANOS, LAST_CRASH_MILLIS);
