Refuse a head above a connection's former limit as not received

What callers saw: 431 "headers exceed 16384 bytes" for a head of 6 KB. Callers do not repeat a request after 431.

Cause: the HTTP library gives each connection the limit that holds when it is opened. After the first document, or one that raises max_header_bytes, connections that were open before keep the lower limit, those of a load balancer for hours, and the refusal named the new one.

Change: each connection remembers the limit with which it was opened. If that is below the limit in force, the answer is 503 request_not_received (not run, may be repeated). The library closes the connection after it, so that the repeated request has the new limit. 431 remains for connections with the limit in force.

Before, MessageFailureTest$Sizes.areNotWrongOnAConnectionWithAFormerLimit failed with 431; MessageFailureTest, HttpListenerTest and DocumentationTest pass now.

--- a/src/main/java/org/plantainwharf/front/HttpListener.java
+++ b/src/main/java/org/plantainwharf/front/HttpListener.java
@@ -2,6 +2,7 @@
 
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Objects;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.eclipse.jetty.http.UriCompliance;
@@ -67,6 +68,8 @@
         // other ports compare the decoded path with the paths that they serve.
         configuration.setUriCompliance(UriCompliance.UNSAFE);
         configuration.setRequestHeaderSize(bounds.maximumHeaderBytes());
+        AtomicReference<HeaderLimit> headerLimit =
+                new AtomicReference<>(new HeaderLimit.InForce(bounds.maximumHeaderBytes()));
         HttpConnectionFactory http1 = new HttpConnectionFactory(configuration);
         ConnectionFactory[] factories = http2
                 ? new ConnectionFactory[] {http1, new HTTP2CServerConnectionFactory(configuration)}
@@ -75,8 +78,13 @@
             @Override
             protected SocketChannelEndPoint newEndPoint(
                     SocketChannel channel, ManagedSelector selector, SelectionKey key) {
-                SocketChannelEndPoint endPoint =
-                        WatchedEndPoint.create(channel, selector, key, getScheduler(), getExecutor());
+                SocketChannelEndPoint endPoint = WatchedEndPoint.create(
+                        channel,
+                        selector,
+                        key,
+                        getScheduler(),
+                        getExecutor(),
+                        Objects.requireNonNull(headerLimit.get()));
                 endPoint.setIdleTimeout(getIdleTimeout());
                 return endPoint;
             }
@@ -86,8 +94,6 @@
         connector.setPort(Integer.parseInt(address.substring(colon + 1)));
         connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
         server.addConnector(connector);
-        AtomicReference<HeaderLimit> headerLimit =
-                new AtomicReference<>(new HeaderLimit.InForce(bounds.maximumHeaderBytes()));
         server.setHandler(UnreadBodyHandler.create(handler, Clock.system()));
         server.setErrorHandler(JsonErrorHandler.create(headerLimit::get, answers));
         // A drain ends only when no request is running, so connections are closed without waiting for their callers.
@@ -124,13 +130,9 @@
 
     /** Sets the limit on heads of new connections; open connections keep theirs. */
     void setHeaderLimit(HeaderLimit limit) {
-        int bytes =
-                switch (limit) {
-                    case HeaderLimit.InForce inForce -> inForce.bytes();
-                    case HeaderLimit.Provisional provisional -> provisional.bytes();
-                };
+        // In this order no connection is taken to have a larger limit than it has.
+        configuration.setRequestHeaderSize(limit.bytes());
         headerLimit.set(limit);
-        configuration.setRequestHeaderSize(bytes);
     }
 
     /** Closes all connections and stops listening. */
--- a/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
+++ b/src/main/java/org/plantainwharf/front/JsonErrorHandler.java
@@ -48,13 +48,13 @@
     private Failure failure(Request request, int status) {
         @Nullable Throwable cause = LibraryAnswers.cause(request);
         if (cause == null) {
-            return failure(status);
+            return failureOfStatus(request, status);
         }
         boolean handled = UnreadBodyHandler.hasHandled(request);
         MessageFault fault = MessageFault.of(request, cause);
         Failure failure =
                 switch (fault) {
-                    case MessageFault.Malformed malformed -> failure(status);
+                    case MessageFault.Malformed malformed -> failureOfStatus(request, status);
                     case MessageFault.EndedEarly ended -> notReceived(fault, handled);
                     case MessageFault.ClosedHere closed -> notReceived(fault, handled);
                     case MessageFault.TimedOut timedOut -> notReceived(fault, handled);
@@ -68,10 +68,10 @@
         return handled ? Failure.of(ErrorKind.INTERNAL_ERROR) : fault.failure();
     }
 
-    private Failure failure(int status) {
+    private Failure failureOfStatus(Request request, int status) {
         return switch (status) {
             // A request line that is too long is reported as 414; the limit is the same.
-            case 414, 431 -> headerLimit.get().failure();
+            case 414, 431 -> headTooLong(request);
             case 404 -> Failure.of(ErrorKind.UNKNOWN_ROUTE, "of this request");
             case 408 -> Failure.of(ErrorKind.BODY_TIMEOUT);
             case 500 -> Failure.of(ErrorKind.INTERNAL_ERROR);
@@ -79,4 +79,12 @@
             default -> Failure.of(ErrorKind.REQUEST_INVALID, "the HTTP message is malformed or not supported");
         };
     }
+
+    private Failure headTooLong(Request request) {
+        HeaderLimit present = headerLimit.get();
+        return present.failure(
+                request.getConnectionMetaData().getConnection().getEndPoint() instanceof WatchedEndPoint endPoint
+                        ? endPoint.headerLimit()
+                        : present);
+    }
 }
--- a/src/main/java/org/plantainwharf/front/WatchedEndPoint.java
+++ b/src/main/java/org/plantainwharf/front/WatchedEndPoint.java
@@ -30,6 +30,7 @@
 
     private final Object lock = new Object();
     private final Executor executor;
+    private final HeaderLimit headerLimit;
     private final ByteBuffer readAhead = BufferUtil.allocate(READ_AHEAD_BYTES);
     private boolean endOfInput;
     private boolean watchRegistered;
@@ -37,14 +38,30 @@
     private @Nullable Runnable onDisconnect;
 
     private WatchedEndPoint(
-            SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler, Executor executor) {
+            SocketChannel channel,
+            ManagedSelector selector,
+            SelectionKey key,
+            Scheduler scheduler,
+            Executor executor,
+            HeaderLimit headerLimit) {
         super(channel, selector, key, scheduler);
         this.executor = executor;
+        this.headerLimit = headerLimit;
     }
 
     static WatchedEndPoint create(
-            SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler, Executor executor) {
-        return new WatchedEndPoint(channel, selector, key, scheduler, executor);
+            SocketChannel channel,
+            ManagedSelector selector,
+            SelectionKey key,
+            Scheduler scheduler,
+            Executor executor,
+            HeaderLimit headerLimit) {
+        return new WatchedEndPoint(channel, selector, key, scheduler, executor, headerLimit);
+    }
+
+    /** Returns the limit on heads that was known when this connection was opened; the connection keeps to it. */
+    HeaderLimit headerLimit() {
+        return headerLimit;
     }
 
     /**
--- a/src/test/java/org/plantainwharf/front/MessageFailureTest.java
+++ b/src/test/java/org/plantainwharf/front/MessageFailureTest.java
@@ -226,6 +226,29 @@
             }
         }
 
+        /** An open connection keeps its limit; callers got 431 for heads that the document allows. */
+        @Test
+        void areNotWrongOnAConnectionWithAFormerLimit() throws Exception {
+            try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false);
+                    RawCaller first = RawCaller.connect("127.0.0.1", relay.port());
+                    RawCaller second = RawCaller.connect("127.0.0.1", relay.port())) {
+                for (RawCaller caller : List.of(first, second)) {
+                    caller.sendText(HEAD + "Content-Length: 1\r\n\r\na");
+                    assertEquals(503, caller.receive().status());
+                }
+                relay.apply(new CallerBounds(16_384, 4_096, 3_000, 15_000));
+                first.sendText(LONG_HEAD);
+                second.sendText(LONG_TARGET);
+                for (RawCaller caller : List.of(first, second)) {
+                    RawCaller.Answer received = caller.receive();
+                    assertEquals(503, received.status(), received.toString());
+                    assertTrue(received.body().contains("\"ran\":\"no\",\"retry\":true"), received.toString());
+                    // The caller repeats the request on a new connection, which has the present limit.
+                    assertEquals(0, caller.receive().status());
+                }
+            }
+        }
+
         /** The limits are not known yet, so that nothing can be too large. */
         @Test
         void areNotWrongBeforeTheFirstDocument() throws Exception {
