Test refusals by a daemon whose source was paused

Guards against a source that handles what waited for it during a pause, and meanwhile confirms an old log to its learners: an entry daemon that reaches only this source would take its document for the newest one and answer 401 or 404 to what was added meanwhile.

--- a/src/test/java/org/plantainwharf/document/OutdatedDocumentTest.java
+++ b/src/test/java/org/plantainwharf/document/OutdatedDocumentTest.java
@@ -192,6 +192,45 @@
         }
     }
 
+    /** A source that was paused handles what waited for it one message after the other and answers by an old log meanwhile. */
+    @Nested
+    class DaemonsWithASourceThatWasPaused {
+        private final HostId entry = HostId.of("edge-1");
+
+        private void assertNotWrong(DocumentFleet fleet) {
+            Optional<ErrorKind> refusal = fleet.refusal(entry, 4, 4);
+            assertTrue(refusal.equals(ALLOWED) || refusal.equals(OUTDATED), refusal.toString());
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+        void doNotRefuseWhatWasAddedMeanwhile(long seed) {
+            DocumentFleet fleet = fleet(seed, entry);
+            HostId source = fleet.follower();
+            DocumentFleet.CONTROL.stream()
+                    .filter(host -> !host.equals(source))
+                    .forEach(host -> fleet.cut(entry, host, true));
+            fleet.advance(5_000);
+            fleet.pause(source);
+            fleet.advance(300);
+            fleet.submit(4, 0);
+            fleet.advance(5_000);
+            assertTrue(fleet.hasArrivedInPause(source));
+            while (fleet.hasArrivedInPause(source)) {
+                fleet.handleOneFromPause(source);
+                fleet.advance(1);
+                assertNotWrong(fleet);
+            }
+            fleet.resume(source);
+            for (int millis = 0; millis < 5_000; millis += 5) {
+                fleet.advance(5);
+                assertNotWrong(fleet);
+            }
+            assertEquals(ALLOWED, fleet.refusal(entry, 4, 4));
+            assertUnknownIsRefusedAtOnce(fleet, entry, "after the pause");
+        }
+    }
+
     @Nested
     class ChangesOfTheLeader {
         private final HostId entry = HostId.of("edge-1");
