Carry the software version of servers, and add the types of stream origins

Cause: a server's report states its software version; nothing kept it, and no message could say which version began a stream.

No decision is changed.

--- a/src/main/java/org/plantainwharf/board/Board.java
+++ b/src/main/java/org/plantainwharf/board/Board.java
@@ -16,6 +16,7 @@
 import org.plantainwharf.limit.LimitSection;
 import org.plantainwharf.limit.ServerLimitSection;
 import org.plantainwharf.membership.MembershipSection;
+import org.plantainwharf.origin.OriginSection;
 import org.plantainwharf.quarantine.QuarantineSection;
 import org.plantainwharf.record.RecordSection;
 import org.plantainwharf.registry.DepartureSection;
@@ -49,6 +50,7 @@
     private final RegistrySection registry = RegistrySection.create();
     private final DepartureSection departures = DepartureSection.create();
     private final ForwardSection forward = ForwardSection.create();
+    private final OriginSection origins = OriginSection.create();
     private final AllowanceSection allowances = AllowanceSection.create();
     private final ServerLimitSection serverLimits = ServerLimitSection.create();
     private final DutySection duties = DutySection.create();
@@ -181,6 +183,11 @@
         return forward;
     }
 
+    /** Returns the section on where streams began. */
+    public OriginSection origins() {
+        return origins;
+    }
+
     /** Returns the section on shares of account limits. */
     public AllowanceSection allowances() {
         return allowances;
--- a/src/main/java/org/plantainwharf/codec/CommandMapping.java
+++ b/src/main/java/org/plantainwharf/codec/CommandMapping.java
@@ -11,6 +11,8 @@
 import org.plantainwharf.identity.IdempotencyKey;
 import org.plantainwharf.identity.RankName;
 import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.identity.ServerVersion;
+import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.VoterId;
 import org.plantainwharf.wire.PeerProtocol;
@@ -53,6 +55,10 @@
                         .addAllReportIds(withdraw.reportIds().stream().sorted().toList()));
             case Command.RecordDeparture departed ->
                 wire.setRecordDeparture(ValueMapping.encode(departed.departure(), departed.wallClockMillis()));
+            case Command.ListServerVersion list ->
+                wire.setListServerVersion(OriginMapping.encode(list.service(), list.version()));
+            case Command.RetireServerVersion retire ->
+                wire.setRetireServerVersion(OriginMapping.encode(retire.service(), retire.version()));
             case Command.RecordHostStart start ->
                 wire.setRecordHostStart(PeerProtocol.RecordHostStart.newBuilder()
                         .setToken(start.token())
@@ -156,6 +162,14 @@
                 new Command.RecordDeparture(
                         ValueMapping.decode(wire.getRecordDeparture()),
                         wire.getRecordDeparture().getWallClockMillis());
+            case LIST_SERVER_VERSION ->
+                new Command.ListServerVersion(
+                        ServiceName.of(wire.getListServerVersion().getService()),
+                        ServerVersion.of(wire.getListServerVersion().getVersion()));
+            case RETIRE_SERVER_VERSION ->
+                new Command.RetireServerVersion(
+                        ServiceName.of(wire.getRetireServerVersion().getService()),
+                        ServerVersion.of(wire.getRetireServerVersion().getVersion()));
             case RECORD_HOST_START -> decode(wire.getRecordHostStart());
             case FINISH_HOST_START ->
                 new Command.FinishHostStart(
--- a/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
+++ b/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
@@ -109,6 +109,9 @@
             case PeerMessage.UsageCounts usage ->
                 frame.setUsageReport(ValueMapping.encodeUsage(usage.window(), usage.requests()));
             case PeerMessage.DemandReport report -> frame.setDemandReport(ReportMapping.encode(report));
+            case PeerMessage.StreamOrigins origins -> frame.setStreamOrigins(OriginMapping.encode(origins));
+            case PeerMessage.OriginQuestion question -> frame.setOriginQuestion(OriginMapping.encode(question));
+            case PeerMessage.OriginReply reply -> frame.setOriginReply(OriginMapping.encode(reply));
             case PeerMessage.LimitDemand demand ->
                 frame.setLimitDemand(PeerProtocol.LimitDemand.newBuilder()
                         .addAllRates(ValueMapping.encodeRates(demand.requestsPerSecond())));
@@ -211,6 +214,9 @@
                         ValueMapping.decodeRates(frame.getLimitGrant().getRatesList()));
             case ALLOWANCE_REPORT -> AllowanceMapping.decode(frame.getAllowanceReport());
             case ALLOWANCE_GRANT -> AllowanceMapping.decode(frame.getAllowanceGrant());
+            case STREAM_ORIGINS -> OriginMapping.decode(frame.getStreamOrigins());
+            case ORIGIN_QUESTION -> OriginMapping.decode(frame.getOriginQuestion());
+            case ORIGIN_REPLY -> OriginMapping.decode(frame.getOriginReply());
             case LARGE_MESSAGE, CONTENT_REQUEST, CONTENT_PART, CONTENT_UNAVAILABLE, KIND_NOT_SET ->
                 throw new DecodingException("message kind is missing or unknown");
         };
--- a/src/main/java/org/plantainwharf/codec/ReportMapping.java
+++ b/src/main/java/org/plantainwharf/codec/ReportMapping.java
@@ -6,6 +6,7 @@
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.message.ServiceDemand;
@@ -52,6 +53,9 @@
                     .setWarmupMillis(report.remainingWarmupMillis())
                     .setReclaimable(report.reclaimable());
             report.millisUntilReclaim().ifPresent(server::setLeavesMillis);
+            if (report.version().stated()) {
+                server.setVersion(report.version().value());
+            }
             wire.addReports(server);
         }
         return wire.build();
@@ -78,7 +82,8 @@
                 phases[wire.getPhase()],
                 wire.getWarmupMillis(),
                 wire.getReclaimable(),
-                wire.hasLeavesMillis() ? OptionalLong.of(wire.getLeavesMillis()) : OptionalLong.empty());
+                wire.hasLeavesMillis() ? OptionalLong.of(wire.getLeavesMillis()) : OptionalLong.empty(),
+                ServerVersion.of(wire.getVersion()));
     }
 
     static PeerProtocol.DemandReport encode(PeerMessage.DemandReport report) {
--- a/src/main/java/org/plantainwharf/codec/StateRecordMapping.java
+++ b/src/main/java/org/plantainwharf/codec/StateRecordMapping.java
@@ -10,6 +10,8 @@
 import org.plantainwharf.identity.IdempotencyKey;
 import org.plantainwharf.identity.RankName;
 import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.identity.ServerVersion;
+import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.replicated.StateRecord;
 import org.plantainwharf.wire.PeerProtocol;
 
@@ -39,6 +41,8 @@
                         .addAllReportIds(ValueMapping.encodeNames(crashes.reportIds(), report -> report)));
             case StateRecord.Departed departed ->
                 wire.setDeparted(ValueMapping.encode(departed.departure(), departed.wallClockMillis()));
+            case StateRecord.ListedVersion listed ->
+                wire.setListedVersion(OriginMapping.encode(listed.service(), listed.version()));
             case StateRecord.HostStart start ->
                 wire.setHostStart(PeerProtocol.HostStart.newBuilder()
                         .setToken(start.token())
@@ -131,6 +135,10 @@
                 new StateRecord.Departed(
                         ValueMapping.decode(wire.getDeparted()),
                         wire.getDeparted().getWallClockMillis());
+            case LISTED_VERSION ->
+                new StateRecord.ListedVersion(
+                        ServiceName.of(wire.getListedVersion().getService()),
+                        ServerVersion.of(wire.getListedVersion().getVersion()));
             case HOST_START -> decode(wire.getHostStart());
             case ORDER -> decode(wire.getOrder());
             case WORK -> decode(wire.getWork());
--- a/src/main/java/org/plantainwharf/configuration/ControlState.java
+++ b/src/main/java/org/plantainwharf/configuration/ControlState.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -17,6 +18,8 @@
 import org.plantainwharf.identity.Fingerprint;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
+import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.replicated.Departure;
@@ -28,7 +31,7 @@
 
 /**
  * The state of the control group: the newest accepted sheet, the service document, usage counts, the fencing number,
- * crash counts, host starts and departures of backend servers. Invariants: the version of the sheet never decreases, and a version never has two
+ * crash counts, host starts, and departures and software versions of backend servers. Invariants: the version of the sheet never decreases, and a version never has two
  * contents. Owned by the control thread.
  */
 public final class ControlState implements StateMachine {
@@ -53,6 +56,12 @@
      */
     static final long DEPARTURE_RETENTION_MILLIS = Duration.ofHours(1).toMillis();
 
+    /** Software versions of one service that are listed at a time; further ones are not listed. */
+    static final int MAXIMUM_LISTED_VERSIONS = 256;
+
+    /** Services of which versions are listed. */
+    static final int MAXIMUM_LISTED_SERVICES = 1_024;
+
     private Optional<Sheet> sheet = Optional.empty();
     private Optional<StateRecord.Document> document = Optional.empty();
     private final TreeMap<Long, StateRecord.Usage> usages = new TreeMap<>();
@@ -62,6 +71,7 @@
     private final Map<String, StateRecord.HostStart> hostStarts = new LinkedHashMap<>();
 
     private final Map<ServerId, StateRecord.Departed> departures = new LinkedHashMap<>();
+    private final Map<ServiceName, Set<ServerVersion>> listedVersions = new LinkedHashMap<>();
 
     private ControlState() {}
 
@@ -106,6 +116,16 @@
         return known != null && known.departure().covers(departure);
     }
 
+    /** Returns the software versions that may have begun streams of a service, in the order in which they were listed. */
+    public Set<ServerVersion> listedVersions(ServiceName service) {
+        return Collections.unmodifiableSet(listedVersions.getOrDefault(service, Set.of()));
+    }
+
+    /** Returns the services of which a version is listed. */
+    public Set<ServiceName> servicesWithListedVersions() {
+        return Collections.unmodifiableSet(listedVersions.keySet());
+    }
+
     /** Returns the host starts, both finished and pending. */
     public Collection<StateRecord.HostStart> hostStarts() {
         return hostStarts.values();
@@ -133,6 +153,8 @@
             case Command.ReportCrash report -> reportCrash(report);
             case Command.WithdrawCrashes withdraw -> withdrawCrashes(withdraw);
             case Command.RecordDeparture departure -> recordDeparture(departure);
+            case Command.ListServerVersion list -> listVersion(list);
+            case Command.RetireServerVersion retire -> retireVersion(retire);
             case Command.RecordHostStart start -> {
                 hostStarts.putIfAbsent(
                         start.token(),
@@ -238,6 +260,26 @@
         return new CommandResult.Done();
     }
 
+    private CommandResult listVersion(Command.ListServerVersion list) {
+        boolean newService = !listedVersions.containsKey(list.service());
+        int listed = listedVersions.getOrDefault(list.service(), Set.of()).size();
+        if (listed >= MAXIMUM_LISTED_VERSIONS || newService && listedVersions.size() >= MAXIMUM_LISTED_SERVICES) {
+            return new CommandResult.Ignored();
+        }
+        listedVersions
+                .computeIfAbsent(list.service(), service -> new LinkedHashSet<>())
+                .add(list.version());
+        return new CommandResult.Done();
+    }
+
+    private CommandResult retireVersion(Command.RetireServerVersion retire) {
+        listedVersions.computeIfPresent(retire.service(), (service, versions) -> {
+            versions.remove(retire.version());
+            return versions.isEmpty() ? null : versions;
+        });
+        return new CommandResult.Done();
+    }
+
     private CommandResult finishHostStart(Command.FinishHostStart finish) {
         StateRecord.@Nullable HostStart start = hostStarts.get(finish.token());
         if (start == null) {
@@ -275,6 +317,8 @@
         records.addAll(crashes.values());
         records.addAll(hostStarts.values());
         records.addAll(departures.values());
+        listedVersions.forEach((service, versions) ->
+                versions.forEach(version -> records.add(new StateRecord.ListedVersion(service, version))));
         return records;
     }
 
@@ -287,6 +331,7 @@
         crashes.clear();
         hostStarts.clear();
         departures.clear();
+        listedVersions.clear();
         for (StateRecord stateRecord : records) {
             switch (stateRecord) {
                 case StateRecord.SheetInForce inForce -> sheet = Optional.of(inForce.sheet());
@@ -297,6 +342,10 @@
                 case StateRecord.Crashes value -> crashes.put(value.fingerprint(), value);
                 case StateRecord.Departed value ->
                     departures.put(value.departure().server(), value);
+                case StateRecord.ListedVersion value ->
+                    listedVersions
+                            .computeIfAbsent(value.service(), service -> new LinkedHashSet<>())
+                            .add(value.version());
                 case StateRecord.HostStart value -> hostStarts.put(value.token(), value);
                 case StateRecord.Order order -> throw unexpected(order);
                 case StateRecord.Work work -> throw unexpected(work);
--- a/src/main/java/org/plantainwharf/consensus/ConsensusController.java
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusController.java
@@ -273,6 +273,9 @@
             case PeerMessage.KnownPeers known -> known.addresses().keySet().forEach(hosts::add);
             case PeerMessage.ServerReports reports -> {}
             case PeerMessage.UsageCounts usage -> {}
+            case PeerMessage.StreamOrigins origins -> {}
+            case PeerMessage.OriginQuestion question -> {}
+            case PeerMessage.OriginReply reply -> {}
             case PeerMessage.DemandReport report -> {}
         }
     }
--- a/src/main/java/org/plantainwharf/consensus/MessageSizes.java
+++ b/src/main/java/org/plantainwharf/consensus/MessageSizes.java
@@ -53,6 +53,8 @@
                     case Command.WithdrawCrashes withdraw ->
                         withdraw.reportIds().size() * ELEMENT_BYTES;
                     case Command.RecordDeparture departure -> 0;
+                    case Command.ListServerVersion listed -> 0;
+                    case Command.RetireServerVersion retired -> 0;
                     case Command.RecordHostStart start -> 0;
                     case Command.FinishHostStart finish -> 0;
                     case Command.RecordIntent intent -> 0;
@@ -85,6 +87,7 @@
                     case StateRecord.AcceptedSheet accepted -> 0;
                     case StateRecord.Fencing fencing -> 0;
                     case StateRecord.Departed departed -> 0;
+                    case StateRecord.ListedVersion listed -> 0;
                     case StateRecord.HostStart start -> 0;
                 };
     }
--- a/src/main/java/org/plantainwharf/duty/UsageController.java
+++ b/src/main/java/org/plantainwharf/duty/UsageController.java
@@ -123,6 +123,9 @@
             case ForwardEvent.ForwardLeft left -> {}
             case ForwardEvent.ServerNoticed noticed -> {}
             case ForwardEvent.ServerUnreachable unreachable -> {}
+            case ForwardEvent.StreamBegan streamBegan -> {}
+            case ForwardEvent.OriginRequested requested -> {}
+            case ForwardEvent.OriginDecided decided -> {}
         }
     }
 
--- a/src/main/java/org/plantainwharf/error/ErrorKind.java
+++ b/src/main/java/org/plantainwharf/error/ErrorKind.java
@@ -49,6 +49,9 @@
             502, ExecutionStatus.UNKNOWN, false, "this request or a part of its prompt crashed backend servers"),
     CONTENT_SUSPECTED(
             503, ExecutionStatus.NO, true, "a part of this request was at crashes of backend servers and is held back"),
+    STREAM_VERSION_GONE(
+            503, ExecutionStatus.NO, false, "no server runs the software version %s that began this stream"),
+    STREAM_ORIGIN_UNKNOWN(503, ExecutionStatus.NO, true, "it is not known which software version began this stream"),
     SERVER_REFUSED(503, ExecutionStatus.NO, true, "backend servers refused the request before running it"),
     SERVER_FAILED(502, ExecutionStatus.UNKNOWN, true, "backend server failed: %s"),
     DEADLINE_EXCEEDED(504, ExecutionStatus.UNKNOWN, true, "deadline passed while the request ran"),
--- a/src/main/java/org/plantainwharf/event/ForwardEvent.java
+++ b/src/main/java/org/plantainwharf/event/ForwardEvent.java
@@ -7,6 +7,8 @@
 import org.plantainwharf.forward.ServerNotice;
 import org.plantainwharf.forward.ServerStatus;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.origin.OriginAnswer;
 
 /** Life cycle of a request that is forwarded to a backend server. Immutable. */
 public sealed interface ForwardEvent extends Event {
@@ -34,6 +36,20 @@
     record ServerNoticed(long ticket, ServerId server, long startEpochMillis, ServerNotice notice)
             implements ForwardEvent {}
 
+    /** The first event of a stream is about to be passed on to the caller. Posted once for an attempt, before its end. */
+    record StreamBegan(long ticket, int attempt) implements ForwardEvent {}
+
+    /**
+     * A caller takes a stream up. Answered by {@link OriginDecided}.
+     *
+     * @param firstAttempt the attempt that brought the first event, as the caller names it; empty if it names none
+     * @param service service to which the request would go
+     */
+    record OriginRequested(long ticket, Optional<String> firstAttempt, ServiceName service) implements ForwardEvent {}
+
+    /** It is decided what is known of the origin of a stream that a caller takes up. */
+    record OriginDecided(long ticket, OriginAnswer answer) implements ForwardEvent {}
+
     /** Nothing accepts connections at the address of a server that was probed. Other results are not reported. */
     record ServerUnreachable(long ticket, ServerId server) implements ForwardEvent {}
 
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -89,6 +89,9 @@
         switch (event) {
             case ForwardEvent.ForwardArrived arrived -> onArrived(arrived, board, nowNanos, effects);
             case ForwardEvent.ServerUnreachable unreachable -> {}
+            case ForwardEvent.StreamBegan streamBegan -> {}
+            case ForwardEvent.OriginRequested requested -> {}
+            case ForwardEvent.OriginDecided decided -> {}
             case ForwardEvent.ServerNoticed noticed -> onNotice(noticed, board, nowNanos, effects);
             case ForwardEvent.ForwardLeft left ->
                 board.forward().call(left.ticket()).ifPresent(call -> onCallerDisconnected(call, board, effects));
--- a/src/main/java/org/plantainwharf/forward/ForwardHead.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardHead.java
@@ -17,6 +17,7 @@
  * @param prompt present in requests to model engines
  * @param fingerprints what may crash a server that processes this request: the shared parts of the prompt and the whole
  *     request
+ * @param takeUp present if the caller has events of the stream already and wants those after them
  */
 public record ForwardHead(
         String requestId,
@@ -25,7 +26,15 @@
         Optional<String> key,
         OptionalLong deadlineMillis,
         Optional<PromptShape> prompt,
-        List<Fingerprint> fingerprints) {
+        List<Fingerprint> fingerprints,
+        Optional<TakeUp> takeUp) {
+    /**
+     * A caller's wish to go on with a stream that broke off.
+     *
+     * @param firstAttempt the attempt that brought the first event; empty if the caller does not name it
+     */
+    public record TakeUp(Optional<String> firstAttempt) {}
+
     /** Copies the fingerprints. */
     public ForwardHead {
         fingerprints = List.copyOf(fingerprints);
@@ -49,6 +58,11 @@
                 .limit(Math.max(0, shape.parts().size() - 1))
                 .forEach(part -> fingerprints.add(Fingerprint.ofPromptPart(part.id()))));
         fingerprints.add(content);
-        return new ForwardHead(requestId, host, path, key, deadlineMillis, prompt, fingerprints);
+        return new ForwardHead(requestId, host, path, key, deadlineMillis, prompt, fingerprints, Optional.empty());
+    }
+
+    /** Returns this head with the stream that the caller takes up. */
+    public ForwardHead takingUp(Optional<TakeUp> stream) {
+        return new ForwardHead(requestId, host, path, key, deadlineMillis, prompt, fingerprints, stream);
     }
 }
--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -340,13 +340,22 @@
         @Nullable String host = fields.get(HttpHeader.HOST);
         @Nullable String path = request.getHttpURI().getPath();
         return ForwardHead.of(
-                id,
-                host == null ? "" : hostName(host),
-                path == null ? "" : path,
-                key(fields),
-                number(fields.get(dialect.deadline())),
-                prompt(fields),
-                content(request, body));
+                        id,
+                        host == null ? "" : hostName(host),
+                        path == null ? "" : path,
+                        key(fields),
+                        number(fields.get(dialect.deadline())),
+                        prompt(fields),
+                        content(request, body))
+                .takingUp(takeUp(fields));
+    }
+
+    private Optional<ForwardHead.TakeUp> takeUp(HttpFields fields) {
+        Optional<String> firstAttempt = Optional.ofNullable(fields.get(dialect.resumes()))
+                .map(String::strip)
+                .filter(id -> !id.isEmpty());
+        boolean hasEvents = firstAttempt.isPresent() || fields.contains("Last-Event-Id");
+        return hasEvents ? Optional.of(new ForwardHead.TakeUp(firstAttempt)) : Optional.empty();
     }
 
     /** Returns the digest of everything that a caller repeats when it sends a request again: path, key and body. */
--- a/src/main/java/org/plantainwharf/http/ForwardDialect.java
+++ b/src/main/java/org/plantainwharf/http/ForwardDialect.java
@@ -21,6 +21,7 @@
  * @param model carries the name of the requested model
  * @param tokenCounts carries the number of prompt tokens and the maximum number of output tokens, separated by a comma
  * @param promptParts carries the parts of the prompt as id:tokens, separated by commas
+ * @param resumes names the attempt that brought the first event of a stream that the caller takes up
  * @param reservedHeaders names in lower case of request headers that only this system may set; those of callers are removed
  */
 public record ForwardDialect(
@@ -38,6 +39,7 @@
         String model,
         String tokenCounts,
         String promptParts,
+        String resumes,
         Set<String> reservedHeaders) {
     /** Copies the set of header names. */
     public ForwardDialect {
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -3,13 +3,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.origin.StreamOrigin;
 import org.plantainwharf.registry.ServerReport;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
@@ -168,4 +171,36 @@
             serverShares = Map.copyOf(serverShares);
         }
     }
+
+    /** Passes on where streams began, by the attempt that brought the first event. */
+    record StreamOrigins(Map<String, StreamOrigin> origins) implements PeerMessage {
+        /** Copies the map. */
+        public StreamOrigins {
+            origins = Map.copyOf(origins);
+        }
+    }
+
+    /** Asks a control daemon where a stream began. Answered by {@link OriginReply}. */
+    record OriginQuestion(String attempt, ServiceName service) implements PeerMessage {}
+
+    /**
+     * What the sender knows of where a stream began.
+     *
+     * @param origin empty if the sender does not know it
+     * @param leading whether the sender leads the control group under a valid lease
+     * @param listedVersions software versions that may have begun streams of the service, as the sender's copy of the log
+     *     lists them
+     */
+    record OriginReply(
+            String attempt,
+            ServiceName service,
+            Optional<StreamOrigin> origin,
+            boolean leading,
+            Set<ServerVersion> listedVersions)
+            implements PeerMessage {
+        /** Copies the set. */
+        public OriginReply {
+            listedVersions = Set.copyOf(listedVersions);
+        }
+    }
 }
--- a/src/main/java/org/plantainwharf/platform/HeartbeatReader.java
+++ b/src/main/java/org/plantainwharf/platform/HeartbeatReader.java
@@ -11,6 +11,7 @@
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.registry.ServerPhase;
 import org.plantainwharf.registry.ServerReport;
@@ -64,7 +65,8 @@
                         phase.orElse(ServerPhase.GONE),
                         remainingWarmupMillis,
                         reclaimable,
-                        millisUntilReclaim));
+                        millisUntilReclaim,
+                        ServerVersion.of(root.path("version").asText(""))));
     }
 
     /**
--- a/src/main/java/org/plantainwharf/platform/WireNames.java
+++ b/src/main/java/org/plantainwharf/platform/WireNames.java
@@ -32,6 +32,7 @@
             "X-Plantainwharf-Model",
             "X-Plantainwharf-Token-Counts",
             "X-Plantainwharf-Prefix-Hash",
+            "Resumes",
             Set.of(
                     "x-plantainwharf-tenant",
                     "x-plantainwharf-expected-instance",
--- a/src/main/java/org/plantainwharf/quarantine/ForwardQuarantineController.java
+++ b/src/main/java/org/plantainwharf/quarantine/ForwardQuarantineController.java
@@ -108,6 +108,9 @@
                         .flatMap(call -> runningAttempt(call, began.attempt()))
                         .ifPresent(running -> recordResponse(running, board));
             case ForwardEvent.ServerNoticed noticed -> {}
+            case ForwardEvent.StreamBegan streamBegan -> {}
+            case ForwardEvent.OriginRequested requested -> {}
+            case ForwardEvent.OriginDecided decided -> {}
             case ForwardEvent.ServerUnreachable unreachable ->
                 confirmCrash(unreachable.server(), "refuses_connections", board, nowNanos, effects);
             case ForwardEvent.ForwardEnded ended ->
--- a/src/main/java/org/plantainwharf/registry/RegistryController.java
+++ b/src/main/java/org/plantainwharf/registry/RegistryController.java
@@ -27,6 +27,7 @@
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.membership.LinkedPeers;
 import org.plantainwharf.message.PeerMessage;
@@ -121,7 +122,8 @@
                 ServerPhase.GONE,
                 0,
                 false,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                known.map(ServerReport::version).orElse(ServerVersion.unstated()));
     }
 
     /** Puts recorded departures in force, also those of servers whose reports arrive later. */
--- a/src/main/java/org/plantainwharf/registry/ServerReport.java
+++ b/src/main/java/org/plantainwharf/registry/ServerReport.java
@@ -4,6 +4,7 @@
 
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 
 /**
@@ -16,6 +17,7 @@
  * @param remainingWarmupMillis remaining time of reduced speed after the start
  * @param reclaimable whether the platform may reclaim the server
  * @param millisUntilReclaim time until the platform reclaims the server; empty if it is not known
+ * @param version software version of the server; unstated if it names none
  */
 public record ServerReport(
         ServerId server,
@@ -28,7 +30,8 @@
         ServerPhase phase,
         long remainingWarmupMillis,
         boolean reclaimable,
-        OptionalLong millisUntilReclaim) {
+        OptionalLong millisUntilReclaim,
+        ServerVersion version) {
     /** Returns whether this report is newer than another one of the same server: of a later start, or later in it. */
     public boolean newerThan(ServerReport other) {
         return startEpochMillis > other.startEpochMillis
@@ -48,6 +51,7 @@
                 newPhase,
                 remainingWarmupMillis,
                 reclaimable,
-                millisUntilReclaim);
+                millisUntilReclaim,
+                version);
     }
 }
--- a/src/main/java/org/plantainwharf/replicated/Command.java
+++ b/src/main/java/org/plantainwharf/replicated/Command.java
@@ -13,6 +13,8 @@
 import org.plantainwharf.identity.IdempotencyKey;
 import org.plantainwharf.identity.RankName;
 import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.identity.ServerVersion;
+import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.sheet.Sheet;
 
 /**
@@ -104,6 +106,12 @@
      */
     record RecordDeparture(Departure departure, long wallClockMillis) implements Control {}
 
+    /** Lists a software version whose servers may begin streams of a service from now on. */
+    record ListServerVersion(ServiceName service, ServerVersion version) implements Control {}
+
+    /** Removes a listed software version. No caller takes up a stream any more that one of its servers began. */
+    record RetireServerVersion(ServiceName service, ServerVersion version) implements Control {}
+
     /** Records that a host start is about to be requested under a token. */
     record RecordHostStart(String token, AvailabilityZone zone, HostClass hostClass) implements Control {}
 
--- a/src/main/java/org/plantainwharf/replicated/StateRecord.java
+++ b/src/main/java/org/plantainwharf/replicated/StateRecord.java
@@ -13,6 +13,8 @@
 import org.plantainwharf.identity.IdempotencyKey;
 import org.plantainwharf.identity.RankName;
 import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.identity.ServerVersion;
+import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.sheet.Sheet;
 
 /** One record of replicated state. A snapshot consists of all records. Immutable. */
@@ -59,6 +61,9 @@
     record HostStart(String token, AvailabilityZone zone, HostClass hostClass, boolean finished, String platformHost)
             implements StateRecord {}
 
+    /** A software version that may have begun streams of a service. */
+    record ListedVersion(ServiceName service, ServerVersion version) implements StateRecord {}
+
     /**
      * A call that must not be repeated.
      *
--- a/src/test/java/org/plantainwharf/architecture/LayeringTest.java
+++ b/src/test/java/org/plantainwharf/architecture/LayeringTest.java
@@ -43,6 +43,7 @@
             "document",
             "registry",
             "forward",
+            "origin",
             "duty");
 
     private static final JavaClasses PRODUCT = new ClassFileImporter()
--- a/src/test/java/org/plantainwharf/backend/ForwardTestDialect.java
+++ b/src/test/java/org/plantainwharf/backend/ForwardTestDialect.java
@@ -21,6 +21,7 @@
             "X-Model",
             "X-Tokens",
             "X-Prompt",
+            "X-Resumes",
             Set.of());
 
     private ForwardTestDialect() {}
--- a/src/test/java/org/plantainwharf/forward/EngineFleet.java
+++ b/src/test/java/org/plantainwharf/forward/EngineFleet.java
@@ -41,6 +41,7 @@
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.RouteName;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.limit.AllowanceController;
 import org.plantainwharf.membership.MembershipController;
@@ -312,7 +313,8 @@
                 phase,
                 0,
                 true,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                ServerVersion.unstated());
         daemons.forEach(daemon -> run(
                 daemon,
                 new PeerEvent.PeerMessageReceived(CONTROL_HOST, 1, new PeerMessage.ServerReports(List.of(report)))));
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -34,6 +34,7 @@
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.RouteName;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.registry.RegistryController;
@@ -117,7 +118,8 @@
                 phase,
                 0,
                 false,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                ServerVersion.unstated());
         run(new PeerEvent.PeerMessageReceived(HostId.of("core-1"), 1, new PeerMessage.ServerReports(List.of(report))));
     }
 
--- a/src/test/java/org/plantainwharf/limit/AllowanceFleet.java
+++ b/src/test/java/org/plantainwharf/limit/AllowanceFleet.java
@@ -43,6 +43,7 @@
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.RouteName;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.message.PeerMessage;
@@ -134,7 +135,8 @@
                     ServerPhase.READY,
                     0,
                     false,
-                    OptionalLong.empty()));
+                    OptionalLong.empty(),
+                    ServerVersion.unstated()));
         }
         run(daemon, new PeerEvent.PeerMessageReceived(HostId.of("core-0"), 1, new PeerMessage.ServerReports(reports)));
     }
--- a/src/test/java/org/plantainwharf/quarantine/CrashingFleet.java
+++ b/src/test/java/org/plantainwharf/quarantine/CrashingFleet.java
@@ -47,6 +47,7 @@
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.RouteName;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.registry.RegistryController;
@@ -501,7 +502,8 @@
                 engine.phase,
                 0,
                 false,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                ServerVersion.unstated());
         PeerMessage reports = new PeerMessage.ServerReports(List.of(report));
         daemons.forEach(daemon -> run(daemon, new PeerEvent.PeerMessageReceived(HostId.of("core-1"), 1, reports)));
     }
--- a/src/test/java/org/plantainwharf/quarantine/LargeCrashingFleet.java
+++ b/src/test/java/org/plantainwharf/quarantine/LargeCrashingFleet.java
@@ -47,6 +47,7 @@
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.RouteName;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.registry.RegistryController;
@@ -553,7 +554,8 @@
                         ServerPhase.READY,
                         0,
                         false,
-                        OptionalLong.empty()));
+                        OptionalLong.empty(),
+                        ServerVersion.unstated()));
             }
         }
         PeerEvent event =
--- a/src/test/java/org/plantainwharf/registry/DepartureControllerTest.java
+++ b/src/test/java/org/plantainwharf/registry/DepartureControllerTest.java
@@ -12,6 +12,7 @@
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.testing.StoredControlGroup;
 
@@ -43,7 +44,8 @@
                 phase,
                 0,
                 false,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                ServerVersion.unstated());
     }
 
     private static RegistryEvent ready(long startEpochMillis, long sequence) {
--- a/src/test/java/org/plantainwharf/registry/RegistrySectionTest.java
+++ b/src/test/java/org/plantainwharf/registry/RegistrySectionTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.replicated.Departure;
 
@@ -32,7 +33,8 @@
                 phase,
                 0,
                 false,
-                OptionalLong.empty());
+                OptionalLong.empty(),
+                ServerVersion.unstated());
     }
 
     private RegistrySection.Change merge(String server, long born, long sequence, String address, ServerPhase phase) {
