Close a listed software version before it is retired

Cause: a daemon whose copy of the log is late, or that is cut off, may still begin streams at a version that is removed from the list, while the leader tells that only one version is left. A repeated or late command could remove a version whose servers came back.

Change: CloseServerVersion marks a version that begins no stream any more; it stays listed. RetireServerVersion removes closed versions only. The last version of a service is kept. ControlState.mayBeginStreams says whether a version is open.

--- a/src/main/java/org/plantainwharf/codec/CommandMapping.java
+++ b/src/main/java/org/plantainwharf/codec/CommandMapping.java
@@ -57,6 +57,8 @@
                 wire.setRecordDeparture(ValueMapping.encode(departed.departure(), departed.wallClockMillis()));
             case Command.ListServerVersion list ->
                 wire.setListServerVersion(OriginMapping.encode(list.service(), list.version()));
+            case Command.CloseServerVersion close ->
+                wire.setCloseServerVersion(OriginMapping.encode(close.service(), close.version()));
             case Command.RetireServerVersion retire ->
                 wire.setRetireServerVersion(OriginMapping.encode(retire.service(), retire.version()));
             case Command.RecordHostStart start ->
@@ -166,6 +168,10 @@
                 new Command.ListServerVersion(
                         ServiceName.of(wire.getListServerVersion().getService()),
                         ServerVersion.of(wire.getListServerVersion().getVersion()));
+            case CLOSE_SERVER_VERSION ->
+                new Command.CloseServerVersion(
+                        ServiceName.of(wire.getCloseServerVersion().getService()),
+                        ServerVersion.of(wire.getCloseServerVersion().getVersion()));
             case RETIRE_SERVER_VERSION ->
                 new Command.RetireServerVersion(
                         ServiceName.of(wire.getRetireServerVersion().getService()),
--- a/src/main/java/org/plantainwharf/codec/StateRecordMapping.java
+++ b/src/main/java/org/plantainwharf/codec/StateRecordMapping.java
@@ -42,7 +42,8 @@
             case StateRecord.Departed departed ->
                 wire.setDeparted(ValueMapping.encode(departed.departure(), departed.wallClockMillis()));
             case StateRecord.ListedVersion listed ->
-                wire.setListedVersion(OriginMapping.encode(listed.service(), listed.version()));
+                wire.setListedVersion(OriginMapping.encode(listed.service(), listed.version()).toBuilder()
+                        .setClosed(listed.closed()));
             case StateRecord.HostStart start ->
                 wire.setHostStart(PeerProtocol.HostStart.newBuilder()
                         .setToken(start.token())
@@ -138,7 +139,8 @@
             case LISTED_VERSION ->
                 new StateRecord.ListedVersion(
                         ServiceName.of(wire.getListedVersion().getService()),
-                        ServerVersion.of(wire.getListedVersion().getVersion()));
+                        ServerVersion.of(wire.getListedVersion().getVersion()),
+                        wire.getListedVersion().getClosed());
             case HOST_START -> decode(wire.getHostStart());
             case ORDER -> decode(wire.getOrder());
             case WORK -> decode(wire.getWork());
--- a/src/main/java/org/plantainwharf/configuration/ControlState.java
+++ b/src/main/java/org/plantainwharf/configuration/ControlState.java
@@ -71,7 +71,8 @@
     private final Map<String, StateRecord.HostStart> hostStarts = new LinkedHashMap<>();
 
     private final Map<ServerId, StateRecord.Departed> departures = new LinkedHashMap<>();
-    private final Map<ServiceName, Set<ServerVersion>> listedVersions = new LinkedHashMap<>();
+    /** Whether each listed version is closed, by service. */
+    private final Map<ServiceName, Map<ServerVersion, Boolean>> listedVersions = new LinkedHashMap<>();
 
     private ControlState() {}
 
@@ -118,7 +119,14 @@
 
     /** Returns the software versions that may have begun streams of a service, in the order in which they were listed. */
     public Set<ServerVersion> listedVersions(ServiceName service) {
-        return Collections.unmodifiableSet(listedVersions.getOrDefault(service, Set.of()));
+        return Collections.unmodifiableSet(
+                listedVersions.getOrDefault(service, Map.of()).keySet());
+    }
+
+    /** Returns whether servers of this version may begin streams of a service: it is listed and not closed. */
+    public boolean mayBeginStreams(ServiceName service, ServerVersion version) {
+        return Boolean.FALSE.equals(
+                listedVersions.getOrDefault(service, Map.of()).get(version));
     }
 
     /** Returns the services of which a version is listed. */
@@ -154,6 +162,7 @@
             case Command.WithdrawCrashes withdraw -> withdrawCrashes(withdraw);
             case Command.RecordDeparture departure -> recordDeparture(departure);
             case Command.ListServerVersion list -> listVersion(list);
+            case Command.CloseServerVersion close -> closeVersion(close);
             case Command.RetireServerVersion retire -> retireVersion(retire);
             case Command.RecordHostStart start -> {
                 hostStarts.putIfAbsent(
@@ -262,21 +271,32 @@
 
     private CommandResult listVersion(Command.ListServerVersion list) {
         boolean newService = !listedVersions.containsKey(list.service());
-        int listed = listedVersions.getOrDefault(list.service(), Set.of()).size();
-        if (listed >= MAXIMUM_LISTED_VERSIONS || newService && listedVersions.size() >= MAXIMUM_LISTED_SERVICES) {
+        Map<ServerVersion, Boolean> listed = listedVersions.getOrDefault(list.service(), Map.of());
+        boolean full = listed.size() >= MAXIMUM_LISTED_VERSIONS && !listed.containsKey(list.version());
+        if (full || newService && listedVersions.size() >= MAXIMUM_LISTED_SERVICES) {
             return new CommandResult.Ignored();
         }
         listedVersions
-                .computeIfAbsent(list.service(), service -> new LinkedHashSet<>())
-                .add(list.version());
+                .computeIfAbsent(list.service(), service -> new LinkedHashMap<>())
+                .put(list.version(), false);
+        return new CommandResult.Done();
+    }
+
+    private CommandResult closeVersion(Command.CloseServerVersion close) {
+        Map<ServerVersion, Boolean> listed = listedVersions.getOrDefault(close.service(), Map.of());
+        if (listed.size() <= 1 || !listed.containsKey(close.version())) {
+            return new CommandResult.Ignored();
+        }
+        listed.put(close.version(), true);
         return new CommandResult.Done();
     }
 
     private CommandResult retireVersion(Command.RetireServerVersion retire) {
-        listedVersions.computeIfPresent(retire.service(), (service, versions) -> {
-            versions.remove(retire.version());
-            return versions.isEmpty() ? null : versions;
-        });
+        Map<ServerVersion, Boolean> listed = listedVersions.getOrDefault(retire.service(), Map.of());
+        if (listed.size() <= 1 || !Boolean.TRUE.equals(listed.get(retire.version()))) {
+            return new CommandResult.Ignored();
+        }
+        listed.remove(retire.version());
         return new CommandResult.Done();
     }
 
@@ -317,8 +337,8 @@
         records.addAll(crashes.values());
         records.addAll(hostStarts.values());
         records.addAll(departures.values());
-        listedVersions.forEach((service, versions) ->
-                versions.forEach(version -> records.add(new StateRecord.ListedVersion(service, version))));
+        listedVersions.forEach((service, versions) -> versions.forEach(
+                (version, closed) -> records.add(new StateRecord.ListedVersion(service, version, closed))));
         return records;
     }
 
@@ -344,8 +364,8 @@
                     departures.put(value.departure().server(), value);
                 case StateRecord.ListedVersion value ->
                     listedVersions
-                            .computeIfAbsent(value.service(), service -> new LinkedHashSet<>())
-                            .add(value.version());
+                            .computeIfAbsent(value.service(), service -> new LinkedHashMap<>())
+                            .put(value.version(), value.closed());
                 case StateRecord.HostStart value -> hostStarts.put(value.token(), value);
                 case StateRecord.Order order -> throw unexpected(order);
                 case StateRecord.Work work -> throw unexpected(work);
--- a/src/main/java/org/plantainwharf/consensus/MessageSizes.java
+++ b/src/main/java/org/plantainwharf/consensus/MessageSizes.java
@@ -54,6 +54,7 @@
                         withdraw.reportIds().size() * ELEMENT_BYTES;
                     case Command.RecordDeparture departure -> 0;
                     case Command.ListServerVersion listed -> 0;
+                    case Command.CloseServerVersion closed -> 0;
                     case Command.RetireServerVersion retired -> 0;
                     case Command.RecordHostStart start -> 0;
                     case Command.FinishHostStart finish -> 0;
--- a/src/main/java/org/plantainwharf/replicated/Command.java
+++ b/src/main/java/org/plantainwharf/replicated/Command.java
@@ -109,7 +109,16 @@
     /** Lists a software version whose servers may begin streams of a service from now on. */
     record ListServerVersion(ServiceName service, ServerVersion version) implements Control {}
 
-    /** Removes a listed software version. No caller takes up a stream any more that one of its servers began. */
+    /**
+     * Closes a listed software version of which no server is left: it begins no stream any more until it is listed again,
+     * but streams that it began may still be taken up.
+     */
+    record CloseServerVersion(ServiceName service, ServerVersion version) implements Control {}
+
+    /**
+     * Removes a closed software version; one that is not closed stays. No caller takes up a stream any more that one of its
+     * servers began.
+     */
     record RetireServerVersion(ServiceName service, ServerVersion version) implements Control {}
 
     /** Records that a host start is about to be requested under a token. */
--- a/src/main/java/org/plantainwharf/replicated/StateRecord.java
+++ b/src/main/java/org/plantainwharf/replicated/StateRecord.java
@@ -61,8 +61,12 @@
     record HostStart(String token, AvailabilityZone zone, HostClass hostClass, boolean finished, String platformHost)
             implements StateRecord {}
 
-    /** A software version that may have begun streams of a service. */
-    record ListedVersion(ServiceName service, ServerVersion version) implements StateRecord {}
+    /**
+     * A software version that may have begun streams of a service.
+     *
+     * @param closed whether it may begin no stream any more
+     */
+    record ListedVersion(ServiceName service, ServerVersion version, boolean closed) implements StateRecord {}
 
     /**
      * A call that must not be repeated.
--- a/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
+++ b/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
@@ -8,6 +8,8 @@
 import org.plantainwharf.identity.Fingerprint;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
+import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.replicated.Departure;
@@ -189,4 +191,91 @@
             assertEquals(List.of(new Departure(ServerId.of("i-1"), 2, true)), restored.departures());
         }
     }
+
+    /** Guards against a version that began streams and is not listed, and against lists that grow without bound. */
+    @Nested
+    class ListedVersions {
+        private static final ServiceName SERVICE = ServiceName.of("engines");
+        private static final ServerVersion OLD = ServerVersion.of("1.9");
+        private static final ServerVersion NEW = ServerVersion.of("2.0-rc");
+
+        private CommandResult list(ServerVersion version) {
+            return state.apply(new Command.ListServerVersion(SERVICE, version));
+        }
+
+        private CommandResult close(ServerVersion version) {
+            return state.apply(new Command.CloseServerVersion(SERVICE, version));
+        }
+
+        private CommandResult retire(ServerVersion version) {
+            return state.apply(new Command.RetireServerVersion(SERVICE, version));
+        }
+
+        @Test
+        void stayListedAfterTheyAreClosedButBeginNoStream() {
+            list(OLD);
+            list(NEW);
+            assertEquals(new CommandResult.Done(), close(OLD));
+            assertEquals(Set.of(OLD, NEW), state.listedVersions(SERVICE));
+            assertEquals(false, state.mayBeginStreams(SERVICE, OLD));
+            assertEquals(true, state.mayBeginStreams(SERVICE, NEW));
+        }
+
+        /** A repeated or late command must not remove a version whose servers came back. */
+        @Test
+        void areRetiredOnlyAfterTheyWereClosed() {
+            list(OLD);
+            list(NEW);
+            assertEquals(new CommandResult.Ignored(), retire(OLD));
+            close(OLD);
+            list(OLD);
+            assertEquals(new CommandResult.Ignored(), retire(OLD));
+            close(OLD);
+            close(OLD);
+            assertEquals(Set.of(OLD, NEW), state.listedVersions(SERVICE));
+            assertEquals(new CommandResult.Done(), retire(OLD));
+            assertEquals(Set.of(NEW), state.listedVersions(SERVICE));
+        }
+
+        @Test
+        void keepTheLastVersionOfAService() {
+            list(OLD);
+            assertEquals(new CommandResult.Ignored(), close(OLD));
+            list(NEW);
+            close(OLD);
+            close(NEW);
+            retire(OLD);
+            assertEquals(new CommandResult.Ignored(), retire(NEW));
+            assertEquals(Set.of(NEW), state.listedVersions(SERVICE));
+        }
+
+        @Test
+        void areBoundedInNumber() {
+            for (int index = 0; index < ControlState.MAXIMUM_LISTED_VERSIONS; index++) {
+                assertEquals(new CommandResult.Done(), list(ServerVersion.of("v" + index)));
+            }
+            assertEquals(new CommandResult.Ignored(), list(NEW));
+            assertEquals(false, state.mayBeginStreams(SERVICE, NEW));
+            assertEquals(new CommandResult.Done(), list(ServerVersion.of("v0")));
+            for (int index = 1; index < ControlState.MAXIMUM_LISTED_SERVICES; index++) {
+                state.apply(new Command.ListServerVersion(ServiceName.of("service-" + index), NEW));
+            }
+            assertEquals(
+                    new CommandResult.Ignored(),
+                    state.apply(new Command.ListServerVersion(ServiceName.of("one-more"), NEW)));
+        }
+
+        @Test
+        void areKeptBySnapshots() {
+            list(OLD);
+            list(NEW);
+            list(ServerVersion.unstated());
+            close(NEW);
+            ControlState restored = ControlState.create();
+            restored.restore(state.records());
+            assertEquals(Set.of(OLD, NEW, ServerVersion.unstated()), restored.listedVersions(SERVICE));
+            assertEquals(true, restored.mayBeginStreams(SERVICE, OLD));
+            assertEquals(false, restored.mayBeginStreams(SERVICE, NEW));
+        }
+    }
 }
