Keep and look up where streams began

Cause: a caller takes a broken stream up at any entry daemon, and only the daemon that passed the first event on knew which version had sent it. All entry daemons may be lost at once.

Change: control daemons list versions in the log before they are used. Entry daemons record the origin of each stream, and pass the records on to three control daemons while a route has more than one possible origin. A lookup is answered from a record, or by the leader that lists the only version at which the stream can have begun; otherwise the origin is unknown. The list is not used for routes to several services, nor soon after a document led streams elsewhere: it covers one service.

--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -44,6 +44,8 @@
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.metric.Counters;
 import org.plantainwharf.metric.Telemetry;
+import org.plantainwharf.origin.OriginStoreController;
+import org.plantainwharf.origin.VersionListController;
 import org.plantainwharf.registry.DepartureController;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.replicated.VoterId;
@@ -102,6 +104,8 @@
                 consensus,
                 FailedDiskController.create(),
                 DocumentController.create(codec),
+                VersionListController.create(),
+                OriginStoreController.create(),
                 DrainController.create(),
                 AllowanceController.create(),
                 FencingController.create(role.dutyLeaseMillis()),
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -45,6 +45,8 @@
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.metric.Counters;
 import org.plantainwharf.metric.Telemetry;
+import org.plantainwharf.origin.OriginLookupController;
+import org.plantainwharf.origin.OriginRecordController;
 import org.plantainwharf.quarantine.ForwardQuarantineController;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.settings.Settings;
@@ -97,6 +99,8 @@
                 AllowanceController.create(),
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
                 ForwardQuarantineController.create(),
+                OriginRecordController.create(),
+                OriginLookupController.create(),
                 ForwardController.create(role.forwardLimits()),
                 DemandController.create());
         AtomicReference<EffectExecutor> dispatcher = new AtomicReference<>(effect -> {});
