--- /dev/null
+++ b/src/test/java/org/plantainwharf/origin/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.plantainwharf.origin;
+
+import org.jspecify.annotations.NullMarked;
