--- a/src/test/java/org/plantainwharf/origin/OriginFleetTest.java
+++ b/src/test/java/org/plantainwharf/origin/OriginFleetTest.java
@@ -170,6 +170,47 @@
         }
     }
 
+    /** Guards against a former leader that tells an older list than the one in force. */
+    @Nested
+    class FormerLeaders {
+        /** The second version is listed without the former leader; take-ups come to entry daemons on both sides. */
+        @ParameterizedTest
+        @ValueSource(longs = {201, 202, 203, 204, 205, 206})
+        void tellNothingWhileTheirZoneIsCutOff(long seed) {
+            OriginFleet fleet = OriginFleet.create(seed, 5, 6);
+            serve(fleet, "1.9");
+            int zone = fleet.zoneOfLeader();
+            fleet.cutZone(zone, 12_000);
+            fleet.advance(300);
+            fleet.startServer("2.0-rc", (zone + 1) % 3);
+            for (int round = 0; round < 10; round++) {
+                requests(fleet, 1, () -> {});
+                fleet.killEntriesOutside(zone, 300);
+            }
+            fleet.advance(10_000);
+            assertEquals(List.of(), fleet.wrong());
+            assertTrue(fleet.known() > 0);
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {211, 212, 213, 214, 215, 216})
+        void tellNothingAfterAPauseBeyondTheirLease(long seed) {
+            OriginFleet fleet = OriginFleet.create(seed, 5, 6);
+            serve(fleet, "1.9");
+            for (int round = 0; round < 8; round++) {
+                fleet.leader().ifPresent(leader -> fleet.pause(leader, 3_000));
+                fleet.advance(1_500);
+                fleet.startServer("version " + round, 0);
+                requests(fleet, 1, () -> {});
+                killAllEntries(fleet, 100);
+                requests(fleet, 2, () -> {});
+            }
+            fleet.advance(10_000);
+            assertEquals(List.of(), fleet.wrong());
+            assertTrue(fleet.known() > 0);
+        }
+    }
+
     /** Guards against a wrong origin in any order of faults. */
     @Nested
     class RandomFaults {
