Observe a document that changes routes when it comes into force

Cause: a document after the first comes into force in a tick, not with its log entry. The origin controllers looked at it with log entries only: after a document had led streams to another service, the leader went on to tell the only version of the service that was asked about, and entry daemons did not pass on the records of the former service.

Change: both look at each tick. A leader that applied several documents at once takes its routes for changed, because other daemons may have used those that it did not decode.

--- a/src/main/java/org/plantainwharf/origin/OriginRecordController.java
+++ b/src/main/java/org/plantainwharf/origin/OriginRecordController.java
@@ -203,6 +203,9 @@
     }
 
     private void onTick(Board board, long nowNanos, Effects effects) {
+        if (board.documents().version() != documentVersion) {
+            updateRecordedServices(board, effects);
+        }
         if (expiry.startIfDue(nowNanos)) {
             board.origins().records().removeExpired(nowNanos, StreamRoutes.retentionNanos(board));
         }
--- a/src/main/java/org/plantainwharf/origin/OriginStoreController.java
+++ b/src/main/java/org/plantainwharf/origin/OriginStoreController.java
@@ -28,6 +28,7 @@
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.replicated.Command;
 
 /**
  * Keeps the records of where streams began on a control daemon, and answers questions of entry daemons. Must come after
@@ -44,6 +45,7 @@
     private final PeriodicTimer expiry = PeriodicTimer.ofNanos(EXPIRY_PERIOD_NANOS);
     private Optional<StreamRoutes> routes = Optional.empty();
     private long documentVersion = Long.MIN_VALUE;
+    private int unobservedDocuments;
     private Optional<Long> routesChangedNanos = Optional.empty();
 
     private OriginStoreController() {}
@@ -60,11 +62,18 @@
                 onMessage(received.peer(), received.message(), board, nowNanos, effects);
             case PeerEvent ignored -> {}
             case TimerEvent.Tick tick -> {
+                observeRoutes(board, nowNanos);
                 if (expiry.startIfDue(nowNanos)) {
                     board.origins().records().removeExpired(nowNanos, StreamRoutes.retentionNanos(board));
                 }
             }
-            case ReplicationEvent replication -> observeRoutes(board, nowNanos);
+            case ReplicationEvent replication -> {
+                if (replication instanceof ReplicationEvent.EntryApplied applied
+                        && applied.command() instanceof Command.ReplaceDocument) {
+                    unobservedDocuments++;
+                }
+                observeRoutes(board, nowNanos);
+            }
             case RegistryEvent ignored -> {}
             case DocumentEvent ignored -> {}
             case ForwardEvent ignored -> {}
@@ -85,7 +94,10 @@
         documentVersion = board.documents().version();
         Optional<StreamRoutes> current =
                 Optional.of(StreamRoutes.of(board.documents().document()));
-        if (routes.isPresent() && !routes.equals(current)) {
+        // Of several documents that arrive together only the last is decoded; other daemons may have used the others.
+        boolean skipped = unobservedDocuments > 1;
+        unobservedDocuments = 0;
+        if (routes.isPresent() && (skipped || !routes.equals(current))) {
             routesChangedNanos = Optional.of(nowNanos);
         }
         routes = current;
--- a/src/test/java/org/plantainwharf/origin/OriginDaemon.java
+++ b/src/test/java/org/plantainwharf/origin/OriginDaemon.java
@@ -9,6 +9,7 @@
 
 import io.vavr.control.Either;
 import org.plantainwharf.board.Board;
+import org.plantainwharf.call.Content;
 import org.plantainwharf.consensus.ConsensusController;
 import org.plantainwharf.consensus.RecoveredGroup;
 import org.plantainwharf.consensus.ReplicaSnapshot;
@@ -31,6 +32,7 @@
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.message.ReplicaEntry;
 import org.plantainwharf.registry.RegistryController;
+import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.VoterId;
 import org.plantainwharf.testing.Samples;
 
@@ -41,6 +43,7 @@
 final class OriginDaemon {
     static final ServiceName SERVICE = ServiceName.of("engines");
 
+    private static final ServiceName OTHER_SERVICE = ServiceName.of("other-engines");
     private static final long SNAPSHOT_TERM = 1;
 
     private final HostId host;
@@ -137,7 +140,18 @@
                                 recorder));
     }
 
+    /** Reads documents whose content is their version and the number of services of the only route. */
     private static DocumentController documentController() {
+        return DocumentController.create(content -> Either.right(document(content.bytes()[0], content.bytes()[1] > 1)));
+    }
+
+    static Command.ReplaceDocument replaceDocument(int version, int services) {
+        return new Command.ReplaceDocument(
+                version, Content.of("application/json", new byte[] {(byte) version, (byte) services}));
+    }
+
+    private static ServiceDocument document(long version, boolean severalServices) {
+        RouteRule.Share share = new RouteRule.Share(SERVICE, 1);
         RouteRule route = new RouteRule(
                 RouteName.of("review"),
                 "a.example",
@@ -146,18 +160,21 @@
                 15_000,
                 2_000,
                 2,
-                List.of(new RouteRule.Share(SERVICE, 1)),
+                severalServices ? List.of(share, new RouteRule.Share(OTHER_SERVICE, 1)) : List.of(share),
                 2,
                 true,
                 true,
                 0);
-        ServiceDocument document = new ServiceDocument(
-                1,
+        return new ServiceDocument(
+                version,
                 List.of(route),
-                Map.of(SERVICE, new ServiceRule(SERVICE, 360, Optional.empty(), Optional.empty())),
+                Map.of(SERVICE, rule(SERVICE), OTHER_SERVICE, rule(OTHER_SERVICE)),
                 CallerBounds.defaults(),
                 List.of());
-        return DocumentController.create(content -> Either.right(document));
+    }
+
+    private static ServiceRule rule(ServiceName service) {
+        return new ServiceRule(service, 360, Optional.empty(), Optional.empty());
     }
 
     void stop() {
--- a/src/test/java/org/plantainwharf/origin/OriginFleet.java
+++ b/src/test/java/org/plantainwharf/origin/OriginFleet.java
@@ -12,7 +12,6 @@
 import java.util.Random;
 import java.util.Set;
 
-import org.plantainwharf.call.Content;
 import org.plantainwharf.effect.CountEffect;
 import org.plantainwharf.effect.Effect;
 import org.plantainwharf.effect.ForwardEffect;
@@ -36,7 +35,6 @@
 import org.plantainwharf.registry.KnownServer;
 import org.plantainwharf.registry.ServerPhase;
 import org.plantainwharf.registry.ServerReport;
-import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.VoterId;
 
 /**
@@ -117,12 +115,16 @@
         daemons.forEach(this::link);
         schedule(0, this::reportServers);
         advance(3_000);
+        replaceDocument(1, 1);
+        advance(1_000);
+    }
+
+    /** Proposes a document whose only route leads to a number of services. */
+    void replaceDocument(int version, int services) {
         leader().ifPresent(leader -> run(
                 leader,
                 new ReplicationEvent.ProposalRequested(
-                        "document", 0, new Command.ReplaceDocument(1, Content.of("application/json", new byte[] {1
-                        })))));
-        advance(1_000);
+                        "document-" + version, 0, OriginDaemon.replaceDocument(version, services))));
     }
 
     static OriginFleet create(long seed, int controls, int entries) {
@@ -193,7 +195,7 @@
         runForEffects(daemon, event);
     }
 
-    private List<Effect> runForEffects(OriginDaemon daemon, Event event) {
+    List<Effect> runForEffects(OriginDaemon daemon, Event event) {
         List<Effect> effects = daemon.cycle().run(event, nanos(), nowMillis);
         for (Effect effect : effects) {
             if (effect instanceof PeerEffect.SendToPeer send) {
