Tell versions apart that a server states in another form than text

Cause: the reader took a version that is a list or an object for an unstated one, and half a surrogate pair became a question mark in messages between daemons. Two software versions would then have counted as one.

Change: any other type than text keeps its JSON text; text that UTF-8 cannot hold is replaced by its character codes. ServerVersion bounds the length as before.

--- a/src/main/java/org/plantainwharf/platform/HeartbeatReader.java
+++ b/src/main/java/org/plantainwharf/platform/HeartbeatReader.java
@@ -1,8 +1,10 @@
 package org.plantainwharf.platform;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -66,7 +68,22 @@
                         remainingWarmupMillis,
                         reclaimable,
                         millisUntilReclaim,
-                        ServerVersion.of(root.path("version").asText(""))));
+                        version(root.path("version"))));
+    }
+
+    /**
+     * Returns the version in this field; unstated if it is missing. Another type than text is as good as text: what
+     * counts is whether two servers state the same.
+     */
+    private static ServerVersion version(JsonNode field) {
+        if (field.isMissingNode() || field.isNull()) {
+            return ServerVersion.unstated();
+        }
+        String text = field.isTextual() ? field.textValue() : field.toString();
+        // Half a surrogate pair is lost in messages between daemons, where different versions would become equal.
+        return StandardCharsets.UTF_8.newEncoder().canEncode(text)
+                ? ServerVersion.of(text)
+                : ServerVersion.of(text.chars().mapToObj(Integer::toHexString).collect(Collectors.joining(" ")));
     }
 
     /**
--- a/src/test/java/org/plantainwharf/platform/HeartbeatReaderTest.java
+++ b/src/test/java/org/plantainwharf/platform/HeartbeatReaderTest.java
@@ -11,10 +11,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.registry.ServerPhase;
 import org.plantainwharf.registry.ServerReport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against fields of a heartbeat that are lost, and against invalid heartbeats that are accepted. */
@@ -59,6 +61,58 @@
         }
     }
 
+    /** Guards against versions that are lost, taken for one another, or larger than a report may be. */
+    @Nested
+    class Versions {
+        private static ServerVersion version(String json) {
+            return HeartbeatReader.read("i-1", bytes(VALID.replace("\"v1\"", json)))
+                    .get()
+                    .version();
+        }
+
+        @Test
+        void areReadAsStated() {
+            assertEquals(ServerVersion.of("v1"), version("\"v1\""));
+            assertEquals(ServerVersion.of("2.0 \u00e9"), version("\"2.0 \u00e9\""));
+        }
+
+        @Test
+        void thatAreMissingAreUnstated() {
+            assertEquals(ServerVersion.unstated(), version("null"));
+            assertEquals(ServerVersion.unstated(), version("\"\""));
+            String text = VALID.replace(" \"version\": \"v1\",", "");
+            assertEquals(
+                    ServerVersion.unstated(),
+                    HeartbeatReader.read("i-1", bytes(text)).get().version());
+        }
+
+        /** Two servers must not count as the same version because neither states it as text. */
+        @ParameterizedTest
+        @CsvSource(
+                delimiter = '|',
+                value = {"1|2", "true|false", "[1]|[2]", "{\"a\": 1}|{\"a\": 2}", "{}|[]"})
+        void ofAnotherTypeThanTextStayApart(String one, String other) {
+            assertEquals(version(one), version(one));
+            assertNotEquals(version(one), version(other));
+            assertTrue(version(one).stated());
+        }
+
+        @Test
+        void thatAreVeryLongStayApartAndBounded() {
+            String text = "x".repeat(100_000);
+            assertNotEquals(version("\"" + text + "a\""), version("\"" + text + "b\""));
+            assertTrue(version("\"" + text + "\"").value().length() <= ServerVersion.MAXIMUM_CHARACTERS);
+        }
+
+        /** UTF-8 has no half of a surrogate pair, so both would reach other daemons as a question mark. */
+        @Test
+        void thatAreNotUnicodeStayApart() {
+            assertNotEquals(version("\"\\ud800\""), version("\"\\ud801\""));
+            String text = version("\"\\ud800\"").value();
+            assertEquals(text, new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8));
+        }
+    }
+
     /** Guards against adding a backend server from the heartbeat of another program. */
     @Nested
     class InvalidReports {
