Let a broken stream go on only at the software version that began it

What callers saw: a stream whose connection broke went on at any server of its service, so that its events came from two software versions, which servers do not check.

Cause: the forward controller did not know versions.

Change: ForwardAttempt posts StreamBegan before the first event is passed on; the call then keeps the service and version, and further attempts go only to servers of both. Without one the stream is broken off. Servers that state no version count as the same one only while the service lists no other. A report without a version keeps the one that the same start stated, and a changed version is relayed at once. Requests whose stream may resume go only to versions that the control log lists.

--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -38,7 +38,8 @@
 
 /**
  * One attempt to forward a request to a server. Invariants: no part of a response is written to the caller before its
- * request id and seal have been checked; {@code ForwardEnded} is posted exactly once.
+ * request id and seal have been checked; {@code StreamBegan} is posted before the first event of a resumable stream is
+ * written to the caller; {@code ForwardEnded} is posted exactly once.
  *
  * <p>Thread-safe: Jetty calls the listeners of one request sequentially; {@link #cancel} may be called on any thread.
  */
@@ -66,6 +67,7 @@
     private ResponseState responseState = new ResponseState.AwaitingHeaders();
     private boolean eventStream;
     private boolean endedByClose;
+    private boolean streamBegan;
     private Optional<ServerStatus> status = Optional.empty();
     private int skippedBytes;
     private final AtomicBoolean ended = new AtomicBoolean();
@@ -349,6 +351,10 @@
             demander.run();
             return;
         }
+        if (start.resumable() && !streamBegan) {
+            streamBegan = true;
+            events.post(new ForwardEvent.StreamBegan(start.ticket(), start.attempt()));
+        }
         waitingForCaller = true;
         exchange.write(
                 ByteBuffer.wrap(forwardable),
--- a/src/main/java/org/plantainwharf/forward/ForwardCall.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardCall.java
@@ -8,11 +8,14 @@
 import org.plantainwharf.document.AccountRule;
 import org.plantainwharf.document.RouteRule;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.origin.StreamOrigin;
 
 /**
  * State of one forwarded request on the control thread. The exchange with the caller is kept by the HTTP front end,
- * which refers to the request by the same ticket. Owned by the control thread; modified only by the forward controller.
+ * which refers to the request by the same ticket. Invariant: the origin of its stream is set at most once. Owned by the
+ * control thread; modified only by the forward controller.
  */
 public final class ForwardCall {
     private final long ticket;
@@ -26,6 +29,7 @@
     private int attempts;
     private int possibleRuns;
     private boolean callerDisconnected;
+    private Optional<StreamOrigin> origin = Optional.empty();
 
     /**
      * Times and cost that are fixed when a request is admitted. Immutable.
@@ -44,12 +48,23 @@
         /**
          * An attempt is running on a server.
          *
+         * @param version software version of the server according to its report when the attempt was sent
          * @param uncachedTokens prompt tokens that the server is expected to process because it has not cached them
          * @param answerStartedNanos when the answer began to be passed to the caller; empty if it has not begun
          */
         record Running(
-                ServerId server, int attempt, long uncachedTokens, long sentNanos, OptionalLong answerStartedNanos)
+                ServerId server,
+                ServerVersion version,
+                int attempt,
+                long uncachedTokens,
+                long sentNanos,
+                OptionalLong answerStartedNanos)
                 implements State {
+            /** Returns this state with the time at which the answer began. */
+            Running withAnswerStarted(long nowNanos) {
+                return new Running(server, version, attempt, uncachedTokens, sentNanos, OptionalLong.of(nowNanos));
+            }
+
             /** Returns whether the answer is being passed to the caller. */
             public boolean answerStarted() {
                 return answerStartedNanos.isPresent();
@@ -145,6 +160,18 @@
         callerDisconnected = true;
     }
 
+    /** Returns where the stream began that the caller has events of; empty before the first event. */
+    public Optional<StreamOrigin> origin() {
+        return origin;
+    }
+
+    /** Records where the stream began. Has no effect if that is recorded already: a stream has one origin. */
+    void recordOrigin(StreamOrigin began) {
+        if (origin.isEmpty()) {
+            origin = Optional.of(began);
+        }
+    }
+
     /** Returns the time until the deadline in milliseconds, at least 0. */
     public long remainingMillis(long nowNanos) {
         return Math.max(0, (admission.deadlineNanos() - nowNanos) / 1_000_000);
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -31,6 +31,7 @@
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.origin.StreamOrigin;
 import org.plantainwharf.quarantine.Blame;
 import org.plantainwharf.registry.KnownServer;
 
@@ -89,7 +90,8 @@
         switch (event) {
             case ForwardEvent.ForwardArrived arrived -> onArrived(arrived, board, nowNanos, effects);
             case ForwardEvent.ServerUnreachable unreachable -> {}
-            case ForwardEvent.StreamBegan streamBegan -> {}
+            case ForwardEvent.StreamBegan streamBegan ->
+                board.forward().call(streamBegan.ticket()).ifPresent(call -> onStreamBegan(call, streamBegan));
             case ForwardEvent.OriginRequested requested -> {}
             case ForwardEvent.OriginDecided decided -> {}
             case ForwardEvent.ServerNoticed noticed -> onNotice(noticed, board, nowNanos, effects);
@@ -131,6 +133,10 @@
         List<ServerSelector.Candidate> candidates = ServerChooser.candidates(call, board, nowNanos);
         Optional<ServerSelector.Candidate> chosen = ServerChooser.choose(call, candidates, board, nowNanos);
         if (chosen.isEmpty()) {
+            if (StreamVersions.isOnlyUnlisted(call, board)) {
+                effects.count("forward.versions_unlisted");
+                effects.log("versions_unlisted", "request", call.head().requestId(), "service", call.service());
+            }
             Failure failure = candidates.isEmpty()
                     ? Failure.of(ErrorKind.NO_SERVER_AVAILABLE, call.service())
                             .withRetryAfter(RetryAfter.limitedBy(call.head(), OVERLOAD_BACKOFF_MILLIS))
@@ -176,13 +182,16 @@
                 "remaining_ms",
                 call.remainingMillis(nowNanos),
                 "version",
-                board.documents().version());
+                board.documents().version(),
+                "server_version",
+                server.report().version());
         if (call.head().prompt().isPresent()) {
             board.forward().engineProfile(call.service()).recordSent(uncachedTokens, priority(call), nowNanos);
         }
         statistics.recordSent(uncachedTokens, call.head().prompt(), nowNanos);
         board.serverLimits().charge(id, nowNanos);
-        call.setState(new ForwardCall.State.Running(id, attempt, uncachedTokens, nowNanos, OptionalLong.empty()));
+        call.setState(new ForwardCall.State.Running(
+                id, server.report().version(), attempt, uncachedTokens, nowNanos, OptionalLong.empty()));
         effects.add(new ForwardEffect.StartForward(
                 call.ticket(),
                 attempt,
@@ -252,12 +261,14 @@
             statistics.recordPromptProcessed(running.uncachedTokens());
             began.status().ifPresent(status -> recordStatus(running.server(), status, board, nowNanos, effects));
             statistics.recordAnswerStarted(nowNanos - running.sentNanos(), nowNanos);
-            call.setState(new ForwardCall.State.Running(
-                    running.server(),
-                    running.attempt(),
-                    running.uncachedTokens(),
-                    running.sentNanos(),
-                    OptionalLong.of(nowNanos)));
+            call.setState(running.withAnswerStarted(nowNanos));
+        }
+    }
+
+    /** From the first event on, the stream may go on only at the software version that sent it. */
+    private static void onStreamBegan(ForwardCall call, ForwardEvent.StreamBegan began) {
+        if (call.state() instanceof ForwardCall.State.Running running && running.attempt() == began.attempt()) {
+            call.recordOrigin(new StreamOrigin(call.service(), running.version()));
         }
     }
 
@@ -402,7 +413,9 @@
                         ? (running.answerStartedNanos().getAsLong() - running.sentNanos()) / 1_000_000
                         : -1,
                 "after_ms",
-                (nowNanos - running.sentNanos()) / 1_000_000);
+                (nowNanos - running.sentNanos()) / 1_000_000,
+                "stream_version",
+                call.origin().map(origin -> origin.version().value()).orElse(""));
         switch (outcome) {
             case ForwardOutcome.Completed completed -> board.forward().remove(call.ticket());
             case ForwardOutcome.Cancelled cancelled -> board.forward().remove(call.ticket());
@@ -440,17 +453,40 @@
                         && mayRunAgain(call)
                         && ServerChooser.canChoose(call, board, nowNanos)
                         && tryTakeRetry(call, board, nowNanos, effects)) {
+                    if (call.origin().isPresent()) {
+                        effects.count("forward.continued_at_version");
+                    }
                     send(call, board, nowNanos, effects);
                 } else if (broken.begun()) {
+                    recordBrokenOff(call, board, nowNanos, effects);
                     board.forward().remove(call.ticket());
                     effects.add(new ForwardEffect.BreakForward(call.ticket()));
                 } else {
+                    recordBrokenOff(call, board, nowNanos, effects);
                     failCall(call, Failure.of(ErrorKind.SERVER_FAILED, broken.reason()), board, nowNanos, effects);
                 }
             }
         }
     }
 
+    /** Records that a stream breaks off because no server of the software version that began it is left. */
+    private static void recordBrokenOff(ForwardCall call, Board board, long nowNanos, Effects effects) {
+        if (call.origin().isPresent()
+                && ServerChooser.candidates(call, board, nowNanos).isEmpty()) {
+            effects.count("forward.broken_off_without_version");
+            effects.log(
+                    "stream_broken_off",
+                    "request",
+                    call.head().requestId(),
+                    "service",
+                    call.service(),
+                    "version",
+                    call.origin().get().version(),
+                    "reason",
+                    "no server of this version is left");
+        }
+    }
+
     /** Logs what a broken attempt was doing, so that the requests of one crash can be compared. */
     private static void logBroken(ForwardCall call, ForwardCall.State.Running running, long nowNanos, Effects effects) {
         effects.log(
@@ -481,6 +517,7 @@
         if (ServerChooser.canChoose(call, board, nowNanos) && tryTakeRetry(call, board, nowNanos, effects)) {
             send(call, board, nowNanos, effects);
         } else {
+            recordBrokenOff(call, board, nowNanos, effects);
             failCall(
                     call,
                     failure.withRetryAfter(timeToReturn(
--- a/src/main/java/org/plantainwharf/forward/ServerChooser.java
+++ b/src/main/java/org/plantainwharf/forward/ServerChooser.java
@@ -25,16 +25,18 @@
     private ServerChooser() {}
 
     /**
-     * Returns the ready servers that were not tried yet. Servers that are avoided or have not reported lately are
-     * included only if there are no others.
+     * Returns the ready servers that were not tried yet and whose software version may run the request. Servers that are
+     * avoided or have not reported lately are included only if there are no others.
      */
     static List<ServerSelector.Candidate> candidates(ForwardCall call, Board board, long nowNanos) {
         List<ServerSelector.Candidate> healthy = new ArrayList<>();
         List<ServerSelector.Candidate> fallback = new ArrayList<>();
+        StreamVersions versions = StreamVersions.of(call, board);
         for (KnownServer server : board.registry().servers()) {
             if (!server.ready()
                     || !server.report().service().equals(call.service())
-                    || call.triedServers().contains(server.report().server())) {
+                    || call.triedServers().contains(server.report().server())
+                    || !versions.permits(server.report())) {
                 continue;
             }
             ServerStatistics statistics =
--- /dev/null
+++ b/src/main/java/org/plantainwharf/forward/StreamVersions.java
@@ -0,0 +1,73 @@
+package org.plantainwharf.forward;
+
+import java.util.Optional;
+import java.util.Set;
+
+import org.plantainwharf.board.Board;
+import org.plantainwharf.identity.ServerVersion;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.origin.StreamOrigin;
+import org.plantainwharf.registry.KnownServer;
+import org.plantainwharf.registry.ServerReport;
+
+/**
+ * The software versions at which a request may run. Invariants: a request whose stream may be resumed goes only to
+ * versions that the control log lists, since the origin of a stream can be deduced from the list after a loss of all
+ * daemons; a stream goes on only at the version that began it, which servers do not check. Valid for one decision. Used
+ * by the control thread.
+ */
+final class StreamVersions {
+    private final boolean restricted;
+    private final Set<ServerVersion> listed;
+    private final Optional<StreamOrigin> origin;
+
+    private StreamVersions(boolean restricted, Set<ServerVersion> listed, Optional<StreamOrigin> origin) {
+        this.restricted = restricted;
+        this.listed = listed;
+        this.origin = origin;
+    }
+
+    /** Returns the versions for the next attempt of a request. */
+    static StreamVersions of(ForwardCall call, Board board) {
+        return call.route().mayResumeStream()
+                ? new StreamVersions(true, listed(call.service(), board), call.origin())
+                : new StreamVersions(false, Set.of(), Optional.empty());
+    }
+
+    private static Set<ServerVersion> listed(ServiceName service, Board board) {
+        return board.configuration().state().listedVersions(service);
+    }
+
+    /** Returns whether a server of the service may get the request. */
+    boolean permits(ServerReport report) {
+        return !restricted
+                || listed.contains(report.version())
+                        && (origin.isEmpty() || isSame(origin.get().version(), report.version(), listed));
+    }
+
+    /**
+     * Returns whether servers with these versions can go on with each other's streams. Servers that state no version are
+     * taken for the same one only while the service has no other.
+     */
+    private static boolean isSame(ServerVersion one, ServerVersion other, Set<ServerVersion> listed) {
+        return one.equals(other) && (one.stated() || listed.stream().noneMatch(ServerVersion::stated));
+    }
+
+    /** Returns whether a server would be ready for the request if the control log listed its version. */
+    static boolean isOnlyUnlisted(ForwardCall call, Board board) {
+        if (!call.route().mayResumeStream() || call.origin().isPresent()) {
+            return false;
+        }
+        Set<ServerVersion> listed = listed(call.service(), board);
+        boolean unlisted = false;
+        for (KnownServer server : board.registry().servers()) {
+            if (server.ready() && server.report().service().equals(call.service())) {
+                if (listed.contains(server.report().version())) {
+                    return false;
+                }
+                unlisted = true;
+            }
+        }
+        return unlisted;
+    }
+}
--- a/src/main/java/org/plantainwharf/registry/RegistryController.java
+++ b/src/main/java/org/plantainwharf/registry/RegistryController.java
@@ -199,6 +199,8 @@
                     merged.phase(),
                     "sequence",
                     merged.sequence(),
+                    "server_version",
+                    merged.version(),
                     "from",
                     relayedBy.map(HostId::value).orElse("server"));
             if (relays) {
--- a/src/main/java/org/plantainwharf/registry/RegistrySection.java
+++ b/src/main/java/org/plantainwharf/registry/RegistrySection.java
@@ -16,7 +16,9 @@
 /**
  * Backend servers and their newest reports. Invariants: a report that is not newer than the current one changes
  * nothing; a server that was leaving or gone does not become ready again within the same start, and one whose departure
- * is recorded not even after its reports were forgotten; an address belongs to at most one server that is not gone. Written by the registry controller. Owned by the control thread.
+ * is recorded not even after its reports were forgotten; an address belongs to at most one server that is not gone; a
+ * server that has stated its software version keeps it within the same start when a report states none. Written by the
+ * registry controller. Owned by the control thread.
  */
 public final class RegistrySection {
     private final Map<ServerId, KnownServer> servers = new LinkedHashMap<>();
@@ -72,6 +74,9 @@
         }
         ServerPhase currentPhase = known.report().phase();
         ServerReport merged = currentPhase.compareTo(report.phase()) > 0 ? report.withPhase(currentPhase) : report;
+        if (!merged.version().stated()) {
+            merged = merged.withVersion(known.report().version());
+        }
         servers.put(merged.server(), new KnownServer(merged, known.firstReportNanos(), nowNanos));
         return isMaterial(known.report(), merged) ? Change.MATERIAL : Change.REFRESHED;
     }
@@ -139,6 +144,7 @@
                 || !before.service().equals(after.service())
                 || !before.address().equals(after.address())
                 || before.slots() != after.slots()
+                || !before.version().equals(after.version())
                 || before.reclaimable() != after.reclaimable()
                 || before.millisUntilReclaim().isPresent()
                         != after.millisUntilReclaim().isPresent();
--- a/src/main/java/org/plantainwharf/registry/ServerReport.java
+++ b/src/main/java/org/plantainwharf/registry/ServerReport.java
@@ -54,4 +54,21 @@
                 millisUntilReclaim,
                 version);
     }
+
+    /** Returns this report with another software version. */
+    ServerReport withVersion(ServerVersion newVersion) {
+        return new ServerReport(
+                server,
+                startEpochMillis,
+                sequence,
+                service,
+                address,
+                zone,
+                slots,
+                phase,
+                remainingWarmupMillis,
+                reclaimable,
+                millisUntilReclaim,
+                newVersion);
+    }
 }
--- a/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
+++ b/src/test/java/org/plantainwharf/backend/ForwardAttemptTest.java
@@ -70,6 +70,10 @@
 
     /** Returns the events of an attempt that a server answers with these bytes. */
     private List<Event> events(String response, End end) throws Exception {
+        return events(response, end, false);
+    }
+
+    private List<Event> events(String response, End end, boolean resumable) throws Exception {
         List<Event> posted = new ArrayList<>();
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Thread thread = new Thread(() -> serve(server, response, end), "scripted-server");
@@ -83,7 +87,7 @@
                     System.nanoTime() + 5_000_000_000L,
                     Optional.empty(),
                     0,
-                    false);
+                    resumable);
             ForwardAttempt.create(
                             client, ForwardTestDialect.DIALECT, Clock.system(), start, exchange, events, ended -> {})
                     .send();
@@ -379,6 +383,23 @@
         void thatEndAfterAnEventAreComplete() throws Exception {
             assertInstanceOf(ForwardOutcome.Completed.class, outcome(STREAM_HEAD + "id: 1\ndata: a\n\n", ORDERLY));
         }
+
+        /** Without the report the stream would go on at another software version. */
+        @Test
+        void thatMayResumeReportTheirFirstEventOnce() throws Exception {
+            List<Event> posted = events(STREAM_HEAD + "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3", ORDERLY, true);
+            assertInstanceOf(ForwardEvent.ForwardBegan.class, posted.get(0));
+            assertEquals(new ForwardEvent.StreamBegan(1, 1), posted.get(1));
+            assertInstanceOf(ForwardEvent.ForwardEnded.class, posted.get(2));
+            assertEquals(3, posted.size());
+        }
+
+        /** Nothing has reached the caller, so that any software version may answer. */
+        @Test
+        void thatBreakBeforeTheFirstEventReportNone() throws Exception {
+            List<Event> posted = events(STREAM_HEAD + "id: 1\nda", ORDERLY, true);
+            assertTrue(posted.stream().noneMatch(event -> event instanceof ForwardEvent.StreamBegan));
+        }
     }
 
     @Nested
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -75,6 +75,16 @@
                         RegistryController.learning(),
                         DocumentController.create(content -> Either.right(document)),
                         ForwardController.create(new ForwardLimits(0.5, 10, 8, 0, 0))));
+        listVersion(ServerVersion.unstated());
+    }
+
+    /** Lists a version in the control log, so that its servers may begin streams. */
+    void listVersion(ServerVersion version) {
+        board.configuration().state().apply(new Command.ListServerVersion(SERVICE, version));
+    }
+
+    void retireVersion(ServerVersion version) {
+        board.configuration().state().apply(new Command.RetireServerVersion(SERVICE, version));
     }
 
     static RouteRule route(String prefix, Repeatability repeatability, int attempts, boolean resumable) {
@@ -106,6 +116,10 @@
     }
 
     void reportServer(String server, long startEpochMillis, ServerPhase phase) {
+        reportServer(server, startEpochMillis, phase, ServerVersion.unstated());
+    }
+
+    void reportServer(String server, long startEpochMillis, ServerPhase phase, ServerVersion version) {
         sequence++;
         ServerReport report = new ServerReport(
                 ServerId.of(server),
@@ -119,7 +133,7 @@
                 0,
                 false,
                 OptionalLong.empty(),
-                ServerVersion.unstated());
+                version);
         run(new PeerEvent.PeerMessageReceived(HostId.of("core-1"), 1, new PeerMessage.ServerReports(List.of(report))));
     }
 
@@ -177,6 +191,12 @@
         return run(new ForwardEvent.ForwardBegan(start.ticket(), start.attempt(), Optional.empty()));
     }
 
+    /** Passes the first event of a stream on to the caller. */
+    List<ForwardEffect> beginStream(ForwardEffect.StartForward start) {
+        startAnswer(start);
+        return run(new ForwardEvent.StreamBegan(start.ticket(), start.attempt()));
+    }
+
     int liveCalls() {
         return board.forward().calls().size();
     }
--- a/src/test/java/org/plantainwharf/quarantine/CrashingFleet.java
+++ b/src/test/java/org/plantainwharf/quarantine/CrashingFleet.java
@@ -174,6 +174,7 @@
     private ControlCycle createCycle(HostId id) {
         Board board = Board.create(Samples.settings(id.value()), 1, random.nextLong());
         ControlCycle cycle = ControlCycle.create(board, controllers());
+        board.configuration().state().apply(new Command.ListServerVersion(SERVICE, ServerVersion.unstated()));
         Command command = new Command.ReplaceDocument(1, Content.of("application/json", new byte[] {1}));
         cycle.run(
                 new ReplicationEvent.EntryApplied(
--- a/src/test/java/org/plantainwharf/quarantine/LargeCrashingFleet.java
+++ b/src/test/java/org/plantainwharf/quarantine/LargeCrashingFleet.java
@@ -191,7 +191,9 @@
     }
 
     private ControlCycle createCycle(HostId id) {
-        return ControlCycle.create(Board.create(Samples.settings(id.value()), 1, random.nextLong()), controllers());
+        Board board = Board.create(Samples.settings(id.value()), 1, random.nextLong());
+        board.configuration().state().apply(new Command.ListServerVersion(SERVICE, ServerVersion.unstated()));
+        return ControlCycle.create(board, controllers());
     }
 
     private void putDocument(ControlCycle cycle) {
--- a/src/test/java/org/plantainwharf/registry/RegistrySectionTest.java
+++ b/src/test/java/org/plantainwharf/registry/RegistrySectionTest.java
@@ -22,6 +22,11 @@
     private final RegistrySection section = RegistrySection.create();
 
     private static ServerReport report(String server, long born, long sequence, String address, ServerPhase phase) {
+        return report(server, born, sequence, address, phase, ServerVersion.unstated());
+    }
+
+    private static ServerReport report(
+            String server, long born, long sequence, String address, ServerPhase phase, ServerVersion version) {
         return new ServerReport(
                 ServerId.of(server),
                 born,
@@ -34,7 +39,7 @@
                 0,
                 false,
                 OptionalLong.empty(),
-                ServerVersion.unstated());
+                version);
     }
 
     private RegistrySection.Change merge(String server, long born, long sequence, String address, ServerPhase phase) {
@@ -119,6 +124,42 @@
         }
     }
 
+    /** Guards against a server whose streams go on at another version because one of its reports names none. */
+    @Nested
+    class Versions {
+        private static final ServerVersion BLUE = ServerVersion.of("blue");
+
+        private RegistrySection.Change merge(long born, long sequence, ServerVersion version) {
+            return section.merge(report("i-1", born, sequence, "10.0.0.1:80", ServerPhase.READY, version), sequence);
+        }
+
+        private ServerVersion version() {
+            return section.server(ServerId.of("i-1")).orElseThrow().report().version();
+        }
+
+        @Test
+        void areKeptWithinOneStart() {
+            merge(5, 1, BLUE);
+            assertEquals(RegistrySection.Change.REFRESHED, merge(5, 2, ServerVersion.unstated()));
+            assertEquals(BLUE, version());
+        }
+
+        @Test
+        void areNotKeptOverAnotherStart() {
+            merge(5, 1, BLUE);
+            merge(6, 1, ServerVersion.unstated());
+            assertEquals(ServerVersion.unstated(), version());
+        }
+
+        /** A change that is not material reaches other daemons up to a second later. */
+        @Test
+        void thatChangeAreMaterial() {
+            merge(5, 1, ServerVersion.unstated());
+            assertEquals(RegistrySection.Change.MATERIAL, merge(5, 2, BLUE));
+            assertEquals(RegistrySection.Change.MATERIAL, merge(5, 3, ServerVersion.of("green")));
+        }
+    }
+
     @Nested
     class LeavingServers {
         @Test
