Let a stream that a caller takes up go on only at the version that began it

What callers saw: a caller that took a broken stream up got the rest from any server of the service, of any software version.

Cause: a request that takes a stream up was routed like a new one.

Change: on routes whose streams may resume, such a request waits in AwaitingOrigin until OriginDecided says which service and version began the stream, and then goes only there. It is refused for good when no ready server reports the version, and for a short time when the origin is unknown or this daemon has known servers of the service for less than 4.5 s. A version deduced for one service is not used on routes that split traffic over several. Its deadline, its caller's leaving and the refund are handled as elsewhere. The log lines of attempts move to AttemptLog; log trace also shows the requests that took the stream of an id up.

--- a/src/main/java/org/plantainwharf/cli/LogTrace.java
+++ b/src/main/java/org/plantainwharf/cli/LogTrace.java
@@ -29,11 +29,14 @@
     /** A parsed log line and its timestamp, which orders the lines of several daemons. Immutable. */
     private record LogLine(long millis, JsonNode object) {}
 
-    /** Returns the lines of one request in time order, or an error message if there are none or a file is unreadable. */
+    /**
+     * Returns the lines of one request in time order, among them those on requests that take its stream up, or an error
+     * message if there are none or a file is unreadable.
+     */
     static Either<String, String> traceRequest(List<Path> files, String request) {
         return read(files).flatMap(lines -> {
             List<LogLine> found = lines.stream()
-                    .filter(line -> line.object().path("request").asText().equals(request))
+                    .filter(line -> names(line, "request", request) || names(line, "first_attempt", request))
                     .sorted(Comparator.comparingLong(LogLine::millis))
                     .toList();
             if (found.isEmpty()) {
@@ -47,16 +50,22 @@
                         line.millis() - first,
                         line.object().path("host").asText(),
                         line.object().path("event").asText(),
-                        formatFields(line.object())));
+                        formatFields(line.object(), names(line, "request", request))));
             }
             return Either.right(text.toString());
         });
     }
 
-    private static String formatFields(JsonNode object) {
+    private static boolean names(LogLine line, String field, String request) {
+        return line.object().path(field).asText().equals(request);
+    }
+
+    private static String formatFields(JsonNode object, boolean ofRequest) {
         StringBuilder text = new StringBuilder();
         object.properties().forEach(field -> {
-            if (!List.of("ms", "host", "event", "request").contains(field.getKey())) {
+            boolean isShownAlready = List.of("ms", "host", "event").contains(field.getKey())
+                    || ofRequest && field.getKey().equals("request");
+            if (!isShownAlready) {
                 text.append(' ')
                         .append(field.getKey())
                         .append('=')
--- a/src/main/java/org/plantainwharf/forward/ForwardCall.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardCall.java
@@ -22,7 +22,7 @@
     private final ForwardHead head;
     private final RouteRule route;
     private final Optional<AccountRule> account;
-    private final ServiceName service;
+    private ServiceName service;
     private final Admission admission;
     private final Set<ServerId> triedServers = new HashSet<>();
     private State state = new State.Waiting();
@@ -45,6 +45,9 @@
         /** No attempt is running. */
         record Waiting() implements State {}
 
+        /** The caller takes a stream up, and it is not known yet which software version began it. */
+        record AwaitingOrigin() implements State {}
+
         /**
          * An attempt is running on a server.
          *
@@ -109,7 +112,10 @@
         return account;
     }
 
-    /** Returns the service that was drawn by the weights of the route's traffic split on arrival. */
+    /**
+     * Returns the service of the stream that the caller takes up, or else the one that was drawn by the weights of the
+     * route's traffic split on arrival.
+     */
     public ServiceName service() {
         return service;
     }
@@ -169,6 +175,7 @@
     void recordOrigin(StreamOrigin began) {
         if (origin.isEmpty()) {
             origin = Optional.of(began);
+            service = began.service();
         }
     }
 
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -6,7 +6,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
@@ -31,6 +30,7 @@
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.origin.OriginAnswer;
 import org.plantainwharf.origin.StreamOrigin;
 import org.plantainwharf.quarantine.Blame;
 import org.plantainwharf.registry.KnownServer;
@@ -71,7 +71,7 @@
     public void handle(Event event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case ForwardEvent forward -> onForward(forward, board, nowNanos, effects);
-            case TimerEvent.Tick tick -> ForwardTimer.tick(board, nowNanos, effects);
+            case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
             case DocumentEvent ignored -> {}
             case RegistryEvent ignored -> {}
             case DutyEvent ignored -> {}
@@ -93,10 +93,15 @@
             case ForwardEvent.StreamBegan streamBegan ->
                 board.forward().call(streamBegan.ticket()).ifPresent(call -> onStreamBegan(call, streamBegan));
             case ForwardEvent.OriginRequested requested -> {}
-            case ForwardEvent.OriginDecided decided -> {}
+            case ForwardEvent.OriginDecided decided ->
+                board.forward()
+                        .call(decided.ticket())
+                        .ifPresent(call -> onOriginDecided(call, decided.answer(), board, nowNanos, effects));
             case ForwardEvent.ServerNoticed noticed -> onNotice(noticed, board, nowNanos, effects);
             case ForwardEvent.ForwardLeft left ->
-                board.forward().call(left.ticket()).ifPresent(call -> onCallerDisconnected(call, board, effects));
+                board.forward()
+                        .call(left.ticket())
+                        .ifPresent(call -> onCallerDisconnected(call, board, nowNanos, effects));
             case ForwardEvent.ForwardBegan began ->
                 board.forward()
                         .call(began.ticket())
@@ -111,14 +116,68 @@
     private void onArrived(ForwardEvent.ForwardArrived arrived, Board board, long nowNanos, Effects effects) {
         admission.admit(arrived, board, nowNanos, effects).ifPresent(call -> {
             board.forward().put(call);
-            board.forward()
-                    .retryBudget(call.service(), limits.retryRatio(), limits.minimumRetries())
-                    .countAttempt(nowNanos);
-            call.head().prompt().ifPresent(board.forward().longPromptPool(call.service())::recordArrival);
-            send(call, board, nowNanos, effects);
+            Optional<ForwardHead.TakeUp> takeUp =
+                    call.route().mayResumeStream() ? call.head().takeUp() : Optional.empty();
+            if (takeUp.isPresent()) {
+                takeUp(call, takeUp.get().firstAttempt(), board, nowNanos, effects);
+            } else {
+                begin(call, board, nowNanos, effects);
+            }
         });
     }
 
+    private void begin(ForwardCall call, Board board, long nowNanos, Effects effects) {
+        board.forward()
+                .retryBudget(call.service(), limits.retryRatio(), limits.minimumRetries())
+                .countAttempt(nowNanos);
+        call.head().prompt().ifPresent(board.forward().longPromptPool(call.service())::recordArrival);
+        send(call, board, nowNanos, effects);
+    }
+
+    /** Finds out where the stream began that a caller takes up. No attempt is sent before that is decided. */
+    private void takeUp(ForwardCall call, Optional<String> firstAttempt, Board board, long nowNanos, Effects effects) {
+        call.setState(new ForwardCall.State.AwaitingOrigin());
+        effects.count("forward.streams_taken_up");
+        Optional<StreamOrigin> known = firstAttempt.flatMap(board.origins()::origin);
+        if (known.isPresent()) {
+            OriginAnswer answer = new OriginAnswer.Known(known.get(), OriginAnswer.Basis.OWN_RECORD);
+            onOriginDecided(call, answer, board, nowNanos, effects);
+        } else {
+            effects.post(new ForwardEvent.OriginRequested(call.ticket(), firstAttempt, call.service()));
+        }
+    }
+
+    private void onOriginDecided(ForwardCall call, OriginAnswer answer, Board board, long nowNanos, Effects effects) {
+        if (!(call.state() instanceof ForwardCall.State.AwaitingOrigin)) {
+            return;
+        }
+        call.setState(new ForwardCall.State.Waiting());
+        StreamTakeUp.Decision decision = StreamTakeUp.decide(call, answer, board, nowNanos);
+        AttemptLog.originDecided(call, answer, decision, effects);
+        switch (decision) {
+            case StreamTakeUp.Decision.GoesOn goesOn -> {
+                call.recordOrigin(goesOn.origin());
+                begin(call, board, nowNanos, effects);
+            }
+            case StreamTakeUp.Decision.Refused refused -> {
+                if (refused.failure().kind() == ErrorKind.STREAM_VERSION_GONE) {
+                    effects.count("forward.streams_version_gone");
+                } else if (refused.failure().kind() == ErrorKind.STREAM_ORIGIN_UNKNOWN) {
+                    effects.count("forward.streams_origin_unknown");
+                }
+                failCall(call, refused.failure(), board, nowNanos, effects);
+            }
+        }
+    }
+
+    private void onTick(Board board, long nowNanos, Effects effects) {
+        ForwardTimer.tick(board, nowNanos, effects);
+        for (ForwardCall call : ForwardTimer.expiredAwaitingOrigin(board, nowNanos)) {
+            effects.count("forward.timeouts");
+            failCall(call, Failure.of(ErrorKind.DEADLINE_EXCEEDED), board, nowNanos, effects);
+        }
+    }
+
     /** Sends a request to the selected server, or ends it if no server is available or its time does not suffice. */
     private void send(ForwardCall call, Board board, long nowNanos, Effects effects) {
         if (call.remainingMillis(nowNanos) < MINIMUM_REMAINING_MILLIS) {
@@ -165,26 +224,7 @@
                 call.head().prompt().map(statistics::uncachedTokens).orElse(0L);
         ServerId id = server.report().server();
         int attempt = call.nextAttempt(id);
-        effects.log(
-                "attempt_started",
-                "request",
-                call.head().requestId(),
-                "attempt",
-                attempt,
-                "route",
-                call.route().name(),
-                "server",
-                id,
-                "occupied",
-                statistics.estimatedRequests(nowNanos),
-                "uncached",
-                uncachedTokens,
-                "remaining_ms",
-                call.remainingMillis(nowNanos),
-                "version",
-                board.documents().version(),
-                "server_version",
-                server.report().version());
+        AttemptLog.started(call, attempt, chosen.get(), uncachedTokens, board, nowNanos, effects);
         if (call.head().prompt().isPresent()) {
             board.forward().engineProfile(call.service()).recordSent(uncachedTokens, priority(call), nowNanos);
         }
@@ -272,13 +312,16 @@
         }
     }
 
-    private static void onCallerDisconnected(ForwardCall call, Board board, Effects effects) {
+    private void onCallerDisconnected(ForwardCall call, Board board, long nowNanos, Effects effects) {
         call.setCallerDisconnected();
         effects.count("forward.callers_left");
         if (call.state() instanceof ForwardCall.State.Running) {
             ForwardTimer.cancel(call, effects);
         } else if (call.state() instanceof ForwardCall.State.Waiting) {
             board.forward().remove(call.ticket());
+        } else if (call.state() instanceof ForwardCall.State.AwaitingOrigin) {
+            board.forward().remove(call.ticket());
+            accounts.refund(call, board, nowNanos);
         }
     }
 
@@ -309,24 +352,12 @@
                             board,
                             nowNanos,
                             effects);
-                    effects.log(
-                            "attempt_cancelled",
-                            "request",
-                            call.head().requestId(),
-                            "attempt",
-                            cancelling.attempt(),
-                            "server",
-                            cancelling.server(),
-                            "caller_left",
-                            call.callerDisconnected(),
-                            "outcome",
-                            ended.outcome(),
-                            "after_ms",
-                            (nowNanos - call.admission().arrivedNanos()) / 1_000_000);
+                    AttemptLog.cancelled(call, cancelling, ended.outcome(), nowNanos, effects);
                     board.forward().remove(call.ticket());
                 }
             }
             case ForwardCall.State.Waiting waiting -> {}
+            case ForwardCall.State.AwaitingOrigin awaitingOrigin -> {}
         }
     }
 
@@ -398,24 +429,7 @@
             Board board,
             long nowNanos,
             Effects effects) {
-        effects.log(
-                "attempt_ended",
-                "request",
-                call.head().requestId(),
-                "attempt",
-                running.attempt(),
-                "server",
-                running.server(),
-                "outcome",
-                outcome,
-                "answer_ms",
-                running.answerStarted()
-                        ? (running.answerStartedNanos().getAsLong() - running.sentNanos()) / 1_000_000
-                        : -1,
-                "after_ms",
-                (nowNanos - running.sentNanos()) / 1_000_000,
-                "stream_version",
-                call.origin().map(origin -> origin.version().value()).orElse(""));
+        AttemptLog.ended(call, running, outcome, nowNanos, effects);
         switch (outcome) {
             case ForwardOutcome.Completed completed -> board.forward().remove(call.ticket());
             case ForwardOutcome.Cancelled cancelled -> board.forward().remove(call.ticket());
@@ -447,7 +461,7 @@
             case ForwardOutcome.Broken broken -> {
                 call.countPossibleRun();
                 effects.count("forward.broken");
-                logBroken(call, running, nowNanos, effects);
+                AttemptLog.broken(call, running, nowNanos, effects);
                 boolean continuable = !broken.begun() || call.route().mayResumeStream();
                 if (continuable
                         && mayRunAgain(call)
@@ -474,44 +488,10 @@
         if (call.origin().isPresent()
                 && ServerChooser.candidates(call, board, nowNanos).isEmpty()) {
             effects.count("forward.broken_off_without_version");
-            effects.log(
-                    "stream_broken_off",
-                    "request",
-                    call.head().requestId(),
-                    "service",
-                    call.service(),
-                    "version",
-                    call.origin().get().version(),
-                    "reason",
-                    "no server of this version is left");
+            AttemptLog.brokenOff(call, "no server of this version is left", effects);
         }
     }
 
-    /** Logs what a broken attempt was doing, so that the requests of one crash can be compared. */
-    private static void logBroken(ForwardCall call, ForwardCall.State.Running running, long nowNanos, Effects effects) {
-        effects.log(
-                "attempt_broken",
-                "request",
-                call.head().requestId(),
-                "attempt",
-                running.attempt(),
-                "route",
-                call.route().name(),
-                "server",
-                running.server(),
-                "answering_ms",
-                running.answerStarted()
-                        ? (nowNanos - running.answerStartedNanos().getAsLong()) / 1_000_000
-                        : -1,
-                "parts",
-                call.head()
-                        .prompt()
-                        .map(prompt -> prompt.parts().stream()
-                                .map(PromptShape.Part::id)
-                                .collect(Collectors.joining(",")))
-                        .orElse(""));
-    }
-
     /** Retries a request whose last attempt has not run, or ends it. */
     private void retryOrFail(ForwardCall call, Failure failure, Board board, long nowNanos, Effects effects) {
         if (ServerChooser.canChoose(call, board, nowNanos) && tryTakeRetry(call, board, nowNanos, effects)) {
--- a/src/main/java/org/plantainwharf/forward/ForwardTimer.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardTimer.java
@@ -1,6 +1,7 @@
 package org.plantainwharf.forward;
 
 import java.util.ArrayList;
+import java.util.List;
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.effect.Effects;
@@ -90,6 +91,14 @@
         }
     }
 
+    /** Returns the requests whose deadline has passed before it was known where their stream began. */
+    static List<ForwardCall> expiredAwaitingOrigin(Board board, long nowNanos) {
+        return board.forward().calls().stream()
+                .filter(call -> call.state() instanceof ForwardCall.State.AwaitingOrigin
+                        && nowNanos - call.admission().deadlineNanos() >= 0)
+                .toList();
+    }
+
     /** Cancels the running attempt. The request is removed when the attempt has ended. */
     static void cancel(ForwardCall call, Effects effects) {
         if (call.state() instanceof ForwardCall.State.Running running) {
--- a/src/main/java/org/plantainwharf/forward/StreamVersions.java
+++ b/src/main/java/org/plantainwharf/forward/StreamVersions.java
@@ -53,6 +53,15 @@
         return one.equals(other) && (one.stated() || listed.stream().noneMatch(ServerVersion::stated));
     }
 
+    /** Returns whether a ready server of the service reports the version. One that has crashed counts until its reports expire. */
+    static boolean isServed(StreamOrigin origin, Board board) {
+        Set<ServerVersion> listed = listed(origin.service(), board);
+        return board.registry().servers().stream()
+                .anyMatch(server -> server.ready()
+                        && server.report().service().equals(origin.service())
+                        && isSame(origin.version(), server.report().version(), listed));
+    }
+
     /** Returns whether a server would be ready for the request if the control log listed its version. */
     static boolean isOnlyUnlisted(ForwardCall call, Board board) {
         if (!call.route().mayResumeStream() || call.origin().isPresent()) {
--- a/src/test/java/org/plantainwharf/cli/LogTraceTest.java
+++ b/src/test/java/org/plantainwharf/cli/LogTraceTest.java
@@ -30,6 +30,7 @@
                 """);
         Path second = Files.writeString(folder.resolve("edge-2.log"), """
                  12.5 edge-2 {"ms":1990,"host":"edge-2","event":"request_refused","request":"r-1","kind":"draining"}
+                {"ms":2050,"host":"edge-2","event":"stream_origin","request":"r-4","first_attempt":"r-3","version":"1.4"}
                 """);
         return List.of(first, second);
     }
@@ -45,6 +46,15 @@
             assertTrue(lines.get(2).contains("+   50 ms") && lines.get(2).contains("kind=server_failed"), lines.get(2));
         }
 
+        /** The id of a first attempt must lead to the requests that took its stream up, and the other way round. */
+        @Test
+        void thatTakeAStreamUpAreTracedFromEitherId() throws IOException {
+            String fromFirst = LogTrace.traceRequest(files(), "r-3").get();
+            assertTrue(fromFirst.contains("request=r-4") && fromFirst.contains("version=1.4"), fromFirst);
+            String fromSecond = LogTrace.traceRequest(files(), "r-4").get();
+            assertTrue(fromSecond.contains("first_attempt=r-3") && !fromSecond.contains("request="), fromSecond);
+        }
+
         @Test
         void withoutMatchingLineAreReported() throws IOException {
             assertTrue(LogTrace.traceRequest(files(), "r-9").getLeft().contains("r-9"));
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -37,6 +37,7 @@
 import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.origin.OriginAnswer;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.registry.ServerPhase;
 import org.plantainwharf.registry.ServerReport;
@@ -47,10 +48,11 @@
 /** Runs the forward controller with a document, servers and a virtual clock. Used by one thread. */
 final class ForwardHarness {
     static final String KEY = "key-of-acme";
-    private static final ServiceName SERVICE = ServiceName.of("desk");
+    static final ServiceName SERVICE = ServiceName.of("desk");
 
     private final Board board = Board.create(Samples.settings("edge-1"), 1, 7);
     private final ControlCycle cycle;
+    private final List<ForwardEvent.OriginRequested> originRequests = new ArrayList<>();
     private long nowNanos = TimeUnit.SECONDS.toNanos(100);
     private long sequence;
     private long tickets;
@@ -74,7 +76,12 @@
                 List.of(
                         RegistryController.learning(),
                         DocumentController.create(content -> Either.right(document)),
-                        ForwardController.create(new ForwardLimits(0.5, 10, 8, 0, 0))));
+                        ForwardController.create(new ForwardLimits(0.5, 10, 8, 0, 0)),
+                        (event, ownBoard, ownNanos, effects) -> {
+                            if (event instanceof ForwardEvent.OriginRequested requested) {
+                                originRequests.add(requested);
+                            }
+                        }));
         listVersion(ServerVersion.unstated());
     }
 
@@ -178,6 +185,30 @@
                 nowNanos));
     }
 
+    /** A caller takes up the stream that an earlier attempt of it began. */
+    List<ForwardEffect> takeUp(String path, Optional<String> firstAttempt, long deadlineMillis) {
+        tickets++;
+        ForwardHead head = ForwardHead.of(
+                "id-" + tickets,
+                "a.example",
+                path,
+                Optional.of(KEY),
+                OptionalLong.of(deadlineMillis),
+                Optional.empty(),
+                Fingerprint.of("content-" + tickets));
+        return run(new ForwardEvent.ForwardArrived(
+                tickets, head.takingUp(Optional.of(new ForwardHead.TakeUp(firstAttempt))), nowNanos));
+    }
+
+    /** Returns the newest question about the origin of a stream and removes it; empty if there is none. */
+    Optional<ForwardEvent.OriginRequested> takeOriginRequest() {
+        return originRequests.isEmpty() ? Optional.empty() : Optional.of(originRequests.removeLast());
+    }
+
+    List<ForwardEffect> decideOrigin(long ticket, OriginAnswer answer) {
+        return run(new ForwardEvent.OriginDecided(ticket, answer));
+    }
+
     ForwardEffect.StartForward arriveAndStart(String path) {
         List<ForwardEffect> effects = arrive(path, Optional.of(KEY), 3_000);
         return (ForwardEffect.StartForward) effects.getFirst();
@@ -197,6 +228,11 @@
         return run(new ForwardEvent.StreamBegan(start.ticket(), start.attempt()));
     }
 
+    /** Returns the ticket of the request that arrives next. */
+    long nextTicket() {
+        return tickets + 1;
+    }
+
     int liveCalls() {
         return board.forward().calls().size();
     }
--- a/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
+++ b/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
@@ -14,7 +14,11 @@
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.ExecutionStatus;
 import org.plantainwharf.error.Failure;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.identity.ServerVersion;
+import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.origin.OriginAnswer;
+import org.plantainwharf.origin.StreamOrigin;
 import org.plantainwharf.registry.ServerPhase;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -140,7 +144,7 @@
             VersionedFleet fleet = VersionedFleet.create(seed);
             fleet.run(3_000);
             assertEquals(List.of(), fleet.joinedStreams());
-            assertTrue(fleet.continuedStreams() > 20, fleet.toString());
+            assertTrue(fleet.continuedStreams() > 20 && fleet.takenUpStreams() > 20, fleet.toString());
             fleet.stopArrivals();
             assertEquals(0, fleet.liveCalls(), fleet.toString());
         }
@@ -174,4 +178,162 @@
             assertEquals("i-1", started(arrive("/safe/1")).server().value());
         }
     }
+
+    /** A caller that takes a stream up must get its rest from the version that began it, or a refusal. */
+    @Nested
+    class TakeUps {
+        private static final Optional<String> FIRST = Optional.of("attempt-1");
+
+        private OriginAnswer known(ServerVersion version) {
+            return new OriginAnswer.Known(new StreamOrigin(ForwardHarness.SERVICE, version), OriginAnswer.Basis.RECORD);
+        }
+
+        /** Takes a stream up, and returns the ticket of the request once the question about its origin is asked. */
+        private long takeUp() {
+            assertEquals(List.of(), harness.takeUp("/resume/1", FIRST, 3_000));
+            ForwardEvent.OriginRequested requested = harness.takeOriginRequest().orElseThrow();
+            assertEquals(FIRST, requested.firstAttempt());
+            return requested.ticket();
+        }
+
+        /** Lets enough time pass for this daemon to have heard of all servers. */
+        private void waitForReports() {
+            harness.advance(5_000);
+            harness.tick();
+        }
+
+        @Test
+        void goToTheVersionThatBegan() {
+            for (int server = 1; server < 8; server++) {
+                listAndReport("i-" + server, GREEN);
+            }
+            listAndReport("i-8", BLUE);
+            ForwardEffect.StartForward start = started(harness.decideOrigin(takeUp(), known(BLUE)));
+            assertEquals("i-8", start.server().value());
+        }
+
+        /** Neither before nor after the first event of its own may a stream that is taken up change its version. */
+        @ParameterizedTest
+        @ValueSource(booleans = {true, false})
+        void thatBreakStayAtTheVersion(boolean events) {
+            listAndReport("i-1", BLUE);
+            listAndReport("i-2", GREEN);
+            ForwardEffect.StartForward start = started(harness.decideOrigin(takeUp(), known(BLUE)));
+            if (events) {
+                harness.beginStream(start);
+            }
+            assertTrue(harness.endAttempt(start, BROKEN).stream()
+                    .noneMatch(effect -> effect instanceof ForwardEffect.StartForward));
+        }
+
+        @Test
+        void areRefusedForGoodWhenTheVersionIsGone() {
+            listAndReport("i-1", GREEN);
+            waitForReports();
+            Failure failure = refusal(harness.decideOrigin(takeUp(), known(BLUE)));
+            assertEquals(ErrorKind.STREAM_VERSION_GONE, failure.kind());
+            assertEquals(ExecutionStatus.NO, failure.executionStatus());
+            assertEquals(Optional.empty(), failure.retryAfter());
+            assertEquals(0, harness.liveCalls());
+        }
+
+        /** Soon after its start a daemon has not heard of every server; a refusal for good would lose the stream. */
+        @Test
+        void areRefusedForAShortTimeWhileServersMayNotHaveReportedYet() {
+            listAndReport("i-1", GREEN);
+            Failure failure = refusal(harness.decideOrigin(takeUp(), known(BLUE)));
+            assertEquals(ErrorKind.NO_SERVER_AVAILABLE, failure.kind());
+            assertTrue(failure.retryAfter().isPresent());
+        }
+
+        /** A server that has crashed may return; only one that leaves does not. */
+        @Test
+        void tellServersThatHaveCrashedFromThoseThatLeave() {
+            listAndReport("i-1", BLUE);
+            listAndReport("i-2", GREEN);
+            waitForReports();
+            ForwardEffect.StartForward start = started(harness.decideOrigin(takeUp(), known(BLUE)));
+            Failure crashed = refusal(harness.endAttempt(start, new ForwardOutcome.NotSent(true, "connect refused")));
+            assertEquals(ErrorKind.NO_SERVER_AVAILABLE, crashed.kind());
+            assertTrue(crashed.retryAfter().isPresent());
+            harness.reportServer("i-1", 1, ServerPhase.LEAVING, BLUE);
+            assertEquals(
+                    ErrorKind.STREAM_VERSION_GONE,
+                    refusal(harness.decideOrigin(takeUp(), known(BLUE))).kind());
+        }
+
+        @Test
+        void areRefusedForAShortTimeWhenTheOriginIsUnknown() {
+            listAndReport("i-1", BLUE);
+            Failure failure = refusal(harness.decideOrigin(takeUp(), new OriginAnswer.Unknown()));
+            assertEquals(ErrorKind.STREAM_ORIGIN_UNKNOWN, failure.kind());
+            assertEquals(ExecutionStatus.NO, failure.executionStatus());
+            assertTrue(failure.retryAfter().orElseThrow().toMillis() <= 100, failure.toString());
+            assertEquals(0, harness.liveCalls());
+        }
+
+        @Test
+        void areRefusedForGoodWhenTheServiceHasLeftTheRoute() {
+            listAndReport("i-1", BLUE);
+            StreamOrigin other = new StreamOrigin(ServiceName.of("former"), BLUE);
+            Failure failure =
+                    refusal(harness.decideOrigin(takeUp(), new OriginAnswer.Known(other, OriginAnswer.Basis.RECORD)));
+            assertEquals(ErrorKind.STREAM_VERSION_GONE, failure.kind());
+        }
+
+        @Test
+        void endAtTheirDeadlineWhileTheOriginIsSought() {
+            listAndReport("i-1", BLUE);
+            long ticket = takeUp();
+            harness.advance(3_000);
+            Failure failure = refusal(harness.tick());
+            assertEquals(ExecutionStatus.NO, failure.executionStatus());
+            assertEquals(0, harness.liveCalls());
+            assertEquals(List.of(), harness.decideOrigin(ticket, known(BLUE)));
+        }
+
+        @Test
+        void endWhenTheCallerLeavesWhileTheOriginIsSought() {
+            listAndReport("i-1", BLUE);
+            long ticket = takeUp();
+            assertEquals(List.of(), harness.run(new ForwardEvent.ForwardLeft(ticket)));
+            assertEquals(0, harness.liveCalls());
+            assertEquals(List.of(), harness.decideOrigin(ticket, known(BLUE)));
+        }
+
+        /** A second decision must not send the request twice. */
+        @Test
+        void areDecidedOnce() {
+            listAndReport("i-1", BLUE);
+            listAndReport("i-2", BLUE);
+            long ticket = takeUp();
+            started(harness.decideOrigin(ticket, known(BLUE)));
+            assertEquals(List.of(), harness.decideOrigin(ticket, known(BLUE)));
+        }
+
+        @Test
+        void onRoutesWithoutResumptionAreForwardedLikeOtherRequests() {
+            listAndReport("i-1", BLUE);
+            started(harness.takeUp("/safe/1", FIRST, 3_000));
+            assertEquals(Optional.empty(), harness.takeOriginRequest());
+        }
+
+        /** Callers that leave while the origin is sought must not use up the limit of their account. */
+        @Test
+        void thatDoNotRunAreRefunded() {
+            ForwardHarness limited =
+                    new ForwardHarness(List.of(ForwardHarness.route("/resume/", Repeatability.STREAM, 4, true)), 1_000);
+            limited.applyDocument();
+            limited.reportServer("i-1", ServerPhase.READY);
+            for (int index = 0; index < 200; index++) {
+                assertEquals(List.of(), limited.takeUp("/resume/1", FIRST, 3_000), "request " + index);
+                long ticket = limited.takeOriginRequest().orElseThrow().ticket();
+                if (index % 2 == 0) {
+                    limited.run(new ForwardEvent.ForwardLeft(ticket));
+                } else {
+                    refusal(limited.decideOrigin(ticket, new OriginAnswer.Unknown()));
+                }
+            }
+        }
+    }
 }
--- a/src/test/java/org/plantainwharf/forward/VersionedFleet.java
+++ b/src/test/java/org/plantainwharf/forward/VersionedFleet.java
@@ -12,8 +12,11 @@
 
 import org.plantainwharf.document.Repeatability;
 import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.identity.ServerVersion;
+import org.plantainwharf.origin.OriginAnswer;
+import org.plantainwharf.origin.StreamOrigin;
 import org.plantainwharf.registry.ServerPhase;
 
 /**
@@ -23,6 +26,7 @@
 final class VersionedFleet {
     private static final int SERVERS = 9;
     private static final int MAXIMUM_VERSIONS = 4;
+    private static final int MAXIMUM_REQUESTS = 8;
     private static final long STEP_MILLIS = 20;
     private static final long REPORT_MILLIS = 500;
 
@@ -31,12 +35,15 @@
     private final List<ServerVersion> versions = new ArrayList<>();
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final Map<Long, Stream> streams = new LinkedHashMap<>();
-    /** Attempts that have just ended, whose streams may go on. */
-    private final Map<Long, Stream> ended = new HashMap<>();
+    private final Map<Long, Caller> callers = new HashMap<>();
+    /** Origins as the controller knew them when the first event was passed on, by the request. */
+    private final Map<String, StreamOrigin> origins = new HashMap<>();
 
+    private final List<Scheduled> scheduled = new ArrayList<>();
     private final List<String> joined = new ArrayList<>();
     private boolean arriving = true;
     private int continued;
+    private int takenUp;
     private int brokenOff;
     private int refused;
     private int completed;
@@ -55,16 +62,27 @@
         }
     }
 
-    /** The answer to one request, as its caller receives it. */
+    /** A caller and what it has received of its stream, over all its requests. */
+    private static final class Caller {
+        private Optional<String> firstAttempt = Optional.empty();
+        private Optional<ServerVersion> firstVersion = Optional.empty();
+        private int events;
+        private int requests;
+    }
+
+    /** Something that happens later. */
+    private record Scheduled(long atMillis, Runnable action) {}
+
+    /** An attempt to answer one request. */
     private static final class Stream {
+        private final Caller caller;
         private final ForwardEffect.StartForward attempt;
         private final Server server;
-        private Optional<ServerVersion> firstVersion = Optional.empty();
         private boolean answerBegan;
         private boolean eventsOfAttempt;
-        private int events;
 
-        private Stream(ForwardEffect.StartForward attempt, Server server) {
+        private Stream(Caller caller, ForwardEffect.StartForward attempt, Server server) {
+            this.caller = caller;
             this.attempt = attempt;
             this.server = server;
         }
@@ -116,8 +134,9 @@
                 }
             }
             if (arriving && random.nextInt(3) == 0) {
-                apply(harness.arrive("/resume/" + step, Optional.of(ForwardHarness.KEY), 4_000));
+                request(new Caller());
             }
+            runScheduled();
             apply(harness.tick());
             if (random.nextInt(20) == 0) {
                 crash(server("i-" + (1 + random.nextInt(SERVERS))));
@@ -126,6 +145,52 @@
         }
     }
 
+    private void schedule(long delayMillis, Runnable action) {
+        scheduled.add(new Scheduled(nowMillis() + delayMillis, action));
+    }
+
+    private void runScheduled() {
+        for (Scheduled due : List.copyOf(scheduled)) {
+            if (due.atMillis() <= nowMillis()) {
+                scheduled.remove(due);
+                due.action().run();
+            }
+        }
+    }
+
+    /** Sends a request, or takes the caller's stream up if it has events. */
+    private void request(Caller caller) {
+        caller.requests++;
+        callers.put(harness.nextTicket(), caller);
+        String path = "/resume/x";
+        if (caller.events == 0) {
+            apply(harness.arrive(path, Optional.of(ForwardHarness.KEY), 4_000));
+            return;
+        }
+        takenUp++;
+        apply(harness.takeUp(path, caller.firstAttempt, 4_000));
+        harness.takeOriginRequest()
+                .ifPresent(requested -> schedule(
+                        random.nextInt(200),
+                        () -> apply(harness.decideOrigin(requested.ticket(), answer(requested.firstAttempt())))));
+    }
+
+    private OriginAnswer answer(Optional<String> firstAttempt) {
+        return firstAttempt
+                .flatMap(attempt -> Optional.ofNullable(origins.get(attempt)))
+                .filter(origin -> random.nextInt(8) > 0)
+                .map(origin -> (OriginAnswer) new OriginAnswer.Known(origin, OriginAnswer.Basis.RECORD))
+                .orElseGet(OriginAnswer.Unknown::new);
+    }
+
+    /** The caller tries again some times, unless no server is left that can go on. */
+    private void endRequest(long ticket, boolean mayTryAgain) {
+        Caller caller = Objects.requireNonNull(callers.remove(ticket));
+        if (mayTryAgain && caller.requests < MAXIMUM_REQUESTS) {
+            schedule(100 + random.nextInt(400), () -> request(caller));
+        }
+    }
+
     /** Ends the arrivals and lets every request end. */
     void stopArrivals() {
         arriving = false;
@@ -158,8 +223,9 @@
         int chance = random.nextInt(100);
         if (chance < 6) {
             end(stream, new ForwardOutcome.Broken(true, true, chance < 3 ? "reset" : "stream ended within an event"));
-        } else if (stream.events > 40) {
+        } else if (stream.caller.events > 40) {
             completed++;
+            callers.remove(stream.attempt.ticket());
             end(stream, new ForwardOutcome.Completed(false));
         } else if (chance < 60) {
             sendEvent(stream);
@@ -181,14 +247,24 @@
         if (!stream.eventsOfAttempt) {
             stream.eventsOfAttempt = true;
             harness.run(new ForwardEvent.StreamBegan(stream.attempt.ticket(), stream.attempt.attempt()));
-            if (stream.firstVersion.isPresent()) {
+            if (stream.caller.events > 0) {
                 continued++;
             }
         }
-        stream.events++;
+        Caller caller = stream.caller;
         ServerVersion version = stream.server.version;
-        ServerVersion first = stream.firstVersion.orElse(version);
-        stream.firstVersion = Optional.of(first);
+        if (caller.events == 0) {
+            String id = "id-" + stream.attempt.ticket();
+            caller.firstAttempt = Optional.of(id);
+            caller.firstVersion = Optional.of(version);
+            harness.board()
+                    .forward()
+                    .call(stream.attempt.ticket())
+                    .flatMap(ForwardCall::origin)
+                    .ifPresent(origin -> origins.put(id, origin));
+        }
+        caller.events++;
+        ServerVersion first = caller.firstVersion.orElseThrow();
         if (!first.equals(version)) {
             joined.add("request " + stream.attempt.ticket() + " from " + first + " to " + version);
         }
@@ -196,9 +272,7 @@
 
     private void end(Stream stream, ForwardOutcome outcome) {
         streams.remove(stream.attempt.ticket());
-        ended.put(stream.attempt.ticket(), stream);
         apply(harness.endAttempt(stream.attempt, outcome));
-        ended.remove(stream.attempt.ticket());
     }
 
     private void apply(List<ForwardEffect> effects) {
@@ -211,8 +285,14 @@
                         end(stream, new ForwardOutcome.Cancelled(0, false));
                     }
                 }
-                case ForwardEffect.BreakForward broken -> brokenOff++;
-                case ForwardEffect.RefuseForward refuse -> refused++;
+                case ForwardEffect.BreakForward broken -> {
+                    brokenOff++;
+                    endRequest(broken.ticket(), true);
+                }
+                case ForwardEffect.RefuseForward refuse -> {
+                    refused++;
+                    endRequest(refuse.ticket(), refuse.failure().kind() != ErrorKind.STREAM_VERSION_GONE);
+                }
                 case ForwardEffect.PassFailure failure -> {}
                 case ForwardEffect.ProbeServer probe -> {}
             }
@@ -220,19 +300,19 @@
     }
 
     private void start(ForwardEffect.StartForward start) {
-        Stream next = new Stream(start, server(start.server().value()));
-        Stream previous = ended.get(start.ticket());
-        if (previous != null) {
-            next.firstVersion = previous.firstVersion;
-            next.events = previous.events;
-        }
-        streams.put(start.ticket(), next);
+        Caller caller = Objects.requireNonNull(callers.get(start.ticket()));
+        streams.put(
+                start.ticket(), new Stream(caller, start, server(start.server().value())));
     }
 
     List<String> joinedStreams() {
         return joined;
     }
 
+    int takenUpStreams() {
+        return takenUp;
+    }
+
     int continuedStreams() {
         return continued;
     }
@@ -243,7 +323,7 @@
 
     @Override
     public String toString() {
-        return "continued " + continued + ", broken off " + brokenOff + ", refused " + refused + ", completed "
-                + completed;
+        return "taken up " + takenUp + ", continued " + continued + ", broken off " + brokenOff + ", refused " + refused
+                + ", completed " + completed;
     }
 }
