Do not take a restarted server for the version that ran under its id before

What callers saw: events of two software versions in one stream, after a server had started again under its id and address with another version.

Cause: the version of an attempt was that of the server's report when it was sent. The request may have reached the next start, and a server may be back before it reports.

Change: if the server of an attempt with events has reported another version since, the origin of the stream is doubtful: none is kept and the stream is broken off when it breaks. A server to which this daemon has lost a connection gets no streams that have begun until it has reported again.

Not covered: a restart that this daemon has neither a lost connection nor a report of.

--- a/src/main/java/org/plantainwharf/forward/ForwardCall.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardCall.java
@@ -30,6 +30,8 @@
     private int possibleRuns;
     private boolean callerDisconnected;
     private Optional<StreamOrigin> origin = Optional.empty();
+    private int lastAttemptWithEvents;
+    private boolean originDoubtful;
 
     /**
      * Times and cost that are fixed when a request is admitted. Immutable.
@@ -51,12 +53,14 @@
         /**
          * An attempt is running on a server.
          *
-         * @param version software version of the server according to its report when the attempt was sent
+         * @param startEpochMillis start of the server according to its report when the attempt was sent
+         * @param version software version of the server according to that report
          * @param uncachedTokens prompt tokens that the server is expected to process because it has not cached them
          * @param answerStartedNanos when the answer began to be passed to the caller; empty if it has not begun
          */
         record Running(
                 ServerId server,
+                long startEpochMillis,
                 ServerVersion version,
                 int attempt,
                 long uncachedTokens,
@@ -65,7 +69,14 @@
                 implements State {
             /** Returns this state with the time at which the answer began. */
             Running withAnswerStarted(long nowNanos) {
-                return new Running(server, version, attempt, uncachedTokens, sentNanos, OptionalLong.of(nowNanos));
+                return new Running(
+                        server,
+                        startEpochMillis,
+                        version,
+                        attempt,
+                        uncachedTokens,
+                        sentNanos,
+                        OptionalLong.of(nowNanos));
             }
 
             /** Returns whether the answer is being passed to the caller. */
@@ -166,9 +177,30 @@
         callerDisconnected = true;
     }
 
-    /** Returns where the stream began that the caller has events of; empty before the first event. */
+    /**
+     * Returns where the stream began that the caller has events of; empty before the first event, and if it is doubtful
+     * which software version sent events of it.
+     */
     public Optional<StreamOrigin> origin() {
-        return origin;
+        return originDoubtful ? Optional.empty() : origin;
+    }
+
+    /** Returns whether the caller has events whose software version cannot be told. Such a stream goes on nowhere. */
+    public boolean originDoubtful() {
+        return originDoubtful;
+    }
+
+    void setOriginDoubtful() {
+        originDoubtful = true;
+    }
+
+    /** Returns whether this attempt has brought events of the stream. */
+    boolean hasEventsOf(int attempt) {
+        return lastAttemptWithEvents == attempt;
+    }
+
+    void recordEventsOf(int attempt) {
+        lastAttemptWithEvents = attempt;
     }
 
     /** Records where the stream began. Has no effect if that is recorded already: a stream has one origin. */
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -91,7 +91,7 @@
             case ForwardEvent.ForwardArrived arrived -> onArrived(arrived, board, nowNanos, effects);
             case ForwardEvent.ServerUnreachable unreachable -> {}
             case ForwardEvent.StreamBegan streamBegan ->
-                board.forward().call(streamBegan.ticket()).ifPresent(call -> onStreamBegan(call, streamBegan));
+                board.forward().call(streamBegan.ticket()).ifPresent(call -> onStreamBegan(call, streamBegan, board));
             case ForwardEvent.OriginRequested requested -> {}
             case ForwardEvent.OriginDecided decided ->
                 board.forward()
@@ -231,7 +231,13 @@
         statistics.recordSent(uncachedTokens, call.head().prompt(), nowNanos);
         board.serverLimits().charge(id, nowNanos);
         call.setState(new ForwardCall.State.Running(
-                id, server.report().version(), attempt, uncachedTokens, nowNanos, OptionalLong.empty()));
+                id,
+                server.report().startEpochMillis(),
+                server.report().version(),
+                attempt,
+                uncachedTokens,
+                nowNanos,
+                OptionalLong.empty()));
         effects.add(new ForwardEffect.StartForward(
                 call.ticket(),
                 attempt,
@@ -306,8 +312,12 @@
     }
 
     /** From the first event on, the stream may go on only at the software version that sent it. */
-    private static void onStreamBegan(ForwardCall call, ForwardEvent.StreamBegan began) {
+    private static void onStreamBegan(ForwardCall call, ForwardEvent.StreamBegan began, Board board) {
         if (call.state() instanceof ForwardCall.State.Running running && running.attempt() == began.attempt()) {
+            call.recordEventsOf(began.attempt());
+            if (StreamVersions.isDoubtful(running, board)) {
+                call.setOriginDoubtful();
+            }
             call.recordOrigin(new StreamOrigin(call.service(), running.version()));
         }
     }
@@ -416,9 +426,17 @@
                         TimeUnit.MILLISECONDS.toNanos(Math.min(
                                 refused.retryAfterMillis().orElse(OVERLOAD_BACKOFF_MILLIS), RetryAfter.MAXIMUM_MILLIS)),
                         nowNanos);
-            case ForwardOutcome.NotSent notSent -> statistics.recordFailure(true, nowNanos);
+            case ForwardOutcome.NotSent notSent -> {
+                statistics.recordFailure(true, nowNanos);
+                statistics.recordConnectionLost(nowNanos);
+            }
             case ForwardOutcome.Failed failed -> statistics.recordFailure(false, nowNanos);
-            case ForwardOutcome.Broken broken -> statistics.recordFailure(false, nowNanos);
+            case ForwardOutcome.Broken broken -> {
+                statistics.recordFailure(false, nowNanos);
+                if (broken.connectionLost()) {
+                    statistics.recordConnectionLost(nowNanos);
+                }
+            }
         }
     }
 
@@ -462,8 +480,12 @@
                 call.countPossibleRun();
                 effects.count("forward.broken");
                 AttemptLog.broken(call, running, nowNanos, effects);
+                if (call.hasEventsOf(running.attempt()) && StreamVersions.isDoubtful(running, board)) {
+                    call.setOriginDoubtful();
+                }
                 boolean continuable = !broken.begun() || call.route().mayResumeStream();
                 if (continuable
+                        && !call.originDoubtful()
                         && mayRunAgain(call)
                         && ServerChooser.canChoose(call, board, nowNanos)
                         && tryTakeRetry(call, board, nowNanos, effects)) {
@@ -485,7 +507,10 @@
 
     /** Records that a stream breaks off because no server of the software version that began it is left. */
     private static void recordBrokenOff(ForwardCall call, Board board, long nowNanos, Effects effects) {
-        if (call.origin().isPresent()
+        if (call.originDoubtful()) {
+            effects.count("forward.broken_off_without_version");
+            AttemptLog.brokenOff(call, "the server started again with another version", effects);
+        } else if (call.origin().isPresent()
                 && ServerChooser.candidates(call, board, nowNanos).isEmpty()) {
             effects.count("forward.broken_off_without_version");
             AttemptLog.brokenOff(call, "no server of this version is left", effects);
--- a/src/main/java/org/plantainwharf/forward/ServerChooser.java
+++ b/src/main/java/org/plantainwharf/forward/ServerChooser.java
@@ -41,6 +41,10 @@
             }
             ServerStatistics statistics =
                     board.forward().statistics(server.report().server());
+            if (call.origin().isPresent() && !statistics.isReportedSinceConnectionLost(server.lastReportNanos())) {
+                // It may have started again with another version that it has not reported yet.
+                continue;
+            }
             boolean isFallback =
                     statistics.isAvoided(nowNanos) || server.nanosSinceLastReport(nowNanos) >= REPORT_STALE_NANOS;
             (isFallback ? fallback : healthy).add(new ServerSelector.Candidate(server, statistics));
--- a/src/main/java/org/plantainwharf/forward/ServerStatistics.java
+++ b/src/main/java/org/plantainwharf/forward/ServerStatistics.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
@@ -79,6 +80,7 @@
     private long avoidUntilNanos = Long.MIN_VALUE;
     private double averageTimeToAnswerMillis;
     private long lastAnswerNanos = Long.MIN_VALUE;
+    private OptionalLong lastConnectionLostNanos = OptionalLong.empty();
 
     void recordSent(long uncachedTokens, Optional<PromptShape> prompt, long nowNanos) {
         inFlight++;
@@ -179,6 +181,16 @@
         }
     }
 
+    /** Records a connection to the server that broke or could not be opened, as when the server has crashed. */
+    void recordConnectionLost(long nowNanos) {
+        lastConnectionLostNanos = OptionalLong.of(nowNanos);
+    }
+
+    /** Returns whether a report that arrived at this time is later than the last connection that was lost. */
+    boolean isReportedSinceConnectionLost(long reportNanos) {
+        return lastConnectionLostNanos.isEmpty() || reportNanos - lastConnectionLostNanos.getAsLong() > 0;
+    }
+
     /**
      * Records a request whose answer is overdue. The server is avoided if it has started no other answer since the
      * request was sent: it may be partitioned, frozen or gone without having closed its connections.
--- a/src/main/java/org/plantainwharf/forward/StreamVersions.java
+++ b/src/main/java/org/plantainwharf/forward/StreamVersions.java
@@ -53,6 +53,19 @@
         return one.equals(other) && (one.stated() || listed.stream().noneMatch(ServerVersion::stated));
     }
 
+    /**
+     * Returns whether the server of an attempt has reported another version since the attempt was sent, so that it cannot
+     * be told which of them answered: the server may have started again before the request arrived.
+     */
+    static boolean isDoubtful(ForwardCall.State.Running running, Board board) {
+        return board.registry()
+                .server(running.server())
+                .map(KnownServer::report)
+                .filter(report -> report.startEpochMillis() >= running.startEpochMillis()
+                        && !report.version().equals(running.version()))
+                .isPresent();
+    }
+
     /** Returns whether a ready server of the service reports the version. One that has crashed counts until its reports expire. */
     static boolean isServed(StreamOrigin origin, Board board) {
         Set<ServerVersion> listed = listed(origin.service(), board);
--- a/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
+++ b/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
@@ -15,6 +15,7 @@
 import org.plantainwharf.error.ExecutionStatus;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.ForwardEvent;
+import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.origin.OriginAnswer;
@@ -137,7 +138,7 @@
             assertTrue(failure.executionStatus() != ExecutionStatus.NO, failure.toString());
         }
 
-        /** Crashes, resets and early ends at random over two to four versions and servers that state none. */
+        /** Crashes, resets and early ends at random over two to four versions; servers start again with others. */
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
         void neverJoinsTwoVersions(long seed) {
@@ -150,6 +151,88 @@
         }
     }
 
+    /** A server must not be taken for the version that ran under its id and address before. */
+    @Nested
+    class RestartsUnderTheSameId {
+        private ForwardEffect.StartForward start() {
+            listAndReport("i-1", BLUE);
+            ForwardEffect.StartForward start = started(arrive("/resume/1"));
+            listAndReport("i-2", BLUE);
+            listAndReport("i-3", GREEN);
+            return start;
+        }
+
+        private void assertBrokenOff(ForwardEffect.StartForward start) {
+            assertEquals(List.of(new ForwardEffect.BreakForward(start.ticket())), harness.endAttempt(start, BROKEN));
+        }
+
+        /** The request may have reached the new start, whose version differs from the one it was sent for. */
+        @Test
+        void beforeTheFirstEventMakeTheStreamDoubtful() {
+            ForwardEffect.StartForward start = start();
+            harness.reportServer("i-1", 2, ServerPhase.READY, GREEN);
+            harness.beginStream(start);
+            assertEquals(
+                    Optional.empty(),
+                    harness.board().forward().call(start.ticket()).orElseThrow().origin());
+            assertBrokenOff(start);
+        }
+
+        @Test
+        void afterTheFirstEventMakeTheStreamDoubtful() {
+            ForwardEffect.StartForward start = start();
+            harness.beginStream(start);
+            harness.reportServer("i-1", 2, ServerPhase.READY, GREEN);
+            assertBrokenOff(start);
+        }
+
+        @Test
+        void withTheSameVersionLetTheStreamGoOn() {
+            ForwardEffect.StartForward start = start();
+            harness.beginStream(start);
+            harness.reportServer("i-1", 2, ServerPhase.READY, BLUE);
+            assertEquals(
+                    "i-2", started(harness.endAttempt(start, BROKEN)).server().value());
+        }
+
+        /** No event has reached the caller, so that it does not matter which start had the request. */
+        @Test
+        void withoutAnEventLetAnyVersionAnswer() {
+            ForwardEffect.StartForward start = start();
+            harness.startAnswer(start);
+            harness.reportServer("i-1", 2, ServerPhase.READY, GREEN);
+            started(harness.endAttempt(start, BROKEN));
+        }
+
+        /** A server that has crashed may be back with a version that it has not reported yet. */
+        @ParameterizedTest
+        @ValueSource(booleans = {true, false})
+        void areRuledOutByAReportBeforeAStreamGoesThere(boolean connectionRefused) {
+            ForwardEffect.StartForward start = start();
+            harness.beginStream(start);
+            harness.reportServer("i-3", 1, ServerPhase.GONE, GREEN);
+            ForwardEffect.StartForward other = started(arrive("/resume/2"));
+            while (!other.server().value().equals("i-2")) {
+                other = started(arrive("/resume/2"));
+            }
+            harness.advance(100);
+            harness.endAttempt(other, connectionRefused ? new ForwardOutcome.NotSent(true, "connect refused") : BROKEN);
+            harness.advance(10);
+            assertBrokenOff(start);
+        }
+
+        @Test
+        void doNotKeepAServerFromStreamsThatHasReportedSince() {
+            ForwardEffect.StartForward start = start();
+            harness.beginStream(start);
+            harness.board().forward().statistics(ServerId.of("i-2")).recordConnectionLost(harness.nowNanos());
+            harness.advance(10);
+            harness.reportServer("i-2", 1, ServerPhase.READY, BLUE);
+            assertEquals(
+                    "i-2", started(harness.endAttempt(start, BROKEN)).server().value());
+        }
+    }
+
     /** After a loss of all daemons, the list tells which versions can have begun a stream. */
     @Nested
     class VersionsThatAreNotListed {
--- a/src/test/java/org/plantainwharf/forward/VersionedFleet.java
+++ b/src/test/java/org/plantainwharf/forward/VersionedFleet.java
@@ -52,7 +52,7 @@
     private static final class Server {
         private final String id;
         private long start = 1;
-        private final ServerVersion version;
+        private ServerVersion version;
         private long downUntilMillis;
         private boolean down;
 
@@ -197,16 +197,21 @@
         run(500);
     }
 
-    /** Ends a server and its streams. It is back at its address later as another start, and reports itself at once. */
+    /**
+     * Ends a server and its streams. It is back at its address later as another start, mostly with another version, and
+     * reports itself at once.
+     */
     private void crash(Server server) {
         if (server.down) {
             return;
         }
         server.start++;
+        server.version = randomVersion();
         server.down = true;
         server.downUntilMillis = nowMillis() + 200 + random.nextInt(2_000);
         for (Stream stream : List.copyOf(streams.values())) {
-            if (stream.server == server) {
+            // A request whose connection is not open yet reaches the next start.
+            if (stream.server == server && (stream.answerBegan || random.nextBoolean())) {
                 end(stream, new ForwardOutcome.Broken(stream.answerBegan, true, "reset"));
             }
         }
