Stop a continuation at a server that is back with another version

Cause: the continuation was sent to a server that had crashed without this daemon losing a connection to it, and that was back with another version before the request arrived. Its report came before the answer, but was only looked at after a break.

Change: when the answer to an attempt begins whose stream is bound to a version, and its server has reported another one since, the attempt is cancelled and the stream broken off.

--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -53,6 +53,8 @@
     /** Lowest priority that is sent to engines; 0 is the highest. */
     private static final int LOWEST_PRIORITY = 9;
 
+    private static final String RESTARTED = "the server started again with another version";
+
     private final ForwardLimits limits;
     private final AccountLimits accounts;
     private final ForwardAdmission admission;
@@ -308,9 +310,21 @@
             began.status().ifPresent(status -> recordStatus(running.server(), status, board, nowNanos, effects));
             statistics.recordAnswerStarted(nowNanos - running.sentNanos(), nowNanos);
             call.setState(running.withAnswerStarted(nowNanos));
+            if (call.origin().isPresent() && StreamVersions.isDoubtful(running, board)) {
+                stopBeforeEvents(call, effects);
+            }
         }
     }
 
+    /** Ends a stream that a server goes on with that may run another version than the one that began it. */
+    private static void stopBeforeEvents(ForwardCall call, Effects effects) {
+        call.setOriginDoubtful();
+        effects.count("forward.broken_off_without_version");
+        AttemptLog.brokenOff(call, RESTARTED, effects);
+        ForwardTimer.cancel(call, effects);
+        effects.add(new ForwardEffect.BreakForward(call.ticket()));
+    }
+
     /** From the first event on, the stream may go on only at the software version that sent it. */
     private static void onStreamBegan(ForwardCall call, ForwardEvent.StreamBegan began, Board board) {
         if (call.state() instanceof ForwardCall.State.Running running && running.attempt() == began.attempt()) {
@@ -509,7 +523,7 @@
     private static void recordBrokenOff(ForwardCall call, Board board, long nowNanos, Effects effects) {
         if (call.originDoubtful()) {
             effects.count("forward.broken_off_without_version");
-            AttemptLog.brokenOff(call, "the server started again with another version", effects);
+            AttemptLog.brokenOff(call, RESTARTED, effects);
         } else if (call.origin().isPresent()
                 && ServerChooser.candidates(call, board, nowNanos).isEmpty()) {
             effects.count("forward.broken_off_without_version");
--- a/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
+++ b/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
@@ -140,7 +140,7 @@
 
         /** Crashes, resets and early ends at random over two to four versions; servers start again with others. */
         @ParameterizedTest
-        @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+        @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 118})
         void neverJoinsTwoVersions(long seed) {
             VersionedFleet fleet = VersionedFleet.create(seed);
             fleet.run(3_000);
@@ -195,6 +195,22 @@
                     "i-2", started(harness.endAttempt(start, BROKEN)).server().value());
         }
 
+        /** The continuation was sent to a server that had crashed, and that is back with another version. */
+        @Test
+        void endAContinuationBeforeItsFirstEvent() {
+            ForwardEffect.StartForward start = start();
+            harness.beginStream(start);
+            ForwardEffect.StartForward second = started(harness.endAttempt(start, BROKEN));
+            harness.reportServer("i-2", 2, ServerPhase.READY, GREEN);
+            assertEquals(
+                    List.of(
+                            new ForwardEffect.CancelForward(second.ticket()),
+                            new ForwardEffect.BreakForward(second.ticket())),
+                    harness.startAnswer(second));
+            harness.endAttempt(second, new ForwardOutcome.Cancelled(0, false));
+            assertEquals(0, harness.liveCalls());
+        }
+
         /** No event has reached the caller, so that it does not matter which start had the request. */
         @Test
         void withoutAnEventLetAnyVersionAnswer() {
--- a/src/test/java/org/plantainwharf/forward/VersionedFleet.java
+++ b/src/test/java/org/plantainwharf/forward/VersionedFleet.java
@@ -244,7 +244,7 @@
             end(stream, new ForwardOutcome.Refused(503, OptionalLong.of(50)));
         } else {
             stream.answerBegan = true;
-            harness.startAnswer(stream.attempt);
+            apply(harness.startAnswer(stream.attempt));
         }
     }
 
