Let the scripted engine check which version began the streams it goes on with

Cause: like a real engine, the stand-in went on with any stream, so a play could not show that a stream was joined from two versions.

Change: it has a version, its event ids name it, and it counts the streams that it was asked to go on with and another version had begun.

None of its routes lets streams resume yet, so that nothing reads the count so far.

--- a/src/test/java/org/plantainwharf/platform/ScriptedEngine.java
+++ b/src/test/java/org/plantainwharf/platform/ScriptedEngine.java
@@ -26,7 +26,7 @@
 /**
  * A model engine that speaks the platform's protocol on a loopback port and reports to a control daemon. It crashes soon
  * after it begins an answer to a prompt with {@link #DEADLY_PART}, and is back at its address after a second under
- * another id. Thread-safe.
+ * another id. It checks that the streams that it goes on with were begun by its own version. Thread-safe.
  */
 final class ScriptedEngine implements AutoCloseable {
     static final String DEADLY_PART = "dead";
@@ -40,6 +40,8 @@
     private final HttpClient client = HttpClient.newHttpClient();
     private final String controlAddress;
     private final String service;
+    private final String version;
+    private final AtomicInteger joinedStreams = new AtomicInteger();
     private final int port;
     private final AtomicInteger crashes = new AtomicInteger();
     private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
@@ -73,15 +75,20 @@
     /** One start of the engine, with its connections. */
     private record Life(String id, long bornMillis, ServerSocket socket, Set<Socket> connections) {}
 
-    private ScriptedEngine(String controlAddress, String service) throws IOException {
+    private ScriptedEngine(String controlAddress, String service, String version) throws IOException {
         this.controlAddress = controlAddress;
         this.service = service;
+        this.version = version;
         this.life = startLife(0);
         this.port = life.socket().getLocalPort();
     }
 
     static ScriptedEngine start(String controlAddress, String service) throws IOException {
-        ScriptedEngine engine = new ScriptedEngine(controlAddress, service);
+        return start(controlAddress, service, "v1");
+    }
+
+    static ScriptedEngine start(String controlAddress, String service, String version) throws IOException {
+        ScriptedEngine engine = new ScriptedEngine(controlAddress, service, version);
         startThread(engine::reportUntilClosed);
         return engine;
     }
@@ -111,6 +118,11 @@
         crash(life);
     }
 
+    /** Returns how many streams it was asked to go on with that another version had begun. */
+    int joinedStreams() {
+        return joinedStreams.get();
+    }
+
     int crashes() {
         return crashes.get();
     }
@@ -143,9 +155,9 @@
 
     private HttpRequest report(Life present, int sequence) {
         String body =
-                ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":64,"
+                ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"zone-a\",\"version\":\"%s\",\"slots\":64,"
                                 + "\"state\":\"ready\",\"warmup_remaining_ms\":0,\"sequence\":%d,\"born\":%d}")
-                        .formatted(service, port, sequence, present.bornMillis());
+                        .formatted(service, port, version, sequence, present.bornMillis());
         return HttpRequest.newBuilder(URI.create("http://" + controlAddress + "/Instances.Heartbeat/" + present.id()))
                 .timeout(Duration.ofSeconds(1))
                 .POST(HttpRequest.BodyPublishers.ofString(body))
@@ -207,6 +219,10 @@
             write(out, "HTTP/1.1 421 Other\r\nX-Plantainwharf-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return;
         }
+        String lastEventId = header(head, "Last-Event-Id", "");
+        if (!lastEventId.isEmpty() && !lastEventId.startsWith(version + "/")) {
+            joinedStreams.incrementAndGet();
+        }
         switch (mode) {
             case Mode.Sound sound -> answerWithEvents(present, out, head, id, "");
             case Mode.Limited limited ->
@@ -215,7 +231,7 @@
             case Mode.Unending unending -> {
                 writeEventStreamHead(out, id, "");
                 for (int event = 1; !closed; event++) {
-                    writeChunk(out, "id: " + event + "\ndata: t\n\n");
+                    writeChunk(out, eventText(event));
                     Thread.sleep(EVENT_INTERVAL_MILLIS);
                 }
             }
@@ -234,11 +250,16 @@
         }
     }
 
+    /** The id of an event names the version that sent it. */
+    private String eventText(int event) {
+        return "id: " + version + "/" + event + "\ndata: t\n\n";
+    }
+
     private void answerWithEvents(Life present, OutputStream out, String head, String id, String moreHeaders)
             throws IOException, InterruptedException {
         writeEventStreamHead(out, id, moreHeaders);
         for (int event = 1; event <= EVENTS; event++) {
-            writeChunk(out, "id: " + event + "\ndata: t\n\n");
+            writeChunk(out, eventText(event));
             Thread.sleep(EVENT_INTERVAL_MILLIS);
             if (header(head, "X-Plantainwharf-Prefix-Hash", "").contains(DEADLY_PART + ":")) {
                 crash(present);
