Join the records of origins with the choice of servers

Cause: the origin package and the forwarding side were built beside each other: the recorder read the registry at the first event, after which a restarted server may have reported, and the choice did not know that a listed version can be closed.

Change: the recorder comes after the forward controller and records the origin that it has set, none if it is doubtful. Streams begin only at versions that are listed and not closed, and go on at listed ones.

--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -99,9 +99,9 @@
                 AllowanceController.create(),
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
                 ForwardQuarantineController.create(),
-                OriginRecordController.create(),
                 OriginLookupController.create(),
                 ForwardController.create(role.forwardLimits()),
+                OriginRecordController.create(),
                 DemandController.create());
         AtomicReference<EffectExecutor> dispatcher = new AtomicReference<>(effect -> {});
         this.control = ControlThread.create(
--- a/src/main/java/org/plantainwharf/forward/StreamVersions.java
+++ b/src/main/java/org/plantainwharf/forward/StreamVersions.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 
 import org.plantainwharf.board.Board;
+import org.plantainwharf.configuration.ControlState;
 import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.origin.StreamOrigin;
@@ -12,26 +13,27 @@
 
 /**
  * The software versions at which a request may run. Invariants: a request whose stream may be resumed goes only to
- * versions that the control log lists, since the origin of a stream can be deduced from the list after a loss of all
+ * versions that the control log lists and has not closed, since the origin of a stream can be deduced from the list after a loss of all
  * daemons; a stream goes on only at the version that began it, which servers do not check. Valid for one decision. Used
  * by the control thread.
  */
 final class StreamVersions {
     private final boolean restricted;
-    private final Set<ServerVersion> listed;
+    private final ControlState state;
     private final Optional<StreamOrigin> origin;
 
-    private StreamVersions(boolean restricted, Set<ServerVersion> listed, Optional<StreamOrigin> origin) {
+    private StreamVersions(boolean restricted, ControlState state, Optional<StreamOrigin> origin) {
         this.restricted = restricted;
-        this.listed = listed;
+        this.state = state;
         this.origin = origin;
     }
 
     /** Returns the versions for the next attempt of a request. */
     static StreamVersions of(ForwardCall call, Board board) {
+        ControlState state = board.configuration().state();
         return call.route().mayResumeStream()
-                ? new StreamVersions(true, listed(call.service(), board), call.origin())
-                : new StreamVersions(false, Set.of(), Optional.empty());
+                ? new StreamVersions(true, state, call.origin())
+                : new StreamVersions(false, state, Optional.empty());
     }
 
     private static Set<ServerVersion> listed(ServiceName service, Board board) {
@@ -40,9 +42,13 @@
 
     /** Returns whether a server of the service may get the request. */
     boolean permits(ServerReport report) {
-        return !restricted
-                || listed.contains(report.version())
-                        && (origin.isEmpty() || isSame(origin.get().version(), report.version(), listed));
+        if (!restricted) {
+            return true;
+        }
+        Set<ServerVersion> listed = state.listedVersions(report.service());
+        return origin.isEmpty()
+                ? state.mayBeginStreams(report.service(), report.version())
+                : listed.contains(report.version()) && isSame(origin.get().version(), report.version(), listed);
     }
 
     /**
@@ -80,11 +86,11 @@
         if (!call.route().mayResumeStream() || call.origin().isPresent()) {
             return false;
         }
-        Set<ServerVersion> listed = listed(call.service(), board);
+        ControlState state = board.configuration().state();
         boolean unlisted = false;
         for (KnownServer server : board.registry().servers()) {
             if (server.ready() && server.report().service().equals(call.service())) {
-                if (listed.contains(server.report().version())) {
+                if (state.mayBeginStreams(call.service(), server.report().version())) {
                     return false;
                 }
                 unlisted = true;
--- a/src/test/java/org/plantainwharf/origin/OriginDaemon.java
+++ b/src/test/java/org/plantainwharf/origin/OriginDaemon.java
@@ -134,9 +134,9 @@
                                 RegistryController.learning(),
                                 consensus,
                                 documentController(),
-                                OriginRecordController.create(),
                                 OriginLookupController.create(),
                                 ForwardController.create(new ForwardLimits(0.2, 50, 8, 0, 0)),
+                                OriginRecordController.create(),
                                 recorder));
     }
 
