Stop a continuation whose server reports another version before its first event

A stream could go on with events of a second software version to its end.

Cause: the version of a continuation's server was compared when the head of its answer came, and then only after a break. A report between the head and the first event marked the origin as doubtful, but the attempt went on.

Change: a continuation that is doubtful at its first event is cancelled and the stream broken off, as at the head. The events that the server sends together with its head may still pass: the attempt does not wait for the control thread.

--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -93,7 +93,9 @@
             case ForwardEvent.ForwardArrived arrived -> onArrived(arrived, board, nowNanos, effects);
             case ForwardEvent.ServerUnreachable unreachable -> {}
             case ForwardEvent.StreamBegan streamBegan ->
-                board.forward().call(streamBegan.ticket()).ifPresent(call -> onStreamBegan(call, streamBegan, board));
+                board.forward()
+                        .call(streamBegan.ticket())
+                        .ifPresent(call -> onStreamBegan(call, streamBegan, board, effects));
             case ForwardEvent.OriginRequested requested -> {}
             case ForwardEvent.OriginDecided decided ->
                 board.forward()
@@ -311,13 +313,13 @@
             statistics.recordAnswerStarted(nowNanos - running.sentNanos(), nowNanos);
             call.setState(running.withAnswerStarted(nowNanos));
             if (call.origin().isPresent() && StreamVersions.isDoubtful(running, board)) {
-                stopBeforeEvents(call, effects);
+                stopContinuation(call, effects);
             }
         }
     }
 
     /** Ends a stream that a server goes on with that may run another version than the one that began it. */
-    private static void stopBeforeEvents(ForwardCall call, Effects effects) {
+    private static void stopContinuation(ForwardCall call, Effects effects) {
         call.setOriginDoubtful();
         effects.count("forward.broken_off_without_version");
         AttemptLog.brokenOff(call, RESTARTED, effects);
@@ -326,10 +328,14 @@
     }
 
     /** From the first event on, the stream may go on only at the software version that sent it. */
-    private static void onStreamBegan(ForwardCall call, ForwardEvent.StreamBegan began, Board board) {
+    private static void onStreamBegan(ForwardCall call, ForwardEvent.StreamBegan began, Board board, Effects effects) {
         if (call.state() instanceof ForwardCall.State.Running running && running.attempt() == began.attempt()) {
             call.recordEventsOf(began.attempt());
+            boolean continuation = call.origin().isPresent();
             if (StreamVersions.isDoubtful(running, board)) {
+                if (continuation) {
+                    stopContinuation(call, effects);
+                }
                 call.setOriginDoubtful();
             }
             call.recordOrigin(new StreamOrigin(call.service(), running.version()));
--- a/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
+++ b/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
@@ -211,6 +211,21 @@
             assertEquals(0, harness.liveCalls());
         }
 
+        /** The report of the new start arrives after the head of its answer. */
+        @Test
+        void endAContinuationAtItsFirstEvent() {
+            ForwardEffect.StartForward start = start();
+            harness.beginStream(start);
+            ForwardEffect.StartForward second = started(harness.endAttempt(start, BROKEN));
+            harness.startAnswer(second);
+            harness.reportServer("i-2", 2, ServerPhase.READY, GREEN);
+            assertEquals(
+                    List.of(
+                            new ForwardEffect.CancelForward(second.ticket()),
+                            new ForwardEffect.BreakForward(second.ticket())),
+                    harness.run(new ForwardEvent.StreamBegan(second.ticket(), second.attempt())));
+        }
+
         /** No event has reached the caller, so that it does not matter which start had the request. */
         @Test
         void withoutAnEventLetAnyVersionAnswer() {
