Record the origin of a stream whose attempt is being cancelled

A caller whose stream broke off at its deadline just when it began was refused at each further try while two versions are listed.

Cause: the first event passes to the caller on another thread. If the control thread has cancelled the attempt before it sees StreamBegan, the call is in the state Cancelling, and the origin was neither set nor recorded.

Change: Cancelling keeps the attempt that is stopped, with the version of its server, and the first event sets the origin in both states. The harness has the recorder behind the forward controller, as the entry daemon has.

Result: Cancellations.atTheDeadlineKeepTheOriginOfAStreamThatBeginsMeanwhile failed before (no origin) and passes; all cases of StreamVersionTest and ForwardControllerTest pass.

--- a/src/main/java/org/plantainwharf/forward/AttemptLog.java
+++ b/src/main/java/org/plantainwharf/forward/AttemptLog.java
@@ -68,7 +68,7 @@
 
     static void cancelled(
             ForwardCall call,
-            ForwardCall.State.Cancelling cancelling,
+            ForwardCall.State.Running stopped,
             ForwardOutcome outcome,
             long nowNanos,
             Effects effects) {
@@ -77,9 +77,9 @@
                 "request",
                 call.head().requestId(),
                 "attempt",
-                cancelling.attempt(),
+                stopped.attempt(),
                 "server",
-                cancelling.server(),
+                stopped.server(),
                 "caller_left",
                 call.callerDisconnected(),
                 "outcome",
--- a/src/main/java/org/plantainwharf/forward/ForwardCall.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardCall.java
@@ -86,7 +86,7 @@
         }
 
         /** The request has ended for the caller; its last attempt is being cancelled. */
-        record Cancelling(ServerId server, int attempt, long uncachedTokens, boolean answerStarted) implements State {}
+        record Cancelling(Running stopped) implements State {}
     }
 
     ForwardCall(
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -327,19 +327,38 @@
         effects.add(new ForwardEffect.BreakForward(call.ticket()));
     }
 
-    /** From the first event on, the stream may go on only at the software version that sent it. */
+    /**
+     * From the first event on, the stream may go on only at the software version that sent it. An attempt that is being
+     * cancelled may still have passed it on, and the caller takes the stream up elsewhere.
+     */
     private static void onStreamBegan(ForwardCall call, ForwardEvent.StreamBegan began, Board board, Effects effects) {
-        if (call.state() instanceof ForwardCall.State.Running running && running.attempt() == began.attempt()) {
-            call.recordEventsOf(began.attempt());
-            boolean continuation = call.origin().isPresent();
-            if (StreamVersions.isDoubtful(running, board)) {
-                if (continuation) {
-                    stopContinuation(call, effects);
-                }
-                call.setOriginDoubtful();
+        switch (call.state()) {
+            case ForwardCall.State.Running running -> recordBegan(call, running, began, board, effects);
+            case ForwardCall.State.Cancelling(ForwardCall.State.Running stopped) ->
+                recordBegan(call, stopped, began, board, effects);
+            case ForwardCall.State.Waiting waiting -> {}
+            case ForwardCall.State.AwaitingOrigin awaitingOrigin -> {}
+        }
+    }
+
+    private static void recordBegan(
+            ForwardCall call,
+            ForwardCall.State.Running attempt,
+            ForwardEvent.StreamBegan began,
+            Board board,
+            Effects effects) {
+        if (attempt.attempt() != began.attempt()) {
+            return;
+        }
+        call.recordEventsOf(began.attempt());
+        boolean continued = call.origin().isPresent() && call.state() instanceof ForwardCall.State.Running;
+        if (StreamVersions.isDoubtful(attempt, board)) {
+            if (continued) {
+                stopContinuation(call, effects);
             }
-            call.recordOrigin(new StreamOrigin(call.service(), running.version()));
+            call.setOriginDoubtful();
         }
+        call.recordOrigin(new StreamOrigin(call.service(), attempt.version()));
     }
 
     private void onCallerDisconnected(ForwardCall call, Board board, long nowNanos, Effects effects) {
@@ -372,17 +391,17 @@
                     handleOutcome(call, running, ended.outcome(), board, nowNanos, effects);
                 }
             }
-            case ForwardCall.State.Cancelling cancelling -> {
-                if (cancelling.attempt() == ended.attempt()) {
+            case ForwardCall.State.Cancelling(ForwardCall.State.Running stopped) -> {
+                if (stopped.attempt() == ended.attempt()) {
                     recordAttemptEnd(
-                            cancelling.server(),
-                            cancelling.uncachedTokens(),
-                            cancelling.answerStarted(),
+                            stopped.server(),
+                            stopped.uncachedTokens(),
+                            stopped.answerStarted(),
                             ended,
                             board,
                             nowNanos,
                             effects);
-                    AttemptLog.cancelled(call, cancelling, ended.outcome(), nowNanos, effects);
+                    AttemptLog.cancelled(call, stopped, ended.outcome(), nowNanos, effects);
                     board.forward().remove(call.ticket());
                 }
             }
--- a/src/main/java/org/plantainwharf/forward/ForwardTimer.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardTimer.java
@@ -102,8 +102,7 @@
     /** Cancels the running attempt. The request is removed when the attempt has ended. */
     static void cancel(ForwardCall call, Effects effects) {
         if (call.state() instanceof ForwardCall.State.Running running) {
-            call.setState(new ForwardCall.State.Cancelling(
-                    running.server(), running.attempt(), running.uncachedTokens(), running.answerStarted()));
+            call.setState(new ForwardCall.State.Cancelling(running));
             effects.add(new ForwardEffect.CancelForward(call.ticket()));
         }
     }
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -38,6 +38,7 @@
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.origin.OriginAnswer;
+import org.plantainwharf.origin.OriginRecordController;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.registry.ServerPhase;
 import org.plantainwharf.registry.ServerReport;
@@ -77,6 +78,7 @@
                         RegistryController.learning(),
                         DocumentController.create(content -> Either.right(document)),
                         ForwardController.create(new ForwardLimits(0.5, 10, 8, 0, 0)),
+                        OriginRecordController.create(),
                         (event, ownBoard, ownNanos, effects) -> {
                             if (event instanceof ForwardEvent.OriginRequested requested) {
                                 originRequests.add(requested);
--- a/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
+++ b/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
@@ -151,6 +151,23 @@
         }
     }
 
+    /** Guards against a stream that began with its cancellation, and that no daemon knows the origin of. */
+    @Nested
+    class Cancellations {
+        @Test
+        void atTheDeadlineKeepTheOriginOfAStreamThatBeginsMeanwhile() {
+            listAndReport("i-1", BLUE);
+            ForwardEffect.StartForward start = started(arrive("/resume/1"));
+            harness.startAnswer(start);
+            harness.advance(5_000);
+            harness.tick();
+            harness.run(new ForwardEvent.StreamBegan(start.ticket(), start.attempt()));
+            assertEquals(
+                    Optional.of(new StreamOrigin(ForwardHarness.SERVICE, BLUE)),
+                    harness.board().origins().origin("id-" + start.ticket()));
+        }
+    }
+
     /** A server must not be taken for the version that ran under its id and address before. */
     @Nested
     class RestartsUnderTheSameId {
