Keep the last open version of a service open

After a change of versions, a service whose servers had all been away for a minute refused streams when they were back, until the log listed the version anew, and as long as the control group had no leader.

Cause: the rule that the last version of a service stays counted the closed ones, which stay listed for an hour more. The only open version was closed too.

Change: the command and the leader's scan count open versions when a version is closed. To keep a version open loses nothing: it stays on the list either way.

Result: ListedVersions.keepTheLastOpenOneOpen failed before (Done instead of Ignored) and passes; ControlStateTest, OriginFleetTest and OriginLookupControllerTest pass. The scan has no test of its own.

--- a/src/main/java/org/plantainwharf/configuration/ControlState.java
+++ b/src/main/java/org/plantainwharf/configuration/ControlState.java
@@ -284,7 +284,8 @@
 
     private CommandResult closeVersion(Command.CloseServerVersion close) {
         Map<ServerVersion, Boolean> listed = listedVersions.getOrDefault(close.service(), Map.of());
-        if (listed.size() <= 1 || !listed.containsKey(close.version())) {
+        boolean lastOpen = listed.values().stream().filter(closed -> !closed).count() <= 1;
+        if (lastOpen || !listed.containsKey(close.version())) {
             return new CommandResult.Ignored();
         }
         listed.put(close.version(), true);
--- a/src/main/java/org/plantainwharf/origin/VersionListController.java
+++ b/src/main/java/org/plantainwharf/origin/VersionListController.java
@@ -198,7 +198,14 @@
             } else {
                 closedNanos.putIfAbsent(listed, nowNanos);
             }
-            boolean last = state.listedVersions(listed.service()).size() <= 1;
+            Set<ServerVersion> versions = state.listedVersions(listed.service());
+            // The servers of a service that were all away for a time begin streams at once when they are back.
+            boolean last = open
+                    ? versions.stream()
+                                    .filter(version -> state.mayBeginStreams(listed.service(), version))
+                                    .count()
+                            <= 1
+                    : versions.size() <= 1;
             if (last || nowNanos - Objects.requireNonNull(seenNanos.get(listed)) < retentionNanos) {
                 continue;
             }
--- a/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
+++ b/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
@@ -222,6 +222,16 @@
         }
 
         /** A repeated or late command must not remove a version whose servers came back. */
+        /** Streams were refused when all servers of the service had been away, until the log listed the version anew. */
+        @Test
+        void keepTheLastOpenOneOpen() {
+            list(OLD);
+            list(NEW);
+            close(OLD);
+            assertEquals(new CommandResult.Ignored(), close(NEW));
+            assertTrue(state.mayBeginStreams(SERVICE, NEW));
+        }
+
         @Test
         void areRetiredOnlyAfterTheyWereClosed() {
             list(OLD);
