Prove a part guilty by three crashes at two moments

Cause: asked for crashes at three moments. A request that is sent again at once crashes two servers within milliseconds, at one moment; the third crash makes its part suspected, so that no third moment comes while the suspicion lasts. The tests on a virtual clock lose 210 ms between such crashes and did not show it.

Change: two moments suffice. Servers that crash together are still one.

Ruled out: four crashes at two moments as a second rule; the third crash is the last before the suspicion, and the test still failed.

--- a/src/main/java/org/plantainwharf/quarantine/Blame.java
+++ b/src/main/java/org/plantainwharf/quarantine/Blame.java
@@ -29,14 +29,19 @@
      * @param sinceLastCrashMillis age of the last one
      */
     record Evidence(Fingerprint content, int crashes, int knownCrashes, int moments, long sinceLastCrashMillis) {
+        private static final int MINIMUM_MOMENTS = 2;
+
         /** Returns whether the content was at half of the crashes or more. */
         boolean explainsCrashes() {
             return 2 * crashes >= knownCrashes;
         }
 
-        /** Returns whether the content was at most of the crashes and servers crashed one after the other. */
+        /**
+         * Returns whether the content was at most of the crashes and servers crashed one after the other. A request that is
+         * sent again at once crashes two servers at one moment, so that three crashes are at two moments at least.
+         */
         boolean isConclusive() {
-            return moments >= CrashAttribution.MINIMUM_CRASHES && 3 * crashes >= 2 * knownCrashes;
+            return moments >= MINIMUM_MOMENTS && 3 * crashes >= 2 * knownCrashes;
         }
     }
 }
--- a/src/test/java/org/plantainwharf/quarantine/BlameTest.java
+++ b/src/test/java/org/plantainwharf/quarantine/BlameTest.java
@@ -108,6 +108,24 @@
             assertInstanceOf(Blame.Suspected.class, blameAfter(1_000));
         }
 
+        /** A request that is sent again at once crashes two servers at one moment, and one more crash later proves its part guilty. */
+        @Test
+        void isContentAtThreeCrashesAtTwoMoments() {
+            Set<String> reports = new HashSet<>();
+            for (int index = 0; index < 3; index++) {
+                long beforeMillis = index == 0 ? 0 : CRASH_INTERVAL_MILLIS + index;
+                section.crashHistory()
+                        .record(
+                                "i-" + index + "/7",
+                                LAST_CRASH_MILLIS - beforeMillis,
+                                LEARNED_NANOS - TimeUnit.MILLISECONDS.toNanos(beforeMillis));
+                reports.add(reportId("i-" + index + "/7", CONTENT));
+            }
+            section.recordAttribution(CONTENT, LEARNED_NANOS);
+            commit(reports);
+            assertInstanceOf(Blame.Proven.class, blameAfter(1_000));
+        }
+
         /** Neither clocks that differ nor reports that arrive late show that servers crashed one after the other. */
         @ParameterizedTest
         @CsvSource({"2400000, 0", "0, 2400000"})
