Test that no record of a doubtful origin lets a stream be taken up

Cause: a reader of the change found that the record of an origin stays when the origin becomes doubtful after the first event.

--- a/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
+++ b/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -183,6 +184,17 @@
             assertEquals(List.of(new ForwardEffect.BreakForward(start.ticket())), harness.endAttempt(start, BROKEN));
         }
 
+        /** The report of the new start arrives after the first event, when the record of the origin is kept already. */
+        @Test
+        @Tag("known-red")
+        void afterTheFirstEventLetNoCallerTakeTheStreamUpByItsRecord() {
+            ForwardEffect.StartForward start = start();
+            harness.beginStream(start);
+            harness.reportServer("i-1", 2, ServerPhase.READY, GREEN);
+            assertBrokenOff(start);
+            assertEquals(List.of(), harness.takeUp("/resume/1", Optional.of("id-" + start.ticket()), 3_000));
+        }
+
         /** The request may have reached the new start, whose version differs from the one it was sent for. */
         @Test
         void beforeTheFirstEventMakeTheStreamDoubtful() {
