Do not say of a request that it may have run before its body has arrived

What callers saw: at a planned stop, a request with Expect: 100-continue could get 500 internal_error with an outcome left open, although nothing had been passed on.

Cause: a request counted as passed to the handlers as soon as they were called. The HTTP library sends the permission when the body is first asked for; if the stop fails that write, the library answers by itself, and the answer took the request for handled.

Change: while BodyReader receives a body the request counts as not passed on; it does again once the body is complete. So such an answer is 503 request_not_received.

--- a/src/main/java/org/plantainwharf/front/BodyReader.java
+++ b/src/main/java/org/plantainwharf/front/BodyReader.java
@@ -46,6 +46,7 @@
     static void start(Request request, int maximumBytes, BodyBudget budget, Consumer<Either<Failure, byte[]>> onRead) {
         long limitBytes = Math.min(maximumBytes, budget.largestBodyBytes());
         BodyReader reader = new BodyReader(request, limitBytes, budget, onRead);
+        UnreadBodyHandler.markReceiving(request);
         long declaredBytes = request.getLength();
         if (declaredBytes > limitBytes) {
             reader.fail(Failure.of(ErrorKind.BODY_TOO_LARGE, limitBytes));
@@ -83,6 +84,7 @@
                 return;
             }
             if (last) {
+                UnreadBodyHandler.markHandled(request);
                 onRead.accept(Either.right(length == bytes.length ? bytes : Arrays.copyOf(bytes, length)));
                 return;
             }
--- a/src/main/java/org/plantainwharf/front/UnreadBodyHandler.java
+++ b/src/main/java/org/plantainwharf/front/UnreadBodyHandler.java
@@ -43,9 +43,19 @@
         return request.getAttribute(HANDLED_ATTRIBUTE) != null;
     }
 
+    /** Marks a request as not passed on yet, because its body is still being received. */
+    static void markReceiving(Request request) {
+        request.removeAttribute(HANDLED_ATTRIBUTE);
+    }
+
+    /** Marks a request as passed to the handlers. */
+    static void markHandled(Request request) {
+        request.setAttribute(HANDLED_ATTRIBUTE, true);
+    }
+
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
-        request.setAttribute(HANDLED_ATTRIBUTE, true);
+        markHandled(request);
         // A client that waits for permission may never send its body.
         if (request.getHeaders().contains(HttpHeader.EXPECT)) {
             return super.handle(request, response, callback);
--- a/src/test/java/org/plantainwharf/front/MessageFailureTest.java
+++ b/src/test/java/org/plantainwharf/front/MessageFailureTest.java
@@ -138,6 +138,22 @@
     /** A caller must not repeat a request after 400, although it would succeed at the next daemon. */
     @Nested
     class BodiesThatDoNotArrive {
+        /**
+         * A stop can fail the permission that the HTTP library sends when the body is first asked for. That was answered 500
+         * as if the request might have run. It takes many stops to meet.
+         */
+        @Test
+        void areNotSaidToHaveRunIfTheyWaitForPermission() throws Exception {
+            for (int stop = 0; stop < 150; stop++) {
+                try (ForwardingRelay relay = ForwardingRelay.start(NO_SERVER, false)) {
+                    String head = HEAD + "Content-Length: 10\r\nExpect: 100-continue\r\n\r\n";
+                    for (RawCaller.Answer received : answersAtStop(relay, head, CALLERS)) {
+                        assertTrue(List.of(0, 503).contains(received.status()), "stop " + stop + ": " + received);
+                    }
+                }
+            }
+        }
+
         @ParameterizedTest
         @ValueSource(
                 strings = {
