--- a/src/main/java/org/plantainwharf/origin/OriginKey.java
+++ b/src/main/java/org/plantainwharf/origin/OriginKey.java
@@ -1,9 +1,8 @@
 package org.plantainwharf.origin;
 
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
+
+import org.plantainwharf.record.Digests;
 
 /**
  * Keys of records of origins: the id of the attempt that brought the first event. Invariant: a key has at most
@@ -23,7 +22,9 @@
 
     /** Returns the key of an attempt. */
     static String of(String attempt) {
-        return attempt.length() <= MAXIMUM_ATTEMPT_CHARACTERS ? attempt : DIGEST_PREFIX + digest(attempt);
+        return attempt.length() <= MAXIMUM_ATTEMPT_CHARACTERS
+                ? attempt
+                : DIGEST_PREFIX + Digests.sha256(attempt.getBytes(StandardCharsets.UTF_8));
     }
 
     /** Returns whether a text may be a key. */
@@ -35,13 +36,4 @@
     static String ofNoAttempt(long number) {
         return "-".repeat(MAXIMUM_CHARACTERS) + number;
     }
-
-    private static String digest(String text) {
-        try {
-            return HexFormat.of()
-                    .formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
-    }
 }
