--- a/src/main/java/org/plantainwharf/admission/AdmissionController.java
+++ b/src/main/java/org/plantainwharf/admission/AdmissionController.java
@@ -27,6 +27,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -72,6 +73,7 @@
             case CallEvent call -> handleCall(call, board, nowNanos, effects);
             case AttemptEvent attempt -> handleFirstToken(attempt, board, nowNanos);
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/alarm/AlarmController.java
+++ b/src/main/java/org/plantainwharf/alarm/AlarmController.java
@@ -26,6 +26,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -88,6 +89,7 @@
             case AttemptEvent ignored -> {}
             case PeerEvent ignored -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/board/Board.java
+++ b/src/main/java/org/plantainwharf/board/Board.java
@@ -12,16 +12,20 @@
 import org.plantainwharf.drain.DrainSection;
 import org.plantainwharf.duty.DutySection;
 import org.plantainwharf.forward.ForwardSection;
+import org.plantainwharf.keptpart.KeptPartSection;
 import org.plantainwharf.limit.AllowanceSection;
 import org.plantainwharf.limit.LimitSection;
 import org.plantainwharf.limit.ServerLimitSection;
 import org.plantainwharf.membership.MembershipSection;
+import org.plantainwharf.observation.ObservationSection;
 import org.plantainwharf.origin.OriginSection;
 import org.plantainwharf.quarantine.QuarantineSection;
 import org.plantainwharf.record.RecordSection;
 import org.plantainwharf.registry.DepartureSection;
 import org.plantainwharf.registry.RegistrySection;
 import org.plantainwharf.retry.RetrySection;
+import org.plantainwharf.rollout.RolloutSection;
+import org.plantainwharf.room.RoomSection;
 import org.plantainwharf.routing.RoutingSection;
 import org.plantainwharf.server.ServerSection;
 import org.plantainwharf.settings.Settings;
@@ -54,6 +58,10 @@
     private final AllowanceSection allowances = AllowanceSection.create();
     private final ServerLimitSection serverLimits = ServerLimitSection.create();
     private final DutySection duties = DutySection.create();
+    private final RolloutSection rollouts = RolloutSection.create();
+    private final ObservationSection observations = ObservationSection.create();
+    private final RoomSection room = RoomSection.create();
+    private final KeptPartSection keptParts = KeptPartSection.create();
     private final AlarmSection alarms = AlarmSection.create();
     private long wallClockMillis;
 
@@ -203,6 +211,26 @@
         return duties;
     }
 
+    /** Returns the section on rollouts of software versions. */
+    public RolloutSection rollouts() {
+        return rollouts;
+    }
+
+    /** Returns the section on what daemons have seen of servers. */
+    public ObservationSection observations() {
+        return observations;
+    }
+
+    /** Returns the section on the room of services. */
+    public RoomSection room() {
+        return room;
+    }
+
+    /** Returns the section on parts of prompts that servers keep. */
+    public KeptPartSection keptParts() {
+        return keptParts;
+    }
+
     /** Returns an immutable view for other threads. It shares only immutable objects with the board. */
     public BoardView publish() {
         return BoardView.of(this);
--- a/src/main/java/org/plantainwharf/capacity/CapacityController.java
+++ b/src/main/java/org/plantainwharf/capacity/CapacityController.java
@@ -22,6 +22,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -76,6 +77,7 @@
             case ReplicationEvent replication -> onReplication(replication, board, nowNanos, effects);
             case PlatformEvent platform -> onPlatform(platform, board, nowNanos, effects);
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/codec/CommandMapping.java
+++ b/src/main/java/org/plantainwharf/codec/CommandMapping.java
@@ -61,6 +61,10 @@
                 wire.setCloseServerVersion(OriginMapping.encode(close.service(), close.version()));
             case Command.RetireServerVersion retire ->
                 wire.setRetireServerVersion(OriginMapping.encode(retire.service(), retire.version()));
+            case Command.BeginRollout begin -> wire.setBeginRollout(RolloutMapping.encode(begin));
+            case Command.AdvanceRollout advance -> wire.setAdvanceRollout(RolloutMapping.encode(advance));
+            case Command.FinishRollout finish -> wire.setFinishRollout(RolloutMapping.encode(finish));
+            case Command.ReadRollout read -> wire.setReadRollout(read.service().value());
             case Command.RecordHostStart start ->
                 wire.setRecordHostStart(PeerProtocol.RecordHostStart.newBuilder()
                         .setToken(start.token())
@@ -176,6 +180,10 @@
                 new Command.RetireServerVersion(
                         ServiceName.of(wire.getRetireServerVersion().getService()),
                         ServerVersion.of(wire.getRetireServerVersion().getVersion()));
+            case BEGIN_ROLLOUT -> RolloutMapping.decode(wire.getBeginRollout());
+            case ADVANCE_ROLLOUT -> RolloutMapping.decode(wire.getAdvanceRollout());
+            case FINISH_ROLLOUT -> RolloutMapping.decode(wire.getFinishRollout());
+            case READ_ROLLOUT -> new Command.ReadRollout(ServiceName.of(wire.getReadRollout()));
             case RECORD_HOST_START -> decode(wire.getRecordHostStart());
             case FINISH_HOST_START ->
                 new Command.FinishHostStart(
--- a/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
+++ b/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
@@ -112,6 +112,11 @@
             case PeerMessage.StreamOrigins origins -> frame.setStreamOrigins(OriginMapping.encode(origins));
             case PeerMessage.OriginQuestion question -> frame.setOriginQuestion(OriginMapping.encode(question));
             case PeerMessage.OriginReply reply -> frame.setOriginReply(OriginMapping.encode(reply));
+            case PeerMessage.RolloutEvidence evidence -> frame.setRolloutEvidence(RolloutMapping.encode(evidence));
+            case PeerMessage.ServerObservations seen -> frame.setServerObservations(ObservationMapping.encode(seen));
+            case PeerMessage.KeptParts parts -> frame.setKeptParts(ObservationMapping.encode(parts));
+            case PeerMessage.RoomReport report -> frame.setRoomReport(RoomMapping.encode(report));
+            case PeerMessage.RoomGrant grant -> frame.setRoomGrant(RoomMapping.encode(grant));
             case PeerMessage.LimitDemand demand ->
                 frame.setLimitDemand(PeerProtocol.LimitDemand.newBuilder()
                         .addAllRates(ValueMapping.encodeRates(demand.requestsPerSecond())));
@@ -217,6 +222,11 @@
             case STREAM_ORIGINS -> OriginMapping.decode(frame.getStreamOrigins());
             case ORIGIN_QUESTION -> OriginMapping.decode(frame.getOriginQuestion());
             case ORIGIN_REPLY -> OriginMapping.decode(frame.getOriginReply());
+            case ROLLOUT_EVIDENCE -> RolloutMapping.decode(frame.getRolloutEvidence());
+            case SERVER_OBSERVATIONS -> ObservationMapping.decode(frame.getServerObservations());
+            case KEPT_PARTS -> ObservationMapping.decode(frame.getKeptParts());
+            case ROOM_REPORT -> RoomMapping.decode(frame.getRoomReport());
+            case ROOM_GRANT -> RoomMapping.decode(frame.getRoomGrant());
             case LARGE_MESSAGE, CONTENT_REQUEST, CONTENT_PART, CONTENT_UNAVAILABLE, KIND_NOT_SET ->
                 throw new DecodingException("message kind is missing or unknown");
         };
--- a/src/main/java/org/plantainwharf/codec/ResultMapping.java
+++ b/src/main/java/org/plantainwharf/codec/ResultMapping.java
@@ -28,6 +28,10 @@
                 wire.setDocumentContent(ValueMapping.encodeDocument(content.version(), content.content()));
             case CommandResult.UsageRecorded usage ->
                 wire.setUsageRecorded(ValueMapping.encodeUsage(usage.window(), usage.requests()));
+            case CommandResult.RolloutHeld held -> wire.setRolloutHeld(RolloutMapping.encode(held.rollout()));
+            case CommandResult.RolloutConflict conflict ->
+                wire.setRolloutConflict(RolloutMapping.encode(conflict.inProgress()));
+            case CommandResult.NoRollout none -> wire.setNoRollout(ValueMapping.NOTHING);
             case CommandResult.FencingNumber fencing -> wire.setFencingNumber(fencing.number());
             case CommandResult.IntentGranted granted -> wire.setIntentGranted(ValueMapping.NOTHING);
             case CommandResult.IntentFinished finished ->
@@ -73,6 +77,10 @@
             case USAGE_RECORDED ->
                 new CommandResult.UsageRecorded(
                         wire.getUsageRecorded().getWindow(), ValueMapping.decodeUsage(wire.getUsageRecorded()));
+            case ROLLOUT_HELD -> new CommandResult.RolloutHeld(RolloutMapping.decode(wire.getRolloutHeld()));
+            case ROLLOUT_CONFLICT ->
+                new CommandResult.RolloutConflict(RolloutMapping.decode(wire.getRolloutConflict()));
+            case NO_ROLLOUT -> new CommandResult.NoRollout();
             case FENCING_NUMBER -> new CommandResult.FencingNumber(wire.getFencingNumber());
             case INTENT_GRANTED -> new CommandResult.IntentGranted();
             case INTENT_FINISHED ->
--- a/src/main/java/org/plantainwharf/codec/StateRecordMapping.java
+++ b/src/main/java/org/plantainwharf/codec/StateRecordMapping.java
@@ -44,6 +44,7 @@
             case StateRecord.ListedVersion listed ->
                 wire.setListedVersion(OriginMapping.encode(listed.service(), listed.version()).toBuilder()
                         .setClosed(listed.closed()));
+            case StateRecord.NewestRollout newest -> wire.setRollout(RolloutMapping.encode(newest.rollout()));
             case StateRecord.HostStart start ->
                 wire.setHostStart(PeerProtocol.HostStart.newBuilder()
                         .setToken(start.token())
@@ -141,6 +142,7 @@
                         ServiceName.of(wire.getListedVersion().getService()),
                         ServerVersion.of(wire.getListedVersion().getVersion()),
                         wire.getListedVersion().getClosed());
+            case ROLLOUT -> new StateRecord.NewestRollout(RolloutMapping.decode(wire.getRollout()));
             case HOST_START -> decode(wire.getHostStart());
             case ORDER -> decode(wire.getOrder());
             case WORK -> decode(wire.getWork());
--- a/src/main/java/org/plantainwharf/configuration/ConfigurationController.java
+++ b/src/main/java/org/plantainwharf/configuration/ConfigurationController.java
@@ -22,6 +22,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -58,6 +59,7 @@
             case AttemptEvent ignored -> {}
             case PeerEvent ignored -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
@@ -147,6 +149,9 @@
             case CommandResult.DocumentHeld other -> unexpectedResult();
             case CommandResult.DocumentContent other -> unexpectedResult();
             case CommandResult.UsageRecorded other -> unexpectedResult();
+            case CommandResult.RolloutHeld other -> unexpectedResult();
+            case CommandResult.RolloutConflict other -> unexpectedResult();
+            case CommandResult.NoRollout other -> unexpectedResult();
         };
     }
 
--- a/src/main/java/org/plantainwharf/configuration/ControlState.java
+++ b/src/main/java/org/plantainwharf/configuration/ControlState.java
@@ -27,12 +27,14 @@
 import org.plantainwharf.replicated.QueryResult;
 import org.plantainwharf.replicated.StateMachine;
 import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.rollout.Rollout;
+import org.plantainwharf.rollout.RolloutPhase;
 import org.plantainwharf.sheet.Sheet;
 
 /**
  * The state of the control group: the newest accepted sheet, the service document, usage counts, the fencing number,
- * crash counts, host starts, and departures and software versions of backend servers. Invariants: the version of the sheet never decreases, and a version never has two
- * contents. Owned by the control thread.
+ * crash counts, host starts, departures and software versions of backend servers, and rollouts. Invariants: the version of
+ * the sheet never decreases, and a version never has two contents; a rollout only moves on. Owned by the control thread.
  */
 public final class ControlState implements StateMachine {
     /** Number of sheets whose resend still gets the first answer. Resends arrive within minutes, so this is ample. */
@@ -62,6 +64,15 @@
     /** Services of which versions are listed. */
     static final int MAXIMUM_LISTED_SERVICES = 1_024;
 
+    /** Services of which a rollout is kept. */
+    static final int MAXIMUM_ROLLOUT_SERVICES = 1_024;
+
+    /**
+     * Time after an order within which the same order is a resend, also when the rollout has ended. Operators resend for a
+     * few seconds; the clocks of two daemons may differ by seconds too.
+     */
+    static final long ROLLOUT_RESEND_MILLIS = Duration.ofSeconds(30).toMillis();
+
     private Optional<Sheet> sheet = Optional.empty();
     private Optional<StateRecord.Document> document = Optional.empty();
     private final TreeMap<Long, StateRecord.Usage> usages = new TreeMap<>();
@@ -74,6 +85,8 @@
     /** Whether each listed version is closed, by service. */
     private final Map<ServiceName, Map<ServerVersion, Boolean>> listedVersions = new LinkedHashMap<>();
 
+    private final Map<ServiceName, Rollout> rollouts = new LinkedHashMap<>();
+
     private ControlState() {}
 
     /** Returns an empty state. */
@@ -134,6 +147,16 @@
         return Collections.unmodifiableSet(listedVersions.keySet());
     }
 
+    /** Returns the newest rollout of a service; empty if there was none. */
+    public Optional<Rollout> rollout(ServiceName service) {
+        return Optional.ofNullable(rollouts.get(service));
+    }
+
+    /** Returns the newest rollout of each service that had one. */
+    public Collection<Rollout> rollouts() {
+        return Collections.unmodifiableCollection(rollouts.values());
+    }
+
     /** Returns the host starts, both finished and pending. */
     public Collection<StateRecord.HostStart> hostStarts() {
         return hostStarts.values();
@@ -164,6 +187,13 @@
             case Command.ListServerVersion list -> listVersion(list);
             case Command.CloseServerVersion close -> closeVersion(close);
             case Command.RetireServerVersion retire -> retireVersion(retire);
+            case Command.BeginRollout begin -> beginRollout(begin);
+            case Command.AdvanceRollout advance -> advanceRollout(advance);
+            case Command.FinishRollout finish -> finishRollout(finish);
+            case Command.ReadRollout read ->
+                rollout(read.service())
+                        .<CommandResult>map(CommandResult.RolloutHeld::new)
+                        .orElse(new CommandResult.NoRollout());
             case Command.RecordHostStart start -> {
                 hostStarts.putIfAbsent(
                         start.token(),
@@ -301,6 +331,65 @@
         return new CommandResult.Done();
     }
 
+    private CommandResult beginRollout(Command.BeginRollout begin) {
+        @Nullable Rollout known = rollouts.get(begin.service());
+        boolean same = known != null
+                && known.target().equals(begin.target())
+                && known.durationMillis() == begin.durationMillis();
+        if (known != null && same && (known.inProgress() || mayBeResend(begin, known))) {
+            return new CommandResult.RolloutHeld(known);
+        }
+        if (known != null && known.inProgress()) {
+            return new CommandResult.RolloutConflict(known);
+        }
+        if (known == null && rollouts.size() >= MAXIMUM_ROLLOUT_SERVICES) {
+            return new CommandResult.Ignored();
+        }
+        return startRollout(begin, known == null ? 0 : known.number());
+    }
+
+    private CommandResult startRollout(Command.BeginRollout begin, long formerNumber) {
+        Rollout rollout = new Rollout(
+                begin.service(),
+                formerNumber + 1,
+                begin.target(),
+                begin.durationMillis(),
+                begin.wallClockMillis(),
+                new RolloutPhase.Observing());
+        rollouts.put(begin.service(), rollout);
+        return new CommandResult.RolloutHeld(rollout);
+    }
+
+    private static boolean mayBeResend(Command.BeginRollout begin, Rollout known) {
+        return Math.abs(begin.wallClockMillis() - known.begunMillis()) < ROLLOUT_RESEND_MILLIS;
+    }
+
+    private CommandResult advanceRollout(Command.AdvanceRollout advance) {
+        @Nullable Rollout known = rollouts.get(advance.service());
+        if (known == null
+                || known.number() != advance.number()
+                || advance.phase().ended()
+                || !known.phase().mayBecome(advance.phase())) {
+            return new CommandResult.Ignored();
+        }
+        rollouts.put(advance.service(), known.withPhase(advance.phase()));
+        return new CommandResult.Done();
+    }
+
+    private CommandResult finishRollout(Command.FinishRollout finish) {
+        @Nullable Rollout known = rollouts.get(finish.service());
+        if (known == null
+                || known.number() != finish.number()
+                || !finish.verdict().ended()) {
+            return new CommandResult.Ignored();
+        }
+        if (known.phase().mayBecome(finish.verdict())) {
+            rollouts.put(finish.service(), known.withPhase(finish.verdict()));
+            return new CommandResult.Done();
+        }
+        return known.phase().equals(finish.verdict()) ? new CommandResult.Done() : new CommandResult.Ignored();
+    }
+
     private CommandResult finishHostStart(Command.FinishHostStart finish) {
         StateRecord.@Nullable HostStart start = hostStarts.get(finish.token());
         if (start == null) {
@@ -340,6 +429,7 @@
         records.addAll(departures.values());
         listedVersions.forEach((service, versions) -> versions.forEach(
                 (version, closed) -> records.add(new StateRecord.ListedVersion(service, version, closed))));
+        rollouts.values().forEach(rollout -> records.add(new StateRecord.NewestRollout(rollout)));
         return records;
     }
 
@@ -353,6 +443,7 @@
         hostStarts.clear();
         departures.clear();
         listedVersions.clear();
+        rollouts.clear();
         for (StateRecord stateRecord : records) {
             switch (stateRecord) {
                 case StateRecord.SheetInForce inForce -> sheet = Optional.of(inForce.sheet());
@@ -367,6 +458,8 @@
                     listedVersions
                             .computeIfAbsent(value.service(), service -> new LinkedHashMap<>())
                             .put(value.version(), value.closed());
+                case StateRecord.NewestRollout value ->
+                    rollouts.put(value.rollout().service(), value.rollout());
                 case StateRecord.HostStart value -> hostStarts.put(value.token(), value);
                 case StateRecord.Order order -> throw unexpected(order);
                 case StateRecord.Work work -> throw unexpected(work);
--- a/src/main/java/org/plantainwharf/consensus/ConsensusController.java
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusController.java
@@ -24,6 +24,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -154,6 +155,7 @@
             case CallEvent call -> {}
             case AttemptEvent attempt -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
@@ -276,6 +278,11 @@
             case PeerMessage.StreamOrigins origins -> {}
             case PeerMessage.OriginQuestion question -> {}
             case PeerMessage.OriginReply reply -> {}
+            case PeerMessage.RolloutEvidence evidence -> {}
+            case PeerMessage.ServerObservations observations -> {}
+            case PeerMessage.KeptParts parts -> {}
+            case PeerMessage.RoomReport report -> {}
+            case PeerMessage.RoomGrant grant -> {}
             case PeerMessage.DemandReport report -> {}
         }
     }
--- a/src/main/java/org/plantainwharf/consensus/FailedDiskController.java
+++ b/src/main/java/org/plantainwharf/consensus/FailedDiskController.java
@@ -18,6 +18,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -64,6 +65,7 @@
             case ForwardEvent ignored -> {}
             case DutyEvent ignored -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case RegistryEvent ignored -> {}
             case ReplicationEvent ignored -> {}
             case CallEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/consensus/MessageSizes.java
+++ b/src/main/java/org/plantainwharf/consensus/MessageSizes.java
@@ -56,6 +56,10 @@
                     case Command.ListServerVersion listed -> 0;
                     case Command.CloseServerVersion closed -> 0;
                     case Command.RetireServerVersion retired -> 0;
+                    case Command.BeginRollout begin -> 0;
+                    case Command.AdvanceRollout advance -> 0;
+                    case Command.FinishRollout finish -> 0;
+                    case Command.ReadRollout read -> 0;
                     case Command.RecordHostStart start -> 0;
                     case Command.FinishHostStart finish -> 0;
                     case Command.RecordIntent intent -> 0;
@@ -89,6 +93,7 @@
                     case StateRecord.Fencing fencing -> 0;
                     case StateRecord.Departed departed -> 0;
                     case StateRecord.ListedVersion listed -> 0;
+                    case StateRecord.NewestRollout rollout -> 0;
                     case StateRecord.HostStart start -> 0;
                 };
     }
--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -129,6 +129,7 @@
                 effect -> log.write("effect_misdirected", "family", "forward"),
                 frontend::execute,
                 this::executeDocumentEffect,
+                frontend::execute,
                 cloudApi::execute,
                 storage::execute,
                 this::markDrained)));
--- a/src/main/java/org/plantainwharf/daemon/ControlFrontend.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlFrontend.java
@@ -2,6 +2,7 @@
 
 import org.plantainwharf.effect.DocumentEffect;
 import org.plantainwharf.effect.RegistryEffect;
+import org.plantainwharf.effect.RolloutEffect;
 
 /** Serves the backend servers and operators that call a control daemon. Methods return at once and are thread-safe. */
 public interface ControlFrontend {
@@ -18,6 +19,9 @@
     /** Responds to an operator. */
     void execute(DocumentEffect effect);
 
+    /** Responds to an operator. */
+    void execute(RolloutEffect effect);
+
     /** Stops listening. */
     void stop();
 }
--- a/src/main/java/org/plantainwharf/daemon/EffectDispatcher.java
+++ b/src/main/java/org/plantainwharf/daemon/EffectDispatcher.java
@@ -19,6 +19,7 @@
 import org.plantainwharf.effect.PlatformEffect;
 import org.plantainwharf.effect.ProcessEffect;
 import org.plantainwharf.effect.RegistryEffect;
+import org.plantainwharf.effect.RolloutEffect;
 import org.plantainwharf.effect.ServerEffect;
 import org.plantainwharf.effect.StorageEffect;
 import org.plantainwharf.front.CallerFrontend;
@@ -83,6 +84,7 @@
             case OperatorEffect operator -> operators.execute(operator);
             case PlatformEffect platform -> executePlatform(platform);
             case DocumentEffect document -> logMisdirected(document);
+            case RolloutEffect rollout -> logMisdirected(rollout);
             case RegistryEffect registry -> logMisdirected(registry);
             case ForwardEffect forward -> logMisdirected(forward);
             case DutyEffect duty -> logMisdirected(duty);
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -135,6 +135,7 @@
                 effect -> executeForwardEffect(effect, forwardClient),
                 effect -> logMisdirected("registry"),
                 this::executeDocumentEffect,
+                effect -> logMisdirected("rollout"),
                 effect -> logMisdirected("duty"),
                 effect -> logMisdirected("storage"),
                 this::markDrained)));
--- a/src/main/java/org/plantainwharf/daemon/RoleEffectDispatcher.java
+++ b/src/main/java/org/plantainwharf/daemon/RoleEffectDispatcher.java
@@ -17,6 +17,7 @@
 import org.plantainwharf.effect.PlatformEffect;
 import org.plantainwharf.effect.ProcessEffect;
 import org.plantainwharf.effect.RegistryEffect;
+import org.plantainwharf.effect.RolloutEffect;
 import org.plantainwharf.effect.ServerEffect;
 import org.plantainwharf.effect.StorageEffect;
 import org.plantainwharf.log.LineLog;
@@ -38,6 +39,7 @@
             Consumer<ForwardEffect> forward,
             Consumer<RegistryEffect> registry,
             Consumer<DocumentEffect> documents,
+            Consumer<RolloutEffect> rollouts,
             Consumer<DutyEffect> duties,
             Consumer<StorageEffect> storage,
             Runnable onDrained) {}
@@ -56,6 +58,7 @@
             case ForwardEffect forward -> handlers.forward().accept(forward);
             case RegistryEffect registry -> handlers.registry().accept(registry);
             case DocumentEffect document -> handlers.documents().accept(document);
+            case RolloutEffect rollout -> handlers.rollouts().accept(rollout);
             case DutyEffect duty -> handlers.duties().accept(duty);
             case PeerEffect peer -> handlers.peers().execute(peer);
             case StorageEffect write -> handlers.storage().accept(write);
--- a/src/main/java/org/plantainwharf/document/DocumentController.java
+++ b/src/main/java/org/plantainwharf/document/DocumentController.java
@@ -20,6 +20,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -63,6 +64,7 @@
     public void handle(Event event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case DocumentEvent document -> onDocument(document, board, effects);
+            case RolloutEvent ignored -> {}
             case ReplicationEvent replication -> onReplication(replication, board, nowNanos, effects);
             case TimerEvent.Tick tick -> putInForce(board, nowNanos, effects);
             case PeerEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/duty/FencingController.java
+++ b/src/main/java/org/plantainwharf/duty/FencingController.java
@@ -17,6 +17,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -81,6 +82,7 @@
             case DutyEvent duty -> onDuty(duty, board, effects);
             case ForwardEvent ignored -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case RegistryEvent ignored -> {}
             case PeerEvent ignored -> {}
             case StorageEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/duty/UsageController.java
+++ b/src/main/java/org/plantainwharf/duty/UsageController.java
@@ -25,6 +25,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -100,6 +101,7 @@
             case ReplicationEvent ignored -> {}
             case DutyEvent duty -> onDuty(duty, effects);
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case RegistryEvent ignored -> {}
             case StorageEvent ignored -> {}
             case CallEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/effect/Effect.java
+++ b/src/main/java/org/plantainwharf/effect/Effect.java
@@ -10,6 +10,7 @@
                 OperatorEffect,
                 PlatformEffect,
                 DocumentEffect,
+                RolloutEffect,
                 RegistryEffect,
                 ForwardEffect,
                 DutyEffect,
--- a/src/main/java/org/plantainwharf/event/Event.java
+++ b/src/main/java/org/plantainwharf/event/Event.java
@@ -11,6 +11,7 @@
                 OperatorEvent,
                 PlatformEvent,
                 DocumentEvent,
+                RolloutEvent,
                 RegistryEvent,
                 ForwardEvent,
                 DutyEvent,
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -26,6 +26,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -75,6 +76,7 @@
             case ForwardEvent forward -> onForward(forward, board, nowNanos, effects);
             case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case RegistryEvent ignored -> {}
             case DutyEvent ignored -> {}
             case PeerEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/limit/LimitController.java
+++ b/src/main/java/org/plantainwharf/limit/LimitController.java
@@ -24,6 +24,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -70,6 +71,7 @@
             case TimerEvent timer -> reportDemand(board, nowNanos, effects);
             case AttemptEvent attempt -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/membership/DiscoveryController.java
+++ b/src/main/java/org/plantainwharf/membership/DiscoveryController.java
@@ -19,6 +19,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -71,6 +72,7 @@
             case ForwardEvent ignored -> {}
             case DutyEvent ignored -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case RegistryEvent ignored -> {}
             case ReplicationEvent ignored -> {}
             case StorageEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/membership/MembershipController.java
+++ b/src/main/java/org/plantainwharf/membership/MembershipController.java
@@ -18,6 +18,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -56,6 +57,7 @@
             case CallEvent ignored -> {}
             case AttemptEvent ignored -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -12,6 +12,8 @@
 import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.keptpart.KeptPart;
+import org.plantainwharf.observation.ServerObservation;
 import org.plantainwharf.origin.StreamOrigin;
 import org.plantainwharf.registry.ServerReport;
 import org.plantainwharf.replicated.Command;
@@ -19,6 +21,9 @@
 import org.plantainwharf.replicated.Query;
 import org.plantainwharf.replicated.QueryResult;
 import org.plantainwharf.replicated.StateRecord;
+import org.plantainwharf.rollout.RouteEvidence;
+import org.plantainwharf.room.RoomDemand;
+import org.plantainwharf.room.RoomShare;
 
 /** A message between daemons. Immutable. */
 public sealed interface PeerMessage {
@@ -203,4 +208,63 @@
             listedVersions = Set.copyOf(listedVersions);
         }
     }
+
+    /**
+     * Reports what one daemon has seen of a rollout since it began. Replaces earlier evidence of the same start of the daemon.
+     *
+     * @param number number of the rollout within its service
+     * @param sequence increases with each report of one start of the daemon
+     * @param sentToTarget requests sent to servers of the target version
+     * @param sentToOthers requests sent to other servers of the service
+     */
+    record RolloutEvidence(
+            ServiceName service,
+            long number,
+            long sequence,
+            long sentToTarget,
+            long sentToOthers,
+            List<RouteEvidence> routes)
+            implements PeerMessage {
+        /** Copies the list. */
+        public RolloutEvidence {
+            routes = List.copyOf(routes);
+        }
+    }
+
+    /** Passes on what daemons have seen of backend servers. Names a server at most once. */
+    record ServerObservations(List<ServerObservation> observations) implements PeerMessage {
+        /** Copies the list. */
+        public ServerObservations {
+            observations = List.copyOf(observations);
+        }
+    }
+
+    /** Passes on which servers keep which parts of prompts. */
+    record KeptParts(List<KeptPart> parts) implements PeerMessage {
+        /** Copies the list. */
+        public KeptParts {
+            parts = List.copyOf(parts);
+        }
+    }
+
+    /** Reports what one entry daemon is asked for, by service, to the control daemons. Replaces earlier reports. */
+    record RoomReport(Map<ServiceName, RoomDemand> demands) implements PeerMessage {
+        /** Copies the map. */
+        public RoomReport {
+            demands = Map.copyOf(demands);
+        }
+    }
+
+    /**
+     * Tells one entry daemon how the room of each service is shared.
+     *
+     * @param echoedToken newest heartbeat token received from the receiver; validity starts when the receiver sent that
+     *     heartbeat
+     */
+    record RoomGrant(long echoedToken, long validMillis, Map<ServiceName, RoomShare> shares) implements PeerMessage {
+        /** Copies the map. */
+        public RoomGrant {
+            shares = Map.copyOf(shares);
+        }
+    }
 }
--- a/src/main/java/org/plantainwharf/origin/OriginRecordController.java
+++ b/src/main/java/org/plantainwharf/origin/OriginRecordController.java
@@ -28,6 +28,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -76,6 +77,7 @@
             case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
             case RegistryEvent ignored -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case StorageEvent ignored -> {}
             case CallEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/origin/VersionListController.java
+++ b/src/main/java/org/plantainwharf/origin/VersionListController.java
@@ -24,6 +24,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -81,6 +82,7 @@
             case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
             case PeerEvent ignored -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case DutyEvent ignored -> {}
             case StorageEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/platform/ControlApi.java
+++ b/src/main/java/org/plantainwharf/platform/ControlApi.java
@@ -21,6 +21,7 @@
 import org.plantainwharf.document.DocumentCodec;
 import org.plantainwharf.effect.DocumentEffect;
 import org.plantainwharf.effect.RegistryEffect;
+import org.plantainwharf.effect.RolloutEffect;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.DocumentEvent;
 import org.plantainwharf.event.Event;
@@ -131,6 +132,16 @@
         }
     }
 
+    @Override
+    public void execute(RolloutEffect effect) {
+        switch (effect) {
+            case RolloutEffect.ReturnRollout returned ->
+                respond(returned.ticket(), 200, "{}".getBytes(StandardCharsets.UTF_8));
+            case RolloutEffect.RefuseRollout refused ->
+                respond(refused.ticket(), refused.failure().kind().httpStatus(), "{}".getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
     private void respond(long ticket, int status, byte[] body) {
         @Nullable PendingCall call = pendingCalls.remove(ticket);
         if (call != null) {
--- a/src/main/java/org/plantainwharf/record/OrderController.java
+++ b/src/main/java/org/plantainwharf/record/OrderController.java
@@ -28,6 +28,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -58,6 +59,7 @@
             case CallEvent call -> handleCall(call, board, effects);
             case PeerEvent ignored -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
@@ -183,6 +185,9 @@
             case CommandResult.DocumentHeld other -> refuseUnexpected(entry, board, effects);
             case CommandResult.DocumentContent other -> refuseUnexpected(entry, board, effects);
             case CommandResult.UsageRecorded other -> refuseUnexpected(entry, board, effects);
+            case CommandResult.RolloutHeld other -> refuseUnexpected(entry, board, effects);
+            case CommandResult.RolloutConflict other -> refuseUnexpected(entry, board, effects);
+            case CommandResult.NoRollout other -> refuseUnexpected(entry, board, effects);
             case CommandResult.IntentLost lost -> refuse(entry, Failure.of(ErrorKind.OUTCOME_UNKNOWN), board, effects);
             case CommandResult.IntentReused reused ->
                 refuse(entry, Failure.of(ErrorKind.IDEMPOTENCY_KEY_REUSED), board, effects);
--- a/src/main/java/org/plantainwharf/record/OwnershipController.java
+++ b/src/main/java/org/plantainwharf/record/OwnershipController.java
@@ -21,6 +21,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -109,6 +110,7 @@
                 }
             }
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/record/RecordState.java
+++ b/src/main/java/org/plantainwharf/record/RecordState.java
@@ -421,6 +421,7 @@
                 case StateRecord.Crashes other -> throw unexpected(other);
                 case StateRecord.Departed other -> throw unexpected(other);
                 case StateRecord.ListedVersion other -> throw unexpected(other);
+                case StateRecord.NewestRollout other -> throw unexpected(other);
                 case StateRecord.HostStart other -> throw unexpected(other);
                 case StateRecord.Document other -> throw unexpected(other);
                 case StateRecord.Usage other -> throw unexpected(other);
--- a/src/main/java/org/plantainwharf/record/WorkController.java
+++ b/src/main/java/org/plantainwharf/record/WorkController.java
@@ -31,6 +31,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -68,6 +69,7 @@
             case TimerEvent timer -> returnWorkWhileDraining(board, effects);
             case PeerEvent peer -> handlePeer(peer, board, nowNanos, effects);
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/registry/DepartureController.java
+++ b/src/main/java/org/plantainwharf/registry/DepartureController.java
@@ -15,6 +15,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -44,6 +45,7 @@
             case PeerEvent ignored -> {}
             case TimerEvent ignored -> {}
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case DutyEvent ignored -> {}
             case StorageEvent ignored -> {}
--- a/src/main/java/org/plantainwharf/registry/RegistryController.java
+++ b/src/main/java/org/plantainwharf/registry/RegistryController.java
@@ -22,6 +22,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -74,6 +75,7 @@
             case PeerEvent peer -> onPeer(peer, board, nowNanos, effects);
             case TimerEvent.Tick tick -> onTick(board, nowNanos, effects);
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case ForwardEvent forward -> onForward(forward, board, effects);
             case DutyEvent ignored -> {}
             case ReplicationEvent replication -> onReplication(replication, board, effects);
--- a/src/main/java/org/plantainwharf/replicated/Command.java
+++ b/src/main/java/org/plantainwharf/replicated/Command.java
@@ -15,6 +15,7 @@
 import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.rollout.RolloutPhase;
 import org.plantainwharf.sheet.Sheet;
 
 /**
@@ -121,6 +122,25 @@
      */
     record RetireServerVersion(ServiceName service, ServerVersion version) implements Control {}
 
+    /**
+     * Begins a rollout. The same order again, while it is in progress or shortly after, gets the same answer; another order
+     * while one is in progress conflicts with it.
+     *
+     * @param durationMillis time within which a good version is to be completed, positive
+     * @param wallClockMillis time of the order, in milliseconds since the epoch
+     */
+    record BeginRollout(ServiceName service, ServerVersion target, long durationMillis, long wallClockMillis)
+            implements Control {}
+
+    /** Moves a rollout on. Ignored unless this rollout is in progress and the phase is a later one that is no verdict. */
+    record AdvanceRollout(ServiceName service, long number, RolloutPhase phase) implements Control {}
+
+    /** Gives the verdict on a rollout. Ignored if this rollout has another verdict already. */
+    record FinishRollout(ServiceName service, long number, RolloutPhase verdict) implements Control {}
+
+    /** Reads the newest rollout of a service. As a log entry, it sees every command committed before it. */
+    record ReadRollout(ServiceName service) implements Control {}
+
     /** Records that a host start is about to be requested under a token. */
     record RecordHostStart(String token, AvailabilityZone zone, HostClass hostClass) implements Control {}
 
--- a/src/main/java/org/plantainwharf/replicated/CommandResult.java
+++ b/src/main/java/org/plantainwharf/replicated/CommandResult.java
@@ -5,6 +5,7 @@
 import org.plantainwharf.call.Content;
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.RequestId;
+import org.plantainwharf.rollout.Rollout;
 
 /** The result of applying a command. Applying the same command again gives the same result. Immutable. */
 public sealed interface CommandResult {
@@ -37,6 +38,15 @@
         }
     }
 
+    /** The rollout that was begun, now or earlier, or that was read. */
+    record RolloutHeld(Rollout rollout) implements CommandResult {}
+
+    /** Another rollout of the service is in progress. */
+    record RolloutConflict(Rollout inProgress) implements CommandResult {}
+
+    /** No rollout of the service was ever begun. */
+    record NoRollout() implements CommandResult {}
+
     /** The request owns the only execution of the call. */
     record IntentGranted() implements CommandResult {}
 
--- a/src/main/java/org/plantainwharf/replicated/StateRecord.java
+++ b/src/main/java/org/plantainwharf/replicated/StateRecord.java
@@ -15,6 +15,7 @@
 import org.plantainwharf.identity.RequestId;
 import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.rollout.Rollout;
 import org.plantainwharf.sheet.Sheet;
 
 /** One record of replicated state. A snapshot consists of all records. Immutable. */
@@ -68,6 +69,9 @@
      */
     record ListedVersion(ServiceName service, ServerVersion version, boolean closed) implements StateRecord {}
 
+    /** The newest rollout of a service. */
+    record NewestRollout(Rollout rollout) implements StateRecord {}
+
     /**
      * A call that must not be repeated.
      *
--- a/src/main/java/org/plantainwharf/routing/RoutingController.java
+++ b/src/main/java/org/plantainwharf/routing/RoutingController.java
@@ -32,6 +32,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -87,6 +88,7 @@
                     case CallEvent call -> false;
                     case AttemptEvent attempt -> handleAttempt(attempt, board, nowNanos);
                     case DocumentEvent ignored -> false;
+                    case RolloutEvent ignored -> false;
                     case DutyEvent ignored -> false;
                     case ForwardEvent ignored -> false;
                     case RegistryEvent ignored -> false;
--- a/src/main/java/org/plantainwharf/server/ServerController.java
+++ b/src/main/java/org/plantainwharf/server/ServerController.java
@@ -25,6 +25,7 @@
 import org.plantainwharf.event.PlatformEvent;
 import org.plantainwharf.event.RegistryEvent;
 import org.plantainwharf.event.ReplicationEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
@@ -74,6 +75,7 @@
     public void handle(Event event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case DocumentEvent ignored -> {}
+            case RolloutEvent ignored -> {}
             case DutyEvent ignored -> {}
             case ForwardEvent ignored -> {}
             case RegistryEvent ignored -> {}
--- a/src/test/java/org/plantainwharf/architecture/LayeringTest.java
+++ b/src/test/java/org/plantainwharf/architecture/LayeringTest.java
@@ -44,6 +44,10 @@
             "registry",
             "forward",
             "origin",
+            "rollout",
+            "observation",
+            "room",
+            "keptpart",
             "duty");
 
     private static final JavaClasses PRODUCT = new ClassFileImporter()
--- a/src/test/java/org/plantainwharf/codec/RandomValues.java
+++ b/src/test/java/org/plantainwharf/codec/RandomValues.java
@@ -56,7 +56,7 @@
         Class<?> rawType = (Class<?>) type;
         if (rawType == long.class || rawType == Long.class) {
             return random.nextBoolean() ? random.nextLong() : random.nextLong(1_000);
-        } else if (rawType == int.class) {
+        } else if (rawType == int.class || rawType == Integer.class) {
             return random.nextBoolean() ? random.nextInt() : random.nextInt(1_000);
         } else if (rawType == boolean.class) {
             return random.nextBoolean();
--- a/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
+++ b/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
@@ -13,6 +13,8 @@
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.replicated.Departure;
+import org.plantainwharf.rollout.Rollout;
+import org.plantainwharf.rollout.RolloutPhase;
 import org.plantainwharf.testing.Samples;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -288,4 +290,104 @@
             assertEquals(false, restored.mayBeginStreams(SERVICE, NEW));
         }
     }
+
+    /** Guards against a verdict that is taken back, two rollouts of a service at a time, and orders that are refused when resent. */
+    @Nested
+    class Rollouts {
+        private static final ServiceName SERVICE = ServiceName.of("engines");
+        private static final ServerVersion TARGET = ServerVersion.of("v2");
+        private static final long BEGUN_MILLIS = 1_000_000;
+
+        private CommandResult begin(ServerVersion target, long durationMillis, long wallClockMillis) {
+            return state.apply(new Command.BeginRollout(SERVICE, target, durationMillis, wallClockMillis));
+        }
+
+        private CommandResult finish(long number, RolloutPhase verdict) {
+            return state.apply(new Command.FinishRollout(SERVICE, number, verdict));
+        }
+
+        private Rollout newest() {
+            return state.rollout(SERVICE).orElseThrow();
+        }
+
+        @Test
+        void answerTheSameOrderAlikeWhileInProgressAndShortlyAfter() {
+            CommandResult first = begin(TARGET, 12_000, BEGUN_MILLIS);
+            assertEquals(first, begin(TARGET, 12_000, BEGUN_MILLIS + 4_000));
+            finish(1, new RolloutPhase.RolledBack("failures"));
+            assertEquals(new CommandResult.RolloutHeld(newest()), begin(TARGET, 12_000, BEGUN_MILLIS + 5_000));
+            assertEquals(1, newest().number());
+        }
+
+        @Test
+        void conflictWithAnotherOrderWhileInProgress() {
+            begin(TARGET, 12_000, BEGUN_MILLIS);
+            assertEquals(
+                    new CommandResult.RolloutConflict(newest()),
+                    begin(ServerVersion.of("v3"), 12_000, BEGUN_MILLIS + 100));
+            assertEquals(new CommandResult.RolloutConflict(newest()), begin(TARGET, 13_000, BEGUN_MILLIS + 100));
+        }
+
+        @Test
+        void areFollowedByAnotherOnlyAfterTheVerdict() {
+            begin(TARGET, 12_000, BEGUN_MILLIS);
+            finish(1, new RolloutPhase.RolledBack("failures"));
+            begin(TARGET, 12_000, BEGUN_MILLIS + ControlState.ROLLOUT_RESEND_MILLIS);
+            assertEquals(2, newest().number());
+            assertEquals(new RolloutPhase.Observing(), newest().phase());
+        }
+
+        @Test
+        void onlyMoveOn() {
+            begin(TARGET, 12_000, BEGUN_MILLIS);
+            state.apply(new Command.AdvanceRollout(SERVICE, 1, new RolloutPhase.Growing(500)));
+            assertEquals(
+                    new CommandResult.Ignored(),
+                    state.apply(new Command.AdvanceRollout(SERVICE, 1, new RolloutPhase.Growing(250))));
+            assertEquals(
+                    new CommandResult.Ignored(),
+                    state.apply(new Command.AdvanceRollout(SERVICE, 2, new RolloutPhase.Retiring())));
+            assertEquals(
+                    new CommandResult.Ignored(),
+                    state.apply(new Command.AdvanceRollout(SERVICE, 1, new RolloutPhase.Completed())));
+            assertEquals(new RolloutPhase.Growing(500), newest().phase());
+        }
+
+        @Test
+        void keepTheFirstVerdict() {
+            begin(TARGET, 12_000, BEGUN_MILLIS);
+            RolloutPhase rolledBack = new RolloutPhase.RolledBack("failures");
+            assertEquals(new CommandResult.Done(), finish(1, rolledBack));
+            assertEquals(new CommandResult.Done(), finish(1, rolledBack));
+            assertEquals(new CommandResult.Ignored(), finish(1, new RolloutPhase.Completed()));
+            assertEquals(
+                    new CommandResult.Ignored(),
+                    state.apply(new Command.AdvanceRollout(SERVICE, 1, new RolloutPhase.Retiring())));
+            assertEquals(rolledBack, newest().phase());
+        }
+
+        @Test
+        void areReadWithTheirPhase() {
+            assertEquals(new CommandResult.NoRollout(), state.apply(new Command.ReadRollout(SERVICE)));
+            begin(TARGET, 12_000, BEGUN_MILLIS);
+            assertEquals(new CommandResult.RolloutHeld(newest()), state.apply(new Command.ReadRollout(SERVICE)));
+        }
+
+        @Test
+        void areKeptBySnapshots() {
+            begin(TARGET, 12_000, BEGUN_MILLIS);
+            state.apply(new Command.AdvanceRollout(SERVICE, 1, new RolloutPhase.Growing(250)));
+            ControlState restored = ControlState.create();
+            restored.restore(state.records());
+            assertEquals(state.rollout(SERVICE), restored.rollout(SERVICE));
+        }
+
+        @Test
+        void areBoundedInNumber() {
+            for (int index = 0; index < ControlState.MAXIMUM_ROLLOUT_SERVICES; index++) {
+                state.apply(new Command.BeginRollout(ServiceName.of("s" + index), TARGET, 1_000, BEGUN_MILLIS));
+            }
+            assertEquals(new CommandResult.Ignored(), begin(TARGET, 1_000, BEGUN_MILLIS));
+        }
+    }
 }
