--- a/src/main/java/org/plantainwharf/daemon/RoleSettings.java
+++ b/src/main/java/org/plantainwharf/daemon/RoleSettings.java
@@ -5,6 +5,7 @@
 
 import org.plantainwharf.forward.ForwardLimits;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.rollout.RolloutBounds;
 import org.plantainwharf.settings.Settings;
 
 /**
@@ -18,6 +19,7 @@
  * @param usageReportDeadlineMillis time after the end of a usage window at which its report is late
  * @param dutyLeaseMillis time within which duty holders must not act in turn
  * @param forwardLimits how many retries this daemon may send, and how far account limits may be exceeded
+ * @param rolloutBounds bounds of the requests that a version under watch gets
  * @param metricsAddress where the daemon serves its metrics
  * @param readyAddress where the load balancer checks whether an entry daemon is ready; empty on a control daemon
  * @param readyPath path of the readiness check
@@ -31,6 +33,7 @@
         long usageReportDeadlineMillis,
         long dutyLeaseMillis,
         ForwardLimits forwardLimits,
+        RolloutBounds rolloutBounds,
         String metricsAddress,
         String readyAddress,
         String readyPath) {
--- a/src/main/java/org/plantainwharf/platform/PlatformSettings.java
+++ b/src/main/java/org/plantainwharf/platform/PlatformSettings.java
@@ -10,6 +10,7 @@
 import io.vavr.control.Either;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
+import org.plantainwharf.rollout.RolloutBounds;
 
 /**
  * The platform's settings of one daemon, as the template renders them to JSON. Unknown fields are ignored, because the
@@ -62,6 +63,7 @@
      * @param limitWindowSeconds interval over which account limits are checked
      * @param limitOverrun fraction of a limit by which all daemons together may exceed it in a window
      * @param limitSlack tokens or requests by which they may exceed it in addition
+     * @param rollouts bounds of the requests that a version under watch gets
      */
     record Bounds(
             long gracePeriodMillis,
@@ -72,7 +74,8 @@
             long dutyLeaseMillis,
             double limitWindowSeconds,
             double limitOverrun,
-            double limitSlack) {}
+            double limitSlack,
+            RolloutBounds rollouts) {}
 
     /** Parses rendered settings, or returns every problem in them as one failure. */
     static Either<Failure, PlatformSettings> parse(String text) {
@@ -116,7 +119,14 @@
                         bounds.path("lease_ms").asLong(3_000),
                         bounds.path("quota_window_s").asDouble(8),
                         bounds.path("quota_overrun").asDouble(0),
-                        bounds.path("quota_slack").asDouble(0)));
+                        bounds.path("quota_slack").asDouble(0),
+                        new RolloutBounds(
+                                bounds.path("exposure_share")
+                                        .asDouble(RolloutBounds.defaults().exposureShare()),
+                                bounds.path("exposure_slack")
+                                        .asDouble(RolloutBounds.defaults().exposureSlack()),
+                                bounds.path("rollback_ms")
+                                        .asLong(RolloutBounds.defaults().rollBackMillis()))));
         if (settings.callerAddress().isEmpty() && settings.controlAddress().isEmpty()) {
             reader.addProblem("listen", "must contain frontend or control_plane");
         }
--- a/src/main/java/org/plantainwharf/platform/RoleSettingsMapper.java
+++ b/src/main/java/org/plantainwharf/platform/RoleSettingsMapper.java
@@ -92,6 +92,7 @@
                         platform.bounds().limitWindowSeconds(),
                         platform.bounds().limitOverrun(),
                         platform.bounds().limitSlack()),
+                platform.bounds().rollouts(),
                 platform.ip() + ":" + platform.metricsPort(),
                 platform.readyAddress().orElse(""),
                 WireNames.READY_PATH);
