Check a service document before it is sent

Cause: an operator saw errors of a document only in the answer to it, and entries that never match or limits that contradict each other not at all.

Change: the subcommand `config check` prints errors one a line, findings (entries that never match, fields without effect, contradictory limits) and the changes from the version in force, read from a file or from a control daemon. What compares the rows of sheets moved to a package of its own and compares documents too. The error for a route to an unknown service no longer contains the separator of errors.

--- a/src/main/java/org/plantainwharf/cli/CommandLine.java
+++ b/src/main/java/org/plantainwharf/cli/CommandLine.java
@@ -23,6 +23,8 @@
     private static final String OPERATOR = "operator";
     private static final String JSON = "json";
     private static final String REQUEST = "request";
+    private static final String AGAINST = "against";
+    private static final String STRICT = "strict";
 
     private CommandLine() {}
 
@@ -83,6 +85,13 @@
                         .describedAs("ID");
                 yield parser;
             }
+            case CONFIG_CHECK -> {
+                parser.accepts(STRICT, "fail on findings too, not only on errors");
+                parser.accepts(AGAINST, "file with the version in force")
+                        .withRequiredArg()
+                        .describedAs("FILE");
+                yield acceptOperator(parser);
+            }
             case SETTINGS_CHECK, SHEET_CHECK, SHEET_KEY, PLATFORM_CHECK, VERSION -> parser;
             case STAND_IN_ENGINE, STAND_IN_SERVICE -> {
                 // The stand-ins parse their own options.
@@ -92,11 +101,16 @@
         };
     }
 
-    private static OptionParser acceptTarget(OptionParser parser) {
+    private static OptionParser acceptOperator(OptionParser parser) {
         parser.accepts(OPERATOR, "operator address of a daemon, for example 10.0.0.1:8081")
                 .withRequiredArg()
                 .describedAs("ADDRESS");
-        return acceptSettings(parser, "settings file of the daemon, from which the operator address is read");
+        return parser;
+    }
+
+    private static OptionParser acceptTarget(OptionParser parser) {
+        return acceptSettings(
+                acceptOperator(parser), "settings file of the daemon, from which the operator address is read");
     }
 
     private static OptionParser acceptSettings(OptionParser parser, String description) {
@@ -137,6 +151,7 @@
                         .map(files -> new Subcommand.LogTrace(
                                 files,
                                 options.has(REQUEST) ? Optional.of(lastValue(options, REQUEST)) : Optional.empty()));
+            case CONFIG_CHECK -> files(options, 1, 1).flatMap(files -> configCheck(files.get(0), options));
             case PLATFORM_CHECK -> files(options, 1, 1).map(files -> new Subcommand.PlatformCheck(files.get(0)));
             case VERSION -> noFiles(options).map(none -> new Subcommand.Version());
             case STAND_IN_ENGINE -> Either.right(new Subcommand.StandInEngine(positionalArguments(options)));
@@ -144,6 +159,20 @@
         };
     }
 
+    private static Either<String, Subcommand> configCheck(Path file, OptionSet options) {
+        if (options.has(OPERATOR) && options.has(AGAINST)) {
+            return Either.left("specify at most one of --operator and --against");
+        }
+        Subcommand.ConfigCheck.Reference reference = new Subcommand.ConfigCheck.Reference.None();
+        if (options.has(OPERATOR)) {
+            reference = new Subcommand.ConfigCheck.Reference.InForce(
+                    new OperatorTarget.Address(lastValue(options, OPERATOR)));
+        } else if (options.has(AGAINST)) {
+            reference = new Subcommand.ConfigCheck.Reference.InFile(Path.of(lastValue(options, AGAINST)));
+        }
+        return Either.right(new Subcommand.ConfigCheck(file, reference, options.has(STRICT)));
+    }
+
     private static Either<String, Subcommand> platformSettings(OptionSet options) {
         Optional<String> file = options.has(SETTINGS)
                 ? Optional.of(lastValue(options, SETTINGS))
--- a/src/main/java/org/plantainwharf/cli/SheetFormatter.java
+++ b/src/main/java/org/plantainwharf/cli/SheetFormatter.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.plantainwharf.difference.RowChange;
 import org.plantainwharf.sheet.Sheet;
-import org.plantainwharf.sheet.SheetChange;
 import org.plantainwharf.sheet.SheetDifference;
 
 /** Formats sheets and their differences as human-readable text. Stateless; thread-safe. */
@@ -34,18 +34,23 @@
 
     /** Formats a difference between two sheets, one change per line. */
     static String format(SheetDifference difference) {
+        return format(difference.versionBefore(), difference.versionAfter(), difference.changes());
+    }
+
+    /** Formats the changes between two versions of a configuration, one change per line. */
+    static String format(long versionBefore, long versionAfter, List<RowChange> changes) {
         StringBuilder text = new StringBuilder("version ")
-                .append(difference.versionBefore())
+                .append(versionBefore)
                 .append(" -> ")
-                .append(difference.versionAfter())
-                .append(difference.isEmpty() ? ": no changes in content\n" : "\n");
-        for (SheetChange change : difference.changes()) {
+                .append(versionAfter)
+                .append(changes.isEmpty() ? ": no changes in content\n" : "\n");
+        for (RowChange change : changes) {
             text.append(
                             switch (change) {
-                                case SheetChange.Added added -> "added   " + added.subject() + ": " + added.value();
-                                case SheetChange.Removed removed ->
+                                case RowChange.Added added -> "added   " + added.subject() + ": " + added.value();
+                                case RowChange.Removed removed ->
                                     "removed " + removed.subject() + ": " + removed.value();
-                                case SheetChange.Changed changed ->
+                                case RowChange.Changed changed ->
                                     "changed " + changed.subject() + ": " + changed.field() + " " + changed.before()
                                             + " -> " + changed.after();
                             })
--- a/src/main/java/org/plantainwharf/cli/Subcommand.java
+++ b/src/main/java/org/plantainwharf/cli/Subcommand.java
@@ -52,6 +52,26 @@
     /** Validates a settings file of the users' platform. */
     record PlatformCheck(Path file) implements Subcommand {}
 
+    /**
+     * Checks a service document before it is sent.
+     *
+     * @param reference what the document is compared with
+     * @param strict whether findings fail the check, as errors do
+     */
+    record ConfigCheck(Path file, Reference reference, boolean strict) implements Subcommand {
+        /** Source of the version in force. */
+        public sealed interface Reference {
+            /** The document is not compared. */
+            record None() implements Reference {}
+
+            /** A file with the version in force. */
+            record InFile(Path file) implements Reference {}
+
+            /** The running system. */
+            record InForce(OperatorTarget.Address target) implements Reference {}
+        }
+    }
+
     /** Prints the log lines of one request, or without a request ID the number of lines for each event and error kind. */
     record LogTrace(List<Path> files, Optional<String> request) implements Subcommand {
         /** Copies the list. */
--- a/src/main/java/org/plantainwharf/cli/SubcommandName.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandName.java
@@ -23,6 +23,10 @@
             "[--settings FILE]",
             "run a daemon on the users' platform until SIGTERM; the role comes from its settings"),
     PLATFORM_CHECK("platform check", "FILE", "validate a settings file of the platform and print its interpretation"),
+    CONFIG_CHECK(
+            "config check",
+            "[--operator ADDRESS | --against FILE] [--strict] FILE",
+            "check a service document before it is sent, and compare it with the version in force"),
     LOG_TRACE(
             "log trace",
             "FILE... [--request ID]",
@@ -64,6 +68,7 @@
                     DRAIN,
                     PLATFORM_SERVE,
                     PLATFORM_CHECK,
+                    CONFIG_CHECK,
                     LOG_TRACE,
                     VERSION -> false;
         };
--- a/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Properties;
 import java.util.function.Function;
 
@@ -18,6 +19,10 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.vavr.control.Either;
 import org.plantainwharf.daemon.Daemon;
+import org.plantainwharf.document.DocumentCheck;
+import org.plantainwharf.document.DocumentDifference;
+import org.plantainwharf.document.DocumentFinding;
+import org.plantainwharf.document.ServiceDocument;
 import org.plantainwharf.platform.PlatformCommand;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.settings.SettingsProblems;
@@ -73,6 +78,7 @@
                         .fold(failure -> fail(failure.message()), stopped -> ExitCode.OK);
             case Subcommand.PlatformCheck check ->
                 PlatformCommand.check(check.file()).fold(failure -> fail(failure.message()), this::succeed);
+            case Subcommand.ConfigCheck check -> configCheck(check);
             case Subcommand.LogTrace trace ->
                 trace.request()
                         .map(id -> LogTrace.traceRequest(trace.files(), id))
@@ -87,6 +93,48 @@
         };
     }
 
+    private ExitCode configCheck(Subcommand.ConfigCheck check) {
+        Either<String, ServiceDocument> document = readDocument(check.file());
+        if (document.isLeft()) {
+            return fail(document.getLeft());
+        }
+        List<DocumentFinding> findings = DocumentCheck.findings(document.get());
+        findings.forEach(finding -> console.errors().println(check.file() + ": " + DocumentFormatter.format(finding)));
+        Either<String, Optional<ServiceDocument>> reference =
+                switch (check.reference()) {
+                    case Subcommand.ConfigCheck.Reference.None none -> Either.right(Optional.empty());
+                    case Subcommand.ConfigCheck.Reference.InFile before ->
+                        readDocument(before.file()).map(Optional::of);
+                    case Subcommand.ConfigCheck.Reference.InForce running ->
+                        callDaemon(running.target(), client -> client.get(PlatformCommand.documentPath()))
+                                .flatMap(body -> PlatformCommand.readDocument(body.getBytes(StandardCharsets.UTF_8))
+                                        .mapLeft(failure -> "version in force: " + failure.message()))
+                                .map(Optional::of);
+                };
+        if (reference.isLeft()) {
+            return fail(reference.getLeft());
+        }
+        boolean superseded = reference
+                .get()
+                .filter(before -> before.version() >= document.get().version())
+                .isPresent();
+        reference.get().ifPresent(before -> console.output()
+                .print(DocumentFormatter.format(DocumentDifference.between(before, document.get()))));
+        if (superseded) {
+            console.errors()
+                    .println(check.file() + ": superseded: its version is not higher than the version in force, so it"
+                            + " would be acknowledged and change nothing");
+        }
+        console.output()
+                .println(check.file() + ": valid, version " + document.get().version());
+        return check.strict() && (superseded || !findings.isEmpty()) ? ExitCode.FAILED : ExitCode.OK;
+    }
+
+    private static Either<String, ServiceDocument> readDocument(Path file) {
+        return readBytes(file).flatMap(bytes -> PlatformCommand.readDocument(bytes)
+                .mapLeft(failure -> prefixLines(file, failure.message().replace("; ", "\n"))));
+    }
+
     private ExitCode serve(Path file) {
         return readSettings(file).fold(this::fail, settings -> {
             SettingsRules.warnings(settings).forEach(warning -> console.errors().println("warning: " + warning));
--- a/src/main/java/org/plantainwharf/platform/DocumentReader.java
+++ b/src/main/java/org/plantainwharf/platform/DocumentReader.java
@@ -153,7 +153,7 @@
         List<RouteRule.Share> split = readTrafficSplit(reader, node);
         for (RouteRule.Share share : split) {
             if (!services.contains(share.service())) {
-                reader.addProblem("service", "must name a service of this config; there is no " + share.service());
+                reader.addProblem("service", "must name services of this config, which " + share.service() + " is not");
             }
         }
         if (split.stream().mapToLong(RouteRule.Share::weight).sum() <= 0) {
--- a/src/main/java/org/plantainwharf/platform/PlatformCommand.java
+++ b/src/main/java/org/plantainwharf/platform/PlatformCommand.java
@@ -7,11 +7,13 @@
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
+import org.plantainwharf.call.Content;
 import org.plantainwharf.control.Clock;
 import org.plantainwharf.daemon.ControlDaemon;
 import org.plantainwharf.daemon.EntryDaemon;
 import org.plantainwharf.daemon.RoleSettings;
 import org.plantainwharf.daemon.RunningDaemon;
+import org.plantainwharf.document.ServiceDocument;
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.log.LineLog;
@@ -50,6 +52,16 @@
         });
     }
 
+    /** Path at which control daemons return the newest service document to operators. */
+    public static String documentPath() {
+        return WireNames.READ_DOCUMENT_PATH;
+    }
+
+    /** Returns the service document in a file of the operator's config, or every problem in it. */
+    public static Either<Failure, ServiceDocument> readDocument(byte[] config) {
+        return DocumentReader.create().decode(Content.of("application/json", config));
+    }
+
     private static Either<Failure, PlatformSettings> read(Path file) {
         try {
             return PlatformSettings.parse(Files.readString(file));
--- a/src/main/java/org/plantainwharf/sheet/SheetDifference.java
+++ b/src/main/java/org/plantainwharf/sheet/SheetDifference.java
@@ -4,12 +4,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SortedSet;
-import java.util.TreeMap;
-import java.util.TreeSet;
-import java.util.function.Function;
 import java.util.stream.Collectors;
 
+import org.plantainwharf.difference.RowChange;
+import org.plantainwharf.difference.RowComparison;
 import org.plantainwharf.identity.RankName;
 
 /**
@@ -20,7 +18,7 @@
  * @param versionAfter version of the second sheet
  * @param changes added, removed and changed rows; empty if the contents are equal
  */
-public record SheetDifference(long versionBefore, long versionAfter, List<SheetChange> changes) {
+public record SheetDifference(long versionBefore, long versionAfter, List<RowChange> changes) {
     private static final int DISPLAYED_DIGEST_CHARACTERS = 12;
 
     /** Copies the list. */
@@ -30,29 +28,35 @@
 
     /** Compares two sheets. */
     public static SheetDifference between(Sheet before, Sheet after) {
-        List<SheetChange> changes = new ArrayList<>();
-        compare(
+        List<RowChange> changes = new ArrayList<>();
+        RowComparison.compare(
                 "account ",
-                rowsByName(before.accounts().values(), account -> account.name().value()),
-                rowsByName(after.accounts().values(), account -> account.name().value()),
+                RowComparison.rowsByName(
+                        before.accounts().values(), account -> account.name().value()),
+                RowComparison.rowsByName(
+                        after.accounts().values(), account -> account.name().value()),
                 SheetDifference::fields,
                 changes);
-        compare(
+        RowComparison.compare(
                 "rank ",
-                rowsByName(before.ranks().values(), rank -> rank.name().value()),
-                rowsByName(after.ranks().values(), rank -> rank.name().value()),
+                RowComparison.rowsByName(
+                        before.ranks().values(), rank -> rank.name().value()),
+                RowComparison.rowsByName(
+                        after.ranks().values(), rank -> rank.name().value()),
                 SheetDifference::fields,
                 changes);
-        compare(
+        RowComparison.compare(
                 "route ",
-                rowsByName(before.routes().values(), route -> route.name().value()),
-                rowsByName(after.routes().values(), route -> route.name().value()),
+                RowComparison.rowsByName(
+                        before.routes().values(), route -> route.name().value()),
+                RowComparison.rowsByName(
+                        after.routes().values(), route -> route.name().value()),
                 SheetDifference::fields,
                 changes);
-        compare(
+        RowComparison.compare(
                 "budget ",
-                rowsByName(before.budgets(), SheetDifference::budgetName),
-                rowsByName(after.budgets(), SheetDifference::budgetName),
+                RowComparison.rowsByName(before.budgets(), SheetDifference::budgetName),
+                RowComparison.rowsByName(after.budgets(), SheetDifference::budgetName),
                 SheetDifference::fields,
                 changes);
         return new SheetDifference(before.version(), after.version(), changes);
@@ -63,45 +67,6 @@
         return changes.isEmpty();
     }
 
-    private static <T> Map<String, T> rowsByName(Iterable<T> values, Function<? super T, String> name) {
-        Map<String, T> rows = new TreeMap<>();
-        values.forEach(value -> rows.put(name.apply(value), value));
-        return rows;
-    }
-
-    private static <T> void compare(
-            String prefix,
-            Map<String, T> before,
-            Map<String, T> after,
-            Function<? super T, Map<String, String>> fields,
-            List<SheetChange> changes) {
-        SortedSet<String> names = new TreeSet<>(before.keySet());
-        names.addAll(after.keySet());
-        for (String name : names) {
-            T oldRow = before.get(name);
-            T newRow = after.get(name);
-            if (oldRow == null && newRow != null) {
-                changes.add(new SheetChange.Added(prefix + name, formatFields(fields.apply(newRow))));
-            } else if (oldRow != null && newRow == null) {
-                changes.add(new SheetChange.Removed(prefix + name, formatFields(fields.apply(oldRow))));
-            } else if (oldRow != null && newRow != null) {
-                Map<String, String> newFields = fields.apply(newRow);
-                fields.apply(oldRow).forEach((field, oldValue) -> {
-                    String newValue = newFields.getOrDefault(field, "");
-                    if (!oldValue.equals(newValue)) {
-                        changes.add(new SheetChange.Changed(prefix + name, field, oldValue, newValue));
-                    }
-                });
-            }
-        }
-    }
-
-    private static String formatFields(Map<String, String> fields) {
-        return fields.entrySet().stream()
-                .map(field -> field.getKey() + " " + field.getValue())
-                .collect(Collectors.joining(", "));
-    }
-
     private static String budgetName(Budget budget) {
         return budget.zone().value() + "/" + budget.hostClass().value();
     }
--- a/src/test/java/org/plantainwharf/cli/CommandLineTest.java
+++ b/src/test/java/org/plantainwharf/cli/CommandLineTest.java
@@ -43,6 +43,24 @@
                     new Subcommand.Status(new OperatorTarget.SettingsFile(file), false), parsed("status --settings f"));
             assertEquals(new Subcommand.Drain(ADDRESS), parsed("drain --operator 127.0.0.1:1"));
             assertEquals(new Subcommand.Version(), parsed("version"));
+            assertEquals(
+                    new Subcommand.ConfigCheck(file, new Subcommand.ConfigCheck.Reference.None(), false),
+                    parsed("config check f"));
+            assertEquals(
+                    new Subcommand.ConfigCheck(
+                            file,
+                            new Subcommand.ConfigCheck.Reference.InForce(new OperatorTarget.Address("127.0.0.1:1")),
+                            true),
+                    parsed("config check --operator 127.0.0.1:1 --strict f"));
+            assertEquals(
+                    new Subcommand.ConfigCheck(file, new Subcommand.ConfigCheck.Reference.InFile(Path.of("g")), false),
+                    parsed("config check --against g f"));
+        }
+
+        @Test
+        void compareAConfigWithOneReferenceOnly() {
+            assertTrue(CommandLine.parse("config", "check", "--operator", "127.0.0.1:1", "--against", "g", "f")
+                    .isLeft());
         }
 
         @ParameterizedTest
--- a/src/test/java/org/plantainwharf/cli/SubcommandRunnerTest.java
+++ b/src/test/java/org/plantainwharf/cli/SubcommandRunnerTest.java
@@ -139,6 +139,73 @@
         }
     }
 
+    @Nested
+    class ConfigChecks {
+        private static final String CONFIG = """
+                {"version": 7,
+                 "routes": [{"name": "chat", "host": "a.example", "path_prefix": "/x/", "type": "safe",
+                   "timeout_ms": 1000, "target_latency_ms": 100, "service": "desk"}],
+                 "services": [{"name": "desk", "max_connections": 10}]}""";
+
+        private static Path write(Path folder, String name, String content) throws Exception {
+            return Files.writeString(folder.resolve(name), content);
+        }
+
+        @Test
+        void acceptAValidFile(@TempDir Path folder) throws Exception {
+            String file = write(folder, "config.json", CONFIG).toString();
+            assertEquals(ExitCode.OK, run("", "config", "check", "--strict", file));
+            assertTrue(output().contains("valid, version 7"), output());
+            assertEquals("", errors());
+        }
+
+        @Test
+        void printEveryErrorOnALineOfItsOwn(@TempDir Path folder) throws Exception {
+            String file = write(
+                            folder,
+                            "config.json",
+                            CONFIG.replace("\"timeout_ms\": 1000", "\"timeout_ms\": 0")
+                                    .replace("\"service\": \"desk\"", "\"service\": \"other\""))
+                    .toString();
+            assertEquals(ExitCode.FAILED, run("", "config", "check", file));
+            assertEquals(2, errors().lines().count(), errors());
+            assertTrue(errors().contains("timeout_ms must be an integer of at least 1, got 0"), errors());
+            assertTrue(errors().contains("which other is not"), errors());
+        }
+
+        @Test
+        void failOnFindingsOnlyIfStrict(@TempDir Path folder) throws Exception {
+            String file = write(
+                            folder,
+                            "config.json",
+                            CONFIG.replace("\"target_latency_ms\": 100", "\"target_latency_ms\": 2000"))
+                    .toString();
+            assertEquals(ExitCode.OK, run("", "config", "check", file));
+            assertTrue(errors().contains("contradiction: route chat"), errors());
+            assertEquals(ExitCode.FAILED, run("", "config", "check", "--strict", file));
+        }
+
+        @Test
+        void compareWithAFile(@TempDir Path folder) throws Exception {
+            String before = write(folder, "before.json", CONFIG).toString();
+            String after = write(
+                            folder,
+                            "after.json",
+                            CONFIG.replace("\"version\": 7", "\"version\": 9").replace("/x/", "/y/"))
+                    .toString();
+            assertEquals(ExitCode.OK, run("", "config", "check", "--strict", "--against", before, after));
+            assertTrue(output().contains("version 7 -> 9"), output());
+            assertTrue(output().contains("changed route chat: prefix /x/ -> /y/"), output());
+        }
+
+        @Test
+        void sayThatAnOlderVersionChangesNothing(@TempDir Path folder) throws Exception {
+            String file = write(folder, "config.json", CONFIG).toString();
+            assertEquals(ExitCode.FAILED, run("", "config", "check", "--strict", "--against", file, file));
+            assertTrue(errors().contains("superseded"), errors());
+        }
+    }
+
     @Nested
     class Daemon {
         private final Server server = new Server();
@@ -195,6 +262,24 @@
             assertEquals("", output());
         }
 
+        @Test
+        void givesTheConfigInForceToAConfigCheck(@TempDir Path folder) throws Exception {
+            answer = ConfigChecks.CONFIG;
+            Path file = Files.writeString(
+                    folder.resolve("config.json"), ConfigChecks.CONFIG.replace("\"version\": 7", "\"version\": 8"));
+            assertEquals(ExitCode.OK, run("", "config", "check", "--operator", address, file.toString()));
+            assertTrue(output().contains("version 7 -> 8: no changes in content"), output());
+        }
+
+        @Test
+        void withoutAnAnswerFailsAConfigCheck(@TempDir Path folder) throws Exception {
+            status = 503;
+            answer = "{}";
+            Path file = Files.writeString(folder.resolve("config.json"), ConfigChecks.CONFIG);
+            assertEquals(ExitCode.FAILED, run("", "config", "check", "--operator", address, file.toString()));
+            assertTrue(errors().contains("status 503"), errors());
+        }
+
         @Test
         void isDrained() {
             answer = "drain started";
--- a/src/test/java/org/plantainwharf/sheet/SheetDifferenceTest.java
+++ b/src/test/java/org/plantainwharf/sheet/SheetDifferenceTest.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.plantainwharf.difference.RowChange;
 import org.plantainwharf.identity.AccountName;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.HostClass;
@@ -60,13 +61,13 @@
         void showAddedRemovedAndChangedRowsInOrder() {
             Sheet before = sheet(accounts("one", "two"), 3, List.of(budget("a", 1)));
             Sheet after = sheet(accounts("two", "three"), 4, List.of(budget("a", 1), budget("b", 1)));
-            List<SheetChange> changes = SheetDifference.between(before, after).changes();
+            List<RowChange> changes = SheetDifference.between(before, after).changes();
             assertEquals(
                     List.of("account one", "account three", "rank urgent", "budget b/small"),
-                    changes.stream().map(SheetChange::subject).toList());
-            assertTrue(changes.get(0) instanceof SheetChange.Removed);
-            assertTrue(changes.get(1) instanceof SheetChange.Added);
-            assertEquals(new SheetChange.Changed("rank urgent", "worth", "3.0", "4.0"), changes.get(2));
+                    changes.stream().map(RowChange::subject).toList());
+            assertTrue(changes.get(0) instanceof RowChange.Removed);
+            assertTrue(changes.get(1) instanceof RowChange.Added);
+            assertEquals(new RowChange.Changed("rank urgent", "worth", "3.0", "4.0"), changes.get(2));
         }
 
         @Test
