Keep servers that are present until their need is known

Cause: a duty holder that begins knew no recent requirement.

Change: RecentRequirement takes the servers that are present for the requirement of a holder that begins, less the spare ones; it falls 12 s after the first demand, or after 60 s without any. No order gives up servers within the first 2.5 s, in which servers that are present have not all reported.

Result: 20 tests of RecentRequirementTest, ScalingPlanTest and LayeringTest pass.

--- a/src/main/java/org/plantainwharf/duty/ScalingController.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingController.java
@@ -39,16 +39,13 @@
 
 /**
  * Orders servers according to demand while this daemon is the duty holder. Scales up at once, and down only after
- * demand has stayed lower for {@link #SCALE_DOWN_DELAY_NANOS}. An order states the absolute number of servers in a
+ * demand has stayed lower for a time ({@link RecentRequirement}). An order states the absolute number of servers in a
  * pool. It is sent when that number changes, and repeated after an order without an answer, because the unanswered one
  * may still be executed late. Runs on the control thread.
  */
 public final class ScalingController implements Controller {
     private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-    /** Time for which the peak requirement is kept; a wave of demand lasts about ten seconds. */
-    private static final long SCALE_DOWN_DELAY_NANOS = TimeUnit.SECONDS.toNanos(12);
-
     /** Time for which no further reclaimable servers are planned in a zone after the cloud API had none. */
     private static final long SHORTAGE_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -88,7 +85,7 @@
 
     private final Map<ServerPool, PoolOrder> orders = new HashMap<>();
     private final Map<AvailabilityZone, Long> shortageUntilNanos = new HashMap<>();
-    private final Map<ServiceName, Peak> peaks = new HashMap<>();
+    private final Map<ServiceName, RecentRequirement> requirements = new HashMap<>();
     private final PeriodicTimer period = PeriodicTimer.ofNanos(PERIOD_NANOS);
     private long lastFencingNumber;
 
@@ -102,9 +99,6 @@
      */
     private record PoolOrder(int servers, long sentNanos, boolean answered, boolean outcomeUnknown) {}
 
-    /** The largest number of servers required recently, and since when. Immutable. */
-    private record Peak(int servers, long sinceNanos) {}
-
     private ScalingController() {}
 
     public static ScalingController create() {
@@ -181,7 +175,7 @@
             // Another duty holder may have sent orders in the meantime, which are not known here.
             lastFencingNumber = fencingNumber;
             orders.clear();
-            peaks.clear();
+            requirements.clear();
         }
         ServiceDocument document = board.documents().document().get();
         for (ServiceRule service : document.services().values()) {
@@ -197,7 +191,14 @@
             long fencingNumber,
             long nowNanos,
             Effects effects) {
-        int required = recentPeak(service, requiredServers(service, scaling, board), nowNanos);
+        RecentRequirement requirement =
+                requirements.computeIfAbsent(service.name(), name -> RecentRequirement.beginning(nowNanos));
+        int required = requirement.update(
+                requiredServers(service, scaling, board),
+                hasDemand(service.name(), board),
+                countReady(service.name(), board),
+                servers -> servers + spareServers(servers, scaling),
+                nowNanos);
         long bootNanos = TimeUnit.MILLISECONDS.toNanos(scaling.startupMillis());
         Map<ServerPool, Integer> plan = ScalingPlan.of(
                 service.name(),
@@ -209,7 +210,8 @@
                 currentState(service, board, bootNanos, nowNanos));
         plan.forEach((pool, servers) -> {
             int ready = countReady(pool, board);
-            if (isOrderDue(pool, servers, ready, bootNanos, nowNanos)) {
+            boolean givesUpUnknown = servers < ready && requirement.learning(nowNanos);
+            if (!givesUpUnknown && isOrderDue(pool, servers, ready, bootNanos, nowNanos)) {
                 orders.put(pool, new PoolOrder(servers, nowNanos, false, false));
                 effects.log(
                         "order_sent",
@@ -305,6 +307,18 @@
                 || servers != ready && since >= bootNanos + START_GRACE_NANOS;
     }
 
+    private static int countReady(ServiceName service, Board board) {
+        return (int) board.registry().servers().stream()
+                .filter(server -> server.ready() && server.report().service().equals(service))
+                .count();
+    }
+
+    private static boolean hasDemand(ServiceName service, Board board) {
+        return board.duties().demands().values().stream()
+                .anyMatch(reported -> reported.demands().get(service) instanceof ServiceDemand demand
+                        && demand.promptTokensPerSecond() + demand.inFlight() + demand.waiting() > 0);
+    }
+
     /** Returns the number of servers that the present demand requires, within the bounds of all zones together. */
     private static int requiredServers(ServiceRule service, ServiceRule.Scaling scaling, Board board) {
         double promptTokens = 0;
@@ -323,17 +337,4 @@
         int required = Math.max(zones * scaling.minimumServers(), (int) Math.ceil(servers));
         return Math.min(required, zones * scaling.maximumServers());
     }
-
-    /**
-     * Records the present requirement and returns the recent peak. A peak that no later requirement reached expires
-     * after {@link #SCALE_DOWN_DELAY_NANOS}.
-     */
-    private int recentPeak(ServiceRule service, int required, long nowNanos) {
-        @Nullable Peak peak = peaks.get(service.name());
-        if (peak == null || required >= peak.servers() || nowNanos - peak.sinceNanos() >= SCALE_DOWN_DELAY_NANOS) {
-            peaks.put(service.name(), new Peak(required, nowNanos));
-            return required;
-        }
-        return peak.servers();
-    }
 }
