Send callers back when the first document is expected

Change: Retry-After counts from the first request that found no document to the time at which one is in force after such a loss, plus a spread, and stays within a third of the caller's deadline.

Result: 82 tests of ForwardControllerTest and FirstDocumentTest pass, the new one among them; the effect on callers is not measured yet.

--- a/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
@@ -24,13 +24,8 @@
     /** Minimum Retry-After for a caller over its limit. */
     private static final long MINIMUM_RETRY_AFTER_MILLIS = 100;
 
-    /**
-     * Retry-After while no service document (routes and accounts) is in force. After the loss of all processes a
-     * document is in force again within one to two seconds, so that one or two retries suffice for callers with a
-     * deadline of at least 3 s. Others retry more often: {@link RetryAfter} shortens the time to a third of the
-     * caller's deadline, or to 333 ms for callers without one.
-     */
-    private static final long DOCUMENT_RETRY_AFTER_MILLIS = 1_000;
+    /** Retry-After while a newer service document may know a route or key: documents are in force everywhere in seconds. */
+    private static final long OUTDATED_RETRY_AFTER_MILLIS = 1_000;
 
     private final AccountLimits accounts;
 
@@ -50,7 +45,10 @@
             refuse(
                     arrived,
                     Failure.of(ErrorKind.CONFIGURATION_MISSING)
-                            .withRetryAfter(RetryAfter.limitedBy(head, DOCUMENT_RETRY_AFTER_MILLIS)),
+                            .withRetryAfter(RetryAfter.untilFirstDocument(
+                                    head,
+                                    (nowNanos - board.forward().missingDocumentSince(nowNanos)) / 1_000_000,
+                                    board.random().nextDouble())),
                     effects);
             return Optional.empty();
         }
@@ -86,7 +84,7 @@
         Failure failure = NewestDocument.isInForce(board, nowNanos)
                 ? unknown
                 : Failure.of(ErrorKind.CONFIGURATION_OUTDATED)
-                        .withRetryAfter(RetryAfter.limitedBy(arrived.head(), DOCUMENT_RETRY_AFTER_MILLIS));
+                        .withRetryAfter(RetryAfter.limitedBy(arrived.head(), OUTDATED_RETRY_AFTER_MILLIS));
         effects.log(
                 "document_lacks_entry",
                 "request",
--- a/src/main/java/org/plantainwharf/forward/ForwardSection.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardSection.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.identity.ServiceName;
@@ -24,6 +25,8 @@
     private final Map<ServiceName, EngineProfile> engineProfiles = new HashMap<>();
     private final Map<ServiceName, Double> nextReturnMillis = new HashMap<>();
 
+    private OptionalLong missingDocumentNanos = OptionalLong.empty();
+
     private ForwardSection() {}
 
     public static ForwardSection create() {
@@ -61,6 +64,14 @@
         return retryBudgets.computeIfAbsent(service, name -> RetryBudget.create(ratio, minimum));
     }
 
+    /** Returns when the first request arrived that found no service document in force: now if there was none. */
+    long missingDocumentSince(long nowNanos) {
+        if (missingDocumentNanos.isEmpty()) {
+            missingDocumentNanos = OptionalLong.of(nowNanos);
+        }
+        return missingDocumentNanos.getAsLong();
+    }
+
     /**
      * Returns after how many milliseconds a refused caller should return, and reserves the time for it.
      *
--- a/src/test/java/org/plantainwharf/forward/ForwardControllerTest.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardControllerTest.java
@@ -260,6 +260,31 @@
                             .kind());
         }
 
+        /**
+         * Callers that were told to return after a fixed second found no document again after a loss of all daemons, and
+         * had no further try.
+         */
+        @Test
+        void beforeTheFirstDocumentSendCallersBackWhenItIsExpected() {
+            ForwardHarness fresh = new ForwardHarness(List.of(), 1);
+            long first = returnMillis(fresh, 9_000);
+            assertTrue(first >= 1_400 && first <= 1_600, "first " + first);
+            fresh.advance(900);
+            long later = returnMillis(fresh, 9_000);
+            assertTrue(later >= 500 && later <= 700, "later " + later);
+            assertEquals(400, returnMillis(fresh, 1_200));
+            fresh.advance(5_000);
+            long late = returnMillis(fresh, 9_000);
+            assertTrue(late >= 200 && late <= 400, "late " + late);
+        }
+
+        private long returnMillis(ForwardHarness fresh, long deadlineMillis) {
+            return refusal(fresh.arrive("/safe/1", Optional.of(ForwardHarness.KEY), deadlineMillis))
+                    .retryAfter()
+                    .orElseThrow()
+                    .toMillis();
+        }
+
         @Test
         void overTheLimitSendRetryAfterOfAtMostAThirdOfTheDeadline() {
             ForwardHarness limited =
