Take operators' orders of rollouts, and log each phase on every daemon

Cause: rollouts exist as commands of the control group's log, but nobody can order or read one, and no log shows how one moves.

Change: RolloutOrderController checks an order against the document and proposes it; the acknowledgement follows the commit. An order without a decision is a 503 that tells the operator to send it again; two error kinds are new. RolloutLogController logs and counts each phase on control and entry daemons. The control interface answers /Rollouts.Begin and /Rollouts.Read; the path of a read is decoded from the bytes that were sent, error bodies are one JSON object, orders above 64 KiB get 413. Error messages quote at most 200 characters of a value. Unknown paths get an error body as well.

--- a/src/main/java/org/plantainwharf/configuration/ControlState.java
+++ b/src/main/java/org/plantainwharf/configuration/ControlState.java
@@ -333,10 +333,7 @@
 
     private CommandResult beginRollout(Command.BeginRollout begin) {
         @Nullable Rollout known = rollouts.get(begin.service());
-        boolean same = known != null
-                && known.target().equals(begin.target())
-                && known.durationMillis() == begin.durationMillis();
-        if (known != null && same && (known.inProgress() || mayBeResend(begin, known))) {
+        if (known != null && isResend(begin, known)) {
             return new CommandResult.RolloutHeld(known);
         }
         if (known != null && known.inProgress()) {
@@ -360,8 +357,12 @@
         return new CommandResult.RolloutHeld(rollout);
     }
 
-    private static boolean mayBeResend(Command.BeginRollout begin, Rollout known) {
-        return Math.abs(begin.wallClockMillis() - known.begunMillis()) < ROLLOUT_RESEND_MILLIS;
+    /** Returns whether an order is the one that began a rollout, sent again, so that it gets the same answer. */
+    public static boolean isResend(Command.BeginRollout begin, Rollout known) {
+        return known.target().equals(begin.target())
+                && known.durationMillis() == begin.durationMillis()
+                && (known.inProgress()
+                        || Math.abs(begin.wallClockMillis() - known.begunMillis()) < ROLLOUT_RESEND_MILLIS);
     }
 
     private CommandResult advanceRollout(Command.AdvanceRollout advance) {
--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -49,6 +49,8 @@
 import org.plantainwharf.registry.DepartureController;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.replicated.VoterId;
+import org.plantainwharf.rollout.RolloutLogController;
+import org.plantainwharf.rollout.RolloutOrderController;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.storage.BootstrapState;
 import org.plantainwharf.storage.StorageWriter;
@@ -104,6 +106,8 @@
                 consensus,
                 FailedDiskController.create(),
                 DocumentController.create(codec),
+                RolloutOrderController.create(),
+                RolloutLogController.create(),
                 VersionListController.create(),
                 OriginStoreController.create(),
                 DrainController.create(),
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -49,6 +49,7 @@
 import org.plantainwharf.origin.OriginRecordController;
 import org.plantainwharf.quarantine.ForwardQuarantineController;
 import org.plantainwharf.registry.RegistryController;
+import org.plantainwharf.rollout.RolloutLogController;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.transport.PeerNetwork;
 import org.plantainwharf.transport.PeerPolicy;
@@ -95,6 +96,7 @@
                 RegistryController.learning(),
                 consensus,
                 DocumentController.learning(codec),
+                RolloutLogController.create(),
                 DrainController.create(),
                 AllowanceController.create(),
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
--- a/src/main/java/org/plantainwharf/error/ErrorKind.java
+++ b/src/main/java/org/plantainwharf/error/ErrorKind.java
@@ -76,6 +76,13 @@
     ROLLOUT_INVALID(400, ExecutionStatus.NO, false, "rollout order has errors: %s"),
     ROLLOUT_CONFLICT(409, ExecutionStatus.NO, false, "a rollout of %s to version %s is in progress"),
     ROLLOUT_NOT_FOUND(404, ExecutionStatus.NO, false, "no rollout of service %s was ever begun"),
+    ROLLOUT_UNDECIDED(
+            503,
+            ExecutionStatus.UNKNOWN,
+            true,
+            "order of a rollout of service %s was not decided in time; the same order may be sent again to any host"),
+    ROLLOUT_SERVICE_UNCONFIRMED(
+            503, ExecutionStatus.NO, true, "service %s is unknown to this host, whose configuration may be outdated"),
     SETTINGS_INVALID(422, ExecutionStatus.NO, false, "settings have errors: %s"),
     FRAME_INVALID(400, ExecutionStatus.NO, false, "frame from peer cannot be decoded: %s"),
     STORAGE_FAILED(500, ExecutionStatus.NO, false, "storage failed: %s"),
--- a/src/main/java/org/plantainwharf/platform/ControlApi.java
+++ b/src/main/java/org/plantainwharf/platform/ControlApi.java
@@ -2,11 +2,13 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
 
+import com.codahale.metrics.Counter;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Handler;
@@ -22,10 +24,12 @@
 import org.plantainwharf.effect.DocumentEffect;
 import org.plantainwharf.effect.RegistryEffect;
 import org.plantainwharf.effect.RolloutEffect;
+import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.DocumentEvent;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.RegistryEvent;
+import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.front.BodyBudget;
 import org.plantainwharf.front.HttpListener;
 import org.plantainwharf.front.LibraryAnswers;
@@ -36,8 +40,8 @@
 import org.plantainwharf.settings.Settings;
 
 /**
- * HTTP API of a control daemon: heartbeats and deregistrations of backend servers, and reading and replacing the service
- * document by operators. Thread-safe.
+ * HTTP API of a control daemon: heartbeats and deregistrations of backend servers, and operators' calls on the service
+ * document and on rollouts. Thread-safe.
  */
 final class ControlApi implements ControlFrontend {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -46,6 +50,9 @@
     /** Largest service document accepted; one of the planned size has some thousand routes. */
     private static final int MAXIMUM_BODY_BYTES = 4 << 20;
 
+    /** Largest order of a rollout accepted; a valid one is far smaller. */
+    private static final int MAXIMUM_ORDER_BYTES = 64 << 10;
+
     /**
      * Documents above this size, or of unknown size, are read and decoded one at a time: decoding takes many times the
      * memory of the text. Others meanwhile are told to go to another daemon.
@@ -61,6 +68,7 @@
     private final DocumentCodec codec;
     private final EventSink events;
     private final LogSink log;
+    private final List<Counter> invalidOrders;
     private final HttpListener listener;
     private final AtomicLong lastTicket = new AtomicLong();
     private final Map<Long, PendingCall> pendingCalls = new ConcurrentHashMap<>();
@@ -73,6 +81,9 @@
         this.codec = codec;
         this.events = events;
         this.log = telemetry.log();
+        this.invalidOrders = List.of(
+                telemetry.metrics().counter("rollout.orders_invalid"),
+                telemetry.metrics().counter(ErrorKind.ROLLOUT_INVALID.metricName()));
         this.listener = HttpListener.create(
                 "control-api",
                 settings.operatorAddress(),
@@ -135,10 +146,12 @@
     @Override
     public void execute(RolloutEffect effect) {
         switch (effect) {
+            case RolloutEffect.AcknowledgeOrder acknowledged ->
+                respond(acknowledged.ticket(), 200, RolloutCalls.acknowledgement(acknowledged.rollout()));
             case RolloutEffect.ReturnRollout returned ->
-                respond(returned.ticket(), 200, "{}".getBytes(StandardCharsets.UTF_8));
+                respond(returned.ticket(), 200, RolloutCalls.state(returned.rollout()));
             case RolloutEffect.RefuseRollout refused ->
-                respond(refused.ticket(), refused.failure().kind().httpStatus(), "{}".getBytes(StandardCharsets.UTF_8));
+                respond(refused.ticket(), refused.failure().kind().httpStatus(), errorBody(refused.failure()));
         }
     }
 
@@ -185,10 +198,16 @@
                 && (request.getLength() < 0 || request.getLength() > LARGE_DOCUMENT_BYTES);
     }
 
+    private static int maximumBodyBytes(Request request) {
+        return WireNames.BEGIN_ROLLOUT_PATH.equals(request.getHttpURI().getDecodedPath())
+                ? MAXIMUM_ORDER_BYTES
+                : MAXIMUM_BODY_BYTES;
+    }
+
     private void readAndRoute(Request request, Response response, Callback callback) {
-        RequestReader.readBody(
-                request, MAXIMUM_BODY_BYTES, bodies, read -> read.peek(body -> route(request, response, callback, body))
-                        .peekLeft(failure -> sendError(response, callback, failure)));
+        RequestReader.readBody(request, maximumBodyBytes(request), bodies, read -> read.peek(
+                        body -> route(request, response, callback, body))
+                .peekLeft(failure -> sendError(response, callback, failure)));
     }
 
     private void route(Request request, Response response, Callback callback, byte[] body) {
@@ -217,8 +236,44 @@
             replaceDocument(response, callback, Content.of(JSON_MEDIA_TYPE, body));
         } else if (request.getMethod().equals("GET") && path.equals(WireNames.READ_DOCUMENT_PATH)) {
             submit(response, callback, DocumentEvent.DocumentRequested::new);
+        } else if (path.equals(WireNames.BEGIN_ROLLOUT_PATH) || isRolloutRead(request)) {
+            routeRollout(request, response, callback, body);
+        } else {
+            sendError(response, callback, Failure.of(ErrorKind.UNKNOWN_ROUTE, FieldReader.abbreviate(path)));
+        }
+    }
+
+    private static boolean isRolloutRead(Request request) {
+        return rawPath(request).startsWith(WireNames.READ_ROLLOUT_PREFIX);
+    }
+
+    /** Returns the path as it was sent: a decoded path does not tell which slashes and semicolons belong to a name. */
+    private static String rawPath(Request request) {
+        @Nullable String path = request.getHttpURI().getPath();
+        return path == null ? "" : path;
+    }
+
+    private void routeRollout(Request request, Response response, Callback callback, byte[] body) {
+        String method = request.getMethod();
+        if (isRolloutRead(request) && method.equals("GET")) {
+            RolloutReader.readService(rawPath(request).substring(WireNames.READ_ROLLOUT_PREFIX.length()))
+                    .peek(service ->
+                            submit(response, callback, ticket -> new RolloutEvent.RolloutRequested(ticket, service)))
+                    .peekLeft(failure -> sendError(response, callback, failure));
+        } else if (!isRolloutRead(request) && method.equals("POST")) {
+            RolloutReader.readOrder(body)
+                    .peek(order -> submit(
+                            response,
+                            callback,
+                            ticket -> new RolloutEvent.RolloutOrdered(
+                                    ticket, order.service(), order.target(), order.durationMillis())))
+                    .peekLeft(failure -> {
+                        invalidOrders.forEach(Counter::inc);
+                        log.write("rollout_refused", "kind", failure.kind().code(), "message", failure.message());
+                        sendError(response, callback, failure);
+                    });
         } else {
-            sendResponse(response, callback, 404, "{}".getBytes(StandardCharsets.UTF_8));
+            sendError(response, callback, Failure.of(ErrorKind.METHOD_NOT_ALLOWED, method));
         }
     }
 
@@ -237,15 +292,19 @@
         long ticket = lastTicket.incrementAndGet();
         pendingCalls.put(ticket, new PendingCall(response, callback));
         if (!events.offer(eventFactory.apply(ticket))) {
-            respond(ticket, 503, "{}".getBytes(StandardCharsets.UTF_8));
+            Failure failure = Failure.of(ErrorKind.ENTRY_QUEUE_FULL);
+            respond(ticket, failure.kind().httpStatus(), errorBody(failure));
         }
     }
 
     private static void sendError(Response response, Callback callback, Failure failure) {
-        byte[] body = JSON.createObjectNode()
+        sendResponse(response, callback, failure.kind().httpStatus(), errorBody(failure));
+    }
+
+    private static byte[] errorBody(Failure failure) {
+        return JSON.createObjectNode()
                 .put("error", failure.message())
                 .toString()
                 .getBytes(StandardCharsets.UTF_8);
-        sendResponse(response, callback, failure.kind().httpStatus(), body);
     }
 }
--- a/src/main/java/org/plantainwharf/platform/FieldReader.java
+++ b/src/main/java/org/plantainwharf/platform/FieldReader.java
@@ -22,6 +22,7 @@
     private static final int PORT_GROUP = 5;
     private static final int MAXIMUM_OCTET = 255;
     private static final int MAXIMUM_PORT = 65_535;
+    private static final int MAXIMUM_QUOTED_CHARACTERS = 200;
 
     private final JsonNode node;
     private final String path;
@@ -138,7 +139,16 @@
 
     /** Adds a problem of a field: what is required of it and its present value. */
     void addProblem(String name, String requirement) {
-        problems.add(path + name + " " + requirement + ", got " + node.path(name));
+        String value =
+                node.path(name).isMissingNode() ? "nothing" : node.path(name).toString();
+        problems.add(path + name + " " + requirement + ", got " + abbreviate(value));
+    }
+
+    /** Returns the beginning of a value for an error message, so that no body is sent back whole. */
+    static String abbreviate(String value) {
+        return value.length() <= MAXIMUM_QUOTED_CHARACTERS
+                ? value
+                : value.substring(0, MAXIMUM_QUOTED_CHARACTERS) + "...";
     }
 
     /** Returns the value, or a failure with every problem found in the whole document. */
--- a/src/main/java/org/plantainwharf/platform/WireNames.java
+++ b/src/main/java/org/plantainwharf/platform/WireNames.java
@@ -11,6 +11,8 @@
     static final String DEREGISTER_PREFIX = "/Instances.Deregister/";
     static final String REPLACE_DOCUMENT_PATH = "/Config.Replace";
     static final String READ_DOCUMENT_PATH = "/Config.Read";
+    static final String BEGIN_ROLLOUT_PATH = "/Rollouts.Begin";
+    static final String READ_ROLLOUT_PREFIX = "/Rollouts.Read/";
     static final String USAGE_PATH = "/usage";
     static final String SCALE_PATH = "/scale";
     static final String DUTY_HOLDER_HEADER = "X-Plantainwharf-Duty-Holder";
