Order and show rollouts from the command line, and trace them in logs

Cause: operators reach the two calls only by hand-written requests.

The paths and bodies stay in the platform package.

--- a/src/main/java/org/plantainwharf/cli/CommandLine.java
+++ b/src/main/java/org/plantainwharf/cli/CommandLine.java
@@ -23,6 +23,10 @@
     private static final String OPERATOR = "operator";
     private static final String JSON = "json";
     private static final String REQUEST = "request";
+    private static final String ROLLOUT = "rollout";
+    private static final String SERVICE = "service";
+    private static final String TARGET = "target";
+    private static final String DURATION = "duration";
 
     private CommandLine() {}
 
@@ -81,8 +85,26 @@
                 parser.accepts(REQUEST, "ID of the request to trace")
                         .withRequiredArg()
                         .describedAs("ID");
+                parser.accepts(ROLLOUT, "service whose rollouts are traced")
+                        .withRequiredArg()
+                        .describedAs("SERVICE");
                 yield parser;
             }
+            case ROLLOUT_BEGIN -> {
+                parser.accepts(TARGET, "software version, as backend servers state it")
+                        .withRequiredArg()
+                        .describedAs("V");
+                parser.accepts(
+                                DURATION,
+                                "time within which a good version is to be completed, in seconds, at most one day")
+                        .withRequiredArg()
+                        .describedAs("SECONDS");
+                yield acceptRollout(parser);
+            }
+            case ROLLOUT_SHOW -> {
+                parser.accepts(JSON, "print the JSON response of the daemon unchanged");
+                yield acceptRollout(parser);
+            }
             case SETTINGS_CHECK, SHEET_CHECK, SHEET_KEY, PLATFORM_CHECK, VERSION -> parser;
             case STAND_IN_ENGINE, STAND_IN_SERVICE -> {
                 // The stand-ins parse their own options.
@@ -99,6 +121,14 @@
         return acceptSettings(parser, "settings file of the daemon, from which the operator address is read");
     }
 
+    private static OptionParser acceptRollout(OptionParser parser) {
+        parser.accepts(OPERATOR, "operator address of a control daemon, for example 10.0.0.1:8081")
+                .withRequiredArg()
+                .describedAs("ADDRESS");
+        parser.accepts(SERVICE, "service of the document").withRequiredArg().describedAs("S");
+        return parser;
+    }
+
     private static OptionParser acceptSettings(OptionParser parser, String description) {
         parser.accepts(SETTINGS, description).withRequiredArg().describedAs("FILE");
         return parser;
@@ -131,12 +161,29 @@
                 noFiles(options)
                         .flatMap(none -> target(options, target -> new Subcommand.Status(target, options.has(JSON))));
             case DRAIN -> noFiles(options).flatMap(none -> target(options, Subcommand.Drain::new));
+            case ROLLOUT_BEGIN ->
+                noFiles(options)
+                        .flatMap(none -> required(options, OPERATOR, SERVICE, TARGET, DURATION))
+                        .flatMap(none -> seconds(lastValue(options, DURATION)))
+                        .map(seconds -> new Subcommand.RolloutBegin(
+                                new OperatorTarget.Address(lastValue(options, OPERATOR)),
+                                lastValue(options, SERVICE),
+                                lastValue(options, TARGET),
+                                seconds));
+            case ROLLOUT_SHOW ->
+                noFiles(options)
+                        .flatMap(none -> required(options, OPERATOR, SERVICE))
+                        .map(none -> new Subcommand.RolloutShow(
+                                new OperatorTarget.Address(lastValue(options, OPERATOR)),
+                                lastValue(options, SERVICE),
+                                options.has(JSON)));
             case PLATFORM_SERVE -> noFiles(options).flatMap(none -> platformSettings(options));
             case LOG_TRACE ->
-                files(options, 1, Integer.MAX_VALUE)
-                        .map(files -> new Subcommand.LogTrace(
-                                files,
-                                options.has(REQUEST) ? Optional.of(lastValue(options, REQUEST)) : Optional.empty()));
+                options.has(REQUEST) && options.has(ROLLOUT)
+                        ? Either.left("specify either --request or --rollout")
+                        : files(options, 1, Integer.MAX_VALUE)
+                                .map(files -> new Subcommand.LogTrace(
+                                        files, optionalValue(options, REQUEST), optionalValue(options, ROLLOUT)));
             case PLATFORM_CHECK -> files(options, 1, 1).map(files -> new Subcommand.PlatformCheck(files.get(0)));
             case VERSION -> noFiles(options).map(none -> new Subcommand.Version());
             case STAND_IN_ENGINE -> Either.right(new Subcommand.StandInEngine(positionalArguments(options)));
@@ -164,6 +211,29 @@
         return Either.right(subcommand.apply(target));
     }
 
+    private static Either<String, OptionSet> required(OptionSet options, String... names) {
+        return Arrays.stream(names)
+                .filter(name -> !options.has(name) || lastValue(options, name).isBlank())
+                .findFirst()
+                .<Either<String, OptionSet>>map(name -> Either.left("option --" + name + " is missing"))
+                .orElseGet(() -> Either.right(options));
+    }
+
+    private static Either<String, Double> seconds(String text) {
+        try {
+            double seconds = Double.parseDouble(text);
+            return Double.isFinite(seconds) && seconds > 0
+                    ? Either.right(seconds)
+                    : Either.left("--duration must be a number of seconds above 0, got " + text);
+        } catch (NumberFormatException e) {
+            return Either.left("--duration must be a number of seconds above 0, got " + text);
+        }
+    }
+
+    private static Optional<String> optionalValue(OptionSet options, String option) {
+        return options.has(option) ? Optional.of(lastValue(options, option)) : Optional.empty();
+    }
+
     private static String lastValue(OptionSet options, String option) {
         List<?> values = options.valuesOf(option);
         return String.valueOf(values.get(values.size() - 1));
--- a/src/main/java/org/plantainwharf/cli/OperatorClient.java
+++ b/src/main/java/org/plantainwharf/cli/OperatorClient.java
@@ -108,6 +108,9 @@
                 return error.path("code").asText() + ": "
                         + error.path("message").asText();
             }
+            if (error.isTextual()) {
+                return "status " + status + ": " + error.textValue();
+            }
         } catch (JsonProcessingException e) {
             // The body is not in the daemon's JSON error format and is reported unchanged.
         }
--- a/src/main/java/org/plantainwharf/cli/Subcommand.java
+++ b/src/main/java/org/plantainwharf/cli/Subcommand.java
@@ -46,14 +46,24 @@
     /** Starts draining a daemon for a planned stop. */
     record Drain(OperatorTarget target) implements Subcommand {}
 
+    /** Orders a rollout from a control daemon. */
+    record RolloutBegin(OperatorTarget.Address target, String service, String version, double durationSeconds)
+            implements Subcommand {}
+
+    /** Prints the newest rollout of a service, as a control daemon reads it from the log. */
+    record RolloutShow(OperatorTarget.Address target, String service, boolean json) implements Subcommand {}
+
     /** Runs a daemon on the users' platform. */
     record PlatformServe(Path settings) implements Subcommand {}
 
     /** Validates a settings file of the users' platform. */
     record PlatformCheck(Path file) implements Subcommand {}
 
-    /** Prints the log lines of one request, or without a request ID the number of lines for each event and error kind. */
-    record LogTrace(List<Path> files, Optional<String> request) implements Subcommand {
+    /**
+     * Prints the log lines of one request, or those of the rollouts of a service, or without either the number of lines for
+     * each event and error kind.
+     */
+    record LogTrace(List<Path> files, Optional<String> request, Optional<String> service) implements Subcommand {
         /** Copies the list. */
         public LogTrace {
             files = List.copyOf(files);
--- a/src/main/java/org/plantainwharf/cli/SubcommandName.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandName.java
@@ -18,6 +18,11 @@
     SHEET_KEY("sheet key", "", "read an account key from standard input and print its digest for the sheet"),
     STATUS("status", "--operator ADDRESS [--json]", "show daemons, backend servers, refusals and retries"),
     DRAIN("drain", "--operator ADDRESS", "drain one daemon for a planned stop"),
+    ROLLOUT_BEGIN(
+            "rollout begin",
+            "--operator ADDRESS --service S --target V --duration SECONDS",
+            "order that a service be moved to a software version under watch"),
+    ROLLOUT_SHOW("rollout show", "--operator ADDRESS --service S [--json]", "show the newest rollout of a service"),
     PLATFORM_SERVE(
             "platform serve",
             "[--settings FILE]",
@@ -25,8 +30,8 @@
     PLATFORM_CHECK("platform check", "FILE", "validate a settings file of the platform and print its interpretation"),
     LOG_TRACE(
             "log trace",
-            "FILE... [--request ID]",
-            "print the events of a request, or the number of lines for each event and error kind"),
+            "FILE... [--request ID | --rollout SERVICE]",
+            "print the events of a request or of rollouts, or the number of lines for each event and error kind"),
     VERSION("version", "", "print the version"),
     STAND_IN_ENGINE("stand-in-engine", "OPTION...", "run a stand-in for a model engine"),
     STAND_IN_SERVICE("stand-in-service", "OPTION...", "run a stand-in for a plain service");
@@ -62,6 +67,8 @@
                     SHEET_KEY,
                     STATUS,
                     DRAIN,
+                    ROLLOUT_BEGIN,
+                    ROLLOUT_SHOW,
                     PLATFORM_SERVE,
                     PLATFORM_CHECK,
                     LOG_TRACE,
--- a/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
+++ b/src/main/java/org/plantainwharf/cli/SubcommandRunner.java
@@ -19,6 +19,7 @@
 import io.vavr.control.Either;
 import org.plantainwharf.daemon.Daemon;
 import org.plantainwharf.platform.PlatformCommand;
+import org.plantainwharf.platform.RolloutCalls;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.settings.SettingsProblems;
 import org.plantainwharf.settings.SettingsReader;
@@ -68,6 +69,13 @@
                 queryDaemon(
                         status.target(), client -> client.get("/admin/status"), status.json(), StatusFormatter::format);
             case Subcommand.Drain drain -> drain(drain.target());
+            case Subcommand.RolloutBegin begin -> rolloutBegin(begin);
+            case Subcommand.RolloutShow show ->
+                queryDaemon(
+                        show.target(),
+                        client -> client.get(RolloutCalls.readPath(show.service())),
+                        show.json(),
+                        answer -> RolloutCalls.describe(show.service(), answer));
             case Subcommand.PlatformServe serve ->
                 PlatformCommand.serve(serve.settings(), console.output(), HangupSignal::setHandler)
                         .fold(failure -> fail(failure.message()), stopped -> ExitCode.OK);
@@ -76,6 +84,7 @@
             case Subcommand.LogTrace trace ->
                 trace.request()
                         .map(id -> LogTrace.traceRequest(trace.files(), id))
+                        .or(() -> trace.service().map(service -> LogTrace.traceRollouts(trace.files(), service)))
                         .orElseGet(() -> LogTrace.countEvents(trace.files()))
                         .fold(this::fail, this::succeed);
             case Subcommand.Version version -> version();
@@ -184,6 +193,16 @@
                 .fold(this::fail, this::succeed);
     }
 
+    private ExitCode rolloutBegin(Subcommand.RolloutBegin begin) {
+        byte[] order = RolloutCalls.order(begin.service(), begin.version(), begin.durationSeconds());
+        return callDaemon(begin.target(), client -> client.post(RolloutCalls.BEGIN_PATH, "application/json", order)
+                        .mapLeft(problem -> problem + "\ngiving the same order again to any control daemon is safe"))
+                .flatMap(SubcommandRunner::parseJson)
+                .map(answer -> "rollout " + answer.path("number").asLong() + " of " + begin.service() + " to version "
+                        + begin.version() + " is ordered")
+                .fold(this::fail, this::succeed);
+    }
+
     private ExitCode version() {
         Properties properties = new Properties();
         try (InputStream stream = SubcommandRunner.class.getResourceAsStream(
--- a/src/test/java/org/plantainwharf/cli/CommandLineTest.java
+++ b/src/test/java/org/plantainwharf/cli/CommandLineTest.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 
 import io.vavr.control.Either;
 import org.junit.jupiter.api.Nested;
@@ -43,6 +44,15 @@
                     new Subcommand.Status(new OperatorTarget.SettingsFile(file), false), parsed("status --settings f"));
             assertEquals(new Subcommand.Drain(ADDRESS), parsed("drain --operator 127.0.0.1:1"));
             assertEquals(new Subcommand.Version(), parsed("version"));
+            assertEquals(
+                    new Subcommand.RolloutBegin(new OperatorTarget.Address("127.0.0.1:1"), "s", "v2", 1.5),
+                    parsed("rollout begin --operator 127.0.0.1:1 --service s --target v2 --duration 1.5"));
+            assertEquals(
+                    new Subcommand.RolloutShow(new OperatorTarget.Address("127.0.0.1:1"), "s", false),
+                    parsed("rollout show --operator 127.0.0.1:1 --service s"));
+            assertEquals(
+                    new Subcommand.LogTrace(List.of(file), Optional.empty(), Optional.of("s")),
+                    parsed("log trace f --rollout s"));
         }
 
         @ParameterizedTest
@@ -77,6 +87,15 @@
                 sheet                             | unknown subcommand: sheet
                 sheet burn                        | unknown subcommand: sheet burn
                 serve                             | --settings is missing
+                rollout                           | unknown subcommand: rollout
+                rollout begin --operator 1:1 --service s --target v | option --duration is missing
+                rollout begin --operator 1:1 --service s --target v --duration soon | --duration must be a number of seconds above 0
+                rollout begin --operator 1:1 --service s --target v --duration -1 | --duration must be a number of seconds above 0
+                rollout begin --operator 1:1 --service s --target v --duration NaN | --duration must be a number of seconds above 0
+                rollout begin --service s --target v --duration 1 | option --operator is missing
+                rollout show --operator 1:1       | option --service is missing
+                rollout show --operator 1:1 --service s f | unexpected argument: f
+                log trace f --request r --rollout s | specify either --request or --rollout
                 serve --setings f                 | setings is not a recognized option
                 serve --settings                  | requires an argument
                 serve --settings f g              | unexpected argument: g
--- a/src/test/java/org/plantainwharf/cli/LogTraceTest.java
+++ b/src/test/java/org/plantainwharf/cli/LogTraceTest.java
@@ -61,6 +61,56 @@
         }
     }
 
+    /** An operator must see how a rollout moved, and in which phase the daemons were that a request went through. */
+    @Nested
+    class Rollouts {
+        private List<Path> filesWithRollouts() throws IOException {
+            Path first = Files.writeString(folder.resolve("edge-1.log"), """
+                    {"ms":1000,"host":"edge-1","event":"rollout_phase","service":"old","number":1,"phase":"completed"}
+                    {"ms":1100,"host":"edge-1","event":"rollout_phase","service":"s","number":1,"phase":"observing"}
+                    {"ms":2000,"host":"edge-1","event":"attempt_started","request":"r-1","server":"i-1"}
+                    {"ms":2020,"host":"edge-1","event":"rollout_phase","service":"s","number":1,"phase":"rolled_back"}
+                    {"ms":2040,"host":"edge-1","event":"request_failed","request":"r-1","kind":"server_failed"}
+                    {"ms":2050,"host":"edge-1","event":"rollout_phase","service":"s","number":2,"phase":"observing"}
+                    """);
+            Path second = Files.writeString(folder.resolve("core-1.log"), """
+                    {"ms":1090,"host":"core-1","event":"rollout_ordered","service":"s","target":"v2"}
+                    {"ms":2010,"host":"core-1","event":"rollout_phase","service":"s","number":1,"phase":"rolled_back"}
+                    {"ms":2030,"host":"core-1","event":"attempt_started","service":"s","request":"r-2"}
+                    """);
+            return List.of(first, second);
+        }
+
+        @Test
+        void ofAServiceAreTracedOverAllDaemons() throws IOException {
+            List<String> lines = LogTrace.traceRollouts(filesWithRollouts(), "s")
+                    .get()
+                    .lines()
+                    .toList();
+            assertEquals(5, lines.size());
+            assertTrue(lines.get(0).contains("rollout_ordered") && lines.get(0).contains("target=v2"), lines.get(0));
+            assertTrue(lines.get(2).contains("core-1") && lines.get(2).contains("phase=rolled_back"), lines.get(2));
+        }
+
+        @Test
+        void ofAnotherServiceAreNotFound() throws IOException {
+            assertTrue(
+                    LogTrace.traceRollouts(filesWithRollouts(), "t").getLeft().contains("service t"));
+        }
+
+        @Test
+        void ofTheDaemonsOfARequestAreShownWithIt() throws IOException {
+            List<String> lines = LogTrace.traceRequest(filesWithRollouts(), "r-1")
+                    .get()
+                    .lines()
+                    .toList();
+            assertEquals(4, lines.size(), lines::toString);
+            assertTrue(lines.get(0).contains("phase=observing"), lines.get(0));
+            assertTrue(
+                    lines.get(2).contains("phase=rolled_back") && lines.get(2).contains("edge-1"), lines.get(2));
+        }
+    }
+
     @Nested
     class EventCounts {
         @Test
--- a/src/test/java/org/plantainwharf/cli/SubcommandRunnerTest.java
+++ b/src/test/java/org/plantainwharf/cli/SubcommandRunnerTest.java
@@ -202,6 +202,38 @@
             assertEquals(List.of("POST /admin/drain 0"), requests);
         }
 
+        @Test
+        void receivesAnOrderOfARollout() {
+            answer = "{\"service\":\"s\",\"target\":\"v2\",\"number\":3}";
+            assertEquals(ExitCode.OK, run("", orderOfARollout()));
+            assertEquals("rollout 3 of s to version v2 is ordered", output().strip());
+            int characters = "{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":1.5}".length();
+            assertEquals(List.of("POST /Rollouts.Begin " + characters), requests);
+        }
+
+        private String[] orderOfARollout() {
+            return new String[] {
+                "rollout", "begin", "--operator", address, "--service", "s", "--target", "v2", "--duration", "1.5"
+            };
+        }
+
+        @Test
+        void thatRefusesAnOrderIsAFailureWithItsReason() {
+            status = 409;
+            answer = "{\"error\":\"a rollout of s to version v3 is in progress\"}";
+            assertEquals(ExitCode.FAILED, run("", orderOfARollout()));
+            assertTrue(errors().contains("status 409: a rollout of s to version v3 is in progress"), errors());
+            assertEquals("", output());
+        }
+
+        @Test
+        void showsARollout() {
+            answer = "{\"state\":\"rolled_back\",\"target\":\"v2\"}";
+            assertEquals(ExitCode.OK, run("", "rollout", "show", "--operator", address, "--service", "a b"));
+            assertEquals("a b: rollout of version v2 was rolled back", output().strip());
+            assertEquals(List.of("GET /Rollouts.Read/a%20b 0"), requests);
+        }
+
         @Test
         void statusIsPrintedAsTables() {
             answer = """
