--- a/src/main/java/org/plantainwharf/rollout/RolloutOrderController.java
+++ b/src/main/java/org/plantainwharf/rollout/RolloutOrderController.java
@@ -184,7 +184,7 @@
                     ordered,
                     Failure.of(
                             ErrorKind.ROLLOUT_INVALID,
-                            "service must be one of config version "
+                            "service must be one of the document in force, version "
                                     + board.documents().version() + ", got " + ordered.service()),
                     effects);
         } else {
--- a/src/test/java/org/plantainwharf/rollout/RolloutRecoveryTest.java
+++ b/src/test/java/org/plantainwharf/rollout/RolloutRecoveryTest.java
@@ -7,12 +7,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.plantainwharf.effect.RolloutEffect;
 import org.plantainwharf.error.ErrorKind;
@@ -428,7 +430,7 @@
         }
     }
 
-    /** Random losses while operators order and verdicts are given. */
+    /** Random losses while operators order and verdicts are given. {@code soak.seeds} sets the number of seeds. */
     @Nested
     class RandomFaults {
         private final Map<Long, Rollout> acknowledgedByNumber = new HashMap<>();
@@ -467,8 +469,12 @@
             }
         }
 
+        static LongStream seeds() {
+            return LongStream.rangeClosed(1, Integer.getInteger("soak.seeds", 10));
+        }
+
         @ParameterizedTest
-        @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+        @MethodSource("seeds")
         void loseNoAcknowledgedOrderAndTakeNoVerdictBack(long seed) throws Exception {
             SplittableRandom random = new SplittableRandom(seed);
             try (RolloutFleet fleet = fleet(seed)) {
