Order a rollout from the command line against real daemons in a test

Cause: the interface, the controllers and the command line were tested apart; nothing showed that the daemons connect them.

Change: PlatformFleetTest.Rollouts orders, resends, conflicts, orders for an unknown service and shows over the command line, and looks for the phase in the logs of all three daemons.

--- a/src/test/java/org/plantainwharf/platform/PlatformFleet.java
+++ b/src/test/java/org/plantainwharf/platform/PlatformFleet.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
@@ -14,11 +15,13 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.plantainwharf.front.RawCaller;
 import org.plantainwharf.testing.TestProcesses;
@@ -110,7 +113,8 @@
         return address(3 + entry);
     }
 
-    private String controlAddress() {
+    /** Returns the operator address of the control daemon. */
+    String controlAddress() {
         return address(2) + ":" + controlPort;
     }
 
@@ -194,6 +198,15 @@
         processes.get(1 + entry).destroy();
     }
 
+    /** Returns whether the log of a daemon, {@code control} or {@code entry-N}, has a line with all these texts. */
+    boolean hasLogged(String daemon, String... texts) {
+        try (Stream<String> lines = Files.lines(folder.resolve(daemon + ".log"))) {
+            return lines.anyMatch(line -> Arrays.stream(texts).allMatch(line::contains));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private int status(HttpRequest request) {
         try {
             return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
--- a/src/test/java/org/plantainwharf/platform/PlatformFleetTest.java
+++ b/src/test/java/org/plantainwharf/platform/PlatformFleetTest.java
@@ -1,5 +1,9 @@
 package org.plantainwharf.platform;
 
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,6 +20,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.plantainwharf.cli.Console;
+import org.plantainwharf.cli.ExitCode;
+import org.plantainwharf.cli.SubcommandRunner;
 import org.plantainwharf.front.RawCaller;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -265,6 +272,61 @@
         }
     }
 
+    /** Guards against parts that are tested alone and not connected. */
+    @Nested
+    class Rollouts {
+        private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+        private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+        private ExitCode run(String... arguments) {
+            output.reset();
+            errors.reset();
+            return SubcommandRunner.run(
+                    new Console(
+                            new ByteArrayInputStream(new byte[0]),
+                            new PrintStream(output, true, StandardCharsets.UTF_8),
+                            new PrintStream(errors, true, StandardCharsets.UTF_8)),
+                    arguments);
+        }
+
+        private ExitCode begin(String service, String target) {
+            return run(
+                    "rollout",
+                    "begin",
+                    "--operator",
+                    fleet.controlAddress(),
+                    "--service",
+                    service,
+                    "--target",
+                    target,
+                    "--duration",
+                    "60");
+        }
+
+        @Test
+        void areOrderedAndShownFromTheCommandLineAndLoggedByEveryDaemon() throws Exception {
+            assertEquals(ExitCode.OK, begin("engines", "v2"), errors::toString);
+            assertEquals(
+                    "rollout 1 of engines to version v2 is ordered",
+                    output.toString(StandardCharsets.UTF_8).strip());
+            assertEquals(ExitCode.OK, begin("engines", "v2"), errors::toString);
+            assertEquals(ExitCode.FAILED, begin("engines", "v3"));
+            assertTrue(errors.toString(StandardCharsets.UTF_8).contains("status 409"), errors::toString);
+            assertEquals(ExitCode.FAILED, begin("gone", "v2"));
+            assertTrue(errors.toString(StandardCharsets.UTF_8).contains("status 400"), errors::toString);
+            assertEquals(
+                    ExitCode.OK, run("rollout", "show", "--operator", fleet.controlAddress(), "--service", "engines"));
+            assertTrue(
+                    output.toString(StandardCharsets.UTF_8).startsWith("engines: rollout of version v2 "),
+                    output::toString);
+            for (String daemon : List.of("control", "entry-0", "entry-1")) {
+                fleet.awaitCondition(
+                        "the phase in the log of " + daemon,
+                        () -> fleet.hasLogged(daemon, "\"rollout_phase\"", "\"engines\"", "\"observing\""));
+            }
+        }
+    }
+
     @Nested
     class TargetsThatCannotBeSent {
         /** One caller could have every server of a service avoided for seconds. */
