Recognise a resent order also after a later rollout of the service

Cause: a control daemon that stands still may hold back a copy of an order. If the rollout is rolled back meanwhile and another one follows and ends, the copy began the former version again, by nobody's order.

The log of phases passes over such results.

--- a/src/main/java/org/plantainwharf/configuration/ControlState.java
+++ b/src/main/java/org/plantainwharf/configuration/ControlState.java
@@ -64,6 +64,9 @@
     /** Services of which versions are listed. */
     static final int MAXIMUM_LISTED_SERVICES = 1_024;
 
+    /** Rollouts of a service that are kept besides the newest. Each takes seconds, so few begin while resends arrive. */
+    static final int MAXIMUM_FORMER_ROLLOUTS = 8;
+
     /** Services of which a rollout is kept. */
     static final int MAXIMUM_ROLLOUT_SERVICES = 1_024;
 
@@ -87,6 +90,9 @@
 
     private final Map<ServiceName, Rollout> rollouts = new LinkedHashMap<>();
 
+    /** Ended rollouts before the newest one of a service that a resend may still mean, oldest first. */
+    private final Map<ServiceName, List<Rollout>> formerRollouts = new LinkedHashMap<>();
+
     private ControlState() {}
 
     /** Returns an empty state. */
@@ -332,19 +338,35 @@
     }
 
     private CommandResult beginRollout(Command.BeginRollout begin) {
-        @Nullable Rollout known = rollouts.get(begin.service());
-        if (known != null && isResend(begin, known)) {
-            return new CommandResult.RolloutHeld(known);
+        Optional<Rollout> resent = rolloutOfResend(begin);
+        if (resent.isPresent()) {
+            return new CommandResult.RolloutHeld(resent.get());
         }
+        @Nullable Rollout known = rollouts.get(begin.service());
         if (known != null && known.inProgress()) {
             return new CommandResult.RolloutConflict(known);
         }
         if (known == null && rollouts.size() >= MAXIMUM_ROLLOUT_SERVICES) {
             return new CommandResult.Ignored();
         }
+        if (known != null) {
+            keepFormerRollout(known, begin.wallClockMillis());
+        }
         return startRollout(begin, known == null ? 0 : known.number());
     }
 
+    private void keepFormerRollout(Rollout rollout, long wallClockMillis) {
+        List<Rollout> former = formerRollouts.computeIfAbsent(rollout.service(), service -> new ArrayList<>());
+        former.add(rollout);
+        former.removeIf(known -> !mayBeResend(wallClockMillis, known));
+        if (former.size() > MAXIMUM_FORMER_ROLLOUTS) {
+            former.removeFirst();
+        }
+        if (former.isEmpty()) {
+            formerRollouts.remove(rollout.service());
+        }
+    }
+
     private CommandResult startRollout(Command.BeginRollout begin, long formerNumber) {
         Rollout rollout = new Rollout(
                 begin.service(),
@@ -357,12 +379,28 @@
         return new CommandResult.RolloutHeld(rollout);
     }
 
-    /** Returns whether an order is the one that began a rollout, sent again, so that it gets the same answer. */
-    public static boolean isResend(Command.BeginRollout begin, Rollout known) {
-        return known.target().equals(begin.target())
-                && known.durationMillis() == begin.durationMillis()
-                && (known.inProgress()
-                        || Math.abs(begin.wallClockMillis() - known.begunMillis()) < ROLLOUT_RESEND_MILLIS);
+    /**
+     * Returns the rollout that an order began, if it is that order sent again, so that it gets the same answer. A copy that was
+     * held back in a daemon may arrive after the verdict, and after that of a later rollout.
+     */
+    public Optional<Rollout> rolloutOfResend(Command.BeginRollout begin) {
+        @Nullable Rollout newest = rollouts.get(begin.service());
+        if (newest != null
+                && isSameOrder(begin, newest)
+                && (newest.inProgress() || mayBeResend(begin.wallClockMillis(), newest))) {
+            return Optional.of(newest);
+        }
+        return formerRollouts.getOrDefault(begin.service(), List.of()).stream()
+                .filter(former -> isSameOrder(begin, former) && mayBeResend(begin.wallClockMillis(), former))
+                .reduce((earlier, later) -> later);
+    }
+
+    private static boolean isSameOrder(Command.BeginRollout begin, Rollout known) {
+        return known.target().equals(begin.target()) && known.durationMillis() == begin.durationMillis();
+    }
+
+    private static boolean mayBeResend(long wallClockMillis, Rollout known) {
+        return Math.abs(wallClockMillis - known.begunMillis()) < ROLLOUT_RESEND_MILLIS;
     }
 
     private CommandResult advanceRollout(Command.AdvanceRollout advance) {
@@ -430,6 +468,9 @@
         records.addAll(departures.values());
         listedVersions.forEach((service, versions) -> versions.forEach(
                 (version, closed) -> records.add(new StateRecord.ListedVersion(service, version, closed))));
+        formerRollouts
+                .values()
+                .forEach(former -> former.forEach(rollout -> records.add(new StateRecord.NewestRollout(rollout))));
         rollouts.values().forEach(rollout -> records.add(new StateRecord.NewestRollout(rollout)));
         return records;
     }
@@ -445,6 +486,7 @@
         departures.clear();
         listedVersions.clear();
         rollouts.clear();
+        formerRollouts.clear();
         for (StateRecord stateRecord : records) {
             switch (stateRecord) {
                 case StateRecord.SheetInForce inForce -> sheet = Optional.of(inForce.sheet());
@@ -459,8 +501,7 @@
                     listedVersions
                             .computeIfAbsent(value.service(), service -> new LinkedHashMap<>())
                             .put(value.version(), value.closed());
-                case StateRecord.NewestRollout value ->
-                    rollouts.put(value.rollout().service(), value.rollout());
+                case StateRecord.NewestRollout value -> restoreRollout(value.rollout());
                 case StateRecord.HostStart value -> hostStarts.put(value.token(), value);
                 case StateRecord.Order order -> throw unexpected(order);
                 case StateRecord.Work work -> throw unexpected(work);
@@ -468,6 +509,16 @@
         }
     }
 
+    /** Takes the last record of a service for its newest rollout, and those before for former ones. */
+    private void restoreRollout(Rollout rollout) {
+        @Nullable Rollout before = rollouts.put(rollout.service(), rollout);
+        if (before != null) {
+            formerRollouts
+                    .computeIfAbsent(rollout.service(), service -> new ArrayList<>())
+                    .add(before);
+        }
+    }
+
     private static IllegalArgumentException unexpected(StateRecord stateRecord) {
         return new IllegalArgumentException("record does not belong to the control group: "
                 + stateRecord.getClass().getSimpleName());
--- a/src/main/java/org/plantainwharf/replicated/StateRecord.java
+++ b/src/main/java/org/plantainwharf/replicated/StateRecord.java
@@ -69,7 +69,7 @@
      */
     record ListedVersion(ServiceName service, ServerVersion version, boolean closed) implements StateRecord {}
 
-    /** The newest rollout of a service. */
+    /** A rollout of a service. The last record of a service is its newest rollout, those before it are former ones. */
     record NewestRollout(Rollout rollout) implements StateRecord {}
 
     /**
--- a/src/main/java/org/plantainwharf/rollout/RolloutLogController.java
+++ b/src/main/java/org/plantainwharf/rollout/RolloutLogController.java
@@ -108,9 +108,13 @@
     }
 
     private static void logPhase(Rollout rollout, Board board, Effects effects) {
-        Optional<Rollout> former =
-                board.rollouts().lastLogged(rollout.service()).filter(known -> known.number() == rollout.number());
-        if (former.isPresent() && !former.get().phase().mayBecome(rollout.phase())) {
+        Optional<Rollout> last = board.rollouts().lastLogged(rollout.service());
+        Optional<Rollout> former = last.filter(known -> known.number() == rollout.number());
+        boolean isLoggedAlready = former.filter(known -> !known.phase().mayBecome(rollout.phase()))
+                .isPresent();
+        // The result of a resend may be a rollout before the newest one.
+        if (isLoggedAlready
+                || last.filter(known -> known.number() > rollout.number()).isPresent()) {
             return;
         }
         board.rollouts().recordLogged(rollout);
--- a/src/main/java/org/plantainwharf/rollout/RolloutOrderController.java
+++ b/src/main/java/org/plantainwharf/rollout/RolloutOrderController.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 
 import org.plantainwharf.board.Board;
-import org.plantainwharf.configuration.ControlState;
 import org.plantainwharf.control.Controller;
 import org.plantainwharf.effect.Effects;
 import org.plantainwharf.effect.RolloutEffect;
@@ -117,8 +116,7 @@
     private static boolean isResend(RolloutEvent.RolloutOrdered ordered, Board board) {
         return board.configuration()
                 .state()
-                .rollout(ordered.service())
-                .filter(known -> ControlState.isResend(command(ordered, board), known))
+                .rolloutOfResend(command(ordered, board))
                 .isPresent();
     }
 
--- a/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
+++ b/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
@@ -13,6 +13,7 @@
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.replicated.Departure;
+import org.plantainwharf.replicated.StateRecord;
 import org.plantainwharf.rollout.Rollout;
 import org.plantainwharf.rollout.RolloutPhase;
 import org.plantainwharf.testing.Samples;
@@ -366,6 +367,51 @@
             assertEquals(rolledBack, newest().phase());
         }
 
+        /** A copy of an order may be held back in a daemon that stands still, while operators go on at others. */
+        @Test
+        void areNotBegunAgainByAResendAfterALaterRollout() {
+            begin(TARGET, 12_000, BEGUN_MILLIS);
+            finish(1, new RolloutPhase.RolledBack("failures"));
+            begin(ServerVersion.of("v3"), 12_000, BEGUN_MILLIS + 5_000);
+            finish(2, new RolloutPhase.Completed());
+            Rollout later = newest();
+            ControlState restored = ControlState.create();
+            restored.restore(state.records());
+            for (ControlState each : List.of(state, restored)) {
+                CommandResult.RolloutHeld held = (CommandResult.RolloutHeld)
+                        each.apply(new Command.BeginRollout(SERVICE, TARGET, 12_000, BEGUN_MILLIS + 9_000));
+                assertEquals(1, held.rollout().number());
+                assertEquals(
+                        new RolloutPhase.RolledBack("failures"), held.rollout().phase());
+                assertEquals(later, each.rollout(SERVICE).orElseThrow());
+            }
+            assertEquals(state.records(), restored.records());
+        }
+
+        @Test
+        void areForgottenAsFormerOnesAfterTheTimeOfResends() {
+            for (int index = 0; index < 40; index++) {
+                begin(
+                        ServerVersion.of("v" + index % 2),
+                        12_000,
+                        BEGUN_MILLIS + index * ControlState.ROLLOUT_RESEND_MILLIS);
+                finish(index + 1, new RolloutPhase.Completed());
+            }
+            assertEquals(40, newest().number());
+            assertEquals(1, rolloutRecords());
+            for (int index = 0; index < 40; index++) {
+                begin(ServerVersion.of("w" + index), 12_000, BEGUN_MILLIS);
+                finish(41 + index, new RolloutPhase.Completed());
+            }
+            assertEquals(1 + ControlState.MAXIMUM_FORMER_ROLLOUTS, rolloutRecords());
+        }
+
+        private long rolloutRecords() {
+            return state.records().stream()
+                    .filter(StateRecord.NewestRollout.class::isInstance)
+                    .count();
+        }
+
         @Test
         void areReadWithTheirPhase() {
             assertEquals(new CommandResult.NoRollout(), state.apply(new Command.ReadRollout(SERVICE)));
--- a/src/test/java/org/plantainwharf/rollout/RolloutLogControllerTest.java
+++ b/src/test/java/org/plantainwharf/rollout/RolloutLogControllerTest.java
@@ -117,6 +117,14 @@
             commit(begin(100_000));
             assertEquals(line(2, "observing", "none", "", ""), lines.getLast());
         }
+
+        @Test
+        void areNotLoggedForAResendAfterALaterRollout() {
+            commit(begin(0), finish(1, new RolloutPhase.RolledBack("failures")));
+            commit(new Command.BeginRollout(SERVICE, ServerVersion.of("v3"), 12_000, 5_000));
+            commit(begin(9_000));
+            assertEquals(3, lines.size(), lines::toString);
+        }
     }
 
     @Nested
--- a/src/test/java/org/plantainwharf/rollout/RolloutRecoveryTest.java
+++ b/src/test/java/org/plantainwharf/rollout/RolloutRecoveryTest.java
@@ -302,6 +302,25 @@
             }
         }
 
+        /** Without this, a version that was rolled back would be tried again by nobody's order. */
+        @Test
+        void thatArriveAfterALaterRolloutBeginNothing() throws Exception {
+            try (RolloutFleet fleet = fleet(4)) {
+                long number = acknowledged(order(fleet, fleet.leader())).number();
+                finish(fleet, number, new RolloutPhase.RolledBack("failures"));
+                Rollout later =
+                        acknowledged(fleet.awaitAnswer(fleet.order(fleet.leader(), SERVICE, "v3", DURATION_MILLIS)));
+                finish(fleet, later.number(), new RolloutPhase.Completed());
+                fleet.losePower();
+                fleet.startAll();
+                fleet.awaitLeader();
+                for (HostId host : RolloutFleet.CONTROL) {
+                    assertEquals(number, acknowledged(order(fleet, host)).number());
+                }
+                assertEquals(later.withPhase(new RolloutPhase.Completed()), readFromAnyDaemon(fleet));
+            }
+        }
+
         @Test
         void surviveTheRemovalOfTheServiceFromTheDocument() throws Exception {
             try (RolloutFleet fleet = fleet(3)) {
