Choose the version of requests under a rollout, and decide by their answers

Cause: rollouts had commands and messages, but no daemon heeded them: requests went to every ready server whatever its version, and nobody gave a verdict.

Change: VersionShare bounds what an entry daemon sends to the target by its own requests and is asked by ServerChooser; RolloutEvidenceController reports counts by route and server of the target; RolloutVerdictController merges them on control daemons and lets the leader decide by RolloutVerdict: growth late in the ordered time, roll back by comparison with the other versions over the same times. Evidence tells servers of the target apart, so that one bad server does not condemn a version. The attempt's log line names rollout, phase and reason.

--- a/src/main/java/org/plantainwharf/codec/RolloutMapping.java
+++ b/src/main/java/org/plantainwharf/codec/RolloutMapping.java
@@ -107,6 +107,9 @@
                 .setSequence(evidence.sequence())
                 .setSentToTarget(evidence.sentToTarget())
                 .setSentToOthers(evidence.sentToOthers())
+                .setPhaseOrder(evidence.phaseOrder())
+                .setRequests(evidence.requests())
+                .setRunningAtOthers(evidence.runningAtOthers())
                 .addAllRoutes(
                         evidence.routes().stream().map(RolloutMapping::encode).toList())
                 .build();
@@ -119,6 +122,10 @@
                 .setAnswers(evidence.answers())
                 .setFailures(evidence.failures())
                 .addAllTimes(evidence.times())
+                .setServer(evidence.server())
+                .setRefused(evidence.refused())
+                .setLost(evidence.lost())
+                .addAllDurations(evidence.durations())
                 .build();
     }
 
@@ -127,15 +134,22 @@
                 ServiceName.of(wire.getService()),
                 wire.getNumber(),
                 wire.getSequence(),
+                wire.getPhaseOrder(),
+                wire.getRequests(),
                 wire.getSentToTarget(),
                 wire.getSentToOthers(),
+                wire.getRunningAtOthers(),
                 wire.getRoutesList().stream()
                         .map(route -> new RouteEvidence(
                                 RouteName.of(route.getRoute()),
                                 route.getTarget(),
+                                route.getServer(),
                                 route.getAnswers(),
                                 route.getFailures(),
-                                route.getTimesList()))
+                                route.getRefused(),
+                                route.getLost(),
+                                route.getTimesList(),
+                                route.getDurationsList()))
                         .toList());
     }
 }
--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -49,6 +49,7 @@
 import org.plantainwharf.registry.DepartureController;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.replicated.VoterId;
+import org.plantainwharf.rollout.RolloutVerdictController;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.storage.BootstrapState;
 import org.plantainwharf.storage.StorageWriter;
@@ -106,6 +107,7 @@
                 DocumentController.create(codec),
                 VersionListController.create(),
                 OriginStoreController.create(),
+                RolloutVerdictController.create(role.rolloutBounds()),
                 DrainController.create(),
                 AllowanceController.create(),
                 FencingController.create(role.dutyLeaseMillis()),
--- a/src/main/java/org/plantainwharf/document/NewestDocument.java
+++ b/src/main/java/org/plantainwharf/document/NewestDocument.java
@@ -21,7 +21,7 @@
     private NewestDocument() {}
 
     /** Returns whether this daemon has applied what was committed to the control group's log until recently. */
-    static boolean isKnown(Board board, long nowNanos) {
+    public static boolean isKnown(Board board, long nowNanos) {
         return board.consensus().copy(CONTROL_GROUP).isCurrent(nowNanos, MAXIMUM_AGE_NANOS);
     }
 
--- a/src/main/java/org/plantainwharf/forward/AttemptLog.java
+++ b/src/main/java/org/plantainwharf/forward/AttemptLog.java
@@ -1,5 +1,7 @@
 package org.plantainwharf.forward;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.stream.Collectors;
 
 import org.plantainwharf.board.Board;
@@ -18,8 +20,7 @@
             Board board,
             long nowNanos,
             Effects effects) {
-        effects.log(
-                "attempt_started",
+        List<Object> fields = new ArrayList<>(List.of(
                 "request",
                 call.head().requestId(),
                 "attempt",
@@ -37,7 +38,9 @@
                 "version",
                 board.documents().version(),
                 "server_version",
-                chosen.server().report().version());
+                chosen.server().report().version()));
+        fields.addAll(RolloutChoice.describe(call, chosen.server().report(), board, nowNanos));
+        effects.log("attempt_started", fields.toArray());
     }
 
     static void ended(
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -197,19 +197,25 @@
         }
         List<ServerSelector.Candidate> candidates = ServerChooser.candidates(call, board, nowNanos);
         Optional<ServerSelector.Candidate> chosen = ServerChooser.choose(call, candidates, board, nowNanos);
+        if (RolloutChoice.leavesToOthers(call, board, nowNanos)
+                && (chosen.isEmpty() || !QueueAdmission.admits(call, priority(call), chosen.get(), board, nowNanos))) {
+            candidates = RolloutChoice.others(call, board, nowNanos);
+            chosen = ServerChooser.choose(call, candidates, board, nowNanos);
+        }
         if (chosen.isEmpty()) {
             if (StreamVersions.isOnlyUnlisted(call, board)) {
                 effects.count("forward.versions_unlisted");
                 effects.log("versions_unlisted", "request", call.head().requestId(), "service", call.service());
             }
-            Failure failure = candidates.isEmpty()
+            List<ServerSelector.Candidate> limited = candidates;
+            Failure failure = limited.isEmpty()
                     ? Failure.of(ErrorKind.NO_SERVER_AVAILABLE, call.service())
                             .withRetryAfter(RetryAfter.limitedBy(call.head(), OVERLOAD_BACKOFF_MILLIS))
                     : Failure.of(ErrorKind.SERVERS_AT_LIMIT, call.service())
                             .withRetryAfter(timeToReturn(
                                     call,
                                     () -> RetryAfter.limitedBy(
-                                            call.head(), ServerChooser.returnMillis(call, candidates, board, nowNanos)),
+                                            call.head(), ServerChooser.returnMillis(call, limited, board, nowNanos)),
                                     board,
                                     nowNanos));
             failCall(call, failure, board, nowNanos, effects);
@@ -231,6 +237,7 @@
         ServerId id = server.report().server();
         int attempt = call.nextAttempt(id);
         AttemptLog.started(call, attempt, chosen.get(), uncachedTokens, board, nowNanos, effects);
+        RolloutChoice.recordSent(call, server.report(), board, effects);
         if (call.head().prompt().isPresent()) {
             board.forward().engineProfile(call.service()).recordSent(uncachedTokens, priority(call), nowNanos);
         }
@@ -381,6 +388,7 @@
         switch (call.state()) {
             case ForwardCall.State.Running running -> {
                 if (running.attempt() == ended.attempt()) {
+                    RolloutChoice.recordEnded(call, running, ended.outcome(), board, nowNanos);
                     recordAttemptEnd(
                             running.server(),
                             running.uncachedTokens(),
@@ -395,6 +403,7 @@
             }
             case ForwardCall.State.Cancelling(ForwardCall.State.Running stopped) -> {
                 if (stopped.attempt() == ended.attempt()) {
+                    RolloutChoice.recordEnded(call, stopped, ended.outcome(), board, nowNanos);
                     recordAttemptEnd(
                             stopped.server(),
                             stopped.uncachedTokens(),
--- a/src/main/java/org/plantainwharf/forward/ServerChooser.java
+++ b/src/main/java/org/plantainwharf/forward/ServerChooser.java
@@ -6,10 +6,12 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.registry.KnownServer;
+import org.plantainwharf.registry.ServerReport;
 
 /**
  * Chooses the server of a request among those that are ready, within the request limits that servers name. Used by the
@@ -29,6 +31,12 @@
      * avoided or have not reported lately are included only if there are no others.
      */
     static List<ServerSelector.Candidate> candidates(ForwardCall call, Board board, long nowNanos) {
+        return RolloutChoice.candidates(call, board, nowNanos);
+    }
+
+    /** Returns those of these servers that also satisfy a condition. */
+    static List<ServerSelector.Candidate> candidates(
+            ForwardCall call, Predicate<ServerReport> condition, Board board, long nowNanos) {
         List<ServerSelector.Candidate> healthy = new ArrayList<>();
         List<ServerSelector.Candidate> fallback = new ArrayList<>();
         StreamVersions versions = StreamVersions.of(call, board);
@@ -36,7 +44,8 @@
             if (!server.ready()
                     || !server.report().service().equals(call.service())
                     || call.triedServers().contains(server.report().server())
-                    || !versions.permits(server.report())) {
+                    || !versions.permits(server.report())
+                    || !condition.test(server.report())) {
                 continue;
             }
             ServerStatistics statistics =
--- a/src/main/java/org/plantainwharf/forward/StreamTakeUp.java
+++ b/src/main/java/org/plantainwharf/forward/StreamTakeUp.java
@@ -55,6 +55,9 @@
         if (call.route().split().stream().noneMatch(share -> share.service().equals(origin.service()))) {
             return new Decision.Refused(Failure.of(ErrorKind.STREAM_VERSION_GONE, origin.version()));
         }
+        if (RolloutChoice.isGone(origin, board)) {
+            return new Decision.Refused(Failure.of(ErrorKind.STREAM_VERSION_GONE, origin.version()));
+        }
         if (StreamVersions.isServed(origin, board)) {
             return new Decision.GoesOn(origin);
         }
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -214,15 +214,21 @@
      *
      * @param number number of the rollout within its service
      * @param sequence increases with each report of one start of the daemon
-     * @param sentToTarget requests sent to servers of the target version
-     * @param sentToOthers requests sent to other servers of the service
+     * @param phaseOrder the phase in force at the daemon, by its order
+     * @param requests requests to the service that were sent to a server, repeats not counted
+     * @param sentToTarget attempts sent to servers of the target version
+     * @param sentToOthers attempts sent to other servers of the service
+     * @param runningAtOthers attempts that run at other servers of the service now
      */
     record RolloutEvidence(
             ServiceName service,
             long number,
             long sequence,
+            long phaseOrder,
+            long requests,
             long sentToTarget,
             long sentToOthers,
+            long runningAtOthers,
             List<RouteEvidence> routes)
             implements PeerMessage {
         /** Copies the list. */
--- a/src/main/java/org/plantainwharf/rollout/RolloutPhase.java
+++ b/src/main/java/org/plantainwharf/rollout/RolloutPhase.java
@@ -48,7 +48,7 @@
     }
 
     /** Returns a number that increases as a rollout moves on. */
-    private int order() {
+    default int order() {
         return switch (this) {
             case Observing observing -> 0;
             case Growing growing -> growing.boundedPermille();
@@ -58,6 +58,17 @@
         };
     }
 
+    /** Returns the phase as one word for log lines. */
+    default String describe() {
+        return switch (this) {
+            case Observing observing -> "observing";
+            case Growing growing -> "growing_" + growing.boundedPermille();
+            case Retiring retiring -> "retiring";
+            case Completed completed -> "completed";
+            case RolledBack rolledBack -> "rolled_back";
+        };
+    }
+
     /** Returns whether a rollout in this phase may move on to another one. */
     default boolean mayBecome(RolloutPhase next) {
         return !ended() && next.order() > order();
--- /dev/null
+++ b/src/test/java/org/plantainwharf/rollout/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of rollouts. */
+@NullMarked
+package org.plantainwharf.rollout;
+
+import org.jspecify.annotations.NullMarked;
