--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -51,6 +51,7 @@
 import org.plantainwharf.replicated.VoterId;
 import org.plantainwharf.rollout.RolloutLogController;
 import org.plantainwharf.rollout.RolloutOrderController;
+import org.plantainwharf.rollout.RolloutVerdictController;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.storage.BootstrapState;
 import org.plantainwharf.storage.StorageWriter;
@@ -110,6 +111,7 @@
                 RolloutLogController.create(),
                 VersionListController.create(),
                 OriginStoreController.create(),
+                RolloutVerdictController.create(role.rolloutBounds()),
                 DrainController.create(),
                 AllowanceController.create(),
                 FencingController.create(role.dutyLeaseMillis()),
--- a/src/test/java/org/plantainwharf/rollout/package-info.java
+++ b/src/test/java/org/plantainwharf/rollout/package-info.java
@@ -1,4 +1,4 @@
-/** Tests of the service document. */
+/** Tests of rollouts. */
 @NullMarked
 package org.plantainwharf.rollout;
 
