Round requests at random once an account has used its burst

An entry daemon forwarded a request of any size while its share of the bucket was above zero. All daemons see the same debt, so on 94 daemons each forwarded one request at the moment at which the debt fell below the depth: 345,000 tokens, where 173,000 are left between the depth and the bound.

Once the account has used its burst, or when its newest grant is a second old, a daemon forwards a request only if a random fraction of its cost is left. Rounding ends at a quarter of the burst, and leaves half of the depth above the burst free while grants arrive. Below the burst nothing changes.

--- a/src/main/java/org/plantainwharf/board/Board.java
+++ b/src/main/java/org/plantainwharf/board/Board.java
@@ -55,7 +55,7 @@
     private final DepartureSection departures = DepartureSection.create();
     private final ForwardSection forward = ForwardSection.create();
     private final OriginSection origins = OriginSection.create();
-    private final AllowanceSection allowances = AllowanceSection.create();
+    private final AllowanceSection allowances;
     private final ServerLimitSection serverLimits = ServerLimitSection.create();
     private final DutySection duties = DutySection.create();
     private final RolloutSection rollouts = RolloutSection.create();
@@ -68,6 +68,7 @@
     private Board(Settings settings, long incarnation, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
+        this.allowances = AllowanceSection.create(seed);
         this.membership = MembershipSection.create(settings.host(), settings.zone(), incarnation);
     }
 
--- a/src/main/java/org/plantainwharf/forward/AccountLimits.java
+++ b/src/main/java/org/plantainwharf/forward/AccountLimits.java
@@ -22,9 +22,10 @@
                 .refund(account, call.admission().cost(), nowNanos));
     }
 
-    /** Returns the time in milliseconds until the account may send again. */
-    long millisUntilAvailable(AccountRule account, Board board, long nowNanos) {
-        return board.allowances().millisUntilAvailable(account, bucketDepth(account), nowNanos);
+    /** Returns the time in milliseconds until the account may send the request. */
+    long millisUntilAvailable(AccountRule account, ForwardCall call, Board board, long nowNanos) {
+        return board.allowances()
+                .millisUntilAvailable(account, call.admission().cost(), bucketDepth(account), nowNanos);
     }
 
     private double bucketDepth(AccountRule account) {
--- a/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
@@ -165,7 +165,7 @@
             Board board,
             long nowNanos,
             Effects effects) {
-        long waitMillis = accounts.millisUntilAvailable(account, board, nowNanos);
+        long waitMillis = accounts.millisUntilAvailable(account, call, board, nowNanos);
         effects.log(
                 "limit_reached",
                 "request",
--- a/src/main/java/org/plantainwharf/limit/AllowanceSection.java
+++ b/src/main/java/org/plantainwharf/limit/AllowanceSection.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 
 import org.plantainwharf.document.AccountRule;
 import org.plantainwharf.identity.AccountName;
@@ -13,6 +15,14 @@
  * controller, and by the forward controller, which charges and refunds requests. Owned by the control thread.
  */
 public final class AllowanceSection {
+    /**
+     * Remaining validity from which on a grant is recent. It is half of the validity; a leader that grants every period
+     * keeps the remaining validity above it.
+     */
+    private static final long RECENT_GRANT_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(AllowanceController.GRANT_VALIDITY_MILLIS / 2);
+
+    private final SplittableRandom random;
     private final Map<AccountName, AccountAllowance> allowances = new HashMap<>();
     private final UsageAggregator usage = new UsageAggregator();
     private double evenShare = AllowanceController.INITIAL_SHARE;
@@ -20,11 +30,17 @@
     private boolean grantEnded;
     private long grantEndNanos;
 
-    private AllowanceSection() {}
+    private AllowanceSection(long seed) {
+        random = new SplittableRandom(seed);
+    }
 
-    /** Returns a section without grants. */
-    public static AllowanceSection create() {
-        return new AllowanceSection();
+    /**
+     * Returns a section without grants.
+     *
+     * @param seed seed of the board; a sequence of its own keeps the number of draws here out of other decisions
+     */
+    public static AllowanceSection create(long seed) {
+        return new AllowanceSection(seed);
     }
 
     /**
@@ -35,11 +51,10 @@
      */
     public boolean tryCharge(AccountRule account, double amount, double bucketDepth, long nowNanos) {
         AccountAllowance allowance = allowance(account, nowNanos);
-        if (allowance.available(account.ratePerSecond(), bucketDepth, effectiveGrantEndNanos(nowNanos), nowNanos)
-                <= 0) {
+        if (!allowance.admits(account, amount, bucket(bucketDepth, nowNanos), hasCurrentDebt(nowNanos), nowNanos)) {
             return false;
         }
-        allowance.charge(amount);
+        allowance.charge(amount, random.nextDouble());
         return true;
     }
 
@@ -53,12 +68,20 @@
         return allowance(account, nowNanos).share();
     }
 
-    /** Returns the time in milliseconds until this daemon may forward requests of the account again. */
-    public long millisUntilAvailable(AccountRule account, double bucketDepth, long nowNanos) {
-        AccountAllowance allowance = allowance(account, nowNanos);
-        double deficit =
-                -allowance.available(account.ratePerSecond(), bucketDepth, effectiveGrantEndNanos(nowNanos), nowNanos);
-        return (long) Math.ceil(Math.max(0, deficit) / (allowance.share() * account.ratePerSecond()) * 1_000);
+    /** Returns the time in milliseconds until this daemon may forward a request of the account that costs the amount. */
+    public long millisUntilAvailable(AccountRule account, double amount, double bucketDepth, long nowNanos) {
+        return (long) Math.ceil(allowance(account, nowNanos)
+                .millisUntilAdmitted(
+                        account, amount, bucket(bucketDepth, nowNanos), hasCurrentDebt(nowNanos), nowNanos));
+    }
+
+    private AccountAllowance.Bucket bucket(double depth, long nowNanos) {
+        return new AccountAllowance.Bucket(depth, effectiveGrantEndNanos(nowNanos));
+    }
+
+    /** Before the first grant only this daemon's own use is known, and its initial share bounds it. */
+    private boolean hasCurrentDebt(long nowNanos) {
+        return !hasGrant || grantEndNanos - nowNanos >= RECENT_GRANT_NANOS;
     }
 
     /** Before the first grant only this daemon's share of the rate repays its use, as after the end of a grant. */
@@ -67,7 +90,11 @@
     }
 
     AccountAllowance allowance(AccountRule account, long nowNanos) {
-        return allowances.computeIfAbsent(account.name(), name -> new AccountAllowance(evenShare, nowNanos));
+        return allowances.computeIfAbsent(account.name(), name -> createAllowance(evenShare, nowNanos));
+    }
+
+    private AccountAllowance createAllowance(double share, long nowNanos) {
+        return new AccountAllowance(share, random.nextDouble(), nowNanos);
     }
 
     boolean hasGrant() {
@@ -83,7 +110,7 @@
         grantEndNanos = newGrantEndNanos;
         shares.keySet()
                 .forEach(account ->
-                        allowances.computeIfAbsent(account, name -> new AccountAllowance(newEvenShare, nowNanos)));
+                        allowances.computeIfAbsent(account, name -> createAllowance(newEvenShare, nowNanos)));
         allowances.forEach((account, allowance) -> {
             if (shares.get(account) instanceof AllowanceShare granted) {
                 allowance.applyGrant(granted, nowNanos);
--- a/src/test/java/org/plantainwharf/limit/AllowanceControllerTest.java
+++ b/src/test/java/org/plantainwharf/limit/AllowanceControllerTest.java
@@ -33,9 +33,7 @@
 
     private static void assertWithinBound(AllowanceFleet fleet) {
         double maximum = fleet.maximumInWindow();
-        assertTrue(
-                maximum <= AllowanceFleet.windowBound(),
-                maximum + " tokens in a window of at most " + AllowanceFleet.windowBound());
+        assertTrue(maximum <= fleet.windowBound(), maximum + " tokens in a window of at most " + fleet.windowBound());
     }
 
     @Nested
--- a/src/test/java/org/plantainwharf/limit/AllowanceFleet.java
+++ b/src/test/java/org/plantainwharf/limit/AllowanceFleet.java
@@ -60,7 +60,6 @@
  */
 final class AllowanceFleet {
     static final double RATE_TOKENS_PER_SECOND = 40_000;
-    static final double BURST_TOKENS = 40_000;
     static final double SLACK_TOKENS = 140_000;
     static final double OVERRUN_FRACTION = 0.1;
     static final long WINDOW_MILLIS = 8_000;
@@ -77,7 +76,9 @@
             new PriorityQueue<>(Comparator.comparingLong(Delivery::atMillis).thenComparingLong(Delivery::order));
     private final List<Accepted> accepted = new ArrayList<>();
     private final int servers;
+    private final double ratePerSecond;
     private int leader;
+    private OptionalInt frozen = OptionalInt.empty();
     private long nowMillis = 100_000;
     private long counter;
 
@@ -92,7 +93,13 @@
     }
 
     AllowanceFleet(int entries, int servers) {
+        this(entries, servers, RATE_TOKENS_PER_SECOND);
+    }
+
+    /** Creates a fleet whose account has a burst of one second of its rate. */
+    AllowanceFleet(int entries, int servers, double ratePerSecond) {
         this.servers = servers;
+        this.ratePerSecond = ratePerSecond;
         for (int index = 0; index < CONTROL_DAEMONS; index++) {
             daemons.add(createControlDaemon("core-" + index));
         }
@@ -153,7 +160,7 @@
         return daemon;
     }
 
-    private static DocumentController documentController() {
+    private DocumentController documentController() {
         RouteRule route = new RouteRule(
                 RouteName.of("r"),
                 "a.example",
@@ -178,8 +185,8 @@
                         OptionalInt.empty(),
                         true,
                         200,
-                        RATE_TOKENS_PER_SECOND,
-                        BURST_TOKENS)));
+                        ratePerSecond,
+                        ratePerSecond)));
         return DocumentController.create(content -> Either.right(document));
     }
 
@@ -188,12 +195,13 @@
         long end = nowMillis + millis;
         while (nowMillis < end) {
             nowMillis += STEP_MILLIS;
-            while (!network.isEmpty() && network.peek().atMillis() <= nowMillis) {
-                deliver(network.remove());
-            }
+            deliverDue();
             for (int index = 0; index < daemons.size(); index++) {
                 Daemon daemon = daemons.get(index);
                 boolean control = index < CONTROL_DAEMONS;
+                if (frozen.equals(OptionalInt.of(index))) {
+                    continue;
+                }
                 daemon.cycle()
                         .board()
                         .consensus()
@@ -221,6 +229,16 @@
         leader = 1 - leader;
     }
 
+    /** Stops the leader, which keeps what arrives until it runs again. No daemon leads until {@link #changeLeader}. */
+    void freezeLeader() {
+        frozen = OptionalInt.of(leader);
+    }
+
+    /** Lets the frozen daemon run again. */
+    void thaw() {
+        frozen = OptionalInt.empty();
+    }
+
     /** Disconnects an entry daemon from the control daemons. */
     void disconnect(int entry) {
         disconnect.add(daemons.get(CONTROL_DAEMONS + entry).id());
@@ -305,8 +323,8 @@
     }
 
     /** Returns the maximum number of tokens that may be forwarded in a window. */
-    static double windowBound() {
-        return (RATE_TOKENS_PER_SECOND * WINDOW_MILLIS / 1_000 + BURST_TOKENS) * (1 + OVERRUN_FRACTION) + SLACK_TOKENS;
+    double windowBound() {
+        return ratePerSecond * (WINDOW_MILLIS / 1_000.0 + 1) * (1 + OVERRUN_FRACTION) + SLACK_TOKENS;
     }
 
     private long nanos() {
@@ -332,6 +350,19 @@
         }
     }
 
+    private void deliverDue() {
+        List<Delivery> kept = new ArrayList<>();
+        while (!network.isEmpty() && network.peek().atMillis() <= nowMillis) {
+            Delivery delivery = network.remove();
+            if (frozen.isPresent() && daemons.get(frozen.getAsInt()).id().equals(delivery.to())) {
+                kept.add(delivery);
+            } else {
+                deliver(delivery);
+            }
+        }
+        network.addAll(kept);
+    }
+
     private void deliver(Delivery delivery) {
         if (disconnect.contains(delivery.from()) || disconnect.contains(delivery.to())) {
             return;
