Share the room of servers among priorities and accounts while it is short

Cause: a request was refused by the queue of the one server selected for it, by two fixed priorities. In a load peak the requests let in were late, and nothing shared room among accounts, kinds or daemons.

Change: entry daemons measure demand by priority and account and learn from answers how long requests wait. While demand exceeds what servers do, RoomAdmission decides by share, wait and kept place; a refused caller gets the next place of a schedule, or the kind no_room_in_time if none is free in time. Daemons report demand to the control daemons, and the leader grants shares that are valid as long as its grants of limits are. Without a grant a daemon uses its own part of the room. Below that pressure, and at servers that tell no slots, QueueAdmission decides as before.

--- a/src/main/java/org/plantainwharf/codec/RoomMapping.java
+++ b/src/main/java/org/plantainwharf/codec/RoomMapping.java
@@ -16,21 +16,22 @@
     private RoomMapping() {}
 
     static PeerProtocol.RoomReport encode(PeerMessage.RoomReport report) {
-        PeerProtocol.RoomReport.Builder wire = PeerProtocol.RoomReport.newBuilder();
+        PeerProtocol.RoomReport.Builder wire =
+                PeerProtocol.RoomReport.newBuilder().setSequence(report.sequence());
         sortedByService(report.demands()).forEach((service, demand) -> {
-            PeerProtocol.RoomDemand.Builder room = PeerProtocol.RoomDemand.newBuilder()
-                    .setService(service)
-                    .setCapacityPerSecond(demand.capacityPerSecond());
-            new TreeMap<>(demand.priorities())
-                    .forEach((priority, asked) -> room.addPriorities(PeerProtocol.PriorityDemand.newBuilder()
-                            .setPriority(priority)
-                            .setAskedPerSecond(asked.askedPerSecond())
-                            .setAdmittedPerSecond(asked.admittedPerSecond())
-                            .setReturningPerSecond(asked.returningPerSecond())));
-            Map<String, Double> accounts = new TreeMap<>();
-            demand.askedPerSecond().forEach((account, asked) -> accounts.put(account.value(), asked));
-            accounts.forEach((account, asked) -> room.addAccounts(
-                    PeerProtocol.AccountDemand.newBuilder().setAccount(account).setAskedPerSecond(asked)));
+            PeerProtocol.RoomDemand.Builder room =
+                    PeerProtocol.RoomDemand.newBuilder().setService(service);
+            new TreeMap<>(demand.priorities()).forEach((priority, asked) -> {
+                PeerProtocol.PriorityDemand.Builder ofPriority = PeerProtocol.PriorityDemand.newBuilder()
+                        .setPriority(priority)
+                        .setAskedPerSecond(asked.askedPerSecond())
+                        .setCapacityPerSecond(asked.capacityPerSecond());
+                sortedByAccount(asked.accounts())
+                        .forEach((account, ofAccount) -> ofPriority.addAccounts(PeerProtocol.AccountDemand.newBuilder()
+                                .setAccount(account)
+                                .setAskedPerSecond(ofAccount)));
+                room.addPriorities(ofPriority);
+            });
             wire.addDemands(room);
         });
         return wire.build();
@@ -40,21 +41,19 @@
         Map<ServiceName, RoomDemand> demands = new HashMap<>();
         wire.getDemandsList().forEach(room -> {
             Map<Integer, RoomDemand.PriorityDemand> priorities = new HashMap<>();
-            room.getPrioritiesList()
-                    .forEach(asked -> priorities.put(
-                            asked.getPriority(),
-                            new RoomDemand.PriorityDemand(
-                                    asked.getAskedPerSecond(),
-                                    asked.getAdmittedPerSecond(),
-                                    asked.getReturningPerSecond())));
-            Map<AccountName, Double> accounts = new HashMap<>();
-            room.getAccountsList()
-                    .forEach(asked -> accounts.put(AccountName.of(asked.getAccount()), asked.getAskedPerSecond()));
-            demands.put(
-                    ServiceName.of(room.getService()),
-                    new RoomDemand(room.getCapacityPerSecond(), priorities, accounts));
+            room.getPrioritiesList().forEach(asked -> {
+                Map<AccountName, Double> accounts = new HashMap<>();
+                asked.getAccountsList()
+                        .forEach(ofAccount ->
+                                accounts.put(AccountName.of(ofAccount.getAccount()), ofAccount.getAskedPerSecond()));
+                priorities.put(
+                        asked.getPriority(),
+                        new RoomDemand.PriorityDemand(
+                                asked.getAskedPerSecond(), asked.getCapacityPerSecond(), accounts));
+            });
+            demands.put(ServiceName.of(room.getService()), new RoomDemand(priorities));
         });
-        return new PeerMessage.RoomReport(demands);
+        return new PeerMessage.RoomReport(wire.getSequence(), demands);
     }
 
     static PeerProtocol.RoomGrant encode(PeerMessage.RoomGrant grant) {
@@ -62,14 +61,19 @@
                 .setEchoedToken(grant.echoedToken())
                 .setValidMillis(grant.validMillis());
         sortedByService(grant.shares()).forEach((service, share) -> {
-            PeerProtocol.RoomShare.Builder room = PeerProtocol.RoomShare.newBuilder()
-                    .setService(service)
-                    .setPressure(share.pressure())
-                    .setAccountPerSecond(share.accountPerSecond());
-            new TreeMap<>(share.admittedFractions())
-                    .forEach((priority, fraction) -> room.addPriorities(PeerProtocol.PriorityShare.newBuilder()
-                            .setPriority(priority)
-                            .setAdmittedFraction(fraction)));
+            PeerProtocol.RoomShare.Builder room =
+                    PeerProtocol.RoomShare.newBuilder().setService(service).setPressure(share.pressure());
+            new TreeMap<>(share.priorities()).forEach((priority, part) -> {
+                PeerProtocol.PriorityShare.Builder ofPriority = PeerProtocol.PriorityShare.newBuilder()
+                        .setPriority(priority)
+                        .setAdmittedFraction(part.admittedFraction())
+                        .setRestFraction(part.restFraction());
+                sortedByAccount(part.accounts())
+                        .forEach((account, fraction) -> ofPriority.addAccounts(PeerProtocol.AccountShare.newBuilder()
+                                .setAccount(account)
+                                .setAdmittedFraction(fraction)));
+                room.addPriorities(ofPriority);
+            });
             wire.addShares(room);
         });
         return wire.build();
@@ -78,11 +82,17 @@
     static PeerMessage.RoomGrant decode(PeerProtocol.RoomGrant wire) {
         Map<ServiceName, RoomShare> shares = new HashMap<>();
         wire.getSharesList().forEach(room -> {
-            Map<Integer, Double> fractions = new HashMap<>();
-            room.getPrioritiesList().forEach(share -> fractions.put(share.getPriority(), share.getAdmittedFraction()));
-            shares.put(
-                    ServiceName.of(room.getService()),
-                    new RoomShare(room.getPressure(), fractions, room.getAccountPerSecond()));
+            Map<Integer, RoomShare.PriorityShare> priorities = new HashMap<>();
+            room.getPrioritiesList().forEach(part -> {
+                Map<AccountName, Double> accounts = new HashMap<>();
+                part.getAccountsList()
+                        .forEach(ofAccount ->
+                                accounts.put(AccountName.of(ofAccount.getAccount()), ofAccount.getAdmittedFraction()));
+                priorities.put(
+                        part.getPriority(),
+                        new RoomShare.PriorityShare(part.getAdmittedFraction(), part.getRestFraction(), accounts));
+            });
+            shares.put(ServiceName.of(room.getService()), new RoomShare(room.getPressure(), priorities));
         });
         return new PeerMessage.RoomGrant(wire.getEchoedToken(), wire.getValidMillis(), shares);
     }
@@ -92,4 +102,10 @@
         values.forEach((service, value) -> sorted.put(service.value(), value));
         return sorted;
     }
+
+    private static Map<String, Double> sortedByAccount(Map<AccountName, Double> values) {
+        Map<String, Double> sorted = new TreeMap<>();
+        values.forEach((account, value) -> sorted.put(account.value(), value));
+        return sorted;
+    }
 }
--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -49,6 +49,7 @@
 import org.plantainwharf.registry.DepartureController;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.replicated.VoterId;
+import org.plantainwharf.room.RoomController;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.storage.BootstrapState;
 import org.plantainwharf.storage.StorageWriter;
@@ -108,6 +109,7 @@
                 OriginStoreController.create(),
                 DrainController.create(),
                 AllowanceController.create(),
+                RoomController.create(),
                 FencingController.create(role.dutyLeaseMillis()),
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
                 ScalingController.create());
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -49,6 +49,7 @@
 import org.plantainwharf.origin.OriginRecordController;
 import org.plantainwharf.quarantine.ForwardQuarantineController;
 import org.plantainwharf.registry.RegistryController;
+import org.plantainwharf.room.RoomController;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.transport.PeerNetwork;
 import org.plantainwharf.transport.PeerPolicy;
@@ -100,6 +101,7 @@
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
                 ForwardQuarantineController.create(),
                 OriginLookupController.create(),
+                RoomController.create(),
                 ForwardController.create(role.forwardLimits()),
                 OriginRecordController.create(),
                 DemandController.create());
--- a/src/main/java/org/plantainwharf/error/ErrorKind.java
+++ b/src/main/java/org/plantainwharf/error/ErrorKind.java
@@ -40,6 +40,7 @@
     NO_SERVER_AVAILABLE(503, ExecutionStatus.NO, true, "no backend server is available for %s"),
     SERVERS_AT_LIMIT(503, ExecutionStatus.NO, true, "backend servers for %s get as many requests as they accept"),
     SERVERS_OVERLOADED(503, ExecutionStatus.NO, true, "backend servers for %s cannot begin the request in time"),
+    NO_ROOM_IN_TIME(503, ExecutionStatus.NO, false, "backend servers for %s have no room for the request in time"),
     REQUEST_QUARANTINED(
             422,
             ExecutionStatus.NO,
--- a/src/main/java/org/plantainwharf/forward/EngineProfile.java
+++ b/src/main/java/org/plantainwharf/forward/EngineProfile.java
@@ -122,6 +122,11 @@
         return millisPerToken;
     }
 
+    /** Returns the time to the start of an answer at an engine without a queue, in milliseconds. */
+    public double expectedMillis(long uncachedTokens) {
+        return overheadMillis + millisPerToken * uncachedTokens;
+    }
+
     /** Returns the average number of prompt tokens that an engine has to process for a request; 0 before the first. */
     double averageTokens() {
         return averageTokens;
--- a/src/main/java/org/plantainwharf/forward/ForwardCall.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardCall.java
@@ -18,6 +18,9 @@
  * control thread; modified only by the forward controller.
  */
 public final class ForwardCall {
+    /** Lowest priority that is sent to engines. */
+    private static final int LOWEST_PRIORITY = 9;
+
     private final long ticket;
     private final ForwardHead head;
     private final RouteRule route;
@@ -211,6 +214,15 @@
         }
     }
 
+    /** Returns the priority of the account, or else of the route; 0 is the most urgent. */
+    public int effectivePriority() {
+        int declared = account.flatMap(rule -> rule.priority().isPresent()
+                        ? Optional.of(rule.priority().getAsInt())
+                        : Optional.empty())
+                .orElse(route.priority());
+        return Math.max(0, Math.min(LOWEST_PRIORITY, declared));
+    }
+
     /** Returns the time until the deadline in milliseconds, at least 0. */
     public long remainingMillis(long nowNanos) {
         return Math.max(0, (admission.deadlineNanos() - nowNanos) / 1_000_000);
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -51,9 +51,6 @@
     /** An attempt with less time than this until the deadline cannot be answered in time. */
     private static final long MINIMUM_REMAINING_MILLIS = 20;
 
-    /** Lowest priority that is sent to engines; 0 is the highest. */
-    private static final int LOWEST_PRIORITY = 9;
-
     private static final String RESTARTED = "the server started again with another version";
 
     private final ForwardLimits limits;
@@ -215,13 +212,9 @@
             failCall(call, failure, board, nowNanos, effects);
             return;
         }
-        if (!QueueAdmission.admits(call, priority(call), chosen.get(), board, nowNanos)) {
-            board.forward()
-                    .engineProfile(call.service())
-                    .recordTurnedAway(call.head().prompt().orElseThrow());
-            Failure failure = Failure.of(ErrorKind.SERVERS_OVERLOADED, call.service())
-                    .withRetryAfter(RetryAfter.limitedBy(call.head(), QueueAdmission.returnMillis(call, board)));
-            failCall(call, failure, board, nowNanos, effects);
+        Optional<Failure> withoutRoom = RoomGate.refusal(call, chosen.get(), board, nowNanos, effects);
+        if (withoutRoom.isPresent()) {
+            failCall(call, withoutRoom.get(), board, nowNanos, effects);
             return;
         }
         KnownServer server = chosen.get().server();
@@ -232,7 +225,9 @@
         int attempt = call.nextAttempt(id);
         AttemptLog.started(call, attempt, chosen.get(), uncachedTokens, board, nowNanos, effects);
         if (call.head().prompt().isPresent()) {
-            board.forward().engineProfile(call.service()).recordSent(uncachedTokens, priority(call), nowNanos);
+            board.forward()
+                    .engineProfile(call.service())
+                    .recordSent(uncachedTokens, call.effectivePriority(), nowNanos);
         }
         statistics.recordSent(uncachedTokens, call.head().prompt(), nowNanos);
         board.serverLimits().charge(id, nowNanos);
@@ -252,7 +247,7 @@
                 server.report().address(),
                 call.admission().deadlineNanos(),
                 call.account().map(AccountRule::name),
-                priority(call),
+                call.effectivePriority(),
                 call.route().mayResumeStream()));
     }
 
@@ -268,15 +263,6 @@
         return board.quarantine().blame(call.head().fingerprints(), nowNanos, board.wallClockMillis());
     }
 
-    private static int priority(ForwardCall call) {
-        int declared = call.account()
-                .flatMap(account -> account.priority().isPresent()
-                        ? Optional.of(account.priority().getAsInt())
-                        : Optional.empty())
-                .orElse(call.route().priority());
-        return Math.max(0, Math.min(LOWEST_PRIORITY, declared));
-    }
-
     /** Holds requests back from a server that wants none for a time. The registry controller heeds those that leave. */
     private static void onNotice(ForwardEvent.ServerNoticed noticed, Board board, long nowNanos, Effects effects) {
         switch (noticed.notice().pause()) {
--- a/src/main/java/org/plantainwharf/forward/ForwardSection.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardSection.java
@@ -52,6 +52,12 @@
         return statistics.computeIfAbsent(server, id -> new ServerStatistics());
     }
 
+    /** Returns whether this daemon sends nothing to a server because of failures or overdue answers. */
+    public boolean avoids(ServerId server, long nowNanos) {
+        ServerStatistics known = statistics.get(server);
+        return known != null && known.isAvoided(nowNanos);
+    }
+
     void removeStatistics(ServerId server) {
         statistics.remove(server);
     }
--- a/src/main/java/org/plantainwharf/forward/ServerStatistics.java
+++ b/src/main/java/org/plantainwharf/forward/ServerStatistics.java
@@ -216,6 +216,11 @@
         return nowNanos - avoidUntilNanos < 0 && avoidUntilNanos != Long.MIN_VALUE;
     }
 
+    /** Returns whether the server has reported its load since this time. */
+    boolean hasLoadSince(long nanos) {
+        return load != null && loadNanos - nanos >= 0;
+    }
+
     /** Returns the estimated number of requests at the server, running or waiting. */
     int estimatedRequests(long nowNanos) {
         ServerLoad current = load;
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -247,8 +247,12 @@
         }
     }
 
-    /** Reports what one entry daemon is asked for, by service, to the control daemons. Replaces earlier reports. */
-    record RoomReport(Map<ServiceName, RoomDemand> demands) implements PeerMessage {
+    /**
+     * Reports what one entry daemon is asked for, by service, to the control daemons. Replaces earlier reports.
+     *
+     * @param sequence increases with each report of one start of the sender
+     */
+    record RoomReport(long sequence, Map<ServiceName, RoomDemand> demands) implements PeerMessage {
         /** Copies the map. */
         public RoomReport {
             demands = Map.copyOf(demands);
--- a/src/main/java/org/plantainwharf/room/RoomDemand.java
+++ b/src/main/java/org/plantainwharf/room/RoomDemand.java
@@ -5,25 +5,35 @@
 import org.plantainwharf.identity.AccountName;
 
 /**
- * What one daemon was asked for lately at a service, in prompt tokens that servers have to process, or in requests where
- * a service has no prompts. Immutable.
+ * What one daemon was asked for lately at a service, in milliseconds of work of one server, per second. Immutable.
  *
- * @param capacityPerSecond what all servers of the service can process, as this daemon estimates it
  * @param priorities by priority; 0 is the most urgent
- * @param askedPerSecond by account
  */
-public record RoomDemand(
-        double capacityPerSecond, Map<Integer, PriorityDemand> priorities, Map<AccountName, Double> askedPerSecond) {
-    /** Copies the maps. */
+public record RoomDemand(Map<Integer, PriorityDemand> priorities) {
+    /** Copies the map. */
     public RoomDemand {
         priorities = Map.copyOf(priorities);
-        askedPerSecond = Map.copyOf(askedPerSecond);
+    }
+
+    /** Returns what is asked for at all priorities together. */
+    public double askedPerSecond() {
+        return priorities.values().stream()
+                .mapToDouble(PriorityDemand::askedPerSecond)
+                .sum();
     }
 
     /**
-     * Demand of one priority.
+     * Demand of one priority. Requests that return after a refusal are not counted again.
      *
-     * @param returningPerSecond part of what is asked for that is due from callers that were told to return
+     * @param askedPerSecond demand of all accounts, including those that are not listed
+     * @param capacityPerSecond work of this priority and those more urgent that all servers do together, as this daemon
+     *     estimates it
+     * @param accounts demand of the accounts that asked for most
      */
-    public record PriorityDemand(double askedPerSecond, double admittedPerSecond, double returningPerSecond) {}
+    public record PriorityDemand(double askedPerSecond, double capacityPerSecond, Map<AccountName, Double> accounts) {
+        /** Copies the map. */
+        public PriorityDemand {
+            accounts = Map.copyOf(accounts);
+        }
+    }
 }
--- a/src/test/java/org/plantainwharf/forward/EngineFleet.java
+++ b/src/test/java/org/plantainwharf/forward/EngineFleet.java
@@ -1,6 +1,7 @@
 package org.plantainwharf.forward;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -14,11 +15,14 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import io.vavr.control.Either;
 import org.plantainwharf.board.Board;
 import org.plantainwharf.call.Content;
+import org.plantainwharf.consensus.GroupStatus;
 import org.plantainwharf.control.ControlCycle;
+import org.plantainwharf.control.Controller;
 import org.plantainwharf.document.AccountRule;
 import org.plantainwharf.document.CallerBounds;
 import org.plantainwharf.document.DocumentController;
@@ -29,6 +33,7 @@
 import org.plantainwharf.duty.DemandController;
 import org.plantainwharf.effect.Effect;
 import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.effect.LogEffect;
 import org.plantainwharf.effect.PeerEffect;
 import org.plantainwharf.event.Event;
 import org.plantainwharf.event.ForwardEvent;
@@ -52,6 +57,7 @@
 import org.plantainwharf.registry.ServerReport;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.room.RoomController;
 import org.plantainwharf.testing.Samples;
 
 /**
@@ -69,6 +75,7 @@
     private static final double OUTPUT_TOKEN_WEIGHT = 10;
     private static final double FIXED_WORTH = 0.3;
     private static final double LATE_WORTH = 0.1;
+    private static final int RETURNS_AT_ONCE = 5;
 
     private final Shape shape;
     private final Random random;
@@ -80,13 +87,52 @@
     private final Map<String, Outcomes> outcomes = new HashMap<>();
     private long nowMicros = 100_000_000;
     private long scheduled;
+    private final List<LogEffect> roomLog = new ArrayList<>();
     private long tickets;
+    private long requests;
     private long sequence;
     private int nextRoundRobin;
     private double load = 1;
+    private final double[] accountLoads;
+    private final Map<String, Double> kindLoads = new HashMap<>();
+    private final List<Outcomes> accountOutcomes = new ArrayList<>();
+    private final Optional<Daemon> leader;
+    private int firstDaemon;
+    private int entryDaemons;
+    private boolean returnsAtOnce;
+    private boolean leaderLost;
 
-    /** Sizes of the fleet. Immutable. */
-    record Shape(int daemons, int engines, int zones, double[] speeds, double promptTokensPerMilli, Policy policy) {}
+    /**
+     * Sizes of the fleet. Immutable.
+     *
+     * @param accounts how much each account asks for, relative to the others
+     */
+    record Shape(
+            int daemons,
+            int engines,
+            int zones,
+            double[] speeds,
+            double promptTokensPerMilli,
+            Policy policy,
+            Sharing sharing,
+            int slots,
+            boolean preempting,
+            double[] accounts) {
+        Shape(int daemons, int engines, int zones, double[] speeds, double promptTokensPerMilli, Policy policy) {
+            this(daemons, engines, zones, speeds, promptTokensPerMilli, policy, Sharing.ALL, 64, false, new double[] {1
+            });
+        }
+    }
+
+    /** Which daemons share the room of the engines. */
+    enum Sharing {
+        /** None: each looks at the queue of the selected engine only. */
+        NONE,
+        /** Each daemon by itself, by its part of the room. */
+        OWN,
+        /** All daemons, by the grants of a leader. */
+        ALL
+    }
 
     /** Chooses engines. */
     sealed interface Policy {
@@ -137,6 +183,8 @@
         int failed;
         double owed;
         double earned;
+        double owedLarge;
+        double earnedLarge;
         int askedLarge;
         int servedLarge;
 
@@ -168,15 +216,19 @@
 
     private static final class Request {
         final Kind kind;
+        final int account;
         final PromptShape prompt;
         final long arrivedMicros;
-        boolean returned;
+        final long content;
+        int returns;
         boolean answered;
 
-        Request(Kind kind, PromptShape prompt, long arrivedMicros) {
+        Request(Kind kind, int account, PromptShape prompt, long arrivedMicros, long content) {
             this.kind = kind;
+            this.account = account;
             this.prompt = prompt;
             this.arrivedMicros = arrivedMicros;
+            this.content = content;
         }
 
         /** Returns whether the prompt is about among the largest tenth of its kind. */
@@ -188,6 +240,12 @@
     EngineFleet(Shape shape, List<Kind> kinds, long seed) {
         this.shape = shape;
         this.random = new Random(seed);
+        this.accountLoads = shape.accounts().clone();
+        this.entryDaemons = shape.daemons();
+        for (int account = 0; account < accountLoads.length; account++) {
+            accountOutcomes.add(new Outcomes());
+        }
+        this.leader = shape.sharing() == Sharing.ALL ? Optional.of(createLeader()) : Optional.empty();
         for (int index = 0; index < shape.daemons(); index++) {
             daemons.add(createDaemon(index, kinds));
         }
@@ -226,29 +284,72 @@
                         new ServiceRule(
                                 SERVICE, 400, Optional.of(new ServiceRule.Engine(64, 232_000)), Optional.empty())),
                 CallerBounds.defaults(),
-                List.of(new AccountRule(
-                        AccountName.of("acme"), Set.of(KEY), OptionalInt.empty(), true, 200, 1e9, 1e9)));
+                IntStream.range(0, shape.accounts().length)
+                        .mapToObj(account -> new AccountRule(
+                                AccountName.of("account-" + account),
+                                Set.of(KEY + account),
+                                OptionalInt.empty(),
+                                true,
+                                200,
+                                1e9,
+                                1e9))
+                        .toList());
         Board board = Board.create(Samples.settings("edge-" + index), 1, 7 + index);
-        ControlCycle cycle = ControlCycle.create(
-                board,
-                List.of(
-                        MembershipController.create(),
-                        RegistryController.learning(),
-                        DocumentController.create(content -> Either.right(document)),
-                        AllowanceController.create(),
-                        ForwardController.create(new ForwardLimits(0.2, 10, 8, 0, 0)),
-                        DemandController.create()));
+        List<Controller> controllers = new ArrayList<>(List.of(
+                MembershipController.create(),
+                RegistryController.learning(),
+                DocumentController.create(content -> Either.right(document)),
+                AllowanceController.create()));
+        if (shape.sharing() != Sharing.NONE) {
+            controllers.add(RoomController.create());
+        }
+        controllers.add(ForwardController.create(new ForwardLimits(0.2, 10, 8, 0, 0)));
+        controllers.add(DemandController.create());
+        ControlCycle cycle = ControlCycle.create(board, controllers);
         Daemon daemon = new Daemon(index, board, cycle);
         Command command = new Command.ReplaceDocument(1, Content.of("application/json", new byte[] {1}));
         CommandResult result = board.configuration().state().apply(command);
         run(daemon, new ReplicationEvent.EntryApplied(0, 1, command, result));
         run(daemon, new PeerEvent.PeerConnected(CONTROL_HOST, AvailabilityZone.of("zone-0"), 1));
+        leader.ifPresent(control ->
+                run(control, new PeerEvent.PeerConnected(board.membership().self(), AvailabilityZone.of("zone-0"), 1)));
         return daemon;
     }
 
+    private Daemon createLeader() {
+        Board board = Board.create(Samples.settings(CONTROL_HOST.value()), 1, 5);
+        board.consensus()
+                .put(new GroupStatus(0, Optional.of(CONTROL_HOST), true, 1, 1, 1, Long.MAX_VALUE, nanos(), true));
+        return new Daemon(
+                -1, board, ControlCycle.create(board, List.of(MembershipController.create(), RoomController.create())));
+    }
+
+    /** Delivers a message between an entry daemon and the leader. */
+    private void deliver(Daemon from, PeerEffect.SendToPeer send) {
+        if (leader.isEmpty()
+                || leaderLost
+                || !(send.message() instanceof PeerMessage.Heartbeat
+                        || send.message() instanceof PeerMessage.RoomReport
+                        || send.message() instanceof PeerMessage.RoomGrant)) {
+            return;
+        }
+        Daemon to = from == leader.get()
+                ? daemons.stream()
+                        .filter(daemon -> daemon.board.membership().self().equals(send.peer()))
+                        .findFirst()
+                        .orElseThrow()
+                : leader.get();
+        schedule(
+                NETWORK_MICROS,
+                () -> run(
+                        to,
+                        new PeerEvent.PeerMessageReceived(
+                                from.board.membership().self(), 1, send.message())));
+    }
+
     void addEngine(String name, int zone, double speed) {
-        SimulatedEngine engine =
-                new SimulatedEngine(new SimulatedEngine.Traits(speed, shape.promptTokensPerMilli(), 64, 134, 232_000));
+        SimulatedEngine engine = new SimulatedEngine(new SimulatedEngine.Traits(
+                speed, shape.promptTokensPerMilli(), shape.slots(), 134, 232_000, shape.preempting()));
         engines.put(ServerId.of(name), engine);
         zones.put(ServerId.of(name), zone);
     }
@@ -290,6 +391,7 @@
 
     private void tick() {
         daemons.forEach(daemon -> run(daemon, new TimerEvent.Tick()));
+        leader.ifPresent(control -> run(control, new TimerEvent.Tick()));
         schedule(TICK_MICROS, this::tick);
     }
 
@@ -309,7 +411,7 @@
                 SERVICE,
                 "10.0.0." + server.value().substring(2) + ":80",
                 AvailabilityZone.of("zone-" + zones.get(server)),
-                64,
+                shape.slots(),
                 phase,
                 0,
                 true,
@@ -326,18 +428,42 @@
     }
 
     private void scheduleArrival(Kind kind) {
-        double meanMicros = 1e6 / (kind.perSecond() * load);
+        double meanMicros = 1e6 / (kind.perSecond() * load * kindLoads.getOrDefault(kind.name(), 1.0) * accountsLoad());
         schedule((long) (-Math.log(1 - random.nextDouble()) * meanMicros), () -> {
-            Request request = new Request(kind, prompt(kind), nowMicros);
-            Outcomes ofKind = outcomesOf(kind);
-            ofKind.asked++;
-            ofKind.owed += kind.worth(request.prompt);
-            ofKind.askedLarge += request.large() ? 1 : 0;
-            arrive(request, random.nextInt(daemons.size()));
+            Request request = new Request(kind, drawAccount(), prompt(kind), nowMicros, requests++);
+            outcomesOf(request).forEach(of -> {
+                of.asked++;
+                of.owed += kind.worth(request.prompt);
+                of.owedLarge += request.large() ? kind.worth(request.prompt) : 0;
+                of.askedLarge += request.large() ? 1 : 0;
+            });
+            arrive(request, drawDaemon());
             scheduleArrival(kind);
         });
     }
 
+    private double accountsLoad() {
+        return Arrays.stream(accountLoads).sum()
+                / Arrays.stream(shape.accounts()).sum();
+    }
+
+    private int drawAccount() {
+        if (accountLoads.length == 1) {
+            return 0;
+        }
+        double left = random.nextDouble() * Arrays.stream(accountLoads).sum();
+        int account = 0;
+        while (account < accountLoads.length - 1 && left >= accountLoads[account]) {
+            left -= accountLoads[account];
+            account++;
+        }
+        return account;
+    }
+
+    private int drawDaemon() {
+        return firstDaemon + random.nextInt(entryDaemons);
+    }
+
     private PromptShape prompt(Kind kind) {
         long shared = Math.round(kind.sharedTokens());
         int thing = random.nextInt(kind.things());
@@ -364,7 +490,7 @@
         Daemon daemon = daemons.get(daemonIndex);
         long leftMillis = request.kind.deadlineMillis() - (nowMicros - request.arrivedMicros) / 1_000;
         if (leftMillis <= 0) {
-            outcomesOf(request.kind).failed++;
+            outcomesOf(request).forEach(of -> of.failed++);
             return;
         }
         tickets++;
@@ -380,10 +506,10 @@
                                         "id-" + ticket,
                                         "a.example",
                                         "/" + request.kind.name() + "/x",
-                                        Optional.of(KEY),
+                                        Optional.of(KEY + request.account),
                                         OptionalLong.of(leftMillis),
                                         Optional.of(request.prompt),
-                                        Fingerprint.of("content-" + ticket)),
+                                        Fingerprint.of("content-" + request.content)),
                                 nanos()));
             case Policy.RoundRobin roundRobin ->
                 send(daemon, ticket, 1, sortedEngines().get(nextRoundRobin++ % engines.size()), leftMillis);
@@ -403,10 +529,11 @@
                 .toList();
     }
 
-    private static ServerId leastLoaded(Daemon daemon, List<ServerId> choices, boolean withOwn) {
+    private ServerId leastLoaded(Daemon daemon, List<ServerId> choices, boolean withOwn) {
         return choices.stream()
                 .min(Comparator.comparingInt(server -> {
-                    ServerLoad reported = daemon.reported.getOrDefault(server, new ServerLoad(0, 0, 64, 100));
+                    ServerLoad reported =
+                            daemon.reported.getOrDefault(server, new ServerLoad(0, 0, shape.slots(), 100));
                     return reported.running() + reported.waiting() + (withOwn ? daemon.own.getOrDefault(server, 0) : 0);
                 }))
                 .orElseThrow();
@@ -424,6 +551,12 @@
                     && send.message() instanceof PeerMessage.DemandReport report
                     && report.demands().get(SERVICE) instanceof ServiceDemand demand) {
                 daemon.reportedPromptTokens = demand.promptTokensPerSecond();
+            } else if (effect instanceof PeerEffect.SendToPeer send) {
+                deliver(daemon, send);
+            } else if (effect instanceof LogEffect log
+                    && daemon.index == 0
+                    && log.event().startsWith("room_")) {
+                roomLog.add(log);
             }
         }
     }
@@ -453,17 +586,18 @@
         }
         boolean promise = refuse.failure().kind().httpStatus() == 503
                 || refuse.failure().kind().httpStatus() == 429;
-        if (promise && !request.returned) {
-            request.returned = true;
+        boolean returns = refuse.failure().kind().retryable() || returnsAtOnce;
+        if (promise && returns && request.returns < (returnsAtOnce ? RETURNS_AT_ONCE : 1)) {
+            request.returns++;
             long waitMicros = refuse.failure()
                     .retryAfter()
                     .map(wait -> wait.toMillis() * 1_000)
                     .orElse(100_000L);
-            schedule(waitMicros, () -> arrive(request, random.nextInt(daemons.size())));
+            schedule(returnsAtOnce ? NETWORK_MICROS : waitMicros, () -> arrive(request, drawDaemon()));
         } else if (promise) {
-            outcomesOf(request.kind).refused++;
+            outcomesOf(request).forEach(of -> of.refused++);
         } else {
-            outcomesOf(request.kind).failed++;
+            outcomesOf(request).forEach(of -> of.failed++);
         }
     }
 
@@ -527,15 +661,15 @@
         }
         request.answered = true;
         double millis = (nowMicros - request.arrivedMicros) / 1e3;
-        Outcomes ofKind = outcomesOf(request.kind);
-        if (millis <= request.kind.targetMillis()) {
-            ofKind.inTarget++;
-            ofKind.earned += request.kind.worth(request.prompt);
-        } else {
-            ofKind.late++;
-            ofKind.earned += LATE_WORTH * request.kind.worth(request.prompt);
-        }
-        ofKind.servedLarge += request.large() ? 1 : 0;
+        boolean inTarget = millis <= request.kind.targetMillis();
+        double earned = (inTarget ? 1 : LATE_WORTH) * request.kind.worth(request.prompt);
+        outcomesOf(request).forEach(of -> {
+            of.inTarget += inTarget ? 1 : 0;
+            of.late += inTarget ? 0 : 1;
+            of.earned += earned;
+            of.earnedLarge += request.large() ? earned : 0;
+            of.servedLarge += request.large() ? 1 : 0;
+        });
         ServerLoad reported = Objects.requireNonNull(engines.get(server)).load();
         daemon.reported.put(server, reported);
         if (shape.policy() instanceof Policy.Product) {
@@ -554,10 +688,11 @@
         Request request = daemon.requests.get(ticket);
         if (request != null && !complete && request.answered) {
             // The caller does not get the whole answer.
-            Outcomes ofKind = outcomesOf(request.kind);
-            ofKind.failed++;
-            ofKind.late--;
-            ofKind.earned -= LATE_WORTH * request.kind.worth(request.prompt);
+            outcomesOf(request).forEach(of -> {
+                of.failed++;
+                of.late--;
+                of.earned -= LATE_WORTH * request.kind.worth(request.prompt);
+            });
         }
         if (shape.policy() instanceof Policy.Product) {
             run(
@@ -576,7 +711,7 @@
     private void end(Daemon daemon, long ticket, boolean counted) {
         Request request = daemon.requests.remove(ticket);
         if (request != null && !counted && !request.answered) {
-            outcomesOf(request.kind).failed++;
+            outcomesOf(request).forEach(of -> of.failed++);
         }
     }
 
@@ -587,8 +722,55 @@
                 .sum();
     }
 
-    private Outcomes outcomesOf(Kind kind) {
-        return Objects.requireNonNull(outcomes.get(kind.name()));
+    private List<Outcomes> outcomesOf(Request request) {
+        return List.of(Objects.requireNonNull(outcomes.get(request.kind.name())), accountOutcomes.get(request.account));
+    }
+
+    /** Returns the load of every engine. */
+    List<ServerLoad> loads() {
+        return engines.values().stream().map(SimulatedEngine::load).toList();
+    }
+
+    /** Returns what the first daemon logged about room. */
+    List<LogEffect> roomLog() {
+        return roomLog;
+    }
+
+    /** Returns the outcomes of each account. */
+    List<Outcomes> accountOutcomes() {
+        return accountOutcomes;
+    }
+
+    /** Forgets what was counted so far. */
+    void resetOutcomes() {
+        outcomes.replaceAll((kind, before) -> new Outcomes());
+        accountOutcomes.replaceAll(before -> new Outcomes());
+    }
+
+    /** Multiplies what one account asks for. */
+    void setAccountLoad(int account, double factor) {
+        accountLoads[account] = factor * shape.accounts()[account];
+    }
+
+    /** Multiplies what is asked for of one kind. */
+    void setKindLoad(String kind, double factor) {
+        kindLoads.put(kind, factor);
+    }
+
+    /** Sends all callers to some of the daemons. */
+    void setEntryDaemons(int first, int number) {
+        firstDaemon = first;
+        entryDaemons = number;
+    }
+
+    /** Lets refused callers return several times without waiting. */
+    void setReturnsAtOnce() {
+        returnsAtOnce = true;
+    }
+
+    /** Loses or restores the leader that shares the room. */
+    void setLeaderLost(boolean lost) {
+        leaderLost = lost;
     }
 
     Map<String, Outcomes> outcomes() {
--- a/src/test/java/org/plantainwharf/forward/SimulatedEngine.java
+++ b/src/test/java/org/plantainwharf/forward/SimulatedEngine.java
@@ -32,8 +32,10 @@
      *
      * @param speed relative to the usual engine
      * @param promptTokensPerMilli prompt tokens that the usual engine processes in a millisecond
+     * @param preempting whether a request takes the slot of a less urgent one that runs
      */
-    record Traits(double speed, double promptTokensPerMilli, int slots, int queue, long memoryTokens) {}
+    record Traits(
+            double speed, double promptTokensPerMilli, int slots, int queue, long memoryTokens, boolean preempting) {}
 
     /** Hears of the progress of a request. */
     interface Listener {
@@ -53,6 +55,7 @@
         private final Listener listener;
         private long promptTokensLeft = -1;
         private long outputTokensLeft;
+        private boolean answering;
 
         Job(long ticket, int owner, int priority, PromptShape prompt, long deadlineMicros, Listener listener) {
             this.ticket = ticket;
@@ -118,6 +121,7 @@
         }
         expire(waiting, nowMicros);
         expire(running, nowMicros);
+        preempt();
         double millis = running.isEmpty() ? 0 : STEP_MILLIS + STEP_MILLIS_PER_REQUEST * running.size();
         if (!waiting.isEmpty() && running.size() < traits.slots()) {
             Job first = waiting.getFirst();
@@ -148,7 +152,26 @@
             Job started = waiting.removeFirst();
             remember(started.prompt);
             running.add(started);
-            started.listener.onFirstToken();
+            if (!started.answering) {
+                started.answering = true;
+                started.listener.onFirstToken();
+            }
+        }
+    }
+
+    /** Returns the least urgent running request to the queue if a more urgent one finds no slot. */
+    private void preempt() {
+        if (!traits.preempting() || waiting.isEmpty() || running.size() < traits.slots()) {
+            return;
+        }
+        Job least = running.stream()
+                .max(Comparator.comparingInt((Job job) -> job.priority))
+                .orElseThrow();
+        if (waiting.getFirst().priority < least.priority) {
+            running.remove(least);
+            least.promptTokensLeft = -1;
+            waiting.add(least);
+            waiting.sort(Comparator.comparingInt((Job other) -> other.priority));
         }
     }
 
