--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -52,6 +52,7 @@
 import org.plantainwharf.rollout.RolloutLogController;
 import org.plantainwharf.rollout.RolloutOrderController;
 import org.plantainwharf.rollout.RolloutVerdictController;
+import org.plantainwharf.room.RoomController;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.storage.BootstrapState;
 import org.plantainwharf.storage.StorageWriter;
@@ -114,6 +115,7 @@
                 RolloutVerdictController.create(role.rolloutBounds()),
                 DrainController.create(),
                 AllowanceController.create(),
+                RoomController.create(),
                 FencingController.create(role.dutyLeaseMillis()),
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
                 ScalingController.create());
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -51,6 +51,7 @@
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.rollout.RolloutLogController;
 import org.plantainwharf.rollout.RolloutEvidenceController;
+import org.plantainwharf.room.RoomController;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.transport.PeerNetwork;
 import org.plantainwharf.transport.PeerPolicy;
@@ -104,6 +105,7 @@
                 ForwardQuarantineController.create(),
                 OriginLookupController.create(),
                 RolloutEvidenceController.create(role.rolloutBounds()),
+                RoomController.create(),
                 ForwardController.create(role.forwardLimits()),
                 OriginRecordController.create(),
                 DemandController.create());
