Share observations of servers among daemons, and compare few of them

Cause: with many entry daemons each hears of a server every few seconds. All of them know little, and with equal knowledge all choose the same server.

Change: entry daemons send what servers told them to one control daemon every 100 ms, which passes it on, newest first, at most 32 servers a message. Observations are dated by age, corrected for late messages by the echoed heartbeat, keyed by a digest of one start of the server, and dropped if their sequence is repeated or out of order. The speed of a server is a low quantile of its answers; the waits that one daemon met fade within 2 s and are not shared. A reported queue approaches the average of the service with its age. The selector compares the home of a prompt part, three servers drawn by speed from this zone and pool, and one from any, instead of all. Statistics belong to one start of a server, and those of forgotten servers are removed.

In ServerStatisticsTest two calls pass the time as well.

--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -44,6 +44,7 @@
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.metric.Counters;
 import org.plantainwharf.metric.Telemetry;
+import org.plantainwharf.observation.ObservationController;
 import org.plantainwharf.origin.OriginStoreController;
 import org.plantainwharf.origin.VersionListController;
 import org.plantainwharf.registry.DepartureController;
@@ -107,6 +108,7 @@
                 VersionListController.create(),
                 OriginStoreController.create(),
                 DrainController.create(),
+                ObservationController.ofControlDaemon(),
                 AllowanceController.create(),
                 FencingController.create(role.dutyLeaseMillis()),
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -45,6 +45,7 @@
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.metric.Counters;
 import org.plantainwharf.metric.Telemetry;
+import org.plantainwharf.observation.ObservationController;
 import org.plantainwharf.origin.OriginLookupController;
 import org.plantainwharf.origin.OriginRecordController;
 import org.plantainwharf.quarantine.ForwardQuarantineController;
@@ -100,6 +101,7 @@
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
                 ForwardQuarantineController.create(),
                 OriginLookupController.create(),
+                ObservationController.ofEntryDaemon(),
                 ForwardController.create(role.forwardLimits()),
                 OriginRecordController.create(),
                 DemandController.create());
--- a/src/main/java/org/plantainwharf/forward/EngineProfile.java
+++ b/src/main/java/org/plantainwharf/forward/EngineProfile.java
@@ -40,6 +40,9 @@
     /** Weight of the newest request in the average prompt. */
     private static final double AVERAGE_SMOOTHING_WEIGHT = 0.02;
 
+    /** Weight of the newest report in the average queue; a daemon hears of a few servers in a second. */
+    private static final double QUEUE_SMOOTHING_WEIGHT = 0.05;
+
     /** Fraction of the refusals that count as demand, as most callers return once and are counted again. */
     private static final double RETURNING_FACTOR = 0.5;
 
@@ -52,6 +55,7 @@
     private double averageTokens;
     private long samples;
     private double turnedAwayTokens;
+    private double averageQueueMillis;
 
     private EngineProfile() {}
 
@@ -107,6 +111,16 @@
         millisPerToken = Math.max(MINIMUM_MILLIS_PER_TOKEN, Math.min(MAXIMUM_MILLIS_PER_TOKEN, millisPerToken));
     }
 
+    /** Records the requests that an engine said wait there. */
+    void recordWaiting(int waiting) {
+        averageQueueMillis += QUEUE_SMOOTHING_WEIGHT * (waiting * averageTokens * millisPerToken - averageQueueMillis);
+    }
+
+    /** Returns the time that the requests waiting at an engine take on average, in milliseconds. */
+    double averageQueueMillis() {
+        return averageQueueMillis;
+    }
+
     /** Returns the time to the start of an answer that does not depend on the prompt, in milliseconds. */
     double overheadMillis() {
         return overheadMillis;
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -9,6 +9,7 @@
 
 import org.plantainwharf.board.Board;
 import org.plantainwharf.control.Controller;
+import org.plantainwharf.control.PeriodicTimer;
 import org.plantainwharf.document.AccountRule;
 import org.plantainwharf.effect.Effects;
 import org.plantainwharf.effect.ForwardEffect;
@@ -31,6 +32,7 @@
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
 import org.plantainwharf.identity.ServerId;
+import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.origin.OriginAnswer;
 import org.plantainwharf.origin.StreamOrigin;
 import org.plantainwharf.quarantine.Blame;
@@ -54,11 +56,15 @@
     /** Lowest priority that is sent to engines; 0 is the highest. */
     private static final int LOWEST_PRIORITY = 9;
 
+    /** Interval at which the statistics of servers are removed that the registry has forgotten. */
+    private static final long REMOVAL_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private static final String RESTARTED = "the server started again with another version";
 
     private final ForwardLimits limits;
     private final AccountLimits accounts;
     private final ForwardAdmission admission;
+    private final PeriodicTimer removalPeriod = PeriodicTimer.ofNanos(REMOVAL_PERIOD_NANOS);
 
     private ForwardController(ForwardLimits limits) {
         this.limits = limits;
@@ -79,6 +85,7 @@
             case RolloutEvent ignored -> {}
             case RegistryEvent ignored -> {}
             case DutyEvent ignored -> {}
+            case PeerEvent.PeerMessageReceived received -> onPeerMessage(received.message(), board);
             case PeerEvent ignored -> {}
             case ReplicationEvent ignored -> {}
             case StorageEvent ignored -> {}
@@ -90,6 +97,12 @@
         }
     }
 
+    private static void onPeerMessage(PeerMessage message, Board board) {
+        if (message instanceof PeerMessage.ServerObservations news) {
+            news.observations().forEach(seen -> board.forward().adopt(seen.server(), board.observations()));
+        }
+    }
+
     private void onForward(ForwardEvent event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case ForwardEvent.ForwardArrived arrived -> onArrived(arrived, board, nowNanos, effects);
@@ -178,6 +191,10 @@
 
     private void onTick(Board board, long nowNanos, Effects effects) {
         ForwardTimer.tick(board, nowNanos, effects);
+        if (removalPeriod.startIfDue(nowNanos)) {
+            board.forward()
+                    .removeStatistics(server -> board.registry().server(server).isEmpty());
+        }
         for (ForwardCall call : ForwardTimer.expiredAwaitingOrigin(board, nowNanos)) {
             effects.count("forward.timeouts");
             failCall(call, Failure.of(ErrorKind.DEADLINE_EXCEEDED), board, nowNanos, effects);
@@ -308,10 +325,11 @@
                 statistics.recordPromptTime(
                         running.uncachedTokens(),
                         (nowNanos - running.sentNanos()) / 1e6,
-                        board.forward().engineProfile(call.service()));
+                        board.forward().engineProfile(call.service()),
+                        nowNanos);
             }
             statistics.recordPromptProcessed(running.uncachedTokens());
-            began.status().ifPresent(status -> recordStatus(running.server(), status, board, nowNanos, effects));
+            began.status().ifPresent(status -> recordStatus(call, running, status, board, nowNanos, effects));
             statistics.recordAnswerStarted(nowNanos - running.sentNanos(), nowNanos);
             call.setState(running.withAnswerStarted(nowNanos));
             if (call.origin().isPresent() && StreamVersions.isDoubtful(running, board)) {
@@ -381,28 +399,14 @@
         switch (call.state()) {
             case ForwardCall.State.Running running -> {
                 if (running.attempt() == ended.attempt()) {
-                    recordAttemptEnd(
-                            running.server(),
-                            running.uncachedTokens(),
-                            running.answerStarted(),
-                            ended,
-                            board,
-                            nowNanos,
-                            effects);
+                    recordAttemptEnd(call, running, ended, board, nowNanos, effects);
                     call.setState(new ForwardCall.State.Waiting());
                     handleOutcome(call, running, ended.outcome(), board, nowNanos, effects);
                 }
             }
             case ForwardCall.State.Cancelling(ForwardCall.State.Running stopped) -> {
                 if (stopped.attempt() == ended.attempt()) {
-                    recordAttemptEnd(
-                            stopped.server(),
-                            stopped.uncachedTokens(),
-                            stopped.answerStarted(),
-                            ended,
-                            board,
-                            nowNanos,
-                            effects);
+                    recordAttemptEnd(call, stopped, ended, board, nowNanos, effects);
                     AttemptLog.cancelled(call, stopped, ended.outcome(), nowNanos, effects);
                     board.forward().remove(call.ticket());
                 }
@@ -413,17 +417,29 @@
     }
 
     private static void recordStatus(
-            ServerId server, ServerStatus status, Board board, long nowNanos, Effects effects) {
+            ForwardCall call,
+            ForwardCall.State.Running attempt,
+            ServerStatus status,
+            Board board,
+            long nowNanos,
+            Effects effects) {
         switch (status.load()) {
             case LoadReport.Absent absent -> {}
             case LoadReport.Unreadable unreadable -> effects.count("forward.load_headers_unreadable");
             case LoadReport.Known known -> {
-                board.forward().statistics(server).recordLoad(known.load(), nowNanos);
+                ServerStatistics statistics = board.forward().statistics(attempt.server());
+                if (statistics.startEpochMillis() == attempt.startEpochMillis()) {
+                    statistics.recordLoad(known.load(), nowNanos);
+                    board.forward()
+                            .engineProfile(call.service())
+                            .recordWaiting(known.load().waiting());
+                }
                 if (known.hasUnknownFigures()) {
                     effects.count("forward.load_headers_with_unknown_figures");
                 }
             }
         }
+        ServerId server = attempt.server();
         boolean limitChanged = board.serverLimits()
                 .recordAnswer(
                         server,
@@ -445,19 +461,18 @@
     }
 
     private static void recordAttemptEnd(
-            ServerId server,
-            long uncachedTokens,
-            boolean answerStarted,
+            ForwardCall call,
+            ForwardCall.State.Running attempt,
             ForwardEvent.ForwardEnded ended,
             Board board,
             long nowNanos,
             Effects effects) {
-        ServerStatistics statistics = board.forward().statistics(server);
-        statistics.recordEnded();
-        if (!answerStarted) {
-            statistics.recordPromptProcessed(uncachedTokens);
+        ServerStatistics statistics = board.forward().statistics(attempt.server());
+        statistics.recordEnded(nowNanos);
+        if (!attempt.answerStarted()) {
+            statistics.recordPromptProcessed(attempt.uncachedTokens());
         }
-        ended.status().ifPresent(status -> recordStatus(server, status, board, nowNanos, effects));
+        ended.status().ifPresent(status -> recordStatus(call, attempt, status, board, nowNanos, effects));
         switch (ended.outcome()) {
             case ForwardOutcome.Completed completed -> {}
             case ForwardOutcome.Cancelled cancelled -> {}
--- a/src/main/java/org/plantainwharf/forward/ForwardSection.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardSection.java
@@ -1,13 +1,21 @@
 package org.plantainwharf.forward;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
+import org.jspecify.annotations.Nullable;
 import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.observation.ObservationSection;
+import org.plantainwharf.observation.ServerObservation;
+import org.plantainwharf.observation.ServerStart;
+import org.plantainwharf.registry.ServerReport;
 import org.plantainwharf.retry.RetryBudget;
 
 /**
@@ -19,6 +27,7 @@
 
     private final Map<Long, ForwardCall> calls = new LinkedHashMap<>();
     private final Map<ServerId, ServerStatistics> statistics = new HashMap<>();
+    private final Map<ServerStart, ServerStatistics> byStart = new HashMap<>();
     private final Map<ServiceName, RetryBudget> retryBudgets = new HashMap<>();
     private final Map<ServiceName, LongPromptPool> longPromptPool = new HashMap<>();
     private final Map<ServiceName, EngineProfile> engineProfiles = new HashMap<>();
@@ -52,8 +61,48 @@
         return statistics.computeIfAbsent(server, id -> new ServerStatistics());
     }
 
-    void removeStatistics(ServerId server) {
-        statistics.remove(server);
+    /** Returns the statistics of the start of a server that its report names. */
+    ServerStatistics statistics(ServerReport report, ObservationSection observations) {
+        ServerStatistics known = statistics(report.server());
+        if (report.startEpochMillis() != known.startEpochMillis()) {
+            byStart.remove(known.start());
+            ServerStart start = ServerStart.of(report.server(), report.startEpochMillis());
+            known.beginStart(start, report.startEpochMillis());
+            byStart.put(start, known);
+            observations.server(start).ifPresent(known::recordSeen);
+        }
+        return known;
+    }
+
+    /** Adopts what other daemons have seen of one start of a server, if this daemon may send requests there. */
+    void adopt(ServerStart start, ObservationSection observations) {
+        @Nullable ServerStatistics known = byStart.get(start);
+        if (known != null) {
+            observations.server(start).ifPresent(known::recordSeen);
+        }
+    }
+
+    /**
+     * Returns what servers have said to this daemon since a time, newest first, at most {@code maximum}. For the observation
+     * controller.
+     */
+    public List<ServerObservation> seenSince(long sinceNanos, int maximum, long nowNanos) {
+        return statistics.values().stream()
+                .flatMap(known -> known.seenSince(sinceNanos, nowNanos).stream())
+                .sorted(Comparator.comparingInt(ServerObservation::ageMillis))
+                .limit(maximum)
+                .toList();
+    }
+
+    /** Removes the statistics of forgotten servers at which no request is running. */
+    void removeStatistics(Predicate<ServerId> forgotten) {
+        statistics.entrySet().removeIf(entry -> {
+            boolean removed = entry.getValue().inFlight() == 0 && forgotten.test(entry.getKey());
+            if (removed) {
+                byStart.remove(entry.getValue().start());
+            }
+            return removed;
+        });
     }
 
     /** Returns the budget of a service. Ratio and minimum are used only by the first call, which creates the budget. */
--- a/src/main/java/org/plantainwharf/forward/ServerChooser.java
+++ b/src/main/java/org/plantainwharf/forward/ServerChooser.java
@@ -39,8 +39,7 @@
                     || !versions.permits(server.report())) {
                 continue;
             }
-            ServerStatistics statistics =
-                    board.forward().statistics(server.report().server());
+            ServerStatistics statistics = board.forward().statistics(server.report(), board.observations());
             if (call.origin().isPresent() && !statistics.isReportedSinceConnectionLost(server.lastReportNanos())) {
                 // It may have started again with another version that it has not reported yet.
                 continue;
@@ -92,6 +91,7 @@
                 longPromptServers,
                 board.forward().engineProfile(call.service()),
                 board.membership().zone(),
+                () -> board.random().nextDouble(),
                 nowNanos);
     }
 
--- a/src/main/java/org/plantainwharf/forward/ServerSelector.java
+++ b/src/main/java/org/plantainwharf/forward/ServerSelector.java
@@ -1,9 +1,11 @@
 package org.plantainwharf.forward;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.ServerId;
@@ -26,7 +28,10 @@
     /** Waiting time on a server with twice as many requests as slots; proportional to the requests beyond the slots. */
     private static final double QUEUED_ROUND_MILLIS = 1_000;
 
-    /** Cost of a server in another zone: the latency of two crossings and the price of the traffic. */
+    /**
+     * Cost of the way to a server in another zone: the latency of two crossings and the price of the traffic. What a request
+     * waits there and here is measured.
+     */
     private static final double CROSS_ZONE_MILLIS = 12;
 
     /** Cost of an engine of the other pool: the wait for a long prompt that is half processed. */
@@ -35,6 +40,12 @@
     /** Assumed time to the start of the answer of a server that has not answered yet; for requests without a prompt. */
     private static final double DEFAULT_TIME_TO_ANSWER_MILLIS = 50;
 
+    /** Number of servers of this zone that are compared. Each further one makes more daemons choose the same server. */
+    private static final int NEAR_DRAWS = 3;
+
+    /** Number of servers of any zone that are compared with them, so that a wait here is weighed against the way. */
+    private static final int FAR_DRAWS = 1;
+
     /** Shared parts with fewer tokens than this are cheaper to process again than to queue for. */
     private static final long MINIMUM_SHARED_TOKENS = 256;
 
@@ -48,10 +59,13 @@
     }
 
     /**
-     * Returns the candidate with the lowest estimated cost; empty if there are no candidates.
+     * Returns the candidate with the lowest estimated cost among the preferred one and a few that are drawn at random with
+     * weights by their speed; empty if there are no candidates. Daemons with equal knowledge would otherwise all choose the
+     * same server until they hear of what the others have sent there.
      *
      * @param longPromptServers pool of engines for long prompts; empty if the engines are not divided
      * @param profile what is known about the engines of the service
+     * @param random gives numbers from 0 to less than 1
      */
     static Optional<Candidate> select(
             List<Candidate> candidates,
@@ -59,13 +73,32 @@
             Set<ServerId> longPromptServers,
             EngineProfile profile,
             AvailabilityZone zone,
+            DoubleSupplier random,
             long nowNanos) {
         Optional<String> sharedPart = prompt.flatMap(ServerSelector::lastSharedPart);
         Optional<Candidate> preferred = sharedPart.flatMap(part -> candidates.stream()
                 .filter(candidate -> inMatchingPool(candidate, prompt, longPromptServers))
                 .max(Comparator.comparingLong(candidate -> rendezvousHash(
                         part, candidate.server().report().server().value()))));
-        return candidates.stream()
+        List<Candidate> compared = new ArrayList<>();
+        preferred.ifPresent(compared::add);
+        List<Candidate> near = candidates.size() <= NEAR_DRAWS + FAR_DRAWS
+                ? candidates
+                : candidates.stream()
+                        .filter(candidate -> candidate.server().report().zone().equals(zone)
+                                && inMatchingPool(candidate, prompt, longPromptServers))
+                        .toList();
+        ServerDraw.draw(
+                near,
+                NEAR_DRAWS + (near.size() == candidates.size() ? FAR_DRAWS : 0),
+                profile,
+                random,
+                nowNanos,
+                compared);
+        if (near.size() < candidates.size()) {
+            ServerDraw.draw(candidates, near.isEmpty() ? NEAR_DRAWS : FAR_DRAWS, profile, random, nowNanos, compared);
+        }
+        return compared.stream()
                 .min(Comparator.comparingDouble(
                         candidate -> estimatedMillis(candidate, prompt, preferred, profile, zone, nowNanos)
                                 + (inMatchingPool(candidate, prompt, longPromptServers) ? 0 : OTHER_POOL_MILLIS)));
--- a/src/main/java/org/plantainwharf/forward/ServerStatistics.java
+++ b/src/main/java/org/plantainwharf/forward/ServerStatistics.java
@@ -7,10 +7,15 @@
 import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
+import org.plantainwharf.observation.ObservationSection;
+import org.plantainwharf.observation.SeenServer;
+import org.plantainwharf.observation.ServerObservation;
+import org.plantainwharf.observation.ServerStart;
 
 /**
- * Statistics of one server, gathered from the requests of this daemon: requests in flight, the load reported with
- * answers, recent failures, and the prompt parts that the server has probably cached. Owned by the control thread;
+ * Statistics of one start of a server, gathered from the requests of this daemon: requests in flight, the load reported with
+ * answers, recent failures, and the prompt parts that the server has probably cached. Load and speed are those that this
+ * daemon or another has seen last. Owned by the control thread;
  * modified only by the forward controller.
  */
 final class ServerStatistics {
@@ -32,14 +37,26 @@
     /** Weight of the newest answer in the speed ratio. */
     private static final double SPEED_SMOOTHING_WEIGHT = 0.3;
 
+    /** Relative step of the usual speed ratio. */
+    private static final double SPEED_STEP = 0.04;
+
+    /** Fraction of the samples that are below the usual speed ratio; waits only lengthen a sample. */
+    private static final double SPEED_QUANTILE = 0.4;
+
+    /** Time after which the ratio of the last answers says nothing any more. */
+    private static final long PRESENT_VALIDITY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private static final double MINIMUM_SPEED_RATIO = 0.3;
     private static final double MAXIMUM_SPEED_RATIO = 4;
 
     /** Shorter prompts are answered in a time that depends on other things than their length. */
     private static final long MINIMUM_SPEED_TOKENS = 1_000;
 
-    /** Fraction of its speed by which a server reduces its queue while other daemons add to it. */
-    private static final double NET_DRAIN_FRACTION = 0.5;
+    /** Age at which a reported queue tells a third of what it told; an engine processes two or three prompts in it. */
+    private static final double QUEUE_MEMORY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** Start of a server of which no report was seen. */
+    private static final long NO_START = -1;
 
     private static final long INITIAL_AVOIDANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -68,12 +85,22 @@
     private long pendingPromptTokens;
     private @Nullable ServerLoad load;
     private long loadNanos;
-    private int sentSinceLoad;
-    private int endedSinceLoad;
-    private long tokensSentSinceLoad;
+    private long ownLoadNanos;
+    private boolean ownLoadKnown;
+    private final RecentRequests sinceLoad = RecentRequests.create();
+    private ServerStart start = new ServerStart(0);
+    private long startEpochMillis = NO_START;
     private double workTimeFactor = 1;
     /** How much longer answers of this server take to start than those of the service's usual server. */
-    private double speedRatio = 1;
+    private double usualRatio = 1;
+
+    /** The same for the last answers that this daemon received; includes waits of which it knows nothing else. */
+    private double presentRatio = 1;
+
+    private long presentNanos;
+    private long speedNanos;
+    private boolean speedKnown;
+    private boolean speedChangedSinceReport;
 
     private double failureRate;
     private int consecutiveFailures;
@@ -84,8 +111,7 @@
 
     void recordSent(long uncachedTokens, Optional<PromptShape> prompt, long nowNanos) {
         inFlight++;
-        sentSinceLoad++;
-        tokensSentSinceLoad += uncachedTokens;
+        sinceLoad.add(1, uncachedTokens, nowNanos);
         pendingPromptTokens += uncachedTokens;
         prompt.ifPresent(shape -> shape.parts().forEach(part -> cachedParts.put(part.id(), nowNanos)));
     }
@@ -95,20 +121,81 @@
         pendingPromptTokens -= uncachedTokens;
     }
 
-    void recordEnded() {
+    void recordEnded(long nowNanos) {
         inFlight--;
-        endedSinceLoad++;
+        sinceLoad.add(-1, 0, nowNanos);
+    }
+
+    /**
+     * Begins to keep what is learned of this start of the server. What was learned of an earlier start is forgotten, except
+     * failures and the requests that have not ended.
+     */
+    void beginStart(ServerStart newStart, long newStartEpochMillis) {
+        boolean restarted = startEpochMillis != NO_START;
+        start = newStart;
+        startEpochMillis = newStartEpochMillis;
+        if (restarted) {
+            cachedParts.clear();
+            load = null;
+            ownLoadKnown = false;
+            workTimeFactor = 1;
+            speedKnown = false;
+            presentRatio = 1;
+            speedChangedSinceReport = false;
+            sinceLoad.clear();
+        }
+    }
+
+    /** Returns the start of the server in milliseconds since the epoch; a negative number before it is known. */
+    long startEpochMillis() {
+        return startEpochMillis;
+    }
+
+    ServerStart start() {
+        return start;
     }
 
     /** Records the load that the server reported with an answer. */
     void recordLoad(ServerLoad newLoad, long nowNanos) {
+        setLoad(newLoad, nowNanos);
+        ownLoadNanos = nowNanos;
+        ownLoadKnown = true;
+        sinceLoad.clear();
+    }
+
+    /** Records what another daemon has seen, unless this daemon knows something newer. */
+    void recordSeen(SeenServer seen) {
+        if (load == null || seen.seenNanos() - loadNanos > 0) {
+            setLoad(
+                    new ServerLoad(seen.running(), seen.waiting(), 0, Math.max(1, seen.workTimePercent())),
+                    seen.seenNanos());
+            sinceLoad.removeUntil(seen.seenNanos());
+        }
+        if (seen.speedPercent() > 0 && (!speedKnown || seen.speedNanos() - speedNanos > 0)) {
+            usualRatio = Math.max(MINIMUM_SPEED_RATIO, Math.min(MAXIMUM_SPEED_RATIO, seen.speedPercent() / 100.0));
+            speedNanos = seen.speedNanos();
+            speedKnown = true;
+        }
+    }
+
+    /** Returns what the server has said to this daemon since a time; empty if it has said nothing. */
+    Optional<ServerObservation> seenSince(long sinceNanos, long nowNanos) {
+        ServerLoad current = load;
+        if (current == null || !ownLoadKnown || ownLoadNanos - sinceNanos <= 0 || ownLoadNanos != loadNanos) {
+            return Optional.empty();
+        }
+        int speedPercent = speedChangedSinceReport ? (int) Math.round(100 * usualRatio) : 0;
+        speedChangedSinceReport = false;
+        return Optional.of(new ServerObservation(
+                start, current.running(), current.waiting(), current.workTimePercent(), speedPercent, (int)
+                        ((nowNanos - ownLoadNanos) / 1_000_000)));
+    }
+
+    private void setLoad(ServerLoad newLoad, long seenNanos) {
         double factor = (double) newLoad.workTimePercent() / ServerLoad.USUAL_WORK_TIME_PERCENT;
-        workTimeFactor = workTimeFactor(nowNanos) + WORK_TIME_SMOOTHING_WEIGHT * (factor - workTimeFactor(nowNanos));
+        workTimeFactor = workTimeFactor(seenNanos) + WORK_TIME_SMOOTHING_WEIGHT * (factor - workTimeFactor(seenNanos));
         load = newLoad;
-        loadNanos = nowNanos;
-        sentSinceLoad = 0;
-        endedSinceLoad = 0;
-        tokensSentSinceLoad = 0;
+        loadNanos = seenNanos;
     }
 
     /**
@@ -116,7 +203,7 @@
      * second, so it returns to 1 with the age of the report.
      */
     double workTimeFactor(long nowNanos) {
-        double age = Math.min(1, (double) (nowNanos - loadNanos) / WORK_TIME_VALIDITY_NANOS);
+        double age = Math.max(0, Math.min(1, (double) (nowNanos - loadNanos) / WORK_TIME_VALIDITY_NANOS));
         return workTimeFactor + age * (1 - workTimeFactor);
     }
 
@@ -125,32 +212,54 @@
      * #recordPromptProcessed}. Requests that waited for others of this daemon say nothing about the usual speed of the
      * engines, but they do say that this server is slow at present.
      */
-    void recordPromptTime(long uncachedTokens, double millis, EngineProfile profile) {
+    void recordPromptTime(long uncachedTokens, double millis, EngineProfile profile, long nowNanos) {
         if (pendingPromptTokens == uncachedTokens) {
             profile.recordAnswer(uncachedTokens, millis);
         }
         double expectedMillis =
                 profile.overheadMillis() + profile.millisPerToken() * Math.max(MINIMUM_SPEED_TOKENS, uncachedTokens);
         double ratio = Math.max(MINIMUM_SPEED_RATIO, Math.min(MAXIMUM_SPEED_RATIO, millis / expectedMillis));
-        speedRatio += SPEED_SMOOTHING_WEIGHT * (ratio - speedRatio);
+        presentRatio = presentRatio(nowNanos);
+        presentRatio += SPEED_SMOOTHING_WEIGHT * (ratio - presentRatio);
+        presentNanos = nowNanos;
+        double step = SPEED_STEP * (ratio > usualRatio(nowNanos) ? SPEED_QUANTILE / (1 - SPEED_QUANTILE) : -1);
+        usualRatio =
+                Math.max(MINIMUM_SPEED_RATIO, Math.min(MAXIMUM_SPEED_RATIO, usualRatio(nowNanos) * Math.exp(step)));
+        speedNanos = nowNanos;
+        speedKnown = true;
+        speedChangedSinceReport = true;
+    }
+
+    /** Returns how much longer than usual this server takes for a prompt token; 1 if nothing was learned for a time. */
+    private double usualRatio(long nowNanos) {
+        return speedKnown && nowNanos - speedNanos < ObservationSection.MAXIMUM_AGE_NANOS ? usualRatio : 1;
+    }
+
+    /** Returns the ratio of this daemon's last answers, which returns to the usual one with their age. */
+    private double presentRatio(long nowNanos) {
+        double age = Math.min(1, (double) (nowNanos - presentNanos) / PRESENT_VALIDITY_NANOS);
+        return presentRatio + age * (usualRatio(nowNanos) - presentRatio);
     }
 
     /** Returns how long this server takes for a prompt token, in milliseconds. */
     double millisPerToken(EngineProfile profile, long nowNanos) {
-        return profile.millisPerToken() * speedRatio * workTimeFactor(nowNanos);
+        return profile.millisPerToken() * presentRatio(nowNanos) * workTimeFactor(nowNanos);
     }
 
     /**
      * Returns the time until this server has processed the prompts that a request sent now would find there, in
-     * milliseconds. Waiting requests of other daemons count with the average prompt, and less with the age of the report.
+     * milliseconds. Waiting requests of other daemons count with the average prompt. With the age of the report they approach
+     * the average of the service: an old report of a long or an empty queue says little of the present one.
      */
     double queueMillis(EngineProfile profile, long nowNanos) {
         double millisPerToken = millisPerToken(profile, nowNanos);
         double queueMillis = pendingPromptTokens * millisPerToken;
         ServerLoad current = load;
         if (current != null && nowNanos - loadNanos <= LOAD_VALIDITY_NANOS) {
-            double reported = (current.waiting() * profile.averageTokens() + tokensSentSinceLoad) * millisPerToken;
-            queueMillis = Math.max(queueMillis, reported - NET_DRAIN_FRACTION * (nowNanos - loadNanos) / 1e6);
+            double certainty = Math.exp(-(nowNanos - loadNanos) / QUEUE_MEMORY_NANOS);
+            double reported = certainty * current.waiting() * profile.averageTokens() * millisPerToken
+                    + (1 - certainty) * profile.averageQueueMillis();
+            queueMillis = Math.max(queueMillis, reported + sinceLoad.promptTokens() * millisPerToken);
         }
         return queueMillis;
     }
@@ -222,7 +331,7 @@
         if (current == null || nowNanos - loadNanos > LOAD_VALIDITY_NANOS) {
             return inFlight;
         }
-        return Math.max(inFlight, current.running() + current.waiting() + sentSinceLoad - endedSinceLoad);
+        return Math.max(inFlight, current.running() + current.waiting() + sinceLoad.requests());
     }
 
     /** Returns the prompt tokens that this daemon has sent to the server and that it has not processed yet. */
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -231,8 +231,14 @@
         }
     }
 
-    /** Passes on what daemons have seen of backend servers. Names a server at most once. */
-    record ServerObservations(List<ServerObservation> observations) implements PeerMessage {
+    /**
+     * Passes on what daemons have seen of backend servers. Names a server at most once.
+     *
+     * @param sequence increases with each of these messages of one start of the sender
+     * @param echoedToken newest heartbeat token received from the receiver, which bounds the age of the message
+     */
+    record ServerObservations(long sequence, long echoedToken, List<ServerObservation> observations)
+            implements PeerMessage {
         /** Copies the list. */
         public ServerObservations {
             observations = List.copyOf(observations);
--- a/src/test/java/org/plantainwharf/forward/EngineFleet.java
+++ b/src/test/java/org/plantainwharf/forward/EngineFleet.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -14,10 +15,12 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.DoubleStream;
 
 import io.vavr.control.Either;
 import org.plantainwharf.board.Board;
 import org.plantainwharf.call.Content;
+import org.plantainwharf.codec.PeerMessageCodec;
 import org.plantainwharf.control.ControlCycle;
 import org.plantainwharf.document.AccountRule;
 import org.plantainwharf.document.CallerBounds;
@@ -47,11 +50,13 @@
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.message.ServiceDemand;
+import org.plantainwharf.observation.ObservationController;
 import org.plantainwharf.registry.RegistryController;
 import org.plantainwharf.registry.ServerPhase;
 import org.plantainwharf.registry.ServerReport;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.settings.Settings;
 import org.plantainwharf.testing.Samples;
 
 /**
@@ -61,6 +66,7 @@
 final class EngineFleet {
     private static final ServiceName SERVICE = ServiceName.of("engines");
     private static final String KEY = "key-of-acme";
+    private static final PeerMessageCodec CODEC = PeerMessageCodec.create();
     private static final HostId CONTROL_HOST = HostId.of("core-1");
     private static final long TICK_MICROS = 50_000;
     private static final long REPORT_MICROS = 1_000_000;
@@ -75,6 +81,15 @@
     private final List<Daemon> daemons = new ArrayList<>();
     private final Map<ServerId, SimulatedEngine> engines = new HashMap<>();
     private final Map<ServerId, Integer> zones = new HashMap<>();
+    private final Map<ServerId, Long> starts = new HashMap<>();
+    private final Map<HostId, Node> nodes = new LinkedHashMap<>();
+    private final Map<HostId, Long> receivedBytes = new HashMap<>();
+    private final PartUses uses = new PartUses();
+    private final List<Double> answerMillis = new ArrayList<>();
+    private double unevenness;
+    private int unevennessSamples;
+    private double slowProbability = 0.15;
+    private List<Daemon> arrivalDaemons = daemons;
     private final PriorityQueue<Scheduled> schedule =
             new PriorityQueue<>(Comparator.comparingLong(Scheduled::atMicros).thenComparingLong(Scheduled::order));
     private final Map<String, Outcomes> outcomes = new HashMap<>();
@@ -85,8 +100,33 @@
     private int nextRoundRobin;
     private double load = 1;
 
-    /** Sizes of the fleet. Immutable. */
-    record Shape(int daemons, int engines, int zones, double[] speeds, double promptTokensPerMilli, Policy policy) {}
+    /**
+     * Sizes of the fleet. Immutable.
+     *
+     * @param controls number of control daemons that pass on what daemons have seen; 0 if daemons share nothing
+     * @param zoned whether daemons are in the zones of the engines, and not all in another one
+     */
+    record Shape(
+            int daemons,
+            int engines,
+            int zones,
+            double[] speeds,
+            double promptTokensPerMilli,
+            Policy policy,
+            int controls,
+            int slots,
+            long memoryTokens,
+            boolean zoned) {
+        Shape(int daemons, int engines, int zones, double[] speeds, double promptTokensPerMilli, Policy policy) {
+            this(daemons, engines, zones, speeds, promptTokensPerMilli, policy, 0, 64, 232_000, false);
+        }
+
+        /** Returns this shape with control daemons and engines of the new deployments. */
+        Shape sharing(int newControls) {
+            return new Shape(
+                    daemons, engines, zones, speeds, promptTokensPerMilli, policy, newControls, 14, 424_000, true);
+        }
+    }
 
     /** Chooses engines. */
     sealed interface Policy {
@@ -150,19 +190,31 @@
 
     private record Scheduled(long atMicros, long order, Runnable action) {}
 
-    private static final class Daemon {
-        final int index;
+    /** A daemon that receives messages. */
+    private static class Node {
         final Board board;
         final ControlCycle cycle;
+
+        Node(Board board, ControlCycle cycle) {
+            this.board = board;
+            this.cycle = cycle;
+        }
+
+        HostId host() {
+            return board.membership().self();
+        }
+    }
+
+    private static final class Daemon extends Node {
+        final int index;
         final Map<Long, Request> requests = new HashMap<>();
         final Map<ServerId, ServerLoad> reported = new HashMap<>();
         final Map<ServerId, Integer> own = new HashMap<>();
         double reportedPromptTokens;
 
         Daemon(int index, Board board, ControlCycle cycle) {
+            super(board, cycle);
             this.index = index;
-            this.board = board;
-            this.cycle = cycle;
         }
     }
 
@@ -188,6 +240,29 @@
     EngineFleet(Shape shape, List<Kind> kinds, long seed) {
         this.shape = shape;
         this.random = new Random(seed);
+        for (int index = 0; index < shape.controls(); index++) {
+            Board board = Board.create(settings("core-" + (index + 1), index), 1, 1_000 + index);
+            nodes.put(
+                    board.membership().self(),
+                    new Node(
+                            board,
+                            ControlCycle.create(
+                                    board,
+                                    List.of(MembershipController.create(), ObservationController.ofControlDaemon()))));
+        }
+        for (Node first : nodes.values()) {
+            for (Node second : nodes.values()) {
+                if (first != second) {
+                    run(
+                            first,
+                            new PeerEvent.PeerConnected(
+                                    second.host(), second.board.membership().zone(), 1));
+                    run(
+                            first,
+                            new PeerEvent.PeerMessageReceived(second.host(), 1, new PeerMessage.KnownPeers(Map.of())));
+                }
+            }
+        }
         for (int index = 0; index < shape.daemons(); index++) {
             daemons.add(createDaemon(index, kinds));
         }
@@ -224,11 +299,14 @@
                 Map.of(
                         SERVICE,
                         new ServiceRule(
-                                SERVICE, 400, Optional.of(new ServiceRule.Engine(64, 232_000)), Optional.empty())),
+                                SERVICE,
+                                400,
+                                Optional.of(new ServiceRule.Engine(shape.slots(), shape.memoryTokens())),
+                                Optional.empty())),
                 CallerBounds.defaults(),
                 List.of(new AccountRule(
                         AccountName.of("acme"), Set.of(KEY), OptionalInt.empty(), true, 200, 1e9, 1e9)));
-        Board board = Board.create(Samples.settings("edge-" + index), 1, 7 + index);
+        Board board = Board.create(settings("edge-" + index, index), 1, 7 + index);
         ControlCycle cycle = ControlCycle.create(
                 board,
                 List.of(
@@ -236,19 +314,69 @@
                         RegistryController.learning(),
                         DocumentController.create(content -> Either.right(document)),
                         AllowanceController.create(),
+                        ObservationController.ofEntryDaemon(),
                         ForwardController.create(new ForwardLimits(0.2, 10, 8, 0, 0)),
                         DemandController.create()));
         Daemon daemon = new Daemon(index, board, cycle);
         Command command = new Command.ReplaceDocument(1, Content.of("application/json", new byte[] {1}));
         CommandResult result = board.configuration().state().apply(command);
         run(daemon, new ReplicationEvent.EntryApplied(0, 1, command, result));
-        run(daemon, new PeerEvent.PeerConnected(CONTROL_HOST, AvailabilityZone.of("zone-0"), 1));
+        for (Node node : List.copyOf(nodes.values())) {
+            if (!(node instanceof Daemon)) {
+                link(daemon, node);
+            }
+        }
+        nodes.put(daemon.host(), daemon);
+        if (shape.controls() == 0) {
+            run(daemon, new PeerEvent.PeerConnected(CONTROL_HOST, AvailabilityZone.of("zone-0"), 1));
+        }
         return daemon;
     }
 
+    private Settings settings(String host, int index) {
+        Settings sample = Samples.settings(host);
+        if (!shape.zoned()) {
+            return sample;
+        }
+        return new Settings(
+                sample.host(),
+                AvailabilityZone.of("zone-" + index % shape.zones()),
+                sample.hostClass(),
+                sample.callerAddress(),
+                sample.operatorAddress(),
+                sample.peerAddress(),
+                sample.dataFolder(),
+                sample.hosts(),
+                sample.recordGroups(),
+                sample.timings(),
+                sample.bounds());
+    }
+
+    private void link(Node first, Node second) {
+        run(
+                first,
+                new PeerEvent.PeerConnected(
+                        second.host(), second.board.membership().zone(), 1));
+        run(
+                second,
+                new PeerEvent.PeerConnected(
+                        first.host(), first.board.membership().zone(), 1));
+    }
+
+    /** Stops an engine and starts it again at once, with nothing kept. */
+    void restartEngine(String name) {
+        stopEngine(name);
+        ServerId server = ServerId.of(name);
+        starts.merge(server, 2L, (old, one) -> old + 1);
+        addEngine(name, Objects.requireNonNull(zones.get(server)), 1);
+        announce(server, ServerPhase.READY);
+    }
+
     void addEngine(String name, int zone, double speed) {
-        SimulatedEngine engine =
-                new SimulatedEngine(new SimulatedEngine.Traits(speed, shape.promptTokensPerMilli(), 64, 134, 232_000));
+        SimulatedEngine engine = new SimulatedEngine(
+                new SimulatedEngine.Traits(
+                        speed, shape.promptTokensPerMilli(), shape.slots(), 134, shape.memoryTokens()),
+                uses);
         engines.put(ServerId.of(name), engine);
         zones.put(ServerId.of(name), zone);
     }
@@ -270,6 +398,18 @@
         });
     }
 
+    /** Sets the fraction of machines on which work takes two and a half times as long, drawn anew every 600 ms. */
+    void setSlowProbability(double probability) {
+        slowProbability = probability;
+    }
+
+    /** Sends all callers to the daemons of one zone from now on. */
+    void moveArrivalsToZone(int zone) {
+        arrivalDaemons = daemons.stream()
+                .filter(daemon -> daemon.index % shape.zones() == zone)
+                .toList();
+    }
+
     void setLoad(double newLoad) {
         load = newLoad;
     }
@@ -289,7 +429,23 @@
     }
 
     private void tick() {
+        double[] loads = engines.values().stream()
+                .map(SimulatedEngine::load)
+                .mapToDouble(reported -> reported.running() + reported.waiting())
+                .toArray();
+        double mean = DoubleStream.of(loads).average().orElse(0);
+        if (mean > 0) {
+            double variance = DoubleStream.of(loads)
+                    .map(one -> (one - mean) * (one - mean))
+                    .average()
+                    .orElse(0);
+            unevenness += Math.sqrt(variance) / mean;
+            unevennessSamples++;
+        }
         daemons.forEach(daemon -> run(daemon, new TimerEvent.Tick()));
+        nodes.values().stream()
+                .filter(node -> !(node instanceof Daemon))
+                .forEach(control -> run(control, new TimerEvent.Tick()));
         schedule(TICK_MICROS, this::tick);
     }
 
@@ -304,12 +460,12 @@
         sequence++;
         ServerReport report = new ServerReport(
                 server,
-                1,
+                starts.getOrDefault(server, 1L),
                 sequence,
                 SERVICE,
                 "10.0.0." + server.value().substring(2) + ":80",
                 AvailabilityZone.of("zone-" + zones.get(server)),
-                64,
+                shape.slots(),
                 phase,
                 0,
                 true,
@@ -321,7 +477,7 @@
     }
 
     private void changeWorkTimes() {
-        engines.values().forEach(engine -> engine.setWorkTimeFactor(random.nextDouble() < 0.15 ? 2.5 : 1));
+        engines.values().forEach(engine -> engine.setWorkTimeFactor(random.nextDouble() < slowProbability ? 2.5 : 1));
         schedule(WORK_TIME_PERIOD_MICROS, this::changeWorkTimes);
     }
 
@@ -333,7 +489,7 @@
             ofKind.asked++;
             ofKind.owed += kind.worth(request.prompt);
             ofKind.askedLarge += request.large() ? 1 : 0;
-            arrive(request, random.nextInt(daemons.size()));
+            arrive(request, arrivalDaemons.get(random.nextInt(arrivalDaemons.size())).index);
             scheduleArrival(kind);
         });
     }
@@ -416,18 +572,33 @@
         return TimeUnit.MICROSECONDS.toNanos(nowMicros);
     }
 
-    private void run(Daemon daemon, Event event) {
-        for (Effect effect : daemon.cycle.run(event, nanos(), nowMicros / 1_000)) {
-            if (effect instanceof ForwardEffect forward) {
+    private void run(Node node, Event event) {
+        for (Effect effect : node.cycle.run(event, nanos(), nowMicros / 1_000)) {
+            if (effect instanceof ForwardEffect forward && node instanceof Daemon daemon) {
                 execute(daemon, forward);
-            } else if (effect instanceof PeerEffect.SendToPeer send
-                    && send.message() instanceof PeerMessage.DemandReport report
-                    && report.demands().get(SERVICE) instanceof ServiceDemand demand) {
-                daemon.reportedPromptTokens = demand.promptTokensPerSecond();
+            } else if (effect instanceof PeerEffect.SendToPeer send) {
+                deliver(node, send);
             }
         }
     }
 
+    private void deliver(Node from, PeerEffect.SendToPeer send) {
+        if (from instanceof Daemon daemon
+                && send.message() instanceof PeerMessage.DemandReport report
+                && report.demands().get(SERVICE) instanceof ServiceDemand demand) {
+            daemon.reportedPromptTokens = demand.promptTokensPerSecond();
+        }
+        boolean shared = send.message() instanceof PeerMessage.ServerObservations
+                || send.message() instanceof PeerMessage.KeptParts;
+        Node to = nodes.get(send.peer());
+        if (to != null && (shared || send.message() instanceof PeerMessage.Heartbeat)) {
+            if (shared) {
+                receivedBytes.merge(to.host(), (long) CODEC.encode(send.message()).length, Long::sum);
+            }
+            schedule(NETWORK_MICROS, () -> run(to, new PeerEvent.PeerMessageReceived(from.host(), 1, send.message())));
+        }
+    }
+
     private void execute(Daemon daemon, ForwardEffect effect) {
         switch (effect) {
             case ForwardEffect.StartForward start ->
@@ -459,7 +630,8 @@
                     .retryAfter()
                     .map(wait -> wait.toMillis() * 1_000)
                     .orElse(100_000L);
-            schedule(waitMicros, () -> arrive(request, random.nextInt(daemons.size())));
+            schedule(
+                    waitMicros, () -> arrive(request, arrivalDaemons.get(random.nextInt(arrivalDaemons.size())).index));
         } else if (promise) {
             outcomesOf(request.kind).refused++;
         } else {
@@ -527,6 +699,7 @@
         }
         request.answered = true;
         double millis = (nowMicros - request.arrivedMicros) / 1e3;
+        answerMillis.add(millis);
         Outcomes ofKind = outcomesOf(request.kind);
         if (millis <= request.kind.targetMillis()) {
             ofKind.inTarget++;
@@ -587,6 +760,33 @@
                 .sum();
     }
 
+    /** Returns a quantile of the times to the start of an answer, returns included, in milliseconds. */
+    double answerMillis(double quantile) {
+        List<Double> sorted = answerMillis.stream().sorted().toList();
+        return sorted.get((int) (quantile * (sorted.size() - 1)));
+    }
+
+    double averageAnswerMillis() {
+        return answerMillis.stream().mapToDouble(millis -> millis).average().orElseThrow();
+    }
+
+    /** Returns the standard deviation of the requests at an engine over their mean, averaged over time. */
+    double unevenness() {
+        return unevenness / unevennessSamples;
+    }
+
+    PartUses uses() {
+        return uses;
+    }
+
+    /** Returns the most bytes of shared knowledge that an entry daemon received. */
+    long mostReceivedBytes() {
+        return daemons.stream()
+                .mapToLong(daemon -> receivedBytes.getOrDefault(daemon.host(), 0L))
+                .max()
+                .orElse(0);
+    }
+
     private Outcomes outcomesOf(Kind kind) {
         return Objects.requireNonNull(outcomes.get(kind.name()));
     }
--- a/src/test/java/org/plantainwharf/forward/ServerStatisticsTest.java
+++ b/src/test/java/org/plantainwharf/forward/ServerStatisticsTest.java
@@ -82,7 +82,7 @@
             for (int index = 0; index < 20; index++) {
                 statistics.recordSent(4_000, Optional.empty(), NOW);
                 statistics.recordPromptTime(
-                        4_000, 3 * 4_000 * EngineProfile.INITIAL_MILLIS_PER_TOKEN, EngineProfile.create());
+                        4_000, 3 * 4_000 * EngineProfile.INITIAL_MILLIS_PER_TOKEN, EngineProfile.create(), NOW);
                 statistics.recordPromptProcessed(4_000);
             }
             assertTrue(statistics.millisPerToken(profile, NOW) > 2 * profile.millisPerToken());
@@ -93,7 +93,7 @@
         void ofTheServiceAreNotLearnedFromRequestsThatWaitedForOthersOfThisDaemon() {
             statistics.recordSent(4_000, Optional.empty(), NOW);
             statistics.recordSent(4_000, Optional.empty(), NOW);
-            statistics.recordPromptTime(4_000, 900, profile);
+            statistics.recordPromptTime(4_000, 900, profile, NOW);
             assertEquals(EngineProfile.INITIAL_MILLIS_PER_TOKEN, profile.millisPerToken());
             assertTrue(statistics.millisPerToken(profile, NOW) > profile.millisPerToken());
         }
--- a/src/test/java/org/plantainwharf/forward/SimulatedEngine.java
+++ b/src/test/java/org/plantainwharf/forward/SimulatedEngine.java
@@ -19,6 +19,7 @@
     private static final long CHUNK_TOKENS = 2_048;
 
     private final Traits traits;
+    private final PartUses uses;
     private final List<Job> waiting = new ArrayList<>();
     private final List<Job> running = new ArrayList<>();
     private final Map<String, Long> cachedParts = new LinkedHashMap<>(64, 0.75f, true);
@@ -73,8 +74,9 @@
         }
     }
 
-    SimulatedEngine(Traits traits) {
+    SimulatedEngine(Traits traits, PartUses uses) {
         this.traits = traits;
+        this.uses = uses;
     }
 
     /** Adds a request; returns false if the queue is full. The caller must then call {@link #startStep}. */
@@ -122,7 +124,7 @@
         if (!waiting.isEmpty() && running.size() < traits.slots()) {
             Job first = waiting.getFirst();
             if (first.promptTokensLeft < 0) {
-                first.promptTokensLeft = uncachedTokens(first.prompt);
+                first.promptTokensLeft = uncachedTokens(first.prompt, nowMicros);
             }
             long chunk = Math.min(CHUNK_TOKENS, first.promptTokensLeft);
             double pairs = (double) chunk * first.prompt.inputTokens() / 1e6;
@@ -161,14 +163,17 @@
         }
     }
 
-    private long uncachedTokens(PromptShape prompt) {
+    private long uncachedTokens(PromptShape prompt, long nowMicros) {
         long cached = 0;
+        int keptParts = 0;
         for (PromptShape.Part part : prompt.parts()) {
             if (!cachedParts.containsKey(part.id())) {
                 break;
             }
             cached += part.tokens();
+            keptParts++;
         }
+        uses.record(prompt, keptParts, nowMicros);
         return Math.max(1, prompt.inputTokens() - cached);
     }
 
--- /dev/null
+++ b/src/test/java/org/plantainwharf/observation/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of what daemons share about servers. */
+@NullMarked
+package org.plantainwharf.observation;
+
+import org.jspecify.annotations.NullMarked;
