--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -45,12 +45,13 @@
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.metric.Counters;
 import org.plantainwharf.metric.Telemetry;
+import org.plantainwharf.observation.ObservationController;
 import org.plantainwharf.origin.OriginLookupController;
 import org.plantainwharf.origin.OriginRecordController;
 import org.plantainwharf.quarantine.ForwardQuarantineController;
 import org.plantainwharf.registry.RegistryController;
-import org.plantainwharf.rollout.RolloutLogController;
 import org.plantainwharf.rollout.RolloutEvidenceController;
+import org.plantainwharf.rollout.RolloutLogController;
 import org.plantainwharf.room.RoomController;
 import org.plantainwharf.settings.Settings;
 import org.plantainwharf.transport.PeerNetwork;
@@ -106,6 +107,7 @@
                 OriginLookupController.create(),
                 RolloutEvidenceController.create(role.rolloutBounds()),
                 RoomController.create(),
+                ObservationController.ofEntryDaemon(),
                 ForwardController.create(role.forwardLimits()),
                 OriginRecordController.create(),
                 DemandController.create());
--- a/src/test/java/org/plantainwharf/forward/RoomFleet.java
+++ b/src/test/java/org/plantainwharf/forward/RoomFleet.java
@@ -42,17 +42,8 @@
             accounts[account] = account < 3 ? 0.15 : 0.55 / 13;
         }
         return new RoomFleet(new EngineFleet(
-                new EngineFleet.Shape(
-                        DAEMONS,
-                        ENGINES,
-                        4,
-                        SPEEDS,
-                        38.7,
-                        new EngineFleet.Policy.Product(),
-                        sharing,
-                        16,
-                        true,
-                        accounts),
+                new EngineFleet.Shape(DAEMONS, ENGINES, 4, SPEEDS, 38.7, new EngineFleet.Policy.Product())
+                        .withRoom(sharing, 16, accounts),
                 DEFINED,
                 seed));
     }
