--- a/src/main/java/org/plantainwharf/room/ReturnPlaces.java
+++ b/src/main/java/org/plantainwharf/room/ReturnPlaces.java
@@ -36,7 +36,10 @@
     /** Longest time for which the usual deadline of a route is remembered. */
     private static final long DEADLINE_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    /** Most places that are kept at a time. */
+    /** Time within which the same request counts as asked for again, and not as a new one. */
+    private static final long REFUSED_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** Most places that are kept, and refused requests that are remembered, at a time. */
     private static final int MAXIMUM_PLACES = 8_192;
 
     private static final double NANOS_PER_SECOND = 1e9;
@@ -44,6 +47,12 @@
     private final Map<Integer, Long> nextPlaceNanos = new HashMap<>();
     private final Map<Key, Deque<Place>> byKey = new HashMap<>();
     private final Map<Fingerprint, Place> byContent = new LinkedHashMap<>();
+    private final Map<Fingerprint, Long> refused = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Fingerprint, Long> eldest) {
+            return size() > MAXIMUM_PLACES;
+        }
+    };
     private final Map<RouteName, UsualDeadline> deadlines = new HashMap<>();
 
     private record Key(int priority, AccountName account) {}
@@ -97,9 +106,15 @@
         return true;
     }
 
-    /** Returns whether a place is kept for a request with this content, also if it is not due. */
-    boolean isKept(Fingerprint content) {
-        return byContent.containsKey(content);
+    /** Records that a request was refused. */
+    void recordRefused(RoomRequest request, long nowNanos) {
+        refused.put(request.content(), nowNanos);
+    }
+
+    /** Returns whether a request with this content was refused here lately. */
+    boolean wasRefused(RoomRequest request, long nowNanos) {
+        Long refusedNanos = refused.get(request.content());
+        return refusedNanos != null && nowNanos - refusedNanos < REFUSED_MEMORY_NANOS;
     }
 
     /**
@@ -112,9 +127,14 @@
      */
     OptionalLong reserve(
             RoomRequest request, double earliestMillis, double perSecond, double latestMillis, long nowNanos) {
+        Place own = byContent.get(request.content());
+        if (own != null) {
+            // The caller has returned too early; its place is still kept.
+            return OptionalLong.of(Math.max(1, TimeUnit.NANOSECONDS.toMillis(own.dueNanos() - nowNanos)));
+        }
         long earliest = nowNanos + (long) (earliestMillis * 1e6);
         long due = Math.max(earliest, nextPlaceNanos.getOrDefault(request.priority(), earliest));
-        if (due - nowNanos > latestMillis * 1e6 || byContent.size() >= MAXIMUM_PLACES || isKept(request.content())) {
+        if (due - nowNanos > latestMillis * 1e6 || byContent.size() >= MAXIMUM_PLACES) {
             return OptionalLong.empty();
         }
         nextPlaceNanos.put(request.priority(), due + (long) (NANOS_PER_SECOND / Math.max(0.1, perSecond)));
--- a/src/main/java/org/plantainwharf/room/ServiceRoom.java
+++ b/src/main/java/org/plantainwharf/room/ServiceRoom.java
@@ -70,20 +70,26 @@
     /**
      * Decides on a request while room is short.
      *
-     * @param random where the share of an account that asks for the first time begins
+     * @param random decides which requests of an account are within its share
      */
     RoomDecision decide(RoomRequest request, double longestReturnMillis, RandomGenerator random, long nowNanos) {
         long elapsedMillis = places.elapsedMillis(request, nowNanos);
         boolean keptPlace = places.take(request, elapsedMillis, nowNanos);
-        recordAsked(request, keptPlace || elapsedMillis > 0);
+        boolean repeated = !keptPlace && places.wasRefused(request, nowNanos);
+        boolean returning = keptPlace || elapsedMillis > 0 || repeated;
+        recordAsked(request, returning);
         Key key = new Key(request.priority(), request.account());
         double credit = credits.computeIfAbsent(key, any -> random.nextDouble());
-        if (!keptPlace && elapsedMillis == 0) {
+        if (!returning) {
             double fraction = share(nowNanos).admittedFraction(request.priority(), request.account());
             credit = Math.min(MAXIMUM_CREDIT, credit + fraction);
         }
+        // A fixed threshold would admit the same ones of callers that ask for sizes in turns. Who repeats before its
+        // place
+        // is due must not gain by another draw.
+        double spread = repeated ? -0.5 : random.nextDouble() - 0.5;
         RoomAdmission.Standing standing = new RoomAdmission.Standing(
-                credit,
+                credit + spread,
                 keptPlace,
                 elapsedMillis,
                 meter.averageAnswerMillis(request.priority()),
@@ -97,6 +103,7 @@
             return new RoomDecision.Admitted(basis.get());
         }
         credits.put(key, credit);
+        places.recordRefused(request, nowNanos);
         return new RoomDecision.Refused(
                 RoomAdmission.reason(request, standing), reserve(request, standing, longestReturnMillis, nowNanos));
     }
--- /dev/null
+++ b/src/test/java/org/plantainwharf/room/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.plantainwharf.room;
+
+import org.jspecify.annotations.NullMarked;
