--- a/src/main/java/org/plantainwharf/rollout/RolloutEvidenceController.java
+++ b/src/main/java/org/plantainwharf/rollout/RolloutEvidenceController.java
@@ -46,11 +46,18 @@
 
     private static final long REPORT_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+    /** With many daemons the evidence of a second suffices, and more reports would take most of the links. */
+    private static final long REPORT_PERIOD_OF_MANY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Part of all requests that comes to a daemon on average, below which there are many daemons. */
+    private static final double SHARE_OF_MANY = 0.01;
+
     /** A report that was lost with a link or a full queue is repeated after this time, also if nothing has changed. */
     private static final long REPEAT_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final RolloutBounds bounds;
     private final PeriodicTimer report = PeriodicTimer.ofNanos(REPORT_PERIOD_NANOS);
+    private final PeriodicTimer reportOfMany = PeriodicTimer.ofNanos(REPORT_PERIOD_OF_MANY_NANOS);
     private final PeriodicTimer repeat = PeriodicTimer.ofNanos(REPEAT_PERIOD_NANOS);
     private final Map<ServiceName, PeerMessage.RolloutEvidence> reported = new HashMap<>();
     private long sequence;
@@ -129,7 +136,8 @@
             return;
         }
         updateServers(board, nowNanos);
-        if (report.startIfDue(nowNanos)) {
+        boolean many = board.allowances().evenShare() < SHARE_OF_MANY;
+        if ((many ? reportOfMany : report).startIfDue(nowNanos)) {
             if (repeat.startIfDue(nowNanos)) {
                 reported.clear();
             }
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -44,6 +44,9 @@
 import org.plantainwharf.registry.ServerReport;
 import org.plantainwharf.replicated.Command;
 import org.plantainwharf.replicated.CommandResult;
+import org.plantainwharf.rollout.RolloutBounds;
+import org.plantainwharf.rollout.RolloutEvidenceController;
+import org.plantainwharf.rollout.RolloutPhase;
 import org.plantainwharf.testing.Samples;
 
 /** Runs the forward controller with a document, servers and a virtual clock. Used by one thread. */
@@ -77,6 +80,7 @@
                 List.of(
                         RegistryController.learning(),
                         DocumentController.create(content -> Either.right(document)),
+                        RolloutEvidenceController.create(RolloutBounds.defaults()),
                         ForwardController.create(new ForwardLimits(0.5, 10, 8, 0, 0)),
                         OriginRecordController.create(),
                         (event, ownBoard, ownNanos, effects) -> {
@@ -96,6 +100,26 @@
         board.configuration().state().apply(new Command.RetireServerVersion(SERVICE, version));
     }
 
+    /** Begins a rollout in the log. */
+    void beginRollout(ServerVersion target) {
+        followLog(new Command.BeginRollout(SERVICE, target, 12_000, 0));
+    }
+
+    /** Moves the first rollout on in the log. */
+    void moveRollout(RolloutPhase phase) {
+        followLog(
+                phase.ended()
+                        ? new Command.FinishRollout(SERVICE, 1, phase)
+                        : new Command.AdvanceRollout(SERVICE, 1, phase));
+    }
+
+    private void followLog(Command command) {
+        board.consensus().putCopy(0, new LogCopy.CompleteUntil(nowNanos));
+        CommandResult result = board.configuration().state().apply(command);
+        run(new ReplicationEvent.EntryApplied(0, 1, command, result));
+        tick();
+    }
+
     static RouteRule route(String prefix, Repeatability repeatability, int attempts, boolean resumable) {
         return new RouteRule(
                 RouteName.of(prefix),
