--- a/src/test/java/org/plantainwharf/rollout/RolloutFleet.java
+++ b/src/test/java/org/plantainwharf/rollout/RolloutFleet.java
@@ -1,478 +1,489 @@
 package org.plantainwharf.rollout;
 
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
-import java.util.Set;
-import java.util.SplittableRandom;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
+import java.util.Random;
 
 import io.vavr.control.Either;
-import org.jspecify.annotations.Nullable;
 import org.plantainwharf.board.Board;
 import org.plantainwharf.call.Content;
-import org.plantainwharf.codec.ProtobufRecordCodec;
-import org.plantainwharf.consensus.ConsensusController;
-import org.plantainwharf.consensus.ReplicaSnapshot;
+import org.plantainwharf.consensus.GroupStatus;
+import org.plantainwharf.consensus.LogCopy;
 import org.plantainwharf.control.ControlCycle;
-import org.plantainwharf.control.EventSink;
+import org.plantainwharf.control.Controller;
 import org.plantainwharf.document.CallerBounds;
 import org.plantainwharf.document.DocumentController;
+import org.plantainwharf.document.Repeatability;
+import org.plantainwharf.document.RouteRule;
 import org.plantainwharf.document.ServiceDocument;
 import org.plantainwharf.document.ServiceRule;
-import org.plantainwharf.effect.DocumentEffect;
 import org.plantainwharf.effect.Effect;
+import org.plantainwharf.effect.ForwardEffect;
+import org.plantainwharf.effect.LogEffect;
 import org.plantainwharf.effect.PeerEffect;
-import org.plantainwharf.effect.RolloutEffect;
-import org.plantainwharf.effect.StorageEffect;
-import org.plantainwharf.error.Failure;
-import org.plantainwharf.event.DocumentEvent;
+import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.event.Event;
+import org.plantainwharf.event.ForwardEvent;
 import org.plantainwharf.event.PeerEvent;
 import org.plantainwharf.event.ReplicationEvent;
-import org.plantainwharf.event.RolloutEvent;
 import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.forward.ForwardController;
+import org.plantainwharf.forward.ForwardHead;
+import org.plantainwharf.forward.ForwardLimits;
+import org.plantainwharf.forward.ForwardOutcome;
 import org.plantainwharf.identity.AvailabilityZone;
+import org.plantainwharf.identity.Fingerprint;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.identity.RouteName;
+import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.membership.MembershipController;
+import org.plantainwharf.message.PeerMessage;
+import org.plantainwharf.registry.RegistryController;
+import org.plantainwharf.registry.ServerPhase;
+import org.plantainwharf.registry.ServerReport;
 import org.plantainwharf.replicated.Command;
-import org.plantainwharf.replicated.VoterId;
-import org.plantainwharf.storage.BootstrapState;
-import org.plantainwharf.storage.StorageWriter;
+import org.plantainwharf.replicated.CommandResult;
 import org.plantainwharf.testing.Samples;
 
 /**
- * Three control daemons with real logs on disk, on a virtual clock. A write reaches the disk after a delay of the clock; what
- * has not reached it is lost with the daemon. Links keep the order of messages; what a cut holds back arrives when it heals,
- * unless the link was closed as silent meanwhile. The daemons' clocks of the day differ by up to two seconds. Invariant,
- * checked after every step: no daemon takes a verdict back or has another target under the same number. Not thread-safe.
+ * Entry and control daemons with the controllers of rollouts, a list of commands in place of a replicated log, and
+ * servers of two versions, on a virtual clock. Messages are delayed; evidence is also repeated and late. Used by one
+ * thread.
  */
-final class RolloutFleet implements AutoCloseable {
-    static final List<HostId> CONTROL = List.of(HostId.of("core-0"), HostId.of("core-1"), HostId.of("core-2"));
-
-    private static final int STEP_MILLIS = 10;
-    private static final int TICK_MILLIS = 50;
-    private static final int LATENCY_MILLIS = 5;
-    private static final int SYNC_TIMEOUT_SECONDS = 20;
-    private static final int MAXIMUM_SKEW_MILLIS = 2_000;
-
-    private final long seed;
-    private final Path folder;
-    private final SplittableRandom random;
-    private final Map<HostId, Daemon> daemons = new LinkedHashMap<>();
-    private final Map<HostId, Integer> disks = new HashMap<>();
-    private final PriorityQueue<Delivery> network =
-            new PriorityQueue<>(Comparator.comparingLong(Delivery::atMillis).thenComparingLong(Delivery::order));
-    private final Set<Set<HostId>> cuts = new HashSet<>();
-    private final Set<Set<HostId>> closedLinks = new HashSet<>();
-    private final Set<HostId> stalledDisks = new HashSet<>();
-    private final Map<Long, RolloutEffect> answers = new HashMap<>();
-    private final Set<Long> acknowledgedDocuments = new HashSet<>();
-    private final Map<String, Rollout> seenRollouts = new HashMap<>();
-    private long nowMillis = 1_000_000;
+final class RolloutFleet {
+    static final ServiceName SERVICE = ServiceName.of("engines");
+    static final ServerVersion OLD = ServerVersion.of("1.9");
+    static final ServerVersion TARGET = ServerVersion.of("2.0");
+
+    private static final AvailabilityZone ZONE = AvailabilityZone.of("a");
+    private static final long TICK_MILLIS = 50;
+    private static final long REPORT_MILLIS = 500;
+    private static final long CONFIRMED_MILLIS = 150;
+    private static final long REQUEST_MILLIS = 8;
+    private static final int SERVERS = 5;
+
+    private final Random random;
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<Command.Control> log = new ArrayList<>();
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(Comparator.comparingLong(Task::atMillis).thenComparingLong(Task::order));
+    private final Map<Long, Running> running = new HashMap<>();
+    private final List<LogEffect> lines = new ArrayList<>();
+    private final List<Long> sentToTarget = new ArrayList<>();
+    private final List<Long> sentToOld = new ArrayList<>();
+    private final List<String> sentByCutOff = new ArrayList<>();
+    private final Map<ErrorKind, Integer> refusals = new HashMap<>();
+    private double targetFailures;
+    private long targetReadyMillis = Long.MAX_VALUE;
+    private boolean oldServed = true;
+    private boolean quorum = true;
+    private int leader;
+    private long term = 1;
+    private long nowMillis = 1_000;
     private long counter;
-
-    private static final class Daemon {
-        private final ControlCycle cycle;
-        private final long incarnation;
-        private final long skewMillis;
-        private final StorageWriter storage;
-        private final BlockingQueue<Event> results;
-        private final Deque<PendingWrite> writes = new ArrayDeque<>();
-
-        Daemon(
-                ControlCycle cycle,
-                long incarnation,
-                long skewMillis,
-                StorageWriter storage,
-                BlockingQueue<Event> results) {
-            this.cycle = cycle;
-            this.incarnation = incarnation;
-            this.skewMillis = skewMillis;
-            this.storage = storage;
-            this.results = results;
+    private long requests;
+    private long sequence;
+
+    private record Task(long atMillis, long order, Runnable action) {}
+
+    private record Running(Node node, long incarnation, ForwardEffect.StartForward start) {}
+
+    /** A daemon. */
+    static final class Node {
+        private final HostId host;
+        private final boolean control;
+        private long incarnation;
+        private boolean up;
+        private boolean cutOff;
+        private int applied;
+        private ControlCycle cycle = ControlCycle.create(Samples.board("none", 1), List.of());
+
+        private Node(String host, boolean control) {
+            this.host = HostId.of(host);
+            this.control = control;
         }
-    }
 
-    private record PendingWrite(long atMillis, StorageEffect effect) {}
-
-    private record Delivery(long atMillis, long order, HostId from, long incarnation, HostId to, Event event) {
-        Set<HostId> link() {
-            return Set.of(from, to);
+        Board board() {
+            return cycle.board();
         }
     }
 
-    /** Passes the results of writes to the test. Thread-safe. */
-    private record QueueSink(BlockingQueue<Event> queue) implements EventSink {
-        @Override
-        public boolean offer(Event event) {
-            return queue.offer(event);
+    private RolloutFleet(long seed) {
+        random = new Random(seed);
+        for (int index = 0; index < 3; index++) {
+            nodes.add(new Node("core-" + index, true));
         }
-
-        @Override
-        public void post(Event event) {
-            queue.add(event);
+        for (int index = 0; index < 6; index++) {
+            nodes.add(new Node("edge-" + index, false));
         }
+        log.add(new Command.ReplaceDocument(1, Content.of("application/json", new byte[] {1})));
+        log.add(new Command.ListServerVersion(SERVICE, OLD));
+        log.add(new Command.ListServerVersion(SERVICE, TARGET));
+        nodes.forEach(this::start);
+        schedule(0, this::reportServers);
+        advance(1_500);
+        schedule(0, this::request);
     }
 
-    private RolloutFleet(long seed, Path folder) {
-        this.seed = seed;
-        this.folder = folder;
-        this.random = new SplittableRandom(seed);
+    /** Returns a fleet that serves the old version. */
+    static RolloutFleet create(long seed) {
+        return new RolloutFleet(seed);
     }
 
-    /** Starts the daemons, waits for a leader, and puts a document with these services in force. */
-    static RolloutFleet start(long seed, Path folder, String... services) throws InterruptedException {
-        RolloutFleet fleet = new RolloutFleet(seed, folder.resolve("seed-" + seed));
-        CONTROL.forEach(fleet::startDaemon);
-        fleet.awaitLeader();
-        fleet.replaceDocument(fleet.leader(), 1, services);
-        fleet.advance(500);
-        return fleet;
+    private void schedule(long delayMillis, Runnable action) {
+        counter++;
+        tasks.add(new Task(nowMillis + delayMillis, counter, action));
     }
 
-    /** Starts a daemon with what its disk holds. */
-    void startDaemon(HostId host) {
-        counter++;
-        long incarnation = counter;
-        List<VoterId> voters = CONTROL.stream()
-                .map(voter -> VoterId.of(voter, BootstrapState.INCARNATION))
-                .toList();
-        BlockingQueue<Event> results = new LinkedBlockingQueue<>();
-        Path disk = folder.resolve(host.value() + "-" + disks.getOrDefault(host, 0));
-        ProtobufRecordCodec codec = ProtobufRecordCodec.create();
-        // Only the first disk of a daemon is that of an initial voter.
-        Either<Failure, StorageWriter> opened = disks.containsKey(host)
-                ? StorageWriter.open(disk, codec, new QueueSink(results))
-                : StorageWriter.open(
-                        disk,
-                        codec,
-                        new QueueSink(results),
-                        new BootstrapState(
-                                BootstrapState.INCARNATION, 0, new ReplicaSnapshot(1, 1, voters, List.of())));
-        StorageWriter storage = opened.get();
-        Board board = Board.create(Samples.settings(host.value()), incarnation, seed ^ incarnation);
-        ConsensusController consensus = ConsensusController.createForDiscoveredHosts(
-                board.settings(),
-                CONTROL.stream().filter(other -> !other.equals(host)).toList(),
-                storage.diskIncarnation(),
-                storage.recover(0),
-                board.configuration().state(),
-                new SplittableRandom(seed ^ incarnation),
-                nanos());
-        ControlCycle cycle = ControlCycle.create(
-                board,
-                List.of(
-                        MembershipController.create(),
-                        consensus,
-                        DocumentController.create(RolloutFleet::decode),
-                        RolloutOrderController.create(),
-                        RolloutLogController.create()));
-        long skewMillis = new SplittableRandom(seed ^ host.hashCode()).nextInt(MAXIMUM_SKEW_MILLIS);
-        daemons.put(host, new Daemon(cycle, incarnation, skewMillis, storage, results));
-        daemons.keySet().stream().filter(other -> !other.equals(host)).toList().forEach(other -> connect(host, other));
-    }
-
-    private static Either<Failure, ServiceDocument> decode(Content content) {
-        List<String> words = List.of(new String(content.bytes(), StandardCharsets.UTF_8).split(" "));
-        Map<ServiceName, ServiceRule> services = new HashMap<>();
-        words.subList(1, words.size()).forEach(word -> {
-            ServiceName name = ServiceName.of(word);
-            services.put(name, new ServiceRule(name, 100, Optional.empty(), Optional.empty()));
-        });
-        return Either.right(new ServiceDocument(
-                Long.parseLong(words.getFirst()), List.of(), services, CallerBounds.defaults(), List.of()));
+    private long nanos() {
+        return nowMillis * 1_000_000;
     }
 
-    /** Submits a document and waits until it is acknowledged. */
-    void replaceDocument(HostId host, long version, String... services) throws InterruptedException {
-        Content content =
-                Content.of("text/plain", (version + " " + String.join(" ", services)).getBytes(StandardCharsets.UTF_8));
-        counter++;
-        long ticket = counter;
-        run(host, new DocumentEvent.DocumentSubmitted(ticket, decode(content).get(), content));
-        for (int step = 0; step < 500 && !acknowledgedDocuments.contains(ticket); step++) {
-            advance(STEP_MILLIS);
+    /** Runs the fleet for a time. */
+    void advance(long millis) {
+        long end = nowMillis + millis;
+        while (!tasks.isEmpty() && tasks.peek().atMillis() <= end) {
+            Task task = tasks.remove();
+            nowMillis = Math.max(nowMillis, task.atMillis());
+            task.action().run();
         }
-        if (!acknowledgedDocuments.contains(ticket)) {
-            throw new AssertionError("seed " + seed + ": document " + version + " was not acknowledged");
+        nowMillis = end;
+    }
+
+    private static RouteRule route(String prefix, Repeatability repeatability, boolean resumable) {
+        return new RouteRule(
+                RouteName.of(prefix),
+                "a.example",
+                prefix,
+                repeatability,
+                5_000,
+                300,
+                0,
+                List.of(new RouteRule.Share(SERVICE, 1)),
+                3,
+                true,
+                resumable,
+                0);
+    }
+
+    private static ServiceDocument document() {
+        return new ServiceDocument(
+                1,
+                List.of(route("/stock/", Repeatability.SAFE, false), route("/review/", Repeatability.STREAM, true)),
+                Map.of(SERVICE, new ServiceRule(SERVICE, 100, Optional.empty(), Optional.empty())),
+                CallerBounds.defaults(),
+                List.of());
+    }
+
+    private void start(Node node) {
+        node.incarnation++;
+        node.up = true;
+        node.applied = 0;
+        Board board = Board.create(Samples.settings(node.host.value()), node.incarnation, random.nextLong());
+        Controller proposals = (event, ignored, now, effects) -> {
+            if (event instanceof ReplicationEvent.ProposalRequested requested) {
+                propose(node, requested);
+            }
+        };
+        List<Controller> controllers = new ArrayList<>();
+        controllers.add(MembershipController.create());
+        controllers.add(node.control ? RegistryController.relaying() : RegistryController.learning());
+        controllers.add(DocumentController.create(content -> Either.right(document())));
+        controllers.add(proposals);
+        if (node.control) {
+            controllers.add(RolloutVerdictController.create(RolloutBounds.defaults()));
+        } else {
+            controllers.add(RolloutEvidenceController.create(RolloutBounds.defaults()));
+            controllers.add(ForwardController.create(new ForwardLimits(0.5, 50, 8, 0, 0)));
         }
+        node.cycle = ControlCycle.create(board, controllers);
+        long incarnation = node.incarnation;
+        schedule(random.nextLong(TICK_MILLIS), () -> tick(node, incarnation));
+        schedule(100, () -> link(node));
     }
 
-    /** Orders a rollout; the answer can be taken with {@link #answer}. */
-    long order(HostId host, String service, String target, long durationMillis) throws InterruptedException {
-        counter++;
-        long ticket = counter;
-        run(
-                host,
-                new RolloutEvent.RolloutOrdered(
-                        ticket, ServiceName.of(service), ServerVersion.of(target), durationMillis));
-        return ticket;
-    }
-
-    long read(HostId host, String service) throws InterruptedException {
-        counter++;
-        long ticket = counter;
-        run(host, new RolloutEvent.RolloutRequested(ticket, ServiceName.of(service)));
-        return ticket;
-    }
-
-    /** Returns the answer to a request so far. */
-    Optional<RolloutEffect> answer(long ticket) {
-        return Optional.ofNullable(answers.get(ticket));
+    private void link(Node node) {
+        for (Node other : nodes) {
+            if (other != node && other.up && node.up && (node.control || other.control)) {
+                run(node, new PeerEvent.PeerConnected(other.host, ZONE, other.incarnation));
+                run(other, new PeerEvent.PeerConnected(node.host, ZONE, node.incarnation));
+            }
+        }
     }
 
-    /** Waits for the answer to a request; fails if there is none within 5 s. */
-    RolloutEffect awaitAnswer(long ticket) throws InterruptedException {
-        for (int step = 0; step < 500 && !answers.containsKey(ticket); step++) {
-            advance(STEP_MILLIS);
+    /** Ends the process of a daemon and starts it again, empty, after a time. */
+    void restart(Node node, long downMillis) {
+        node.up = false;
+        for (Node other : nodes) {
+            if (other.up) {
+                run(other, new PeerEvent.PeerDisconnected(node.host, node.incarnation));
+            }
         }
-        return answer(ticket).orElseThrow(() -> new AssertionError("seed " + seed + ": no answer within 5 s"));
+        schedule(downMillis, () -> start(node));
     }
 
-    /** Proposes a command at a daemon without waiting for its result. */
-    void propose(HostId host, Command command) throws InterruptedException {
-        counter++;
-        run(host, new ReplicationEvent.ProposalRequested("test-" + counter, 0, command));
+    List<Node> nodes() {
+        return nodes;
     }
 
-    /** Returns the newest rollout of a service as a daemon has applied it. */
-    Optional<Rollout> applied(HostId host, String service) {
-        return daemon(host).cycle.board().configuration().state().rollout(ServiceName.of(service));
+    List<Node> entries() {
+        return nodes.stream().filter(node -> !node.control).toList();
     }
 
-    HostId leader() {
-        return findLeader().orElseThrow(() -> new AssertionError("seed " + seed + ": no leader"));
+    /** Ends the leader's process; another control daemon leads after an election. */
+    void loseLeader(long electionMillis) {
+        Node former = nodes.get(leader);
+        int next = (leader + 1) % 3;
+        leader = -1;
+        restart(former, 800);
+        schedule(electionMillis, () -> {
+            leader = next;
+            term++;
+        });
     }
 
-    Optional<HostId> findLeader() {
-        return daemons.keySet().stream()
-                .filter(host -> daemon(host).cycle.board().consensus().group(0).holdsLease(nanos()))
-                .findFirst();
+    void setQuorum(boolean present) {
+        quorum = present;
     }
 
-    /** Returns a daemon that does not lead. */
-    HostId follower() {
-        HostId leader = leader();
-        return CONTROL.stream()
-                .filter(host -> !host.equals(leader) && daemons.containsKey(host))
-                .findFirst()
-                .orElseThrow();
+    /** Cuts an entry daemon off from the log; it still reaches servers. */
+    void cutOff(Node node, boolean cut) {
+        node.cutOff = cut;
     }
 
-    void awaitLeader() throws InterruptedException {
-        for (int step = 0; step < 1_500 && findLeader().isEmpty(); step++) {
-            advance(STEP_MILLIS);
+    private void tick(Node node, long incarnation) {
+        if (!node.up || node.incarnation != incarnation) {
+            return;
+        }
+        boolean leading = quorum && leader >= 0 && nodes.get(leader) == node;
+        if (quorum && !node.cutOff && leader >= 0) {
+            apply(node);
+            node.board().consensus().putCopy(0, new LogCopy.CompleteUntil(nanos() - CONFIRMED_MILLIS * 1_000_000));
+        }
+        node.board()
+                .consensus()
+                .put(new GroupStatus(
+                        0,
+                        Optional.empty(),
+                        leading,
+                        term,
+                        node.applied,
+                        node.applied,
+                        leading ? nanos() + 900_000_000L : Long.MIN_VALUE,
+                        nanos(),
+                        node.control));
+        run(node, new TimerEvent.Tick());
+        schedule(TICK_MILLIS, () -> tick(node, incarnation));
+    }
+
+    private void apply(Node node) {
+        while (node.applied < log.size()) {
+            Command command = log.get(node.applied);
+            node.applied++;
+            CommandResult result = node.board().configuration().state().apply(command);
+            run(node, new ReplicationEvent.EntryApplied(0, node.applied, command, result));
         }
-        leader();
     }
 
-    Set<HostId> running() {
-        return Set.copyOf(daemons.keySet());
+    private void propose(Node node, ReplicationEvent.ProposalRequested requested) {
+        long incarnation = node.incarnation;
+        schedule(10 + random.nextInt(20), () -> {
+            if (quorum && requested.command() instanceof Command.Control control) {
+                log.add(control);
+                if (node.up && node.incarnation == incarnation) {
+                    run(node, new ReplicationEvent.ProposalDecided(requested.proposalId(), new CommandResult.Done()));
+                }
+            } else if (node.up && node.incarnation == incarnation) {
+                run(node, new ReplicationEvent.ProposalFailed(requested.proposalId(), ErrorKind.NO_QUORUM_NOT_RUN));
+            }
+        });
     }
 
-    /** Ends a daemon; what has not reached its disk is lost. */
-    void kill(HostId host) throws InterruptedException {
-        Daemon killed = daemon(host);
-        daemons.remove(host);
-        killed.storage.close();
-        network.removeIf(delivery -> delivery.link().contains(host));
-        closedLinks.removeIf(link -> link.contains(host));
-        for (HostId other : List.copyOf(daemons.keySet())) {
-            run(other, new PeerEvent.PeerDisconnected(host, killed.incarnation));
-        }
+    /** Orders a rollout, and starts the servers of the target some seconds later. */
+    void order(long durationMillis, double failures) {
+        targetFailures = failures;
+        log.add(new Command.BeginRollout(SERVICE, TARGET, durationMillis, nowMillis));
+        targetReadyMillis = nowMillis + 3_000;
     }
 
-    /** Ends all daemons at once. */
-    void losePower() throws InterruptedException {
-        for (HostId host : List.copyOf(daemons.keySet())) {
-            Daemon killed = daemon(host);
-            daemons.remove(host);
-            killed.storage.close();
-        }
-        network.clear();
-        closedLinks.clear();
+    /** Records a rollout to the version that is served, as it was completed some time ago. */
+    void recordFormerRollout() {
+        log.add(new Command.BeginRollout(SERVICE, OLD, 10_000, 0));
+        log.add(new Command.FinishRollout(SERVICE, 1, new RolloutPhase.Completed()));
     }
 
-    void startAll() {
-        CONTROL.stream().filter(host -> !daemons.containsKey(host)).forEach(this::startDaemon);
+    void startTargetServers() {
+        targetReadyMillis = nowMillis;
     }
 
-    /** Ends a daemon and starts it with an empty disk. */
-    void loseDisk(HostId host) throws InterruptedException {
-        kill(host);
-        disks.merge(host, 1, Integer::sum);
-        startDaemon(host);
+    void stopOldServers() {
+        oldServed = false;
     }
 
-    void stallDisk(HostId host, boolean stalled) {
-        if (stalled) {
-            stalledDisks.add(host);
-        } else {
-            stalledDisks.remove(host);
+    private void reportServers() {
+        List<ServerReport> reports = new ArrayList<>();
+        sequence++;
+        for (int index = 0; index < SERVERS; index++) {
+            reports.add(report("old-" + index, index, OLD, oldServed ? ServerPhase.READY : ServerPhase.GONE));
+            if (nowMillis >= targetReadyMillis) {
+                reports.add(report("new-" + index, SERVERS + index, TARGET, ServerPhase.READY));
+            }
         }
-    }
-
-    /** Cuts a daemon off from the others, or heals the cut. */
-    void cutOff(HostId host, boolean cut) {
-        CONTROL.stream().filter(other -> !other.equals(host)).forEach(other -> {
-            if (cut) {
-                cuts.add(Set.of(host, other));
-            } else {
-                cuts.remove(Set.of(host, other));
+        for (Node node : nodes) {
+            if (node.up) {
+                run(
+                        node,
+                        new PeerEvent.PeerMessageReceived(
+                                HostId.of("core-9"), 1, new PeerMessage.ServerReports(reports)));
             }
-        });
+        }
+        schedule(REPORT_MILLIS, this::reportServers);
+    }
+
+    private ServerReport report(String server, int address, ServerVersion version, ServerPhase phase) {
+        return new ServerReport(
+                ServerId.of(server),
+                1,
+                sequence,
+                SERVICE,
+                "10.0.0." + address + ":80",
+                ZONE,
+                6,
+                phase,
+                0,
+                false,
+                OptionalLong.empty(),
+                version);
+    }
+
+    private void request() {
+        schedule(REQUEST_MILLIS, this::request);
+        List<Node> up = entries().stream().filter(node -> node.up).toList();
+        if (up.isEmpty()) {
+            return;
+        }
+        Node node = up.get(random.nextInt(up.size()));
+        counter++;
+        requests++;
+        run(
+                node,
+                new ForwardEvent.ForwardArrived(
+                        counter,
+                        ForwardHead.of(
+                                "id-" + counter,
+                                "a.example",
+                                random.nextBoolean() ? "/stock/1" : "/review/1",
+                                Optional.empty(),
+                                OptionalLong.of(3_000),
+                                Optional.empty(),
+                                Fingerprint.of("content-" + counter)),
+                        nanos()));
+    }
+
+    private void run(Node node, Event event) {
+        for (Effect effect : node.cycle.run(event, nanos(), nowMillis)) {
+            if (effect instanceof PeerEffect.SendToPeer send) {
+                send(node, send);
+            } else if (effect instanceof ForwardEffect.StartForward start) {
+                started(node, start);
+            } else if (effect instanceof ForwardEffect.RefuseForward refuse) {
+                refusals.merge(refuse.failure().kind(), 1, Integer::sum);
+            } else if (effect instanceof ForwardEffect.CancelForward cancel) {
+                schedule(1, () -> end(cancel.ticket(), new ForwardOutcome.Cancelled(0, false)));
+            } else if (effect instanceof LogEffect line) {
+                lines.add(line);
+            }
+        }
     }
 
-    /** Advances the clock, carries out writes, delivers messages and ticks the daemons. */
-    void advance(long millis) throws InterruptedException {
-        long end = nowMillis + millis;
-        while (nowMillis < end) {
-            nowMillis += STEP_MILLIS;
-            for (HostId host : List.copyOf(daemons.keySet())) {
-                carryOutWrites(host);
-            }
-            deliverDue();
-            reopenLinks();
-            if (nowMillis % TICK_MILLIS == 0) {
-                for (HostId host : List.copyOf(daemons.keySet())) {
-                    run(host, new TimerEvent.Tick());
+    private void send(Node from, PeerEffect.SendToPeer send) {
+        Node to = nodes.stream()
+                .filter(node -> node.host.equals(send.peer()))
+                .findFirst()
+                .orElse(from);
+        long incarnation = from.incarnation;
+        boolean repeated = send.message() instanceof PeerMessage.RolloutEvidence && random.nextInt(5) == 0;
+        for (int delivery = 0; delivery < (repeated ? 2 : 1); delivery++) {
+            schedule(1 + random.nextInt(delivery == 0 ? 40 : 4_000), () -> {
+                if (to.up && to != from && !from.cutOff && !to.cutOff) {
+                    run(to, new PeerEvent.PeerMessageReceived(from.host, incarnation, send.message()));
                 }
-            }
-            checkRollouts();
+            });
         }
     }
 
-    private void carryOutWrites(HostId host) throws InterruptedException {
-        Daemon daemon = daemon(host);
-        while (!daemon.writes.isEmpty()
-                && daemon.writes.peek().atMillis() <= nowMillis
-                && !stalledDisks.contains(host)) {
-            daemon.storage.execute(daemon.writes.remove().effect());
-            @Nullable Event result = daemon.results.poll(SYNC_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-            run(host, Objects.requireNonNull(result, "a write was not carried out"));
+    private void started(Node node, ForwardEffect.StartForward start) {
+        boolean target = start.server().value().startsWith("new-");
+        (target ? sentToTarget : sentToOld).add(nowMillis);
+        if (target && node.cutOff) {
+            sentByCutOff.add(node.host + " at " + nowMillis);
         }
+        running.put(start.ticket(), new Running(node, node.incarnation, start));
+        boolean failed = random.nextDouble() < (target ? targetFailures : 0.002);
+        schedule(20 + random.nextInt(60), () -> {
+            Running present = running.get(start.ticket());
+            if (present != null && present.start().attempt() == start.attempt()) {
+                if (!failed && present.node().up && present.node().incarnation == present.incarnation()) {
+                    run(
+                            present.node(),
+                            new ForwardEvent.ForwardBegan(start.ticket(), start.attempt(), Optional.empty()));
+                }
+                end(start.ticket(), failed ? new ForwardOutcome.Failed(500) : new ForwardOutcome.Completed(false));
+            }
+        });
     }
 
-    private void deliverDue() throws InterruptedException {
-        List<Delivery> held = new ArrayList<>();
-        while (!network.isEmpty() && network.peek().atMillis() <= nowMillis) {
-            Delivery delivery = network.remove();
-            if (cuts.contains(delivery.link())) {
-                held.add(delivery);
-            } else if (!closedLinks.contains(delivery.link())
-                    && daemons.containsKey(delivery.to())
-                    && daemons.containsKey(delivery.from())
-                    && daemon(delivery.from()).incarnation == delivery.incarnation()) {
-                run(delivery.to(), delivery.event());
-            }
-        }
-        network.addAll(held);
-    }
-
-    private void checkRollouts() {
-        daemons.forEach((host, daemon) -> daemon.cycle
-                .board()
-                .configuration()
-                .state()
-                .rollouts()
-                .forEach(rollout -> {
-                    String key = rollout.service() + " " + rollout.number();
-                    @Nullable Rollout seen = seenRollouts.get(key);
-                    if (seen != null
-                            && (!seen.target().equals(rollout.target())
-                                    || seen.phase().ended()
-                                            && rollout.phase().ended()
-                                            && !seen.phase().equals(rollout.phase()))) {
-                        throw new AssertionError("seed " + seed + ": " + host + " has " + rollout + " after " + seen);
-                    }
-                    if (seen == null || seen.phase().mayBecome(rollout.phase())) {
-                        seenRollouts.put(key, rollout);
-                    }
-                }));
-    }
-
-    private void run(HostId host, Event event) throws InterruptedException {
-        Daemon daemon = daemon(host);
-        for (Effect effect : daemon.cycle.run(event, nanos(), nowMillis + daemon.skewMillis)) {
-            execute(host, daemon, effect);
+    private void end(long ticket, ForwardOutcome outcome) {
+        Running ended = running.remove(ticket);
+        if (ended != null && ended.node().up && ended.node().incarnation == ended.incarnation()) {
+            run(
+                    ended.node(),
+                    new ForwardEvent.ForwardEnded(ticket, ended.start().attempt(), outcome, Optional.empty()));
         }
     }
 
-    private void execute(HostId host, Daemon daemon, Effect effect) {
-        switch (effect) {
-            case PeerEffect.SendToPeer send -> {
-                if (daemons.containsKey(send.peer()) && !closedLinks.contains(Set.of(host, send.peer()))) {
-                    enqueue(
-                            host,
-                            send.peer(),
-                            new PeerEvent.PeerMessageReceived(host, daemon.incarnation, send.message()));
-                }
-            }
-            case PeerEffect.CloseLink close -> closedLinks.add(Set.of(host, close.peer()));
-            case StorageEffect write ->
-                daemon.writes.add(new PendingWrite(nowMillis + random.nextInt(1, 3) * STEP_MILLIS, write));
-            case RolloutEffect.AcknowledgeOrder answer -> recordAnswer(answer.ticket(), answer);
-            case RolloutEffect.ReturnRollout answer -> recordAnswer(answer.ticket(), answer);
-            case RolloutEffect.RefuseRollout answer -> recordAnswer(answer.ticket(), answer);
-            case DocumentEffect.AcknowledgeDocument acknowledged -> acknowledgedDocuments.add(acknowledged.ticket());
-            default -> {}
-        }
+    /** Returns the phase in the log; empty without a rollout. */
+    Optional<RolloutPhase> phase() {
+        Node reader = new Node("reader", true);
+        log.forEach(command -> reader.board().configuration().state().apply(command));
+        return reader.board().configuration().state().rollout(SERVICE).map(Rollout::phase);
     }
 
-    private void recordAnswer(long ticket, RolloutEffect answer) {
-        if (answers.put(ticket, answer) != null) {
-            throw new AssertionError("seed " + seed + ": two answers to request " + ticket);
-        }
+    long nowMillis() {
+        return nowMillis;
     }
 
-    private void enqueue(HostId from, HostId to, Event event) {
-        counter++;
-        network.add(new Delivery(nowMillis + LATENCY_MILLIS, counter, from, daemon(from).incarnation, to, event));
+    long requests() {
+        return requests;
     }
 
-    private void reopenLinks() {
-        for (Set<HostId> link : List.copyOf(closedLinks)) {
-            List<HostId> ends = List.copyOf(link);
-            if (!cuts.contains(link) && daemons.keySet().containsAll(ends)) {
-                connect(ends.getFirst(), ends.getLast());
-            }
-        }
+    /** Returns the requests sent to the target since a time. */
+    long sentToTargetSince(long millis) {
+        return sentToTarget.stream().filter(sent -> sent >= millis).count();
     }
 
-    private void connect(HostId one, HostId other) {
-        network.removeIf(delivery -> delivery.link().equals(Set.of(one, other)));
-        closedLinks.remove(Set.of(one, other));
-        AvailabilityZone zone = AvailabilityZone.of("zone-a");
-        enqueue(one, other, new PeerEvent.PeerConnected(one, zone, daemon(one).incarnation));
-        enqueue(other, one, new PeerEvent.PeerConnected(other, zone, daemon(other).incarnation));
+    /** Returns the requests sent to the old version since a time. */
+    long sentToOldSince(long millis) {
+        return sentToOld.stream().filter(sent -> sent >= millis).count();
     }
 
-    private Daemon daemon(HostId host) {
-        return Objects.requireNonNull(daemons.get(host), () -> host + " does not run");
+    List<String> sentByCutOff() {
+        return sentByCutOff;
     }
 
-    private long nanos() {
-        return TimeUnit.MILLISECONDS.toNanos(nowMillis);
+    int refusals(ErrorKind kind) {
+        return refusals.getOrDefault(kind, 0);
     }
 
-    @Override
-    public void close() throws InterruptedException {
-        losePower();
+    List<LogEffect> lines(String event) {
+        return lines.stream().filter(line -> line.event().equals(event)).toList();
     }
 }
--- a/src/test/java/org/plantainwharf/rollout/RolloutRecoveryTest.java
+++ b/src/test/java/org/plantainwharf/rollout/RolloutRecoveryTest.java
@@ -44,8 +44,8 @@
     @SuppressWarnings("NullAway.Init")
     private Path folder;
 
-    private RolloutFleet fleet(long seed) throws InterruptedException {
-        return RolloutFleet.start(seed, folder, SERVICE, "other");
+    private RolloutLogFleet fleet(long seed) throws InterruptedException {
+        return RolloutLogFleet.start(seed, folder, SERVICE, "other");
     }
 
     private static Optional<ErrorKind> refusal(RolloutEffect answer) {
@@ -68,11 +68,11 @@
         throw new AssertionError("not returned: " + answer);
     }
 
-    private static RolloutEffect order(RolloutFleet fleet, HostId host) throws InterruptedException {
+    private static RolloutEffect order(RolloutLogFleet fleet, HostId host) throws InterruptedException {
         return fleet.awaitAnswer(fleet.order(host, SERVICE, TARGET, DURATION_MILLIS));
     }
 
-    private static Rollout readFromAnyDaemon(RolloutFleet fleet) throws InterruptedException {
+    private static Rollout readFromAnyDaemon(RolloutLogFleet fleet) throws InterruptedException {
         for (int attempt = 0; attempt < 40; attempt++) {
             for (HostId host : List.copyOf(fleet.running())) {
                 RolloutEffect answer = fleet.awaitAnswer(fleet.read(host, SERVICE));
@@ -86,7 +86,7 @@
     }
 
     /** Gives a verdict as the leader does, and waits until every daemon has it. */
-    private static void finish(RolloutFleet fleet, long number, RolloutPhase verdict) throws InterruptedException {
+    private static void finish(RolloutLogFleet fleet, long number, RolloutPhase verdict) throws InterruptedException {
         fleet.propose(fleet.leader(), new Command.FinishRollout(ServiceName.of(SERVICE), number, verdict));
         fleet.advance(1_000);
     }
@@ -96,8 +96,8 @@
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4, 5, 6})
         void surviveTheLossOfAllPower(long seed) throws Exception {
-            try (RolloutFleet fleet = fleet(seed)) {
-                HostId asked = RolloutFleet.CONTROL.get((int) (seed % 3));
+            try (RolloutLogFleet fleet = fleet(seed)) {
+                HostId asked = RolloutLogFleet.CONTROL.get((int) (seed % 3));
                 Rollout begun = acknowledged(order(fleet, asked));
                 fleet.losePower();
                 fleet.startAll();
@@ -109,7 +109,7 @@
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4, 5, 6})
         void surviveTheLossOfADiskRightAfterwards(long seed) throws Exception {
-            try (RolloutFleet fleet = fleet(seed)) {
+            try (RolloutLogFleet fleet = fleet(seed)) {
                 Rollout begun = acknowledged(order(fleet, fleet.follower()));
                 fleet.loseDisk(seed % 2 == 0 ? fleet.leader() : fleet.follower());
                 fleet.awaitLeader();
@@ -126,7 +126,7 @@
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
         void areOneRolloutWhenTheLeaderIsLostHalfway(long seed) throws Exception {
-            try (RolloutFleet fleet = fleet(seed)) {
+            try (RolloutLogFleet fleet = fleet(seed)) {
                 HostId leader = fleet.leader();
                 HostId asked = seed % 2 == 0 ? leader : fleet.follower();
                 long ticket = fleet.order(asked, SERVICE, TARGET, DURATION_MILLIS);
@@ -136,7 +136,7 @@
                 if (asked.equals(leader)) {
                     begun = fleet.answer(ticket).map(RolloutRecoveryTest::acknowledged);
                 }
-                List<HostId> others = RolloutFleet.CONTROL.stream()
+                List<HostId> others = RolloutLogFleet.CONTROL.stream()
                         .filter(host -> !host.equals(leader))
                         .toList();
                 List<RolloutEffect> answers = new ArrayList<>();
@@ -154,7 +154,7 @@
                 acknowledged.forEach(other -> assertEquals(first, other, "seed " + seed));
                 fleet.startDaemon(leader);
                 fleet.advance(3_000);
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     assertEquals(Optional.of(first), fleet.applied(host, SERVICE), "seed " + seed);
                 }
                 assertEquals(1, first.number(), "seed " + seed);
@@ -169,7 +169,7 @@
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4})
         void surviveTheLossOfAllPowerAndOfADisk(long seed) throws Exception {
-            try (RolloutFleet fleet = fleet(seed)) {
+            try (RolloutLogFleet fleet = fleet(seed)) {
                 long number = acknowledged(order(fleet, fleet.leader())).number();
                 finish(fleet, number, rolledBack);
                 fleet.losePower();
@@ -185,11 +185,11 @@
         /** A former leader may still propose what it decided before it was replaced. */
         @Test
         void areNotTakenBackByLateProposals() throws Exception {
-            try (RolloutFleet fleet = fleet(1)) {
+            try (RolloutLogFleet fleet = fleet(1)) {
                 long number = acknowledged(order(fleet, fleet.leader())).number();
                 finish(fleet, number, rolledBack);
                 ServiceName service = ServiceName.of(SERVICE);
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     fleet.propose(host, new Command.FinishRollout(service, number, new RolloutPhase.Completed()));
                     fleet.propose(host, new Command.AdvanceRollout(service, number, new RolloutPhase.Growing(500)));
                     fleet.propose(host, new Command.AdvanceRollout(service, number, new RolloutPhase.Retiring()));
@@ -204,7 +204,7 @@
 
         @Test
         void onlyOneOfTwoAtOnceIsInForce() throws Exception {
-            try (RolloutFleet fleet = fleet(2)) {
+            try (RolloutLogFleet fleet = fleet(2)) {
                 long number = acknowledged(order(fleet, fleet.leader())).number();
                 ServiceName service = ServiceName.of(SERVICE);
                 fleet.propose(fleet.follower(), new Command.FinishRollout(service, number, rolledBack));
@@ -212,7 +212,7 @@
                 fleet.advance(2_000);
                 RolloutPhase verdict = readFromAnyDaemon(fleet).phase();
                 assertTrue(verdict.ended());
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     assertEquals(
                             Optional.of(verdict), fleet.applied(host, SERVICE).map(Rollout::phase));
                 }
@@ -224,13 +224,13 @@
     class StoresWithoutAQuorum {
         @Test
         void acknowledgeNothingWhileDisksStall() throws Exception {
-            try (RolloutFleet fleet = fleet(1)) {
+            try (RolloutLogFleet fleet = fleet(1)) {
                 HostId leader = fleet.leader();
-                List<HostId> others = RolloutFleet.CONTROL.stream()
+                List<HostId> others = RolloutLogFleet.CONTROL.stream()
                         .filter(host -> !host.equals(leader))
                         .toList();
                 others.forEach(host -> fleet.stallDisk(host, true));
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     assertEquals(Optional.of(ErrorKind.ROLLOUT_UNDECIDED), refusal(order(fleet, host)));
                 }
                 others.forEach(host -> fleet.stallDisk(host, false));
@@ -241,9 +241,9 @@
 
         @Test
         void acknowledgeNothingWhileTwoDaemonsAreGone() throws Exception {
-            try (RolloutFleet fleet = fleet(2)) {
+            try (RolloutLogFleet fleet = fleet(2)) {
                 HostId left = fleet.leader();
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     if (!host.equals(left)) {
                         fleet.kill(host);
                     }
@@ -260,7 +260,7 @@
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4})
         void mayKeepWhatTheyDidNotAcknowledgeAsTheSameRollout(long seed) throws Exception {
-            try (RolloutFleet fleet = fleet(seed)) {
+            try (RolloutLogFleet fleet = fleet(seed)) {
                 HostId leader = fleet.leader();
                 fleet.cutOff(leader, true);
                 assertEquals(Optional.of(ErrorKind.ROLLOUT_UNDECIDED), refusal(order(fleet, leader)));
@@ -268,7 +268,7 @@
                 Rollout begun = acknowledged(order(fleet, fleet.leader()));
                 fleet.cutOff(leader, false);
                 fleet.advance(4_000);
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     assertEquals(Optional.of(begun), fleet.applied(host, SERVICE), "seed " + seed);
                 }
             }
@@ -279,9 +279,9 @@
     class Resends {
         @Test
         void toAnotherDaemonAfterALostAnswerGetTheSameAnswer() throws Exception {
-            try (RolloutFleet fleet = fleet(1)) {
+            try (RolloutLogFleet fleet = fleet(1)) {
                 Rollout begun = acknowledged(order(fleet, fleet.leader()));
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     assertEquals(begun, acknowledged(order(fleet, host)));
                 }
             }
@@ -290,12 +290,12 @@
         /** The operator has its answer, the rollout is over, and a copy of the order arrives that was held back on its way. */
         @Test
         void thatArriveAfterTheVerdictBeginNothing() throws Exception {
-            try (RolloutFleet fleet = fleet(2)) {
+            try (RolloutLogFleet fleet = fleet(2)) {
                 long number = acknowledged(order(fleet, fleet.leader())).number();
                 RolloutPhase verdict = new RolloutPhase.RolledBack("failures");
                 finish(fleet, number, verdict);
                 fleet.advance(RESEND_MILLIS);
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     assertEquals(number, acknowledged(order(fleet, host)).number());
                 }
                 assertEquals(verdict, readFromAnyDaemon(fleet).phase());
@@ -305,7 +305,7 @@
         /** Without this, a version that was rolled back would be tried again by nobody's order. */
         @Test
         void thatArriveAfterALaterRolloutBeginNothing() throws Exception {
-            try (RolloutFleet fleet = fleet(4)) {
+            try (RolloutLogFleet fleet = fleet(4)) {
                 long number = acknowledged(order(fleet, fleet.leader())).number();
                 finish(fleet, number, new RolloutPhase.RolledBack("failures"));
                 Rollout later =
@@ -314,7 +314,7 @@
                 fleet.losePower();
                 fleet.startAll();
                 fleet.awaitLeader();
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     assertEquals(number, acknowledged(order(fleet, host)).number());
                 }
                 assertEquals(later.withPhase(new RolloutPhase.Completed()), readFromAnyDaemon(fleet));
@@ -323,11 +323,11 @@
 
         @Test
         void surviveTheRemovalOfTheServiceFromTheDocument() throws Exception {
-            try (RolloutFleet fleet = fleet(3)) {
+            try (RolloutLogFleet fleet = fleet(3)) {
                 Rollout begun = acknowledged(order(fleet, fleet.leader()));
                 fleet.replaceDocument(fleet.leader(), 2, "other");
                 fleet.advance(500);
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     assertEquals(begun, acknowledged(order(fleet, host)));
                 }
             }
@@ -339,9 +339,9 @@
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4, 5, 6})
         void withDifferentOrdersAtOnceGetOneRollout(long seed) throws Exception {
-            try (RolloutFleet fleet = fleet(seed)) {
-                HostId one = RolloutFleet.CONTROL.get((int) (seed % 3));
-                HostId two = RolloutFleet.CONTROL.get((int) ((seed + 1) % 3));
+            try (RolloutLogFleet fleet = fleet(seed)) {
+                HostId one = RolloutLogFleet.CONTROL.get((int) (seed % 3));
+                HostId two = RolloutLogFleet.CONTROL.get((int) ((seed + 1) % 3));
                 long first = fleet.order(one, SERVICE, "v2", DURATION_MILLIS);
                 long second = fleet.order(two, SERVICE, "v3", DURATION_MILLIS);
                 RolloutEffect firstAnswer = fleet.awaitAnswer(first);
@@ -359,7 +359,7 @@
 
         @Test
         void withTheSameOrderGetTheSameAnswer() throws Exception {
-            try (RolloutFleet fleet = fleet(7)) {
+            try (RolloutLogFleet fleet = fleet(7)) {
                 long first = fleet.order(fleet.leader(), SERVICE, TARGET, DURATION_MILLIS);
                 long second = fleet.order(fleet.follower(), SERVICE, TARGET, DURATION_MILLIS);
                 assertEquals(acknowledged(fleet.awaitAnswer(first)), acknowledged(fleet.awaitAnswer(second)));
@@ -368,7 +368,7 @@
 
         @Test
         void ofTwoServicesDoNotHinderEachOther() throws Exception {
-            try (RolloutFleet fleet = fleet(8)) {
+            try (RolloutLogFleet fleet = fleet(8)) {
                 long first = fleet.order(fleet.leader(), SERVICE, TARGET, DURATION_MILLIS);
                 long second = fleet.order(fleet.follower(), "other", "v9", DURATION_MILLIS);
                 acknowledged(fleet.awaitAnswer(first));
@@ -379,15 +379,15 @@
 
     @Nested
     class UnknownServices {
-        private Optional<ErrorKind> refusalOfUnknown(RolloutFleet fleet, HostId host, String service)
+        private Optional<ErrorKind> refusalOfUnknown(RolloutLogFleet fleet, HostId host, String service)
                 throws InterruptedException {
             return refusal(fleet.awaitAnswer(fleet.order(host, service, TARGET, DURATION_MILLIS)));
         }
 
         @Test
         void areRefusedByEveryDaemonInContact() throws Exception {
-            try (RolloutFleet fleet = fleet(1)) {
-                for (HostId host : RolloutFleet.CONTROL) {
+            try (RolloutLogFleet fleet = fleet(1)) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     assertEquals(Optional.of(ErrorKind.ROLLOUT_INVALID), refusalOfUnknown(fleet, host, "gone"));
                     assertEquals(
                             Optional.of(ErrorKind.ROLLOUT_NOT_FOUND),
@@ -400,8 +400,8 @@
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3, 4, 5, 6})
         void areNotRefusedRightAfterADocumentBroughtThem(long seed) throws Exception {
-            try (RolloutFleet fleet = fleet(seed)) {
-                HostId asked = RolloutFleet.CONTROL.get((int) (seed % 3));
+            try (RolloutLogFleet fleet = fleet(seed)) {
+                HostId asked = RolloutLogFleet.CONTROL.get((int) (seed % 3));
                 for (int version = 2; version < 8; version++) {
                     fleet.replaceDocument(fleet.leader(), version, SERVICE, "other", "new-" + version);
                     Optional<ErrorKind> refusal = refusalOfUnknown(fleet, asked, "new-" + version);
@@ -414,7 +414,7 @@
 
         @Test
         void areUndecidedAtADaemonThatIsCutOff() throws Exception {
-            try (RolloutFleet fleet = fleet(2)) {
+            try (RolloutLogFleet fleet = fleet(2)) {
                 HostId cut = fleet.follower();
                 fleet.cutOff(cut, true);
                 assertEquals(Optional.of(ErrorKind.ROLLOUT_SERVICE_UNCONFIRMED), refusalOfUnknown(fleet, cut, "new"));
@@ -427,9 +427,9 @@
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3})
         void seeWhatWasAcknowledgedBefore(long seed) throws Exception {
-            try (RolloutFleet fleet = fleet(seed)) {
+            try (RolloutLogFleet fleet = fleet(seed)) {
                 Rollout begun = acknowledged(order(fleet, fleet.leader()));
-                for (HostId host : RolloutFleet.CONTROL) {
+                for (HostId host : RolloutLogFleet.CONTROL) {
                     assertEquals(begun, returned(fleet.awaitAnswer(fleet.read(host, SERVICE))), "seed " + seed);
                 }
             }
@@ -438,7 +438,7 @@
         /** A daemon that is cut off must not tell an operator the state of former times. */
         @Test
         void areUndecidedAtADaemonThatIsCutOff() throws Exception {
-            try (RolloutFleet fleet = fleet(4)) {
+            try (RolloutLogFleet fleet = fleet(4)) {
                 long number = acknowledged(order(fleet, fleet.leader())).number();
                 HostId former = fleet.leader();
                 fleet.cutOff(former, true);
@@ -462,8 +462,8 @@
             }
         }
 
-        private void fault(RolloutFleet fleet, SplittableRandom random) throws InterruptedException {
-            HostId host = RolloutFleet.CONTROL.get(random.nextInt(3));
+        private void fault(RolloutLogFleet fleet, SplittableRandom random) throws InterruptedException {
+            HostId host = RolloutLogFleet.CONTROL.get(random.nextInt(3));
             switch (random.nextInt(5)) {
                 case 0 -> {
                     fleet.losePower();
@@ -496,7 +496,7 @@
         @MethodSource("seeds")
         void loseNoAcknowledgedOrderAndTakeNoVerdictBack(long seed) throws Exception {
             SplittableRandom random = new SplittableRandom(seed);
-            try (RolloutFleet fleet = fleet(seed)) {
+            try (RolloutLogFleet fleet = fleet(seed)) {
                 for (int round = 0; round < 8; round++) {
                     String target = "v" + round;
                     List<Long> tickets = new ArrayList<>();
