Weigh kept parts of prompts against the wait, and share which are kept

Cause: a daemon knew only the parts that it had sent itself, never forgot them by time or memory, and took 0.7 of the shared parts for kept at one hashed server whoever asked.

Change: KeptPartSection holds when each start of a server last used a part. The likelihood that it is still kept falls with the tokens that replace it in the memory that the document states. Daemons share uses of shared parts in KeptParts, on the ways of the observations, at most 20 every 200 ms. The selector compares the servers that used the last shared part lately, the first home by hash, and the drawn ones, by wait, tokens to be processed and way. A server that is to be reclaimed is no first home. attempt_started shows saved_ms and wait_ms; counters show the shared tokens sent and expected to be kept. Services without a stated memory keep the rule before.

--- a/src/main/java/org/plantainwharf/codec/ObservationMapping.java
+++ b/src/main/java/org/plantainwharf/codec/ObservationMapping.java
@@ -2,7 +2,6 @@
 
 import java.util.stream.IntStream;
 
-import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.keptpart.KeptPart;
 import org.plantainwharf.message.PeerMessage;
 import org.plantainwharf.observation.ServerObservation;
@@ -53,27 +52,31 @@
     }
 
     static PeerProtocol.KeptParts encode(PeerMessage.KeptParts message) {
-        PeerProtocol.KeptParts.Builder wire = PeerProtocol.KeptParts.newBuilder();
-        message.parts()
-                .forEach(part -> wire.addParts(PeerProtocol.KeptPart.newBuilder()
-                        .setServer(part.server().value())
-                        .setStartEpochMillis(part.startEpochMillis())
-                        .setPart(part.part())
-                        .setTokens(part.tokens())
-                        .setAgeMillis(part.ageMillis())
-                        .setDropped(part.dropped())));
+        PeerProtocol.KeptParts.Builder wire = PeerProtocol.KeptParts.newBuilder()
+                .setSequence(message.sequence())
+                .setEchoedToken(message.echoedToken());
+        message.parts().forEach(part -> wire.addServers(part.server().digest())
+                .addParts(part.part())
+                .addTokens(part.tokens())
+                .addAgeMillis(part.ageMillis()));
         return wire.build();
     }
 
+    /** Columns of unequal length are not read beyond the shortest. */
     static PeerMessage.KeptParts decode(PeerProtocol.KeptParts wire) {
-        return new PeerMessage.KeptParts(wire.getPartsList().stream()
-                .map(part -> new KeptPart(
-                        ServerId.of(part.getServer()),
-                        part.getStartEpochMillis(),
-                        part.getPart(),
-                        part.getTokens(),
-                        part.getAgeMillis(),
-                        part.getDropped()))
-                .toList());
+        int count = IntStream.of(
+                        wire.getServersCount(), wire.getPartsCount(), wire.getTokensCount(), wire.getAgeMillisCount())
+                .min()
+                .orElse(0);
+        return new PeerMessage.KeptParts(
+                wire.getSequence(),
+                wire.getEchoedToken(),
+                IntStream.range(0, count)
+                        .mapToObj(index -> new KeptPart(
+                                new ServerStart(wire.getServers(index)),
+                                wire.getParts(index),
+                                wire.getTokens(index),
+                                wire.getAgeMillis(index)))
+                        .toList());
     }
 }
--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -38,6 +38,7 @@
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.front.MetricsFrontend;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.keptpart.KeptPartController;
 import org.plantainwharf.limit.AllowanceController;
 import org.plantainwharf.log.LineLog;
 import org.plantainwharf.membership.DiscoveryController;
@@ -109,6 +110,7 @@
                 OriginStoreController.create(),
                 DrainController.create(),
                 ObservationController.ofControlDaemon(),
+                KeptPartController.create(),
                 AllowanceController.create(),
                 FencingController.create(role.dutyLeaseMillis()),
                 UsageController.create(role.usageWindowMillis(), role.usageReportDeadlineMillis()),
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -39,6 +39,7 @@
 import org.plantainwharf.front.ListenAddresses;
 import org.plantainwharf.front.MetricsFrontend;
 import org.plantainwharf.http.ForwardDialect;
+import org.plantainwharf.keptpart.KeptPartController;
 import org.plantainwharf.limit.AllowanceController;
 import org.plantainwharf.log.LineLog;
 import org.plantainwharf.membership.DiscoveryController;
@@ -102,6 +103,7 @@
                 ForwardQuarantineController.create(),
                 OriginLookupController.create(),
                 ObservationController.ofEntryDaemon(),
+                KeptPartController.create(),
                 ForwardController.create(role.forwardLimits()),
                 OriginRecordController.create(),
                 DemandController.create());
--- a/src/main/java/org/plantainwharf/forward/EngineProfile.java
+++ b/src/main/java/org/plantainwharf/forward/EngineProfile.java
@@ -5,6 +5,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
+import org.plantainwharf.keptpart.Retention;
+
 /**
  * What this daemon has learned about the engines of a service and the requests to them. The time for a prompt token
  * follows a low quantile of the time to the start of an answer over the prompt tokens processed for it: requests that
@@ -56,6 +58,9 @@
     private long samples;
     private double turnedAwayTokens;
     private double averageQueueMillis;
+    private double averageRequests;
+    private double averageRequestMillis;
+    private double averageHeldTokens;
 
     private EngineProfile() {}
 
@@ -111,9 +116,29 @@
         millisPerToken = Math.max(MINIMUM_MILLIS_PER_TOKEN, Math.min(MAXIMUM_MILLIS_PER_TOKEN, millisPerToken));
     }
 
-    /** Records the requests that an engine said wait there. */
-    void recordWaiting(int waiting) {
+    /** Records the requests that an engine said run and wait there. */
+    void recordLoad(int running, int waiting) {
         averageQueueMillis += QUEUE_SMOOTHING_WEIGHT * (waiting * averageTokens * millisPerToken - averageQueueMillis);
+        averageRequests += QUEUE_SMOOTHING_WEIGHT * (running + waiting - averageRequests);
+    }
+
+    /** Records a request that an engine has answered to its end. */
+    void recordCompleted(PromptShape prompt, double millis) {
+        double weight = averageRequestMillis == 0 ? 1 : QUEUE_SMOOTHING_WEIGHT;
+        averageRequestMillis += weight * (millis - averageRequestMillis);
+        averageHeldTokens += weight * (prompt.inputTokens() + prompt.outputTokens() - averageHeldTokens);
+    }
+
+    /**
+     * Returns how long engines keep parts. The requests at an engine and the time that one takes give the rate at which it
+     * takes in tokens; running requests hold a part of its memory.
+     *
+     * @param memoryCapacityTokens tokens of running requests and kept parts that fit into the memory of an engine
+     */
+    Retention retention(long memoryCapacityTokens) {
+        double requestsPerMilli = averageRequests / Math.max(1, averageRequestMillis);
+        return new Retention(
+                memoryCapacityTokens - averageRequests * averageHeldTokens, requestsPerMilli * averageTokens);
     }
 
     /** Returns the time that the requests waiting at an engine take on average, in milliseconds. */
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -243,11 +243,12 @@
         }
         KnownServer server = chosen.get().server();
         ServerStatistics statistics = chosen.get().statistics();
-        long uncachedTokens =
-                call.head().prompt().map(statistics::uncachedTokens).orElse(0L);
+        KeptPartEstimate kept = KeptPartEstimate.of(call, board);
+        long uncachedTokens = kept.uncachedTokens(chosen.get(), nowNanos);
+        kept.count(chosen.get(), nowNanos, effects);
         ServerId id = server.report().server();
         int attempt = call.nextAttempt(id);
-        AttemptLog.started(call, attempt, chosen.get(), uncachedTokens, board, nowNanos, effects);
+        AttemptLog.started(call, attempt, chosen.get(), kept, board, nowNanos, effects);
         if (call.head().prompt().isPresent()) {
             board.forward().engineProfile(call.service()).recordSent(uncachedTokens, priority(call), nowNanos);
         }
@@ -432,7 +433,7 @@
                     statistics.recordLoad(known.load(), nowNanos);
                     board.forward()
                             .engineProfile(call.service())
-                            .recordWaiting(known.load().waiting());
+                            .recordLoad(known.load().running(), known.load().waiting());
                 }
                 if (known.hasUnknownFigures()) {
                     effects.count("forward.load_headers_with_unknown_figures");
@@ -474,7 +475,10 @@
         }
         ended.status().ifPresent(status -> recordStatus(call, attempt, status, board, nowNanos, effects));
         switch (ended.outcome()) {
-            case ForwardOutcome.Completed completed -> {}
+            case ForwardOutcome.Completed completed ->
+                call.head().prompt().ifPresent(prompt -> board.forward()
+                        .engineProfile(call.service())
+                        .recordCompleted(prompt, (nowNanos - attempt.sentNanos()) / 1e6));
             case ForwardOutcome.Cancelled cancelled -> {}
             case ForwardOutcome.Withheld withheld -> {}
             case ForwardOutcome.Refused refused ->
--- a/src/main/java/org/plantainwharf/forward/ServerChooser.java
+++ b/src/main/java/org/plantainwharf/forward/ServerChooser.java
@@ -87,7 +87,7 @@
             long nowNanos) {
         return ServerSelector.select(
                 candidates,
-                call.head().prompt(),
+                KeptPartEstimate.of(call, board),
                 longPromptServers,
                 board.forward().engineProfile(call.service()),
                 board.membership().zone(),
--- a/src/main/java/org/plantainwharf/forward/ServerSelector.java
+++ b/src/main/java/org/plantainwharf/forward/ServerSelector.java
@@ -19,9 +19,6 @@
  * processes the part. Stateless.
  */
 final class ServerSelector {
-    /** Fraction of the shared parts that the preferred server is assumed to have cached. */
-    private static final double PREFERRED_CACHED_FRACTION = 0.7;
-
     /** Additional time of a request on an engine whose slots are all in use. */
     private static final double SATURATED_ENGINE_MILLIS = 150;
 
@@ -46,9 +43,6 @@
     /** Number of servers of any zone that are compared with them, so that a wait here is weighed against the way. */
     private static final int FAR_DRAWS = 1;
 
-    /** Shared parts with fewer tokens than this are cheaper to process again than to queue for. */
-    private static final long MINIMUM_SHARED_TOKENS = 256;
-
     private ServerSelector() {}
 
     /** A server that may receive the request. */
@@ -63,25 +57,23 @@
      * weights by their speed; empty if there are no candidates. Daemons with equal knowledge would otherwise all choose the
      * same server until they hear of what the others have sent there.
      *
+     * @param kept what candidates probably keep of the prompt of the request
      * @param longPromptServers pool of engines for long prompts; empty if the engines are not divided
      * @param profile what is known about the engines of the service
      * @param random gives numbers from 0 to less than 1
      */
     static Optional<Candidate> select(
             List<Candidate> candidates,
-            Optional<PromptShape> prompt,
+            KeptPartEstimate kept,
             Set<ServerId> longPromptServers,
             EngineProfile profile,
             AvailabilityZone zone,
             DoubleSupplier random,
             long nowNanos) {
-        Optional<String> sharedPart = prompt.flatMap(ServerSelector::lastSharedPart);
-        Optional<Candidate> preferred = sharedPart.flatMap(part -> candidates.stream()
+        Optional<PromptShape> prompt = kept.prompt();
+        List<Candidate> compared = new ArrayList<>(kept.homes(candidates.stream()
                 .filter(candidate -> inMatchingPool(candidate, prompt, longPromptServers))
-                .max(Comparator.comparingLong(candidate -> rendezvousHash(
-                        part, candidate.server().report().server().value()))));
-        List<Candidate> compared = new ArrayList<>();
-        preferred.ifPresent(compared::add);
+                .toList()));
         List<Candidate> near = candidates.size() <= NEAR_DRAWS + FAR_DRAWS
                 ? candidates
                 : candidates.stream()
@@ -99,9 +91,8 @@
             ServerDraw.draw(candidates, near.isEmpty() ? NEAR_DRAWS : FAR_DRAWS, profile, random, nowNanos, compared);
         }
         return compared.stream()
-                .min(Comparator.comparingDouble(
-                        candidate -> estimatedMillis(candidate, prompt, preferred, profile, zone, nowNanos)
-                                + (inMatchingPool(candidate, prompt, longPromptServers) ? 0 : OTHER_POOL_MILLIS)));
+                .min(Comparator.comparingDouble(candidate -> estimatedMillis(candidate, kept, zone, nowNanos)
+                        + (inMatchingPool(candidate, prompt, longPromptServers) ? 0 : OTHER_POOL_MILLIS)));
     }
 
     private static boolean inMatchingPool(
@@ -113,19 +104,15 @@
     }
 
     private static double estimatedMillis(
-            Candidate candidate,
-            Optional<PromptShape> prompt,
-            Optional<Candidate> preferred,
-            EngineProfile profile,
-            AvailabilityZone zone,
-            long nowNanos) {
+            Candidate candidate, KeptPartEstimate kept, AvailabilityZone zone, long nowNanos) {
         ServerStatistics statistics = candidate.statistics();
         int slots = Math.max(1, candidate.server().report().slots());
         double utilization = (double) statistics.estimatedRequests(nowNanos) / slots;
         double millis = candidate.server().report().zone().equals(zone) ? 0 : CROSS_ZONE_MILLIS;
         millis += Math.max(0, utilization - 1) * QUEUED_ROUND_MILLIS;
-        if (prompt.isPresent()) {
-            millis += promptMillis(candidate, prompt.get(), preferred, profile, nowNanos);
+        if (kept.prompt().isPresent()) {
+            // The time until the engine has processed the prompt and those before it.
+            millis += kept.waitMillis(candidate, nowNanos) + kept.processingMillis(candidate, nowNanos);
             millis += SATURATED_ENGINE_MILLIS * utilization * utilization;
         } else {
             double timeToAnswerMillis = statistics.averageTimeToAnswerMillis() == 0
@@ -137,36 +124,6 @@
         return millis + candidate.server().report().remainingWarmupMillis() / 100.0;
     }
 
-    /** Returns the time until the engine has processed the prompt and those before it. */
-    private static double promptMillis(
-            Candidate candidate,
-            PromptShape prompt,
-            Optional<Candidate> preferred,
-            EngineProfile profile,
-            long nowNanos) {
-        ServerStatistics statistics = candidate.statistics();
-        double uncached = statistics.uncachedTokens(prompt);
-        if (preferred.isPresent() && preferred.get() == candidate) {
-            // Other daemons send requests with the same part there, so that it is probably cached.
-            uncached = Math.min(uncached, prompt.inputTokens() - PREFERRED_CACHED_FRACTION * sharedTokens(prompt));
-        }
-        return statistics.queueMillis(profile, nowNanos) + statistics.millisPerToken(profile, nowNanos) * uncached;
-    }
-
-    /** Returns the id of the last part that other requests may share; empty if the shared parts are too short. */
-    private static Optional<String> lastSharedPart(PromptShape prompt) {
-        return sharedTokens(prompt) < MINIMUM_SHARED_TOKENS
-                ? Optional.empty()
-                : Optional.of(prompt.parts().get(prompt.parts().size() - 2).id());
-    }
-
-    private static long sharedTokens(PromptShape prompt) {
-        return prompt.parts().stream()
-                .limit(Math.max(0, prompt.parts().size() - 1))
-                .mapToLong(PromptShape.Part::tokens)
-                .sum();
-    }
-
     /** Returns an evenly distributed hash of a pair of part and server; the same in every daemon. */
     static long rendezvousHash(String part, String server) {
         long value = 31L * part.hashCode() + server.hashCode();
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -245,8 +245,13 @@
         }
     }
 
-    /** Passes on which servers keep which parts of prompts. */
-    record KeptParts(List<KeptPart> parts) implements PeerMessage {
+    /**
+     * Passes on which servers keep which parts of prompts.
+     *
+     * @param sequence increases with each of these messages of one start of the sender
+     * @param echoedToken newest heartbeat token received from the receiver, which bounds the age of the message
+     */
+    record KeptParts(long sequence, long echoedToken, List<KeptPart> parts) implements PeerMessage {
         /** Copies the list. */
         public KeptParts {
             parts = List.copyOf(parts);
--- a/src/main/java/org/plantainwharf/observation/ObservationController.java
+++ b/src/main/java/org/plantainwharf/observation/ObservationController.java
@@ -182,6 +182,7 @@
         Optional<HostId> control = ControlPeer.of(board);
         boolean changed = !control.equals(lastControl);
         lastControl = control;
+        board.observations().setPeers(List.of(), control.stream().toList());
         if (control.isPresent() && (changed || !seen.isEmpty() || nowNanos - lastSentNanos >= RENEWAL_NANOS)) {
             lastSentNanos = nowNanos;
             send(control.get(), seen, board, effects);
@@ -204,11 +205,13 @@
             }
         }
         List<ServerObservation> forPeers = forControlPeers.take(MAXIMUM_OBSERVATIONS, board.observations(), nowNanos);
+        List<HostId> peers = board.membership().members().stream()
+                .filter(member -> member.linked() && controlPeers.contains(member.host()))
+                .map(Member::host)
+                .toList();
+        board.observations().setPeers(List.copyOf(subscribedNanos.keySet()), peers);
         if (!forPeers.isEmpty()) {
-            board.membership().members().stream()
-                    .filter(member -> member.linked() && controlPeers.contains(member.host()))
-                    .map(Member::host)
-                    .forEach(peer -> send(peer, forPeers, board, effects));
+            peers.forEach(peer -> send(peer, forPeers, board, effects));
         }
     }
 
--- a/src/main/java/org/plantainwharf/observation/ObservationSection.java
+++ b/src/main/java/org/plantainwharf/observation/ObservationSection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
+import org.plantainwharf.identity.HostId;
 
 /**
  * Section of the board, the state owned by the control thread, on what this daemon and others have seen of backend servers.
@@ -23,6 +24,9 @@
 
     private final Map<ServerStart, SeenServer> servers = new LinkedHashMap<>();
 
+    private List<HostId> subscribers = List.of();
+    private List<HostId> controls = List.of();
+
     private ObservationSection() {}
 
     /** Returns an empty section. */
@@ -35,6 +39,22 @@
         return Optional.ofNullable(servers.get(server));
     }
 
+    /** Returns the entry daemons that listen to this control daemon; empty on an entry daemon. */
+    public List<HostId> subscribers() {
+        return subscribers;
+    }
+
+    /** Returns the control daemons to which this daemon sends what it learns. */
+    public List<HostId> controls() {
+        return controls;
+    }
+
+    /** Replaces the daemons with which this one shares what it learns. */
+    void setPeers(List<HostId> newSubscribers, List<HostId> newControls) {
+        subscribers = List.copyOf(newSubscribers);
+        controls = List.copyOf(newControls);
+    }
+
     /** Returns the number of starts of servers that were seen. */
     public int size() {
         return servers.size();
--- a/src/test/java/org/plantainwharf/forward/EngineFleet.java
+++ b/src/test/java/org/plantainwharf/forward/EngineFleet.java
@@ -46,6 +46,7 @@
 import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.keptpart.KeptPartController;
 import org.plantainwharf.limit.AllowanceController;
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.message.PeerMessage;
@@ -248,7 +249,10 @@
                             board,
                             ControlCycle.create(
                                     board,
-                                    List.of(MembershipController.create(), ObservationController.ofControlDaemon()))));
+                                    List.of(
+                                            MembershipController.create(),
+                                            ObservationController.ofControlDaemon(),
+                                            KeptPartController.create()))));
         }
         for (Node first : nodes.values()) {
             for (Node second : nodes.values()) {
@@ -315,6 +319,7 @@
                         DocumentController.create(content -> Either.right(document)),
                         AllowanceController.create(),
                         ObservationController.ofEntryDaemon(),
+                        KeptPartController.create(),
                         ForwardController.create(new ForwardLimits(0.2, 10, 8, 0, 0)),
                         DemandController.create()));
         Daemon daemon = new Daemon(index, board, cycle);
--- /dev/null
+++ b/src/test/java/org/plantainwharf/keptpart/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of what is known of prompt parts that servers keep. */
+@NullMarked
+package org.plantainwharf.keptpart;
+
+import org.jspecify.annotations.NullMarked;
