--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -38,6 +38,7 @@
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.front.MetricsFrontend;
 import org.plantainwharf.identity.HostId;
+import org.plantainwharf.keptpart.KeptPartController;
 import org.plantainwharf.limit.AllowanceController;
 import org.plantainwharf.log.LineLog;
 import org.plantainwharf.membership.DiscoveryController;
@@ -116,6 +117,7 @@
                 RolloutVerdictController.create(role.rolloutBounds()),
                 DrainController.create(),
                 ObservationController.ofControlDaemon(),
+                KeptPartController.create(),
                 AllowanceController.create(),
                 RoomController.create(),
                 FencingController.create(role.dutyLeaseMillis()),
--- a/src/test/java/org/plantainwharf/forward/EngineFleet.java
+++ b/src/test/java/org/plantainwharf/forward/EngineFleet.java
@@ -51,6 +51,7 @@
 import org.plantainwharf.identity.ServerId;
 import org.plantainwharf.identity.ServerVersion;
 import org.plantainwharf.identity.ServiceName;
+import org.plantainwharf.keptpart.KeptPartController;
 import org.plantainwharf.limit.AllowanceController;
 import org.plantainwharf.membership.MembershipController;
 import org.plantainwharf.message.PeerMessage;
@@ -332,7 +333,10 @@
                             board,
                             ControlCycle.create(
                                     board,
-                                    List.of(MembershipController.create(), ObservationController.ofControlDaemon()))));
+                                    List.of(
+                                            MembershipController.create(),
+                                            ObservationController.ofControlDaemon(),
+                                            KeptPartController.create()))));
         }
         for (Node first : nodes.values()) {
             for (Node second : nodes.values()) {
@@ -408,6 +412,7 @@
             controllers.add(RoomController.create());
         }
         controllers.add(ObservationController.ofEntryDaemon());
+        controllers.add(KeptPartController.create());
         controllers.add(ForwardController.create(new ForwardLimits(0.2, 10, 8, 0, 0)));
         controllers.add(DemandController.create());
         ControlCycle cycle = ControlCycle.create(board, controllers);
