Forget kept parts after 120 s, and after 10 s on control daemons

Cause: a control daemon that hears from 38 others at the planned size would remember half a million uses of parts, which it needs only in order not to pass them on again.

Tests: PlatformFleetTest, KeptPart tests, UnevenServersTest, EngineFleetTest, SharedKnowledgeSizeTest, ObservationControllerTest and LayeringTest pass.

--- a/src/main/java/org/plantainwharf/keptpart/KeptPartController.java
+++ b/src/main/java/org/plantainwharf/keptpart/KeptPartController.java
@@ -55,7 +55,8 @@
     /** Shorter parts cost less to process again than to share. */
     private static final long MINIMUM_SHARED_TOKENS = 128;
 
-    private static final long MAXIMUM_AGE_NANOS = TimeUnit.SECONDS.toNanos(300);
+    /** Time after which a part is forgotten that is not used again; engines replace their memory several times in it. */
+    private static final long MAXIMUM_AGE_NANOS = TimeUnit.SECONDS.toNanos(120);
 
     private static final long REMOVAL_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -154,7 +155,9 @@
 
     private void onTick(Board board, long nowNanos, Effects effects) {
         if (removalPeriod.startIfDue(nowNanos)) {
-            board.keptParts().removeUnusedSince(usedNanos -> nowNanos - usedNanos >= MAXIMUM_AGE_NANOS);
+            // A control daemon chooses no servers; it needs only what it must not pass on again.
+            long maximumAgeNanos = board.observations().subscribers().isEmpty() ? MAXIMUM_AGE_NANOS : RENEWAL_NANOS;
+            board.keptParts().removeUnusedSince(usedNanos -> nowNanos - usedNanos >= maximumAgeNanos);
             sharedNanos.values().removeIf(last -> nowNanos - last >= RENEWAL_NANOS);
         }
         if (!period.startIfDue(nowNanos)) {
