--- a/src/main/java/org/plantainwharf/forward/RoomGate.java
+++ b/src/main/java/org/plantainwharf/forward/RoomGate.java
@@ -154,7 +154,7 @@
         if (call.head().prompt().isEmpty()) {
             double wait = Math.max(0, requests - slots + 1) * observed.work() / slots;
             return new RoomRequest.Place(
-                    observed.work(), Math.max(wait, unseenWait), observed.work(), recentLoad && requests < slots);
+                    observed.work(), Math.max(wait, unseenWait), observed.work(), recentLoad && requests < slots, true);
         }
         PromptShape prompt = call.head().prompt().get();
         EngineProfile profile = board.forward().engineProfile(call.service());
@@ -166,6 +166,7 @@
                 Math.max(promptMillis, slotMillis),
                 Math.max(unseenWait, Math.max(queueMillis, slotQueueMillis) * observed.fractionAtLeastAsUrgent()),
                 profile.overheadMillis() + promptMillis,
-                recentLoad && requests < slots && queueMillis < NO_QUEUE_MILLIS);
+                recentLoad && requests < slots && queueMillis < NO_QUEUE_MILLIS,
+                false);
     }
 }
--- a/src/main/java/org/plantainwharf/room/DemandMeter.java
+++ b/src/main/java/org/plantainwharf/room/DemandMeter.java
@@ -43,14 +43,16 @@
         private final Average requests = new Average();
         private final Map<AccountName, Average> accounts = new HashMap<>();
         private double answerMillis;
+        private long targetMillis;
     }
 
     /** Records a request that asks for the first time. */
-    void recordAsked(int priority, AccountName account, double workMillis, double answerMillis) {
+    void recordAsked(int priority, AccountName account, double workMillis, double answerMillis, long targetMillis) {
         OfPriority of = priorities.computeIfAbsent(priority, key -> new OfPriority());
         of.asked.current += workMillis;
         of.requests.current++;
         of.accounts.computeIfAbsent(account, key -> new Average()).current += workMillis;
+        of.targetMillis = of.targetMillis == 0 ? targetMillis : Math.min(of.targetMillis, targetMillis);
         of.answerMillis =
                 of.answerMillis == 0 ? answerMillis : of.answerMillis + 0.02 * (answerMillis - of.answerMillis);
     }
@@ -114,6 +116,14 @@
         return of == null ? 0 : of.answerMillis;
     }
 
+    /** Returns how long requests of more urgent priorities may wait for their targets; infinite if there are none. */
+    double longestWaitBefore(int priority) {
+        return priorities.headMap(priority).values().stream()
+                .mapToDouble(of -> Math.max(0, of.targetMillis - of.answerMillis))
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
+    }
+
     /** Returns whether a less urgent priority than this one got less than its floor. */
     boolean anyBelowFloorAfter(int priority) {
         return priorities.tailMap(priority + 1).keySet().stream().anyMatch(this::belowFloor);
--- a/src/main/java/org/plantainwharf/room/RoomAdmission.java
+++ b/src/main/java/org/plantainwharf/room/RoomAdmission.java
@@ -19,6 +19,9 @@
     /** Part of the target that a request may wait in any case, so that long prompts are not refused for their length. */
     private static final double MINIMUM_WAIT_TARGETS = 0.2;
 
+    /** Part of the wait of more urgent requests that a queue of less urgent ones may take. */
+    private static final double LESS_URGENT_WAIT_FRACTION = 0.5;
+
     /** Part of the target that a request may wait without regard to shares, as it makes no other one late. */
     private static final double SHORT_WAIT_TARGETS = 0.1;
 
@@ -33,6 +36,7 @@
      * @param averageAnswerMillis time to the start of the answer of the average request of this priority
      * @param belowFloor whether the priority got less than its floor lately
      * @param lessUrgentBelowFloor whether a less urgent priority did
+     * @param moreUrgentWaitMillis how long requests of more urgent priorities may wait; infinite if there are none
      */
     record Standing(
             double credit,
@@ -40,7 +44,8 @@
             long elapsedMillis,
             double averageAnswerMillis,
             boolean belowFloor,
-            boolean lessUrgentBelowFloor) {}
+            boolean lessUrgentBelowFloor,
+            double moreUrgentWaitMillis) {}
 
     /** Returns why the request is let in; a reason to refuse it is returned by {@link #reason}. */
     static Optional<Basis> basis(RoomRequest request, Standing standing) {
@@ -54,16 +59,20 @@
         if (place.waitMillis() > longestWaitMillis(request, standing)) {
             return standing.belowFloor() ? Optional.of(Basis.FLOOR) : Optional.empty();
         }
-        if (place.waitMillis() <= SHORT_WAIT_TARGETS * request.targetMillis() && !standing.lessUrgentBelowFloor()) {
+        double shortWait = SHORT_WAIT_TARGETS
+                * (place.inOrderOfArrival()
+                        ? Math.min(request.targetMillis(), standing.moreUrgentWaitMillis())
+                        : request.targetMillis());
+        if (place.waitMillis() <= shortWait && !standing.lessUrgentBelowFloor()) {
             return Optional.of(Basis.SHORT_WAIT);
         }
-        if (standing.keptPlace() && standing.credit() > -MAXIMUM_DEBT) {
+        if (standing.keptPlace() && standing.credit() > 1 - MAXIMUM_DEBT) {
             return Optional.of(Basis.KEPT_PLACE);
         }
         if (standing.credit() >= 1) {
             return Optional.of(Basis.SHARE);
         }
-        return !request.mayRepeat() && standing.credit() > -MAXIMUM_DEBT
+        return !request.mayRepeat() && standing.credit() > 1 - MAXIMUM_DEBT
                 ? Optional.of(Basis.NOT_REPEATABLE)
                 : Optional.empty();
     }
@@ -80,8 +89,12 @@
     /** Returns how long the request may wait at a server and still be answered within its target. */
     static double longestWaitMillis(RoomRequest request, Standing standing) {
         double answerMillis = Math.min(request.place().answerMillis(), standing.averageAnswerMillis());
-        return Math.max(
+        double longest = Math.max(
                 MINIMUM_WAIT_TARGETS * request.targetMillis(),
                 request.targetMillis() - standing.elapsedMillis() - answerMillis);
+        // Where requests begin in the order of arrival, a queue of less urgent ones makes the more urgent ones late.
+        return request.place().inOrderOfArrival()
+                ? Math.min(longest, LESS_URGENT_WAIT_FRACTION * standing.moreUrgentWaitMillis())
+                : longest;
     }
 }
--- a/src/main/java/org/plantainwharf/room/RoomRequest.java
+++ b/src/main/java/org/plantainwharf/room/RoomRequest.java
@@ -34,6 +34,8 @@
      * @param waitMillis time until the server begins the request
      * @param answerMillis time from then until the answer starts, with the way
      * @param idle whether a place is free and nothing waits
+     * @param inOrderOfArrival whether the server begins requests in the order of arrival, whatever their priority
      */
-    public record Place(double workMillis, double waitMillis, double answerMillis, boolean idle) {}
+    public record Place(
+            double workMillis, double waitMillis, double answerMillis, boolean idle, boolean inOrderOfArrival) {}
 }
--- a/src/main/java/org/plantainwharf/room/ServiceRoom.java
+++ b/src/main/java/org/plantainwharf/room/ServiceRoom.java
@@ -94,7 +94,8 @@
                 elapsedMillis,
                 meter.averageAnswerMillis(request.priority()),
                 meter.belowFloor(request.priority()),
-                meter.anyBelowFloorAfter(request.priority()));
+                meter.anyBelowFloorAfter(request.priority()),
+                meter.longestWaitBefore(request.priority()));
         Optional<Basis> basis = RoomAdmission.basis(request, standing);
         if (basis.isPresent()) {
             credits.put(
@@ -130,7 +131,8 @@
                     request.priority(),
                     request.account(),
                     request.place().workMillis(),
-                    request.place().answerMillis());
+                    request.place().answerMillis(),
+                    request.targetMillis());
         }
     }
 
--- a/src/test/java/org/plantainwharf/forward/RoomFleetTest.java
+++ b/src/test/java/org/plantainwharf/forward/RoomFleetTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.plantainwharf.forward.EngineFleet.Sharing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -224,6 +225,57 @@
         }
     }
 
+    /** A burst on servers without prompts, half of whose calls may run once only; slots take them in the order of arrival. */
+    @Nested
+    class PlainServers {
+        private PlainFleet play(boolean sharing, double perSecond, long seed) {
+            PlainFleet fleet = new PlainFleet(sharing, seed);
+            fleet.advance(5_000);
+            fleet.resetOutcomes();
+            fleet.setPerSecond(perSecond);
+            fleet.advance(10_000);
+            return fleet;
+        }
+
+        private double inTarget(PlainFleet fleet) {
+            return fleet.of(PlainFleet.LOOKUP).inTargetFraction()
+                    + fleet.of(PlainFleet.ORDER).inTargetFraction();
+        }
+
+        /** Requests for 1.2, 1.7 and 2.9 times what the slots can do. */
+        @ParameterizedTest
+        @ValueSource(doubles = {600, 900, 1_500})
+        void answerMoreInTime(double perSecond) {
+            for (long seed : SEEDS) {
+                PlainFleet before = play(false, perSecond, seed);
+                PlainFleet after = play(true, perSecond, seed);
+                assertTrue(inTarget(after) > inTarget(before), after.outcomes() + " instead of " + before.outcomes());
+            }
+        }
+
+        @ParameterizedTest
+        @ValueSource(doubles = {600, 900, 1_500})
+        void serveUrgentCallsNotLessOftenThanOthers(double perSecond) {
+            for (long seed : SEEDS) {
+                PlainFleet fleet = play(true, perSecond, seed);
+                PlainFleet.Outcomes urgent = fleet.of(PlainFleet.LOOKUP);
+                PlainFleet.Outcomes other = fleet.of(PlainFleet.ORDER);
+                assertTrue(
+                        urgent.servedFraction() >= other.servedFraction() - 0.05,
+                        fleet.outcomes().toString());
+                assertTrue(
+                        other.servedFraction() >= urgent.servedFraction() / 4,
+                        fleet.outcomes().toString());
+            }
+        }
+
+        @Test
+        void withFreeSlotsRefuseNobody() {
+            PlainFleet fleet = play(true, 400, SEEDS[0]);
+            assertEquals(0, fleet.of(PlainFleet.LOOKUP).refused + fleet.of(PlainFleet.ORDER).refused);
+        }
+    }
+
     /** An operator must see why a request was refused. */
     @Nested
     class LogLines {
--- a/src/test/java/org/plantainwharf/room/ServiceRoomTest.java
+++ b/src/test/java/org/plantainwharf/room/ServiceRoomTest.java
@@ -22,7 +22,7 @@
     private static final AccountName ACCOUNT = AccountName.of("acme");
     private static final long TARGET_MILLIS = 500;
     private static final long DEADLINE_MILLIS = 4_000;
-    private static final RoomRequest.Place BUSY = new RoomRequest.Place(50, 200, 50, false);
+    private static final RoomRequest.Place BUSY = new RoomRequest.Place(50, 200, 50, false, false);
 
     private final ServiceRoom room = new ServiceRoom();
     private final Random random = new Random(1);
@@ -94,7 +94,8 @@
             grant(0);
             for (int request = 0; request < 50; request++) {
                 assertEquals(
-                        new RoomDecision.Admitted(Basis.FREE_PLACE), decideNew(new RoomRequest.Place(50, 0, 50, true)));
+                        new RoomDecision.Admitted(Basis.FREE_PLACE),
+                        decideNew(new RoomRequest.Place(50, 0, 50, true, false)));
             }
         }
 
@@ -105,7 +106,7 @@
             int large = 0;
             for (int request = 0; request < 400; request++) {
                 boolean isLarge = request % 10 == 7;
-                RoomRequest.Place place = isLarge ? new RoomRequest.Place(900, 200, 900, false) : BUSY;
+                RoomRequest.Place place = isLarge ? new RoomRequest.Place(900, 200, 900, false, false) : BUSY;
                 if (decideNew(place) instanceof RoomDecision.Admitted) {
                     large += isLarge ? 1 : 0;
                     small += isLarge ? 0 : 1;
@@ -118,7 +119,8 @@
         @Test
         void whatCannotEndBeforeItsDeadlineIsRefusedAtOnce() {
             grant(1);
-            RoomDecision.Refused refused = refuse(request("a", true, 200, new RoomRequest.Place(50, 180, 50, false)));
+            RoomDecision.Refused refused =
+                    refuse(request("a", true, 200, new RoomRequest.Place(50, 180, 50, false, false)));
             assertEquals(Reason.DEADLINE, refused.reason());
         }
 
@@ -164,7 +166,7 @@
         void thatComeTooLateForTheTargetAreNotGiven() {
             askForASecond();
             RoomDecision.Refused refused =
-                    refuse(request("late", true, DEADLINE_MILLIS, new RoomRequest.Place(50, 3_000, 50, false)));
+                    refuse(request("late", true, DEADLINE_MILLIS, new RoomRequest.Place(50, 3_000, 50, false, false)));
             assertEquals(Reason.TOO_LATE, refused.reason());
             assertTrue(refused.returnMillis().isEmpty(), refused.toString());
         }
