Watch rollouts while they retire, and leave steps out with little traffic

Cause: in trials versions that turned bad shortly before or while the old versions retired were completed, little traffic made good versions late, and larger steps went to servers with empty caches.

Change: while retiring, a doubt or requests without answers keep a version from being completed; with little traffic retiring follows at once if the bound allows it; larger steps keep the order of the servers. A doubt lets the share grow to the load of one server only.

--- a/src/main/java/org/plantainwharf/rollout/VersionShare.java
+++ b/src/main/java/org/plantainwharf/rollout/VersionShare.java
@@ -50,6 +50,9 @@
 
     private static final int MAXIMUM_VERSIONS = 64;
 
+    /** Orders of the servers that steps of one thousandth lead through. Larger steps keep the last digit. */
+    static final int ORDERS = 10;
+
     /** One in so many requests of the share goes to a further server. */
     private static final int REQUESTS_PER_FURTHER_SERVER = 4;
 
@@ -306,8 +309,8 @@
     /**
      * Returns the servers of the target that may get a request in the share: the first ones by rendezvous hashing, which
      * are the same in every daemon, so that they see the load that the old servers see; for some requests the next one,
-     * so that a version is not judged by one server. Each step goes to other servers, so that a version that is bad is
-     * told from a single bad server.
+     * so that a version is not judged by one server. A step of one thousandth goes to other servers, so that a version
+     * that is bad is told from a single bad server.
      *
      * @param ready servers of the target that the request may go to
      * @param servers number of servers that the share is for
@@ -316,7 +319,7 @@
         if (ready.size() <= servers) {
             return ready;
         }
-        String key = rollout.target() + "/" + rollout.phase().order();
+        String key = rollout.target() + "/" + rollout.phase().order() % ORDERS;
         List<ServerId> ordered = new ArrayList<>(ready);
         ordered.sort(Comparator.comparingLong(server -> hash(key, server.value())));
         boolean further = servers <= MAXIMUM_SERVERS_WITH_FURTHER_ONE
--- a/src/main/java/org/plantainwharf/rollout/WatchedRollout.java
+++ b/src/main/java/org/plantainwharf/rollout/WatchedRollout.java
@@ -28,6 +28,7 @@
     private long phaseSeenNanos;
     private @Nullable EvidenceSlice atPhase;
     private EvidenceSlice beforePhase = EvidenceSlice.create();
+    private long sentAtPhase;
     private String heldReason = "";
 
     private record Sample(long nanos, long requests, EvidenceSlice slice) {}
@@ -113,6 +114,7 @@
         matchedNow.addMatched(whole.minus(samples.getLast().slice()));
         if (atPhase == null) {
             atPhase = matchedNow;
+            sentAtPhase = evidence.sentToTarget();
             Sample before = sampleBefore(SPANS_NANOS[SPANS_NANOS.length - 1], nowNanos);
             beforePhase = samples.size() == 1 ? whole : whole.minus(before.slice());
         }
@@ -137,6 +139,7 @@
                         requests,
                         (requests - before.requests()) / seconds,
                         evidence.sentToTarget(),
+                        evidence.sentToTarget() - sentAtPhase,
                         readyTargets,
                         readyOthers,
                         idleAtOthers),
--- a/src/test/java/org/plantainwharf/rollout/RolloutVerdictTest.java
+++ b/src/test/java/org/plantainwharf/rollout/RolloutVerdictTest.java
@@ -69,6 +69,8 @@
     private static final AnswerFake.Fault LOSES_CONNECTIONS = (server, route, load, now, random) ->
             random.nextDouble() < 0.5 ? new AnswerFake.Answer(true, true, 1) : AnswerFake.Answer.good();
 
+    private static final AnswerFake.Fault FAILS_SELDOM = (server, route, load, now, random) -> failing(0.03, random);
+
     private static AnswerFake.Plan plan(long durationMillis, AnswerFake.Fault target) {
         return AnswerFake.Plan.ordinary(durationMillis, target);
     }
@@ -112,6 +114,20 @@
                         "one server" + suffix,
                         plan(duration, AnswerFake.GOOD).withServers(1, 1).withTraffic(20)));
             }
+            for (long duration : new long[] {12_000, 30_000}) {
+                String suffix = ", " + duration / 1_000 + " s";
+                cases.add(new Case(
+                        "little traffic" + suffix,
+                        plan(duration, AnswerFake.GOOD).withTraffic(30)));
+                cases.add(new Case(
+                        "much traffic" + suffix, plan(duration, AnswerFake.GOOD).withTraffic(350)));
+                cases.add(new Case(
+                        "two servers" + suffix,
+                        plan(duration, AnswerFake.GOOD).withServers(2, 2).withTraffic(40)));
+                cases.add(new Case(
+                        "failures of both versions" + suffix,
+                        plan(duration, FAILS_SELDOM).withOld(FAILS_SELDOM)));
+            }
             cases.add(new Case("a server that fails, 20 s", plan(20_000, grey)));
             cases.add(new Case("a slow server, 20 s", plan(20_000, greySlow)));
             cases.add(new Case(
@@ -217,6 +233,25 @@
                         plan(duration, FAILS_OFTEN),
                         fake -> fake.at(4_500, () -> fake.loseLeader(1_500))));
             }
+            for (long duration : new long[] {12_000, 30_000}) {
+                String suffix = ", " + duration / 1_000 + " s";
+                cases.add(new Case(
+                        "fails often with much traffic" + suffix,
+                        plan(duration, FAILS_OFTEN).withTraffic(350)));
+                cases.add(new Case(
+                        "is slow with much traffic" + suffix,
+                        plan(duration, SLOW).withTraffic(350)));
+                cases.add(new Case(
+                        "takes three times as long" + suffix,
+                        plan(duration, (server, route, load, now, random) -> slow(3))));
+                cases.add(new Case(
+                        "fails often with two servers" + suffix,
+                        plan(duration, FAILS_OFTEN).withServers(2, 2).withTraffic(40)));
+            }
+            for (double part : new double[] {0.75, 0.8}) {
+                cases.add(new Case("fails from " + part + ", 30 s", plan(30_000, from(part * 30_000, FAILS))));
+                cases.add(new Case("is slow from " + part + ", 30 s", plan(30_000, from(part * 30_000, SLOW))));
+            }
             return cases.stream();
         }
 
