Break off answers that end with their connection before their request was read

An answer without a length whose server ends its side and closes with the upload unread looked complete: the HTTP client takes a request for written once the operating system has it, and after an end of input a reset is reported to writers only. Where the end of the connection is the only end of a response to a request with a body, the end of input is now reported 50 ms later and after an empty line to the server; a reset makes that write fail, and the answer is broken off.

The other way round, a whole answer with a length or a last chunk was broken off when its request could not be written, or held until the deadline while the server kept the connection open. Both paths now look at the response's own end and stop writing the request. Statuses outside 200..599 are no answer, and interim responses are read by the client's handlers.

--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -20,6 +20,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.BufferUtil;
@@ -53,6 +54,7 @@
     private static final String LEAVING = "1";
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
+    private static final int LAST_STATUS = 599;
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final HttpClient client;
@@ -67,12 +69,16 @@
     private ResponseState responseState = new ResponseState.AwaitingHeaders();
     private boolean eventStream;
     private boolean endedByClose;
+    private volatile boolean unproven;
+    private long declaredBytes = -1;
+    private long receivedBytes;
     private boolean streamBegan;
     private Optional<ServerStatus> status = Optional.empty();
     private int skippedBytes;
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile Optional<ResetAwareEndPoint> endPoint = Optional.empty();
     private volatile boolean sendingBegun;
+    private volatile boolean requestWritten;
     private volatile Optional<ForwardOutcome.Withheld.Reason> withheld = Optional.empty();
     private volatile boolean aborted;
     private volatile boolean cancelled;
@@ -159,8 +165,10 @@
         }
         request = prepared;
         prepared.onRequestBegin(this::onSendingBegins)
+                .onRequestSuccess(written -> onRequestWritten())
                 .onResponseHeaders(this::onHeaders)
                 .onResponseContentAsync(this::onContent)
+                .onResponseSuccess(this::onResponseEnded)
                 .send(this::onComplete);
         if (cancelled) {
             cancel();
@@ -189,6 +197,21 @@
         endPoint.ifPresent(ResetAwareEndPoint::beginResponse);
     }
 
+    private void onRequestWritten() {
+        requestWritten = true;
+        checkEndOfConnection();
+    }
+
+    /**
+     * Lets the end of the connection fail if the server has closed it without reading the request. The request is written
+     * once the operating system has it, so that a failure to write it does not show that.
+     */
+    private void checkEndOfConnection() {
+        if (requestWritten && unproven && exchange.body().length > 0) {
+            endPoint.ifPresent(ResetAwareEndPoint::checkEnd);
+        }
+    }
+
     private Request newRequest() {
         String server = "http://" + start.address();
         // Request.path() takes what follows two slashes for an authority and drops it.
@@ -225,6 +248,11 @@
         HttpFields headers = response.getHeaders();
         eventStream = isEventStream(headers);
         endedByClose = !headers.contains(HttpHeader.CONTENT_LENGTH) && !headers.contains(HttpHeader.TRANSFER_ENCODING);
+        declaredBytes = headers.getLongField(HttpHeader.CONTENT_LENGTH);
+        unproven = endedByClose
+                && response.getStatus() != HttpStatus.NO_CONTENT_204
+                && !HttpMethod.HEAD.is(exchange.method());
+        checkEndOfConnection();
         responseState = classify(response.getStatus(), headers);
         if (!(responseState instanceof ResponseState.Invalid)) {
             status = Optional.of(new ServerStatus(
@@ -249,6 +277,9 @@
     }
 
     private ResponseState classify(int status, HttpFields headers) {
+        if (status < FIRST_SUCCESS || status > LAST_STATUS) {
+            return new ResponseState.Invalid("response has the status " + status);
+        }
         String id = headers.get(dialect.requestId());
         if (id != null && !id.equals(exchange.requestId())) {
             return new ResponseState.Invalid("response belongs to another request");
@@ -265,7 +296,7 @@
         if (headers.contains(HttpHeader.CONTENT_ENCODING)) {
             return new ResponseState.Invalid("response has a content encoding");
         }
-        if (status < FIRST_SUCCESS || status >= FIRST_REDIRECT) {
+        if (status >= FIRST_REDIRECT) {
             return new ResponseState.Failure(status, EndToEndHeaders.of(headers));
         }
         return headers.contains(dialect.seal())
@@ -318,6 +349,7 @@
     private void onContent(Response response, Content.Chunk chunk, Runnable demander) {
         endPoint.ifPresent(ResetAwareEndPoint::recordProgress);
         ByteBuffer buffer = chunk.getByteBuffer();
+        receivedBytes += buffer.remaining();
         switch (responseState) {
             case ResponseState.Forwarding forwarding -> forwardContent(response, BufferUtil.toArray(buffer), demander);
             case ResponseState.Failure failure -> {
@@ -374,6 +406,29 @@
         response.abort(new IOException(reason));
     }
 
+    /**
+     * Stops sending a request whose whole response is here: a server that reads no further would keep the response from
+     * its caller until the deadline.
+     */
+    @SuppressWarnings("FutureReturnValueIgnored")
+    private void onResponseEnded(Response response) {
+        if (!requestWritten && !unproven) {
+            response.getRequest().abort(new IOException("response ended before its request was written"));
+        }
+    }
+
+    /**
+     * Returns whether the response is not whole. A failure to write the request does not matter to a response whose framing
+     * shows its end. Any other one may have ended because the server has failed.
+     */
+    private boolean isIncomplete(Result result) {
+        if (unproven) {
+            return result.isFailed();
+        }
+        boolean hasDeclaredBytes = receivedBytes == declaredBytes && !waitingForCaller;
+        return result.getResponseFailure() != null && !hasDeclaredBytes;
+    }
+
     private void onComplete(Result result) {
         endPoint.ifPresent(ResetAwareEndPoint::endResponse);
         ForwardOutcome outcome = outcome(result);
@@ -435,7 +490,7 @@
                 new ForwardOutcome.Refused(refusal.httpStatus(), refusal.retryAfterMillis());
             case ResponseState.AwaitingHeaders awaitingHeaders -> outcomeWithoutHeaders(result);
             case ResponseState.Forwarding forwarding -> {
-                if (result.isFailed()) {
+                if (isIncomplete(result)) {
                     yield broken(true, result);
                 }
                 yield eventStream && eventBuffer.size() > 0
@@ -443,7 +498,7 @@
                         : new ForwardOutcome.Completed(endedByClose);
             }
             case ResponseState.Failure failure -> {
-                if (result.isFailed()) {
+                if (isIncomplete(result)) {
                     yield broken(false, result);
                 }
                 exchange.recordFailureResponse(failure.httpStatus(), failure.headers(), failureBody.toByteArray());
--- a/src/main/java/org/plantainwharf/backend/HttpClients.java
+++ b/src/main/java/org/plantainwharf/backend/HttpClients.java
@@ -4,7 +4,10 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 
+import org.eclipse.jetty.client.ContinueProtocolHandler;
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.EndPoint;
@@ -60,6 +63,10 @@
             throw new IllegalStateException("HTTP client could not be started", e);
         }
         client.getProtocolHandlers().clear();
+        // Interim responses come before the response and are no part of it.
+        client.getProtocolHandlers().put(new ContinueProtocolHandler());
+        client.getProtocolHandlers().put(new ProcessingProtocolHandler());
+        client.getProtocolHandlers().put(new EarlyHintsProtocolHandler());
         client.getContentDecoderFactories().clear();
         return client;
     }
--- a/src/main/java/org/plantainwharf/backend/ResetAwareEndPoint.java
+++ b/src/main/java/org/plantainwharf/backend/ResetAwareEndPoint.java
@@ -5,6 +5,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.io.Connection;
@@ -26,7 +27,16 @@
     private static final int MAXIMUM_BYTES_WITHOUT_PROGRESS = 256 << 10;
 
     private volatile int bytesWithoutProgress;
+    /** Time between the two halves of a server's close, with room for a busy host. */
+    private static final long END_CHECK_MILLIS = 50;
+
+    /** Servers skip empty lines after a request, and read no further request on a connection that they have ended. */
+    private static final byte[] EMPTY_LINE = {'\r', '\n'};
+
     private volatile boolean checksProgress;
+    private volatile boolean checksEnd;
+    private volatile boolean endSeen;
+    private volatile boolean endDue;
     private volatile boolean used;
     private volatile boolean reused;
 
@@ -40,6 +50,18 @@
         used = true;
         bytesWithoutProgress = 0;
         checksProgress = true;
+        checksEnd = false;
+        endSeen = false;
+        endDue = false;
+    }
+
+    /**
+     * Lets an end of input fail if a reset follows it. A server that ends its side and closes the connection with the
+     * request unread sends both; after an end of input the operating system reports a reset to writers only. May be
+     * called only after the request was written.
+     */
+    void checkEnd() {
+        checksEnd = true;
     }
 
     /** Returns whether another response began on this connection before the present one. */
@@ -65,6 +87,23 @@
                 : Optional.empty();
     }
 
+    /** An end of input is reported after the time that a reset takes to follow it. */
+    @Override
+    protected void needsFillInterest() {
+        if (endSeen && !endDue) {
+            getScheduler()
+                    .schedule(
+                            () -> {
+                                endDue = true;
+                                getFillInterest().fillable();
+                            },
+                            END_CHECK_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        } else {
+            super.needsFillInterest();
+        }
+    }
+
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
         if (isInputShutdown()) {
@@ -80,6 +119,13 @@
                 bytesWithoutProgress += filled;
                 notIdle();
             } else if (filled < 0) {
+                if (checksEnd && !endDue) {
+                    endSeen = true;
+                    return 0;
+                }
+                if (checksEnd) {
+                    getChannel().write(ByteBuffer.wrap(EMPTY_LINE));
+                }
                 shutdownInput();
             }
             return filled;
--- a/src/main/java/org/plantainwharf/backend/RunningAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/RunningAttempt.java
@@ -66,6 +66,7 @@
     private ResponseReader reader = new ResponseReader.AwaitingHeaders();
     private boolean sent;
     private boolean ended;
+    private volatile boolean requestWritten;
     private boolean headersReceived;
     private boolean firstTokenPosted;
     private boolean waitingForCaller;
@@ -122,6 +123,8 @@
         prepared.onRequestBegin(begun -> onBegin())
                 .onResponseHeaders(this::onHeaders)
                 .onResponseContentAsync(this::onContent)
+                .onResponseSuccess(response -> onResponseEnded(response.getRequest()))
+                .onRequestSuccess(written -> requestWritten = true)
                 .send(this::onComplete);
     }
 
@@ -440,6 +443,13 @@
         return true;
     }
 
+    /** Stops sending a request whose response has ended, so that the answer need not wait for a server that reads no more. */
+    private void onResponseEnded(Request answered) {
+        if (!requestWritten) {
+            abort(answered, "response ended before its request was written");
+        }
+    }
+
     private void onComplete(Result result) {
         @Nullable AttemptProblem problem = null;
         synchronized (progress) {
@@ -448,7 +458,7 @@
             }
             if (!sent) {
                 problem = new AttemptProblem.ConnectFailed();
-            } else if (result.isFailed()) {
+            } else if (isIncomplete(result)) {
                 problem = headersReceived && declaredLength >= 0
                         ? new AttemptProblem.AnswerTruncated()
                         : new AttemptProblem.ConnectionLost();
@@ -471,6 +481,14 @@
         }
     }
 
+    /** Returns whether the response failed. A failure to write the request does not matter to a response that is whole. */
+    private boolean isIncomplete(Result result) {
+        boolean hasDeclaredBytes = reader instanceof ResponseReader.BufferedBody body
+                && declaredLength >= 0
+                && body.bytes().length == declaredLength;
+        return result.getResponseFailure() != null && !hasDeclaredBytes;
+    }
+
     /**
      * Returns whether the protocol marks the end of the body. A body that ends when the connection closes cannot be
      * distinguished from a truncated one.
--- a/src/test/java/org/plantainwharf/backend/BackendClientTest.java
+++ b/src/test/java/org/plantainwharf/backend/BackendClientTest.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -408,6 +409,63 @@
     }
 
     /** Guards against text that is lost or repeated when another attempt resumes a stream. */
+    /** A server may answer before it has read its request. Only the framing of its answer shows whether that is whole. */
+    @Nested
+    class EarlyResponses {
+        /** Larger than the buffers of the operating system. */
+        private static final int UPLOAD_BYTES = 32 << 20;
+
+        /** Starts an attempt at a server that answers with these headers and a body of two bytes and reads no further. */
+        private void answerEarly(int status, String header, boolean hold) throws Exception {
+            try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                startBuffered(
+                        call("early", new CallKind.Service(RouteName.of("stock")), "x".repeat(UPLOAD_BYTES)),
+                        "127.0.0.1:" + server.getLocalPort());
+                try (Socket socket = server.accept()) {
+                    socket.getInputStream().readNBytes(64);
+                    ScriptedServer.write(
+                            socket.getOutputStream(),
+                            "HTTP/1.1 " + status + " X\r\nX-Request-Id: early\r\nX-Attempt: 1\r\n" + header
+                                    + "\r\n\r\nok");
+                    if (hold) {
+                        events.next(AttemptEvent.AttemptCompleted.class);
+                    } else {
+                        events.next(AttemptEvent.FirstTokenReceived.class);
+                        socket.shutdownOutput();
+                    }
+                }
+            }
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"Content-Length: 2", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0"})
+        void thatAreWholeAreDeliveredAtOnce(String framing) throws Exception {
+            answerEarly(200, framing, true);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"Content-Length: 3", "Transfer-Encoding: chunked\r\n\r\n2", "Connection: close"})
+        void thatEndWithTheirConnectionAreFailures(String framing) throws Exception {
+            answerEarly(200, framing, false);
+            nextProblem();
+            assertEquals("", sinks.text(RequestId.of("early")));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"000", "199", "600", "999"})
+        void withAStatusThatIsNoneAreFailures(String status) throws Exception {
+            try (ScriptedServer server = ScriptedServer.start((request, out) -> {
+                ScriptedServer.write(
+                        out,
+                        request.responseHead(200, "Content-Length: 2").replace(" 200 ", " " + status + " ") + "ok");
+                return true;
+            })) {
+                startBuffered(serviceCall("odd"), server.address());
+                nextProblem();
+            }
+        }
+    }
+
     @Nested
     class ResumedStreams {
         @Test
--- a/src/test/java/org/plantainwharf/backend/RecordingExchange.java
+++ b/src/test/java/org/plantainwharf/backend/RecordingExchange.java
@@ -15,13 +15,17 @@
 final class RecordingExchange implements ForwardExchange {
     private final String requestId;
     private final String pathQuery;
+    private final byte[] body;
     private final StringBuffer received = new StringBuffer();
     private final CountDownLatch firstBytes = new CountDownLatch(1);
     private volatile boolean open = true;
+    private volatile boolean complete;
+    private volatile int failureStatus;
 
-    private RecordingExchange(String requestId, String pathQuery) {
+    private RecordingExchange(String requestId, String pathQuery, byte[] body) {
         this.requestId = requestId;
         this.pathQuery = pathQuery;
+        this.body = body;
     }
 
     static RecordingExchange create(String requestId) {
@@ -29,7 +33,21 @@
     }
 
     static RecordingExchange create(String requestId, String pathQuery) {
-        return new RecordingExchange(requestId, pathQuery);
+        return new RecordingExchange(requestId, pathQuery, new byte[0]);
+    }
+
+    static RecordingExchange withBody(String requestId, int bytes) {
+        return new RecordingExchange(requestId, "/x/1", new byte[bytes]);
+    }
+
+    /** Returns whether the response was ended as a complete one. */
+    boolean isComplete() {
+        return complete;
+    }
+
+    /** Returns the status of the error response that was recorded; 0 if there is none. */
+    int failureStatus() {
+        return failureStatus;
     }
 
     /** Returns the part of the response body that has been received. */
@@ -42,6 +60,11 @@
         firstBytes.await(10, TimeUnit.SECONDS);
     }
 
+    /** Waits until bytes have been received, for this time at most. */
+    void awaitBytes(long millis) throws InterruptedException {
+        firstBytes.await(millis, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public String requestId() {
         return requestId;
@@ -49,7 +72,7 @@
 
     @Override
     public String method() {
-        return "GET";
+        return body.length == 0 ? "GET" : "POST";
     }
 
     @Override
@@ -64,7 +87,7 @@
 
     @Override
     public byte[] body() {
-        return new byte[0];
+        return body;
     }
 
     void close() {
@@ -87,10 +110,14 @@
     }
 
     @Override
-    public void complete() {}
+    public void complete() {
+        complete = true;
+    }
 
     @Override
-    public void recordFailureResponse(int httpStatus, List<HttpField> headers, byte[] body) {}
+    public void recordFailureResponse(int httpStatus, List<HttpField> headers, byte[] failureBody) {
+        failureStatus = httpStatus;
+    }
 
     @Override
     public Optional<String> lastEventId() {
