Test room with callers that leave early and with one hot part of a prompt

Cause: two loads that the sharing of room answers were not played.

Change: callers of EngineFleet may leave after their target; RoomFleet has a site whose long prompts share one part.

--- a/src/test/java/org/plantainwharf/forward/EngineFleet.java
+++ b/src/test/java/org/plantainwharf/forward/EngineFleet.java
@@ -101,6 +101,7 @@
     private int entryDaemons;
     private boolean returnsAtOnce;
     private boolean leaderLost;
+    private boolean leavesEarly;
 
     /**
      * Sizes of the fleet. Immutable.
@@ -496,6 +497,9 @@
         tickets++;
         long ticket = tickets;
         daemon.requests.put(ticket, request);
+        if (leavesEarly) {
+            schedule(1_000 * request.kind.targetMillis(), () -> leaveEarly(daemon, ticket, request));
+        }
         switch (shape.policy()) {
             case Policy.Product product ->
                 run(
@@ -768,6 +772,19 @@
         returnsAtOnce = true;
     }
 
+    /** Lets callers leave after their target, if no answer has begun. */
+    void setLeavesEarly() {
+        leavesEarly = true;
+    }
+
+    private void leaveEarly(Daemon daemon, long ticket, Request request) {
+        if (daemon.requests.get(ticket) == request && !request.answered) {
+            daemon.requests.remove(ticket);
+            outcomesOf(request).forEach(of -> of.failed++);
+            run(daemon, new ForwardEvent.ForwardLeft(ticket));
+        }
+    }
+
     /** Loses or restores the leader that shares the room. */
     void setLeaderLost(boolean lost) {
         leaderLost = lost;
--- a/src/test/java/org/plantainwharf/forward/RoomFleet.java
+++ b/src/test/java/org/plantainwharf/forward/RoomFleet.java
@@ -35,8 +35,22 @@
         return site;
     }
 
+    /** Returns a site whose long prompts all share one part. */
+    static RoomFleet withHotPart(EngineFleet.Sharing sharing, long seed) {
+        List<EngineFleet.Kind> kinds = new ArrayList<>(DEFINED);
+        kinds.set(1, new EngineFleet.Kind("review", 1, 32, 2_000, 4_000, 1, 6_000, 60, 1_000, 6_000, 4));
+        RoomFleet site = create(sharing, kinds, seed);
+        site.fleet.advance(6_000);
+        site.fleet.resetOutcomes();
+        return site;
+    }
+
     /** Returns a site that has just started. */
     static RoomFleet empty(EngineFleet.Sharing sharing, long seed) {
+        return create(sharing, DEFINED, seed);
+    }
+
+    private static RoomFleet create(EngineFleet.Sharing sharing, List<EngineFleet.Kind> kinds, long seed) {
         double[] accounts = new double[ACCOUNTS];
         for (int account = 0; account < ACCOUNTS; account++) {
             accounts[account] = account < 3 ? 0.15 : 0.55 / 13;
@@ -53,7 +67,7 @@
                         16,
                         true,
                         accounts),
-                DEFINED,
+                kinds,
                 seed));
     }
 
--- a/src/test/java/org/plantainwharf/forward/RoomFleetTest.java
+++ b/src/test/java/org/plantainwharf/forward/RoomFleetTest.java
@@ -183,6 +183,29 @@
             assertTrue(site.worth("question") > 0.9, site.describe());
         }
 
+        /** Places and shares of callers that have left must not keep room from the others. */
+        @Test
+        void thatLeaveEarlyStarveNobody() {
+            RoomFleet site = RoomFleet.usual(Sharing.ALL, SEEDS[0]);
+            site.fleet().setLeavesEarly();
+            site.peak();
+            site.fleet().advance(SHORTAGE_MILLIS);
+            assertTrue(site.worth("question") > 0.9, site.describe());
+            assertTrue(site.leastServedAccount() >= 0.25, site.describe());
+        }
+
+        /** Requests that share one part go to few engines first, whose queues say nothing of the others. */
+        @Test
+        void thatShareOneHotPartAreNotRefusedBesideFreeEngines() {
+            RoomFleet site = RoomFleet.withHotPart(Sharing.ALL, SEEDS[0]);
+            site.fleet().advance(10_000);
+            int refused =
+                    site.outcomes().values().stream().mapToInt(of -> of.refused).sum();
+            int asked =
+                    site.outcomes().values().stream().mapToInt(of -> of.asked).sum();
+            assertTrue(refused < 0.01 * asked, site.describe());
+        }
+
         /** All callers of the site go to the daemons of one zone. */
         @Test
         void thatMoveToAnotherZoneAreServed() {
