Count callers with a shorter deadline as new ones in the sharing of room

Cause: a request whose deadline was shorter than the longest of its route counted as returning. Callers that give up early earned no credit, were not counted as demand, and could wait for a fifth of their target only.

Change: a request counts as returning if it takes a kept place, or if its content was refused lately and its deadline fits the time since then. A shorter deadline shortens the longest wait up to the longest time to return that was given lately.

--- a/src/main/java/org/plantainwharf/room/ReturnPlaces.java
+++ b/src/main/java/org/plantainwharf/room/ReturnPlaces.java
@@ -47,27 +47,27 @@
     private final Map<Integer, Long> nextPlaceNanos = new HashMap<>();
     private final Map<Key, Deque<Place>> byKey = new HashMap<>();
     private final Map<Fingerprint, Place> byContent = new LinkedHashMap<>();
-    private final Map<Fingerprint, Long> refused = new LinkedHashMap<>() {
+    private final Map<Fingerprint, RefusedRequest> refused = new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Fingerprint, Long> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Fingerprint, RefusedRequest> eldest) {
             return size() > MAXIMUM_PLACES;
         }
     };
-    private final Map<RouteName, UsualDeadline> deadlines = new HashMap<>();
+    private final Map<RouteName, RecentMaximum> deadlines = new HashMap<>();
+    private final RecentMaximum returns = new RecentMaximum();
 
     private record Key(int priority, AccountName account) {}
 
     private record Place(Key key, Fingerprint content, long dueNanos) {}
 
-    private static final class UsualDeadline {
+    private record RefusedRequest(long remainingMillis, long refusedNanos) {}
+
+    /** Largest value of the last one or two spans of time. */
+    private static final class RecentMaximum {
         private long currentMillis;
         private long previousMillis;
         private long begunNanos;
 
-        private UsualDeadline(long nowNanos) {
-            begunNanos = nowNanos;
-        }
-
         private long record(long millis, long nowNanos) {
             if (nowNanos - begunNanos > DEADLINE_MEMORY_NANOS) {
                 previousMillis = currentMillis;
@@ -79,13 +79,17 @@
         }
     }
 
-    /** Returns the time since the caller of a request first asked, as its deadline shows it; 0 for a new request. */
+    /**
+     * Returns the time since the caller of a request first asked, as far as its deadline may show it; 0 for a new request.
+     * Callers of a route may have different deadlines, so a difference counts only up to the longest time to return that
+     * was given lately, and is no proof that the caller has asked before.
+     */
     long elapsedMillis(RoomRequest request, long nowNanos) {
         long usual = deadlines
-                .computeIfAbsent(request.route(), route -> new UsualDeadline(nowNanos))
+                .computeIfAbsent(request.route(), route -> new RecentMaximum())
                 .record(request.remainingMillis(), nowNanos);
         long shorter = usual - request.remainingMillis();
-        return shorter < MINIMUM_SHORTER_MILLIS ? 0 : shorter;
+        return shorter < MINIMUM_SHORTER_MILLIS ? 0 : Math.min(shorter, returns.record(0, nowNanos));
     }
 
     /** Takes the place that is kept for a request; returns false if none is due. */
@@ -108,13 +112,20 @@
 
     /** Records that a request was refused. */
     void recordRefused(RoomRequest request, long nowNanos) {
-        refused.put(request.content(), nowNanos);
+        refused.put(request.content(), new RefusedRequest(request.remainingMillis(), nowNanos));
     }
 
-    /** Returns whether a request with this content was refused here lately. */
+    /**
+     * Returns whether the caller of this request was refused here lately. A request with the same content whose deadline is
+     * later is one of another caller.
+     */
     boolean wasRefused(RoomRequest request, long nowNanos) {
-        Long refusedNanos = refused.get(request.content());
-        return refusedNanos != null && nowNanos - refusedNanos < REFUSED_MEMORY_NANOS;
+        RefusedRequest earlier = refused.get(request.content());
+        if (earlier == null || nowNanos - earlier.refusedNanos() >= REFUSED_MEMORY_NANOS) {
+            return false;
+        }
+        long remaining = earlier.remainingMillis() - TimeUnit.NANOSECONDS.toMillis(nowNanos - earlier.refusedNanos());
+        return request.remainingMillis() <= remaining + MINIMUM_SHORTER_MILLIS;
     }
 
     /**
@@ -139,6 +150,7 @@
         }
         nextPlaceNanos.put(request.priority(), due + (long) (NANOS_PER_SECOND / Math.max(0.1, perSecond)));
         long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(due - nowNanos + 999_999));
+        returns.record(millis, nowNanos);
         Key key = new Key(request.priority(), request.account());
         Place place = new Place(key, request.content(), nowNanos + TimeUnit.MILLISECONDS.toNanos(millis));
         byContent.put(request.content(), place);
--- a/src/main/java/org/plantainwharf/room/ServiceRoom.java
+++ b/src/main/java/org/plantainwharf/room/ServiceRoom.java
@@ -76,7 +76,7 @@
         long elapsedMillis = places.elapsedMillis(request, nowNanos);
         boolean keptPlace = places.take(request, elapsedMillis, nowNanos);
         boolean repeated = !keptPlace && places.wasRefused(request, nowNanos);
-        boolean returning = keptPlace || elapsedMillis > 0 || repeated;
+        boolean returning = keptPlace || repeated;
         recordAsked(request, returning);
         Key key = new Key(request.priority(), request.account());
         double credit = credits.computeIfAbsent(key, any -> random.nextDouble());
@@ -136,7 +136,7 @@
 
     /** Records a request that is let in while room suffices. */
     void recordUndecided(RoomRequest request, boolean admitted, long nowNanos) {
-        recordAsked(request, places.elapsedMillis(request, nowNanos) > 0);
+        recordAsked(request, places.wasRefused(request, nowNanos));
         if (admitted) {
             meter.recordAdmitted(request.priority(), request.place().workMillis());
         }
--- a/src/test/java/org/plantainwharf/room/ServiceRoomTest.java
+++ b/src/test/java/org/plantainwharf/room/ServiceRoomTest.java
@@ -209,6 +209,64 @@
         }
     }
 
+    /** Callers of one route may give up at different times; that alone does not show that they have asked before. */
+    @Nested
+    class Deadlines {
+        private double asked() {
+            return new RoomDemand(room.demands(8)).askedPerSecond();
+        }
+
+        private RoomDecision decideShorter(RoomRequest.Place place) {
+            return decide(request("shorter-" + requests++, true, DEADLINE_MILLIS / 2, place));
+        }
+
+        @Test
+        void thatAreShorterCostNoShare() {
+            grant(0.5);
+            decideNew(BUSY);
+            int admitted = 0;
+            for (int request = 0; request < 200; request++) {
+                admitted += decideShorter(BUSY) instanceof RoomDecision.Admitted ? 1 : 0;
+            }
+            assertEquals(100, admitted, 10);
+        }
+
+        @Test
+        void thatAreShorterCountAsDemand() {
+            grant(1);
+            decideNew(BUSY);
+            for (int request = 0; request < 9; request++) {
+                decideShorter(BUSY);
+            }
+            room.endPeriod(1, 1_000, 1, nowNanos);
+            // A quarter of the period's demand enters the average.
+            assertEquals(0.25 * 10 * 50, asked(), 1);
+        }
+
+        @Test
+        void thatAreShorterLeaveTheLongestWaitWithoutReturns() {
+            grant(1);
+            decideNew(BUSY);
+            assertInstanceOf(
+                    RoomDecision.Admitted.class,
+                    decideShorter(new RoomRequest.Place(50, 0.8 * TARGET_MILLIS, 50, false)));
+        }
+
+        /** Another caller may send the same content; its deadline shows that it has not waited since the refusal. */
+        @Test
+        void thatAreTooLongForARepetitionAreThoseOfNewCallers() {
+            grant(0);
+            RoomRequest first = refusedRequest();
+            room.expirePlaces(nowNanos + 5_000_000_000L);
+            room.endPeriod(1, 1_000, 1, nowNanos);
+            double before = asked();
+            advance(1_000);
+            decide(first);
+            room.endPeriod(1, 1_000, 1, nowNanos);
+            assertEquals(0.75 * before + 0.25 * 50, asked(), 1);
+        }
+    }
+
     @Nested
     class Grants {
         @Test
