Serve with the target of a rollout if no other version is ready

A daemon in touch that knows no ready server of another version now plans requests at the target while the rollout is observed or grows. ControlState answers an order for the version that the newest rollout completed with that rollout, whatever its duration and time.

--- a/src/main/java/org/plantainwharf/configuration/ControlState.java
+++ b/src/main/java/org/plantainwharf/configuration/ControlState.java
@@ -346,6 +346,12 @@
         if (known != null && known.inProgress()) {
             return new CommandResult.RolloutConflict(known);
         }
+        // The service runs this version already; watching it anew would limit it to the share of a version under watch.
+        if (known != null
+                && known.phase() instanceof RolloutPhase.Completed
+                && known.target().equals(begin.target())) {
+            return new CommandResult.RolloutHeld(known);
+        }
         if (known == null && rollouts.size() >= MAXIMUM_ROLLOUT_SERVICES) {
             return new CommandResult.Ignored();
         }
--- a/src/main/java/org/plantainwharf/rollout/VersionShare.java
+++ b/src/main/java/org/plantainwharf/rollout/VersionShare.java
@@ -19,7 +19,7 @@
 /**
  * Which version of a service under a rollout the requests of this daemon go to. Invariant: while the rollout is observed,
  * the requests that begin at the target version are at most half of the permitted share of this daemon's own requests
- * since it knows of the rollout, and a part of the permitted slack. So the sum over all daemons keeps the bound, whatever
+ * since it knows of the rollout, and a part of the permitted slack, while a server of another version is ready. So the sum over all daemons keeps the bound, whatever
  * their traffic, without a message. Reads no clock and draws no numbers. Owned by the control thread.
  */
 public final class VersionShare {
@@ -253,6 +253,10 @@
         if (!attempt.inTouch()) {
             return new Plan.Only(Side.OTHERS, "out_of_touch");
         }
+        // Without another version the requests beyond the share could only be refused.
+        if (readyOthers == 0 && readyTargets > 0) {
+            return new Plan.Preferred(Side.OTHERS, "no_other_server_ready");
+        }
         if (sentToTarget + WHOLE_REQUEST > allowed(attempt)) {
             return new Plan.Only(Side.OTHERS, "share_used");
         }
--- a/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
+++ b/src/test/java/org/plantainwharf/configuration/ControlStateTest.java
@@ -338,6 +338,20 @@
             assertEquals(new RolloutPhase.Observing(), newest().phase());
         }
 
+        /** The version that serves alone would get only the share of a version under watch, and the rest be refused. */
+        @Test
+        void areNotBegunAgainForTheCompletedVersion() {
+            begin(TARGET, 12_000, BEGUN_MILLIS);
+            finish(1, new RolloutPhase.Completed());
+            Rollout completed = newest();
+            long later = BEGUN_MILLIS + 10 * ControlState.ROLLOUT_RESEND_MILLIS;
+            assertEquals(new CommandResult.RolloutHeld(completed), begin(TARGET, 12_000, later));
+            assertEquals(new CommandResult.RolloutHeld(completed), begin(TARGET, 20_000, BEGUN_MILLIS + 20_000));
+            assertEquals(completed, newest());
+            begin(ServerVersion.of("v3"), 12_000, later);
+            assertEquals(2, newest().number());
+        }
+
         @Test
         void onlyMoveOn() {
             begin(TARGET, 12_000, BEGUN_MILLIS);
--- a/src/test/java/org/plantainwharf/rollout/VersionShareTest.java
+++ b/src/test/java/org/plantainwharf/rollout/VersionShareTest.java
@@ -318,6 +318,24 @@
             }
         }
 
+        /** An order for the version that already serves alone must not refuse the requests beyond the share. */
+        @Test
+        void inProgressUseTheTargetIfNoServerOfAnotherVersionIsReady() {
+            for (RolloutPhase phase : List.of(new RolloutPhase.Observing(), new RolloutPhase.Growing(250))) {
+                VersionShare share = share(phase);
+                share.setReadyServers(4, 0);
+                for (int request = 0; request < 100; request++) {
+                    assertEquals(
+                            new VersionShare.Plan.Preferred(VersionShare.Side.OTHERS, "no_other_server_ready"),
+                            begin(share, true));
+                    share.recordSent(ROUTE, TARGET, true);
+                }
+                assertEquals(only(VersionShare.Side.OTHERS, "out_of_touch"), begin(share, false));
+                share.setReadyServers(4, 4);
+                assertEquals(only(VersionShare.Side.OTHERS, "share_used"), begin(share, true));
+            }
+        }
+
         /** A version that appears during a cut may be the target of a rollout that this daemon has not heard of. */
         @Test
         void confirmVersionsByALaterCopyOfTheLogOnly() {
