Let requests in at servers with a free place, and count refusals without return whole

The queue that shared observations blend in is never below a millisecond, and an empty server sends no reports, so that no engine counted as free. A caller that is not told to return is not counted again, but only half of its request was reported as demand.

Change: a server has a free place if nothing waits there by its newest load and a slot is left after what this daemon sent; with no known load if this daemon has nothing there. Refusals without a time to return count whole.

--- a/src/main/java/org/plantainwharf/forward/EngineProfile.java
+++ b/src/main/java/org/plantainwharf/forward/EngineProfile.java
@@ -81,10 +81,14 @@
                 : averageTokens + AVERAGE_SMOOTHING_WEIGHT * (uncachedTokens - averageTokens);
     }
 
-    /** Records a request that was refused because the engines could not begin it in time. */
-    void recordTurnedAway(PromptShape prompt) {
+    /**
+     * Records a request that was refused because the engines could not begin it in time.
+     *
+     * @param returns whether the caller was told to return, so that its request will be counted again
+     */
+    void recordTurnedAway(PromptShape prompt, boolean returns) {
         // What the engines would have found in their caches is not known; the average prompt is the best guess.
-        turnedAwayTokens += RETURNING_FACTOR * Math.min(averageTokens, prompt.inputTokens());
+        turnedAwayTokens += (returns ? RETURNING_FACTOR : 1) * Math.min(averageTokens, prompt.inputTokens());
     }
 
     /** Returns the most urgent priority of recent requests; a request of it waits for none of another priority. */
--- a/src/main/java/org/plantainwharf/forward/RoomGate.java
+++ b/src/main/java/org/plantainwharf/forward/RoomGate.java
@@ -22,9 +22,6 @@
     /** A load report that is older says little about free places. */
     private static final long RECENT_LOAD_NANOS = 500_000_000;
 
-    /** A shorter queue than this, in milliseconds, counts as none. */
-    private static final double NO_QUEUE_MILLIS = 1;
-
     /** Fraction of the recent waits that is expected at a server of unknown load, as the one with the least is selected. */
     private static final double UNSEEN_FRACTION = 0.5;
 
@@ -51,7 +48,7 @@
         if (admitted) {
             return Optional.empty();
         }
-        recordTurnedAway(call, board);
+        recordTurnedAway(call, true, board);
         return Optional.of(Failure.of(ErrorKind.SERVERS_OVERLOADED, call.service())
                 .withRetryAfter(RetryAfter.limitedBy(call.head(), QueueAdmission.returnMillis(call, board))));
     }
@@ -78,7 +75,7 @@
                 effects.count("room.refused." + refused.reason().code());
                 effects.count("room.refused.priority_" + request.priority());
                 log(figures, "room_refused", refused.reason().code(), refused.returnMillis(), effects);
-                recordTurnedAway(call, board);
+                recordTurnedAway(call, refused.returnMillis().isPresent(), board);
                 if (refused.returnMillis().isEmpty()) {
                     effects.count("room.without_place");
                     yield Optional.of(Failure.of(ErrorKind.NO_ROOM_IN_TIME, call.service()));
@@ -90,10 +87,10 @@
         };
     }
 
-    private static void recordTurnedAway(ForwardCall call, Board board) {
+    private static void recordTurnedAway(ForwardCall call, boolean returns, Board board) {
         call.head().prompt().ifPresent(prompt -> board.forward()
                 .engineProfile(call.service())
-                .recordTurnedAway(prompt));
+                .recordTurnedAway(prompt, returns));
     }
 
     private static void log(Figures figures, String event, String reason, OptionalLong returnMillis, Effects effects) {
@@ -150,23 +147,23 @@
         int slots = Math.max(1, selected.server().report().slots());
         int requests = statistics.estimatedRequests(nowNanos);
         boolean recentLoad = statistics.hasLoadSince(nowNanos - RECENT_LOAD_NANOS);
-        double unseenWait = recentLoad ? 0 : UNSEEN_FRACTION * observed.recentWait();
+        boolean free = statistics.hasFreePlace(slots, nowNanos);
+        double unseenWait = recentLoad || free ? 0 : UNSEEN_FRACTION * observed.recentWait();
         if (call.head().prompt().isEmpty()) {
             double wait = Math.max(0, requests - slots + 1) * observed.work() / slots;
-            return new RoomRequest.Place(
-                    observed.work(), Math.max(wait, unseenWait), observed.work(), recentLoad && requests < slots, true);
+            return new RoomRequest.Place(observed.work(), Math.max(wait, unseenWait), observed.work(), free, true);
         }
         PromptShape prompt = call.head().prompt().get();
         EngineProfile profile = board.forward().engineProfile(call.service());
         double promptMillis = statistics.uncachedTokens(prompt) * statistics.millisPerToken(profile, nowNanos);
         double slotMillis = prompt.outputTokens() * observed.perOutputToken() / slots;
-        double queueMillis = statistics.queueMillis(profile, nowNanos);
+        double queueMillis = free ? 0 : statistics.queueMillis(profile, nowNanos);
         double slotQueueMillis = Math.max(0, requests - slots + 1) * observed.averageStream() / slots;
         return new RoomRequest.Place(
                 Math.max(promptMillis, slotMillis),
                 Math.max(unseenWait, Math.max(queueMillis, slotQueueMillis) * observed.fractionAtLeastAsUrgent()),
                 profile.overheadMillis() + promptMillis,
-                recentLoad && requests < slots && queueMillis < NO_QUEUE_MILLIS,
+                free,
                 false);
     }
 }
--- a/src/main/java/org/plantainwharf/forward/ServerStatistics.java
+++ b/src/main/java/org/plantainwharf/forward/ServerStatistics.java
@@ -330,6 +330,19 @@
         return load != null && loadNanos - nanos >= 0;
     }
 
+    /**
+     * Returns whether a request sent now would begin at once: nothing waits there by the newest load, and a slot is free
+     * after what this daemon has sent since, none of whose prompts is to be processed. A server that gets no requests
+     * sends no reports; without a known load it is free if this daemon has nothing there.
+     */
+    boolean hasFreePlace(int slots, long nowNanos) {
+        ServerLoad current = load;
+        if (current == null || nowNanos - loadNanos > LOAD_VALIDITY_NANOS) {
+            return inFlight == 0;
+        }
+        return current.waiting() == 0 && pendingPromptTokens == 0 && estimatedRequests(nowNanos) < slots;
+    }
+
     /** Returns the estimated number of requests at the server, running or waiting. */
     int estimatedRequests(long nowNanos) {
         ServerLoad current = load;
--- a/src/test/java/org/plantainwharf/forward/EngineProfileTest.java
+++ b/src/test/java/org/plantainwharf/forward/EngineProfileTest.java
@@ -98,9 +98,17 @@
         @Test
         void countHalfWithTheAveragePromptButNeverMoreThanTheirOwn() {
             profile.recordSent(2_000, 0, 0);
-            profile.recordTurnedAway(new PromptShape("m", 9_000, 10, List.of()));
-            profile.recordTurnedAway(new PromptShape("m", 500, 10, List.of()));
+            profile.recordTurnedAway(new PromptShape("m", 9_000, 10, List.of()), true);
+            profile.recordTurnedAway(new PromptShape("m", 500, 10, List.of()), true);
             assertEquals(1_250, profile.turnedAwayTokens());
         }
+
+        /** They are not counted again, so half of them would hide demand. */
+        @Test
+        void countWholeIfTheirCallersWereNotToldToReturn() {
+            profile.recordSent(2_000, 0, 0);
+            profile.recordTurnedAway(new PromptShape("m", 9_000, 10, List.of()), false);
+            assertEquals(2_000, profile.turnedAwayTokens());
+        }
     }
 }
--- a/src/test/java/org/plantainwharf/forward/ServerStatisticsTest.java
+++ b/src/test/java/org/plantainwharf/forward/ServerStatisticsTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against load reports that are ignored, or believed for longer than they are true. */
@@ -75,6 +76,34 @@
         }
     }
 
+    /** Guards against refusals at empty engines, which send no answers and so no reports. */
+    @Nested
+    class FreePlaces {
+        private static final int SLOTS = 14;
+
+        @Test
+        void areTakenByWhatThisDaemonSentSince() {
+            statistics.recordLoad(new ServerLoad(12, 0, 64, 100), NOW);
+            statistics.recordSent(0, Optional.empty(), NOW);
+            assertTrue(statistics.hasFreePlace(SLOTS, NOW));
+            statistics.recordSent(0, Optional.empty(), NOW);
+            assertFalse(statistics.hasFreePlace(SLOTS, NOW));
+        }
+
+        @Test
+        void areNoneWhereRequestsWait() {
+            statistics.recordLoad(new ServerLoad(3, 1, 64, 100), NOW);
+            assertFalse(statistics.hasFreePlace(SLOTS, NOW));
+        }
+
+        @Test
+        void areAtServersOfUnknownLoadWithoutRequestsOfThisDaemon() {
+            assertTrue(statistics.hasFreePlace(SLOTS, NOW));
+            statistics.recordSent(0, Optional.empty(), NOW);
+            assertFalse(statistics.hasFreePlace(SLOTS, NOW));
+        }
+    }
+
     @Nested
     class Speeds {
         @Test
--- a/src/test/java/org/plantainwharf/room/ServiceRoomTest.java
+++ b/src/test/java/org/plantainwharf/room/ServiceRoomTest.java
@@ -251,7 +251,7 @@
             decideNew(BUSY);
             assertInstanceOf(
                     RoomDecision.Admitted.class,
-                    decideShorter(new RoomRequest.Place(50, 0.8 * TARGET_MILLIS, 50, false)));
+                    decideShorter(new RoomRequest.Place(50, 0.8 * TARGET_MILLIS, 50, false, false)));
         }
 
         /** Another caller may send the same content; its deadline shows that it has not waited since the refusal. */
