--- a/src/main/java/org/plantainwharf/forward/RoomGate.java
+++ b/src/main/java/org/plantainwharf/forward/RoomGate.java
@@ -36,8 +36,9 @@
         if (call.attempts() > 0) {
             return Optional.empty();
         }
-        boolean measurable =
-                call.head().prompt().isPresent() || selected.server().report().slots() > 0;
+        boolean measurable = board.room().isShared()
+                && (call.head().prompt().isPresent()
+                        || selected.server().report().slots() > 0);
         if (measurable && board.room().isShort(call.service())) {
             return refusalInShortage(call, selected, board, nowNanos, effects);
         }
--- a/src/main/java/org/plantainwharf/room/RoomController.java
+++ b/src/main/java/org/plantainwharf/room/RoomController.java
@@ -85,6 +85,7 @@
         if (!active) {
             return;
         }
+        board.room().setShared();
         switch (event) {
             case ForwardEvent.ForwardBegan began ->
                 board.forward().call(began.ticket()).ifPresent(call -> onBegan(call, began.attempt(), board, nowNanos));
--- a/src/main/java/org/plantainwharf/room/RoomSection.java
+++ b/src/main/java/org/plantainwharf/room/RoomSection.java
@@ -15,6 +15,8 @@
     private final Map<ServiceName, ServiceRoom> services = new HashMap<>();
     private final RoomAggregator aggregator = new RoomAggregator();
 
+    private boolean shared;
+
     private RoomSection() {}
 
     /** Returns an empty section. */
@@ -22,6 +24,15 @@
         return new RoomSection();
     }
 
+    /** Returns whether the room of services is shared here, so that requests have to be measured. */
+    public boolean isShared() {
+        return shared;
+    }
+
+    void setShared() {
+        shared = true;
+    }
+
     /** Returns whether more is asked for than the servers of the service can process. */
     public boolean isShort(ServiceName service) {
         ServiceRoom room = services.get(service);
