Review case 7: streams without some of their events

While servers break off some of their streams, others reach their callers without their first events, or without one between, and end as complete (rule ORDER). The cause isn't traced to its end.

--- a/review/rig-2/BrokenOffStreams.java
+++ b/review/rig-2/BrokenOffStreams.java
@@ -14,9 +14,9 @@
  * events of each stream in order (ORDER).
  */
 public final class BrokenOffStreams {
-    private static final int ENTRIES = 2;
+    private static final int ENTRIES = 3;
     private static final int SERVERS = 8;
-    private static final int CLIENTS_PER_ENTRY = 50;
+    private static final int CLIENTS_PER_ENTRY = 100;
     private static final int EVENTS = 20;
     private static final int SECONDS = 95;
     private static final int ENOUGH = 2;
