Let one thread at a time decide about a forwarded answer

Cause: ForwardedCall checked whether the answer had started and marked the end in two critical sections, and the head was set outside both. Ruled out: the HTTP library (the case holds with TROUBLE=0), late answers of earlier attempts (both sides bear the request's own id).

Change: the operations on one answer run one at a time in the order of their arrival, without a waiting thread. The head of a server's answer is kept until its first byte, so that a failure before it is reported under its own kind and a later attempt brings its own head. HttpExchange, the other request path, decides each failure and end with its lock held: a failure was lost there if a stream began between its steps. A counter and a log line say when a head was discarded.

BreakForward carries a failure now, so the assertions that compare it name that failure; they are as strict as before.

--- a/src/main/java/org/plantainwharf/effect/ForwardEffect.java
+++ b/src/main/java/org/plantainwharf/effect/ForwardEffect.java
@@ -53,6 +53,10 @@
     /** Forwards the server's error response, which was held back while a retry was possible. */
     record PassFailure(long ticket) implements ForwardEffect {}
 
-    /** Aborts a response that has started, so that the caller can tell that it is incomplete. */
-    record BreakForward(long ticket) implements ForwardEffect {}
+    /**
+     * Ends a response that has started and cannot be completed, so that the caller can tell that it is incomplete.
+     *
+     * @param failure the answer if the caller has got nothing of that response yet
+     */
+    record BreakForward(long ticket, Failure failure) implements ForwardEffect {}
 }
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -340,7 +340,7 @@
         effects.count("forward.broken_off_without_version");
         AttemptLog.brokenOff(call, RESTARTED, effects);
         ForwardTimer.cancel(call, effects);
-        effects.add(new ForwardEffect.BreakForward(call.ticket()));
+        effects.add(new ForwardEffect.BreakForward(call.ticket(), Failure.of(ErrorKind.SERVER_FAILED, RESTARTED)));
     }
 
     /**
@@ -566,7 +566,8 @@
                 } else if (broken.begun()) {
                     recordBrokenOff(call, board, nowNanos, effects);
                     board.forward().remove(call.ticket());
-                    effects.add(new ForwardEffect.BreakForward(call.ticket()));
+                    effects.add(new ForwardEffect.BreakForward(
+                            call.ticket(), Failure.of(ErrorKind.SERVER_FAILED, broken.reason())));
                 } else {
                     recordBrokenOff(call, board, nowNanos, effects);
                     failCall(call, Failure.of(ErrorKind.SERVER_FAILED, broken.reason()), board, nowNanos, effects);
--- a/src/main/java/org/plantainwharf/forward/ForwardTimer.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardTimer.java
@@ -74,11 +74,11 @@
                     && call.state() instanceof ForwardCall.State.Running running) {
                 effects.count("forward.timeouts");
                 cancel(call, effects);
+                Failure failure = Failure.of(ErrorKind.DEADLINE_EXCEEDED);
                 effects.add(
                         running.answerStarted()
-                                ? new ForwardEffect.BreakForward(call.ticket())
-                                : new ForwardEffect.RefuseForward(
-                                        call.ticket(), Failure.of(ErrorKind.DEADLINE_EXCEEDED)));
+                                ? new ForwardEffect.BreakForward(call.ticket(), failure)
+                                : new ForwardEffect.RefuseForward(call.ticket(), failure));
                 effects.log(
                         "request_timed_out",
                         "request",
--- a/src/main/java/org/plantainwharf/front/CallerFrontend.java
+++ b/src/main/java/org/plantainwharf/front/CallerFrontend.java
@@ -176,10 +176,11 @@
             case CallEffect.AnswerCall complete -> exchange.answer(complete.httpStatus(), complete.answer());
             case CallEffect.FinishStream finish -> exchange.finish();
             case CallEffect.AcceptCall accept -> {
-                exchange.setHeader("Location", "/v1/work/" + accept.request());
+                Map<String, String> location = Map.of("Location", "/v1/work/" + accept.request());
                 exchange.answer(
                         202,
-                        json(JSON.createObjectNode().put("id", accept.request().value())));
+                        json(JSON.createObjectNode().put("id", accept.request().value())),
+                        location);
             }
             case CallEffect.ReportPending pending ->
                 exchange.answer(
--- a/src/main/java/org/plantainwharf/front/ForwardedCall.java
+++ b/src/main/java/org/plantainwharf/front/ForwardedCall.java
@@ -2,10 +2,12 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.IntConsumer;
 
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
@@ -14,17 +16,24 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.SerializedInvoker;
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.backend.ForwardExchange;
+import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 
 /**
  * HTTP side of a forwarded request: the exchange with the caller. Its state on the control thread is a {@link
- * org.plantainwharf.forward.ForwardCall}; the ticket, a number unique within the daemon, joins the two. Invariants: at
- * most one answer is started; an answer that cannot be completed lacks its {@link EndMarker}, so that the caller cannot
- * mistake it for a complete one.
+ * org.plantainwharf.forward.ForwardCall}; the ticket, a number unique within the daemon, joins the two.
  *
- * <p>Thread-safe: the state is guarded by this object's lock, which is not held while Jetty is called.
+ * <p>Whatever begins, continues or ends the answer is an operation, and operations run one at a time in the order in
+ * which they were requested. An operation that meets another one is left to the thread that runs that one, so that no
+ * thread waits. Invariants: status, headers and body of an answer have one source, a server or this system; the head of
+ * a server's answer is set together with its first byte or its end, and until then any failure can still be reported;
+ * nothing is written after the answer has ended; an answer that cannot be completed lacks its {@link EndMarker}, so that
+ * the caller cannot mistake it for a complete one.
+ *
+ * <p>Thread-safe.
  */
 final class ForwardedCall implements ForwardExchange {
     private final String requestId;
@@ -37,18 +46,37 @@
     private final byte[] body;
     private final boolean closeConnection;
     private final Callbacks callbacks;
-    private @Nullable HeldFailure heldFailure;
-    private @Nullable String lastEventId;
-    private Optional<EndMarker> endMarker = Optional.empty();
-    private boolean answerStarted;
-    private boolean ended;
+    private final SerializedInvoker operations = new SerializedInvoker(ForwardedCall.class);
+    private volatile @Nullable HeldFailure heldFailure;
+    private volatile @Nullable String lastEventId;
+    /** Written by operations only. */
+    private volatile Answer answer = new Answer.NotBegun();
+    /** Used by operations only. */
     private boolean submitted;
+    /** Used by operations only. */
     private boolean disconnectedBeforeSubmission;
 
+    /** What has become of the answer. */
+    private sealed interface Answer {
+        /** There is nothing to send yet. */
+        record NotBegun() implements Answer {}
+
+        /** The head of a server's answer is known, and nothing of it has been written. */
+        record HeadKnown(int httpStatus, List<HttpField> headers) implements Answer {}
+
+        /** The head of a server's answer has been written, perhaps with a part of the body. */
+        record Writing(EndMarker marker) implements Answer {}
+
+        /** The answer is complete or broken off, or its caller has disconnected. */
+        record Ended() implements Answer {}
+    }
+
     /**
      * Callbacks for the life cycle of an answer. Immutable.
      *
-     * @param onBegin run once when the answer of a server starts
+     * @param onBegin run once when the head of a server's answer arrives
+     * @param onHeadDiscarded receives the HTTP status that is sent instead of a server's answer of which the caller has got
+     *     nothing
      * @param onEnd run once when the answer has ended or the caller has disconnected
      * @param onBrokenOff receives, before {@code onEnd}, the mark that the caller misses and the reason, if an answer that
      *     has started is not completed although the caller is there
@@ -56,10 +84,14 @@
      *     was submitted to the control thread
      */
     record Callbacks(
-            Runnable onBegin, Runnable onEnd, BiConsumer<EndMarker, String> onBrokenOff, Runnable onDisconnect) {
+            Runnable onBegin,
+            IntConsumer onHeadDiscarded,
+            Runnable onEnd,
+            BiConsumer<EndMarker, String> onBrokenOff,
+            Runnable onDisconnect) {
         /** Returns callbacks that do nothing. */
         static Callbacks none() {
-            return new Callbacks(() -> {}, () -> {}, (marker, reason) -> {}, () -> {});
+            return new Callbacks(() -> {}, status -> {}, () -> {}, (marker, reason) -> {}, () -> {});
         }
     }
 
@@ -117,8 +149,8 @@
     }
 
     @Override
-    public synchronized boolean isOpen() {
-        return !ended;
+    public boolean isOpen() {
+        return !(answer instanceof Answer.Ended);
     }
 
     /** Starts watching for a disconnect of the caller. */
@@ -131,30 +163,37 @@
      * already happened, so that the control thread never sees it before the request.
      */
     void markSubmitted() {
-        boolean report;
-        synchronized (this) {
+        operations.run(() -> {
             submitted = true;
-            report = disconnectedBeforeSubmission;
-        }
-        if (report) {
-            callbacks.onDisconnect().run();
-        }
+            if (disconnectedBeforeSubmission) {
+                callbacks.onDisconnect().run();
+            }
+        });
     }
 
     @Override
     public void begin(int httpStatus, List<HttpField> answerHeaders) {
-        synchronized (this) {
-            if (answerStarted || ended) {
-                return;
+        List<HttpField> fields = List.copyOf(answerHeaders);
+        operations.run(() -> {
+            switch (answer) {
+                case Answer.NotBegun notBegun -> {
+                    answer = new Answer.HeadKnown(httpStatus, fields);
+                    callbacks.onBegin().run();
+                }
+                // The attempt that sent it has failed, and the caller has got nothing of it.
+                case Answer.HeadKnown former -> answer = new Answer.HeadKnown(httpStatus, fields);
+                case Answer.Writing writing -> {}
+                case Answer.Ended ended -> {}
             }
-            answerStarted = true;
-        }
-        callbacks.onBegin().run();
-        setHead(httpStatus, answerHeaders);
+        });
+    }
+
+    /** Sets the head of a server's answer. It is written with the next bytes, or at the end of an empty answer. */
+    private EndMarker startWriting(Answer.HeadKnown head) {
+        setHead(head.httpStatus(), head.headers());
         EndMarker marker = EndMarker.prepare(request, response);
-        synchronized (this) {
-            endMarker = Optional.of(marker);
-        }
+        answer = new Answer.Writing(marker);
+        return marker;
     }
 
     private void setHead(int httpStatus, List<HttpField> answerHeaders) {
@@ -167,14 +206,21 @@
 
     @Override
     public void write(ByteBuffer bytes, Callback written) {
-        boolean discard;
-        synchronized (this) {
-            discard = ended;
-        }
-        if (discard) {
-            written.failed(new EofException("the caller disconnected"));
-            return;
-        }
+        operations.run(() -> {
+            switch (answer) {
+                case Answer.NotBegun notBegun ->
+                    written.failed(new IllegalStateException("the head of the answer is not known"));
+                case Answer.HeadKnown head -> {
+                    startWriting(head);
+                    writePart(bytes, written);
+                }
+                case Answer.Writing writing -> writePart(bytes, written);
+                case Answer.Ended ended -> written.failed(new EofException("the answer has ended"));
+            }
+        });
+    }
+
+    private void writePart(ByteBuffer bytes, Callback written) {
         response.write(false, bytes, Callback.from(written::succeeded, cause -> {
             callerLost(cause);
             written.failed(cause);
@@ -183,109 +229,121 @@
 
     @Override
     public void complete() {
-        if (markEnded()) {
-            DisconnectWatch.stop(request);
-            callbacks.onEnd().run();
-            endMarker().ifPresent(EndMarker::beforeLastWrite);
-            callback.succeeded();
-        }
+        operations.run(() -> {
+            switch (answer) {
+                case Answer.NotBegun notBegun -> answerWithFailure(Failure.of(ErrorKind.INTERNAL_ERROR));
+                case Answer.HeadKnown head -> completeWith(startWriting(head));
+                case Answer.Writing writing -> completeWith(writing.marker());
+                case Answer.Ended ended -> {}
+            }
+        });
     }
 
-    private synchronized Optional<EndMarker> endMarker() {
-        return endMarker;
+    private void completeWith(EndMarker marker) {
+        end();
+        marker.beforeLastWrite();
+        callback.succeeded();
     }
 
     @Override
-    public synchronized void recordFailureResponse(int httpStatus, List<HttpField> answerHeaders, byte[] answerBody) {
+    public void recordFailureResponse(int httpStatus, List<HttpField> answerHeaders, byte[] answerBody) {
         heldFailure = new HeldFailure(httpStatus, List.copyOf(answerHeaders), answerBody);
     }
 
-    /** Sends the server's error response that was held back. An answer that has started is aborted instead. */
+    /** Sends the server's error response that was held back. An answer that is being written is broken off instead. */
     void sendHeldFailure() {
-        HeldFailure failure;
-        boolean started;
-        synchronized (this) {
-            failure = heldFailure;
-            started = answerStarted;
-        }
-        if (failure == null || started) {
-            abort("the attempt failed after the answer had started");
-            return;
-        }
-        answer(failure.httpStatus(), failure.headers(), failure.body());
+        operations.run(() -> {
+            HeldFailure held = heldFailure;
+            if (held != null && isUnwritten()) {
+                answerWhole(held.httpStatus(), held.headers(), held.body());
+            } else {
+                refuseOrBreakOff(
+                        Failure.of(ErrorKind.SERVER_FAILED, "the attempt failed after the answer had started"));
+            }
+        });
     }
 
-    /** Answers with an error of this system. An answer that has started is aborted instead. */
+    /** Answers with an error of this system. An answer that is being written is broken off instead. */
     void refuse(Failure failure) {
-        boolean started;
-        synchronized (this) {
-            started = answerStarted;
-        }
-        if (started) {
-            abort(failure.message());
-            return;
+        operations.run(() -> refuseOrBreakOff(failure));
+    }
+
+    private boolean isUnwritten() {
+        return switch (answer) {
+            case Answer.NotBegun notBegun -> true;
+            case Answer.HeadKnown head -> true;
+            case Answer.Writing writing -> false;
+            case Answer.Ended ended -> false;
+        };
+    }
+
+    private void refuseOrBreakOff(Failure failure) {
+        switch (answer) {
+            case Answer.NotBegun notBegun -> answerWithFailure(failure);
+            case Answer.HeadKnown head -> answerWithFailure(failure);
+            case Answer.Writing writing -> breakOff(writing.marker(), failure.message());
+            case Answer.Ended ended -> {}
         }
+    }
+
+    private void answerWithFailure(Failure failure) {
         byte[] text = FailureBody.toJson(failure, requestId).getBytes(StandardCharsets.UTF_8);
-        List<HttpField> fields = new java.util.ArrayList<>();
+        List<HttpField> fields = new ArrayList<>();
         fields.add(new HttpField(HttpHeader.CONTENT_TYPE, "application/json"));
         fields.add(new HttpField(HttpHeader.CONTENT_LENGTH, String.valueOf(text.length)));
         failure.retryAfter()
                 .ifPresent(delay -> fields.add(new HttpField(
                         HttpHeader.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", delay.toMillis() / 1_000.0))));
-        answer(failure.kind().httpStatus(), fields, text);
+        answerWhole(failure.kind().httpStatus(), fields, text);
     }
 
-    private void answer(int httpStatus, List<HttpField> answerHeaders, byte[] answerBody) {
-        if (!markEnded()) {
-            return;
+    private void answerWhole(int httpStatus, List<HttpField> answerHeaders, byte[] answerBody) {
+        if (answer instanceof Answer.HeadKnown) {
+            callbacks.onHeadDiscarded().accept(httpStatus);
         }
         setHead(httpStatus, answerHeaders);
-        DisconnectWatch.stop(request);
-        callbacks.onEnd().run();
+        end();
         response.write(true, ByteBuffer.wrap(answerBody), callback);
     }
 
     /** Closes the connection without completing the answer. */
-    void abort(String reason) {
-        if (markEnded()) {
-            DisconnectWatch.stop(request);
-            endMarker().ifPresent(marker -> callbacks.onBrokenOff().accept(marker, reason));
-            callbacks.onEnd().run();
-            endMarker().ifPresent(EndMarker::breakOff);
-            callback.failed(new EofException(reason));
-        }
+    private void breakOff(EndMarker marker, String reason) {
+        answer = new Answer.Ended();
+        DisconnectWatch.stop(request);
+        callbacks.onBrokenOff().accept(marker, reason);
+        callbacks.onEnd().run();
+        marker.breakOff();
+        callback.failed(new EofException(reason));
     }
 
-    private synchronized boolean markEnded() {
-        boolean endedNow = !ended;
-        ended = true;
-        return endedNow;
+    private void end() {
+        answer = new Answer.Ended();
+        DisconnectWatch.stop(request);
+        callbacks.onEnd().run();
     }
 
     private void callerLost(Throwable cause) {
-        if (!markEnded()) {
-            return;
-        }
-        DisconnectWatch.stop(request);
-        callbacks.onEnd().run();
-        boolean report;
-        synchronized (this) {
-            report = submitted;
-            disconnectedBeforeSubmission = !submitted;
-        }
-        if (report) {
-            callbacks.onDisconnect().run();
-        }
-        callback.failed(cause);
+        operations.run(() -> {
+            if (answer instanceof Answer.Ended) {
+                return;
+            }
+            end();
+            if (submitted) {
+                callbacks.onDisconnect().run();
+            } else {
+                disconnectedBeforeSubmission = true;
+            }
+            callback.failed(cause);
+        });
     }
 
     @Override
-    public synchronized Optional<String> lastEventId() {
+    public Optional<String> lastEventId() {
         return Optional.ofNullable(lastEventId);
     }
 
     @Override
-    public synchronized void setLastEventId(String id) {
+    public void setLastEventId(String id) {
         lastEventId = id;
     }
 }
--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -205,7 +205,7 @@
             switch (effect) {
                 case ForwardEffect.RefuseForward refuse -> call.refuse(refuse.failure());
                 case ForwardEffect.PassFailure pass -> call.sendHeldFailure();
-                case ForwardEffect.BreakForward broken -> call.abort("the answer cannot be completed");
+                case ForwardEffect.BreakForward broken -> call.refuse(broken.failure());
                 // Attempts are started and cancelled elsewhere; such an effect is a programming error and only counted.
                 case ForwardEffect.StartForward start ->
                     metrics.counter("front.misdirected_effects").inc();
@@ -292,6 +292,7 @@
                 isDraining(),
                 new ForwardedCall.Callbacks(
                         () -> firstByteMillis.update(millisSince(arrivedNanos)),
+                        status -> recordHeadDiscarded(id, status),
                         () -> {
                             calls.remove(ticket);
                             totalMillis.update(millisSince(arrivedNanos));
@@ -300,6 +301,11 @@
                         () -> events.post(new ForwardEvent.ForwardLeft(ticket))));
     }
 
+    private void recordHeadDiscarded(String id, int status) {
+        metrics.counter("front.heads_discarded").inc();
+        log.write("answer_head_discarded", "request", ExternalText.sanitize(id), "status", status);
+    }
+
     private void recordBrokenOff(String id, EndMarker marker, String reason) {
         metrics.counter("front.answers_broken_off").inc();
         metrics.counter("front.answers_broken_off." + marker.code()).inc();
--- a/src/main/java/org/plantainwharf/front/HttpExchange.java
+++ b/src/main/java/org/plantainwharf/front/HttpExchange.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import org.eclipse.jetty.http.HttpHeader;
@@ -12,7 +14,6 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.jspecify.annotations.Nullable;
 import org.plantainwharf.backend.ResponseSink;
 import org.plantainwharf.call.Content;
 import org.plantainwharf.error.ErrorKind;
@@ -20,8 +21,9 @@
 import org.plantainwharf.identity.RequestId;
 
 /**
- * A request and its answer. Invariants: at most one answer is written, and nothing after it; an answer that is not
- * streamed is sent with its length; a stream ends with {@code [DONE]} only if it is complete.
+ * A request and its answer. Invariants: what begins an answer and what ends it decide in one step, with the lock held, so
+ * that at most one answer is written, and nothing after it; an answer that is not streamed is sent with its length; a
+ * stream ends with {@code [DONE]} only if it is complete.
  *
  * <p>Thread-safe: the state is guarded by this object's lock. Jetty allows one write at a time, so further writes are
  * queued. The queue stays short because a writer waits until its bytes have been consumed.
@@ -142,75 +144,79 @@
 
     /** Completes the answer: ends a stream with its end marker, or sends a buffered answer. */
     void finish() {
-        if (endStream("data: [DONE]\n\n")) {
-            return;
-        }
-        AnswerState.@Nullable Buffering buffered = takeBuffered();
-        if (buffered == null) {
-            // The answer was completed without having begun. No effect if it has already ended.
-            fail(Failure.of(ErrorKind.INTERNAL_ERROR));
-        } else {
-            answer(
-                    buffered.httpStatus(),
-                    Content.of(buffered.mediaType(), buffered.bytes().toByteArray()));
-        }
-    }
-
-    /** Ends a stream with a last event; returns false if the answer is not being streamed. */
-    private boolean endStream(String lastEvent) {
         synchronized (this) {
-            if (!(state instanceof AnswerState.Streaming)) {
-                return false;
+            switch (state) {
+                case AnswerState.Streaming streaming -> endStream("data: [DONE]\n\n");
+                case AnswerState.Buffering buffering ->
+                    endWith(
+                            buffering.httpStatus(),
+                            Content.of(buffering.mediaType(), buffering.bytes().toByteArray()),
+                            Map.of());
+                // The answer was completed without having begun.
+                case AnswerState.NotStarted notStarted -> endWith(Failure.of(ErrorKind.INTERNAL_ERROR));
+                case AnswerState.Ended ended -> {}
             }
-            state = new AnswerState.Ended();
-            queue.add(new PendingWrite(true, utf8(lastEvent), () -> {}));
         }
         writeNext();
-        return true;
-    }
-
-    private synchronized AnswerState.@Nullable Buffering takeBuffered() {
-        if (state instanceof AnswerState.Buffering buffering) {
-            state = new AnswerState.NotStarted();
-            return buffering;
-        }
-        return null;
     }
 
     /** Answers with a complete body. No effect if the answer has started or ended. */
     void answer(int httpStatus, Content content) {
+        answer(httpStatus, content, Map.of());
+    }
+
+    /** Answers with a complete body and further headers. No effect if the answer has started or ended. */
+    void answer(int httpStatus, Content content, Map<String, String> headers) {
         synchronized (this) {
             if (!(state instanceof AnswerState.NotStarted)) {
                 return;
             }
-            state = new AnswerState.Ended();
-            response.setStatus(httpStatus);
-            response.getHeaders().put(HttpHeader.CONTENT_TYPE, content.mediaType());
-            response.getHeaders().put(HttpHeader.CONTENT_LENGTH, content.length());
-            queue.add(new PendingWrite(true, content.bytes(), () -> {}));
+            endWith(httpStatus, content, headers);
         }
         writeNext();
     }
 
-    /** Sets a header of the answer. No effect if the answer has started or ended. */
-    void setHeader(String name, String value) {
+    /**
+     * Answers with an error. A stream that has started ends with an error event instead of its end marker. No effect if
+     * the answer has ended.
+     */
+    void fail(Failure failure) {
         synchronized (this) {
-            if (state instanceof AnswerState.NotStarted) {
-                response.getHeaders().put(name, value);
+            switch (state) {
+                case AnswerState.Streaming streaming ->
+                    endStream("event: error\ndata: " + FailureBody.toJson(failure, id.value()) + "\n\n");
+                case AnswerState.NotStarted notStarted -> endWith(failure);
+                case AnswerState.Buffering buffering -> endWith(failure);
+                case AnswerState.Ended ended -> {}
             }
         }
+        writeNext();
     }
 
-    /** Answers with an error. A stream that has started ends with an error event instead of its end marker. */
-    void fail(Failure failure) {
-        String json = FailureBody.toJson(failure, id.value());
-        if (endStream("event: error\ndata: " + json + "\n\n")) {
-            return;
-        }
-        takeBuffered();
-        setHeader("X-Ran", FailureBody.executionStatus(failure));
-        failure.retryAfter().ifPresent(delay -> setHeader("Retry-After", FailureBody.retryAfterSeconds(delay)));
-        answer(failure.kind().httpStatus(), Content.of("application/json", utf8(json)));
+    /** Ends a stream with a last event. To be called with the lock held. */
+    private void endStream(String lastEvent) {
+        state = new AnswerState.Ended();
+        queue.add(new PendingWrite(true, utf8(lastEvent), () -> {}));
+    }
+
+    /** Decides the answer. To be called with the lock held, before anything is written. */
+    private void endWith(int httpStatus, Content content, Map<String, String> headers) {
+        state = new AnswerState.Ended();
+        response.setStatus(httpStatus);
+        headers.forEach(response.getHeaders()::put);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, content.mediaType());
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, content.length());
+        queue.add(new PendingWrite(true, content.bytes(), () -> {}));
+    }
+
+    private void endWith(Failure failure) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("X-Ran", FailureBody.executionStatus(failure));
+        failure.retryAfter().ifPresent(delay -> headers.put("Retry-After", FailureBody.retryAfterSeconds(delay)));
+        endWith(
+                failure.kind().httpStatus(),
+                Content.of("application/json", utf8(FailureBody.toJson(failure, id.value()))),
+                headers);
     }
 
     /** Returns whether the whole answer has been decided, so that nothing can be added to it. */
--- a/src/test/java/org/plantainwharf/forward/ForwardControllerTest.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardControllerTest.java
@@ -118,7 +118,8 @@
             ForwardEffect.StartForward first = harness.arriveAndStart("/safe/1");
             harness.startAnswer(first);
             assertEquals(
-                    List.of(new ForwardEffect.BreakForward(first.ticket())),
+                    List.of(new ForwardEffect.BreakForward(
+                            first.ticket(), Failure.of(ErrorKind.SERVER_FAILED, "reset"))),
                     harness.endAttempt(first, brokenOutcome(true)));
         }
 
--- a/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
+++ b/src/test/java/org/plantainwharf/forward/StreamVersionTest.java
@@ -33,6 +33,10 @@
     private static final ServerVersion UNSTATED = ServerVersion.unstated();
     private static final ForwardOutcome BROKEN = new ForwardOutcome.Broken(true, true, "reset");
 
+    private static ForwardEffect breakForward(ForwardEffect.StartForward start, String reason) {
+        return new ForwardEffect.BreakForward(start.ticket(), Failure.of(ErrorKind.SERVER_FAILED, reason));
+    }
+
     private final ForwardHarness harness = new ForwardHarness(
             List.of(
                     ForwardHarness.route("/safe/", Repeatability.SAFE, 4, false),
@@ -88,7 +92,7 @@
         void isBrokenOffVisiblyWithoutAServerOfTheVersion() {
             ForwardEffect.StartForward start = begin(BLUE);
             listAndReport("i-2", GREEN);
-            assertEquals(List.of(new ForwardEffect.BreakForward(start.ticket())), harness.endAttempt(start, BROKEN));
+            assertEquals(List.of(breakForward(start, "reset")), harness.endAttempt(start, BROKEN));
             assertEquals(0, harness.liveCalls());
         }
 
@@ -180,7 +184,7 @@
         }
 
         private void assertBrokenOff(ForwardEffect.StartForward start) {
-            assertEquals(List.of(new ForwardEffect.BreakForward(start.ticket())), harness.endAttempt(start, BROKEN));
+            assertEquals(List.of(breakForward(start, "reset")), harness.endAttempt(start, BROKEN));
         }
 
         /** The report of the new start arrives after the first event, when the record of the origin is kept already. */
@@ -232,7 +236,7 @@
             assertEquals(
                     List.of(
                             new ForwardEffect.CancelForward(second.ticket()),
-                            new ForwardEffect.BreakForward(second.ticket())),
+                            breakForward(second, "the server started again with another version")),
                     harness.startAnswer(second));
             harness.endAttempt(second, new ForwardOutcome.Cancelled(0, false));
             assertEquals(0, harness.liveCalls());
@@ -249,7 +253,7 @@
             assertEquals(
                     List.of(
                             new ForwardEffect.CancelForward(second.ticket()),
-                            new ForwardEffect.BreakForward(second.ticket())),
+                            breakForward(second, "the server started again with another version")),
                     harness.run(new ForwardEvent.StreamBegan(second.ticket(), second.attempt())));
         }
 
--- a/src/test/java/org/plantainwharf/front/ForwardingRelay.java
+++ b/src/test/java/org/plantainwharf/front/ForwardingRelay.java
@@ -119,14 +119,17 @@
         }
     }
 
+    private static Failure serverFailed(String reason) {
+        return Failure.of(ErrorKind.SERVER_FAILED, reason);
+    }
+
     private void end(long ticket, ForwardOutcome outcome) {
         switch (outcome) {
             case ForwardOutcome.Broken broken ->
                 frontend.execute(
                         broken.begun()
-                                ? new ForwardEffect.BreakForward(ticket)
-                                : new ForwardEffect.RefuseForward(
-                                        ticket, Failure.of(ErrorKind.SERVER_FAILED, broken.reason())));
+                                ? new ForwardEffect.BreakForward(ticket, serverFailed(broken.reason()))
+                                : new ForwardEffect.RefuseForward(ticket, serverFailed(broken.reason())));
             case ForwardOutcome.Failed failed -> frontend.execute(new ForwardEffect.PassFailure(ticket));
             case ForwardOutcome.NotSent notSent ->
                 frontend.execute(new ForwardEffect.RefuseForward(
@@ -148,7 +151,7 @@
     void timeOut() {
         for (long ticket : begun) {
             client.cancel(ticket);
-            frontend.execute(new ForwardEffect.BreakForward(ticket));
+            frontend.execute(new ForwardEffect.BreakForward(ticket, Failure.of(ErrorKind.DEADLINE_EXCEEDED)));
         }
     }
 
