Serve the numbers of a document as they are written, or refuse them

Cause: the weights were added as ints; the sum became negative, and drawing a service threw. Integers of a document were checked as longs and cast to ints: weights, priorities, attempts, connections, slots and numbers of servers beyond an int were served as others. Twice a very long target latency overflowed, so that each server counted as overdue; a limit near the largest double made a bucket without a depth; a large minimum of servers was placed one by one on the control thread. Ruled out: that the document does not come into force.

Change: these numbers are longs, sums of weights are checked when a document is sent, and what fits into no long is refused with path, value and bound. That an exception loses a request is a fault of its own and not changed here.

--- a/src/main/java/org/plantainwharf/document/AccountRule.java
+++ b/src/main/java/org/plantainwharf/document/AccountRule.java
@@ -1,6 +1,6 @@
 package org.plantainwharf.document;
 
-import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.plantainwharf.forward.ForwardHead;
@@ -18,7 +18,7 @@
 public record AccountRule(
         AccountName name,
         Set<String> keys,
-        OptionalInt priority,
+        OptionalLong priority,
         boolean limitCountsTokens,
         long defaultTokens,
         double ratePerSecond,
--- a/src/main/java/org/plantainwharf/document/DocumentDifference.java
+++ b/src/main/java/org/plantainwharf/document/DocumentDifference.java
@@ -116,7 +116,7 @@
         fields.put(
                 "priority",
                 account.priority().isPresent()
-                        ? String.valueOf(account.priority().getAsInt())
+                        ? String.valueOf(account.priority().getAsLong())
                         : "route's");
         fields.put("limit counts", account.limitCountsTokens() ? "tokens" : "requests");
         fields.put("tokens without prompt", String.valueOf(account.defaultTokens()));
--- a/src/main/java/org/plantainwharf/document/RouteRule.java
+++ b/src/main/java/org/plantainwharf/document/RouteRule.java
@@ -1,6 +1,7 @@
 package org.plantainwharf.document;
 
 import java.util.List;
+import java.util.random.RandomGenerator;
 
 import org.plantainwharf.identity.RouteName;
 import org.plantainwharf.identity.ServiceName;
@@ -12,7 +13,7 @@
  * @param timeoutMillis maximum time until a request ends, positive
  * @param targetLatencyMillis time to the answer, or to the first event of a stream, that earns full credit
  * @param priority 0 is the most urgent
- * @param split services with their weights; the sum of the weights is positive
+ * @param split services with their weights; the sum of the weights is positive and fits into a long
  * @param maximumAttempts maximum number of servers on which a request may run
  * @param allowsAnonymous whether requests without an account key are accepted
  * @param resumable whether another server may continue a stream after the last complete event
@@ -25,9 +26,9 @@
         Repeatability repeatability,
         long timeoutMillis,
         long targetLatencyMillis,
-        int priority,
+        long priority,
         List<Share> split,
-        int maximumAttempts,
+        long maximumAttempts,
         boolean allowsAnonymous,
         boolean resumable,
         long targetEventIntervalMillis) {
@@ -37,7 +38,20 @@
     }
 
     /** Share of a route's requests that a service receives, relative to the sum of the weights. */
-    public record Share(ServiceName service, int weight) {}
+    public record Share(ServiceName service, long weight) {}
+
+    /** Draws the service of a request, each with the probability of its share. */
+    public ServiceName chooseService(RandomGenerator random) {
+        long totalWeight = split.stream().mapToLong(Share::weight).reduce(0, Math::addExact);
+        long remainingWeight = random.nextLong(totalWeight);
+        for (Share share : split) {
+            remainingWeight -= share.weight();
+            if (remainingWeight < 0) {
+                return share.service();
+            }
+        }
+        return split.getLast().service();
+    }
 
     /**
      * Returns whether another server may continue an answer that has started. Only streams of events can be split
--- a/src/main/java/org/plantainwharf/document/ServiceRule.java
+++ b/src/main/java/org/plantainwharf/document/ServiceRule.java
@@ -14,20 +14,20 @@
  * @param scaling present if this system controls the number of servers
  */
 public record ServiceRule(
-        ServiceName name, int maximumConnections, Optional<Engine> engine, Optional<Scaling> scaling) {
+        ServiceName name, long maximumConnections, Optional<Engine> engine, Optional<Scaling> scaling) {
     /**
      * Capacity of one model engine.
      *
      * @param slots maximum number of concurrent requests
      * @param memoryCapacityTokens tokens of running requests and cached prompt parts that fit into its memory
      */
-    public record Engine(int slots, long memoryCapacityTokens) {}
+    public record Engine(long slots, long memoryCapacityTokens) {}
 
     /**
      * Bounds of the number of servers, and their prices. The bounds apply to the sum of reclaimable and ordinary
      * servers in each zone.
      *
-     * @param minimumServers minimum number of servers in a zone
+     * @param minimumServers minimum number of servers in a zone; at most {@link #MAXIMUM_SERVERS} in all zones
      * @param maximumServers maximum number of servers in a zone
      * @param startupMillis time from ordering a server until it serves requests
      * @param reclaimablePriceRatio price of a reclaimable server as a fraction of the price of an ordinary one
@@ -35,10 +35,13 @@
      */
     public record Scaling(
             int minimumServers,
-            int maximumServers,
+            long maximumServers,
             long startupMillis,
             double reclaimablePriceRatio,
             Map<AvailabilityZone, Double> zonePrices) {
+        /** Most servers of a service that can be ordered, so that sums of them fit into an int. */
+        public static final int MAXIMUM_SERVERS = 100_000_000;
+
         /** Copies the prices. */
         public Scaling {
             zonePrices = Map.copyOf(zonePrices);
--- a/src/main/java/org/plantainwharf/duty/ScalingController.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingController.java
@@ -264,7 +264,7 @@
         reclaimed.forEach(zone -> reclaimableLimit.put(zone, 0));
         Map<AvailabilityZone, Integer> starting = new HashMap<>();
         orders.forEach((pool, order) -> {
-            boolean recent = nowNanos - order.sentNanos() < bootNanos + START_GRACE_NANOS;
+            boolean recent = nowNanos - order.sentNanos() - START_GRACE_NANOS < bootNanos;
             if (pool.service().equals(service.name()) && pool.reclaimable() && recent) {
                 int missing = order.servers() - reclaimable.getOrDefault(pool.zone(), 0);
                 starting.put(pool.zone(), Math.max(0, missing));
@@ -304,7 +304,7 @@
             return since >= RESEND_DELAY_NANOS;
         }
         return order.outcomeUnknown() && since >= LATE_EXECUTION_NANOS
-                || servers != ready && since >= bootNanos + START_GRACE_NANOS;
+                || servers != ready && since - START_GRACE_NANOS >= bootNanos;
     }
 
     private static int countReady(ServiceName service, Board board) {
@@ -330,11 +330,12 @@
                 requests += demand.inFlight() + demand.waiting();
             }
         }
-        int slots = service.engine().map(ServiceRule.Engine::slots).orElse(1);
+        double slots = service.engine().map(ServiceRule.Engine::slots).orElse(1L);
         double servers = Math.max(
                 promptTokens / PROMPT_TOKENS_PER_SECOND_PER_SERVER, requests / (slots * TARGET_SLOT_UTILIZATION));
         int zones = scaling.zonePrices().size();
-        int required = Math.max(zones * scaling.minimumServers(), (int) Math.ceil(servers));
-        return Math.min(required, zones * scaling.maximumServers());
+        long maximumOfZone = Math.min(scaling.maximumServers(), ServiceRule.Scaling.MAXIMUM_SERVERS);
+        long required = Math.max(zones * (long) scaling.minimumServers(), (long) Math.ceil(servers));
+        return (int) Math.min(Math.min(required, zones * maximumOfZone), ServiceRule.Scaling.MAXIMUM_SERVERS);
     }
 }
--- a/src/main/java/org/plantainwharf/duty/ScalingPlan.java
+++ b/src/main/java/org/plantainwharf/duty/ScalingPlan.java
@@ -6,7 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.function.ObjIntConsumer;
+import java.util.function.ToIntFunction;
 
 import org.plantainwharf.document.ServiceRule;
 import org.plantainwharf.identity.AvailabilityZone;
@@ -75,20 +76,65 @@
 
     /** Gives every zone the same number, the cheapest zones one more; other zones replace what one has not available. */
     private void spreadReclaimable(int total) {
-        for (int placed = 0; placed < total; placed++) {
-            Optional<AvailabilityZone> smallest = zonesByPrice.stream()
-                    .filter(zone -> reclaimable.getOrDefault(zone, 0) < availableReclaimable(zone))
-                    .min(Comparator.comparingInt(zone -> reclaimable.getOrDefault(zone, 0)));
-            if (smallest.isEmpty()) {
-                break;
-            }
-            reclaimable.merge(smallest.get(), 1, Integer::sum);
-        }
+        fillSmallest(total, zone -> 0, this::availableReclaimable, (zone, number) -> reclaimable.put(zone, number));
     }
 
     private int availableReclaimable(AvailabilityZone zone) {
-        return Math.min(
-                scaling.maximumServers(), state.reclaimableLimit().getOrDefault(zone, scaling.maximumServers()));
+        return Math.min(maximumServers(), state.reclaimableLimit().getOrDefault(zone, maximumServers()));
+    }
+
+    /** Returns the maximum of a zone; a larger one than can be ordered is never reached. */
+    private int maximumServers() {
+        return (int) Math.min(scaling.maximumServers(), ServiceRule.Scaling.MAXIMUM_SERVERS);
+    }
+
+    /**
+     * Adds servers one by one to the zone that has the fewest, of several the cheapest, as far as their maximums allow. The
+     * number of steps does not depend on the number of servers.
+     *
+     * @param present servers that a zone has before
+     * @param assign receives each zone that gets servers and the number that it has then
+     */
+    private void fillSmallest(
+            int additional,
+            ToIntFunction<AvailabilityZone> present,
+            ToIntFunction<AvailabilityZone> maximum,
+            ObjIntConsumer<AvailabilityZone> assign) {
+        Map<AvailabilityZone, Integer> numbers = new LinkedHashMap<>();
+        zonesByPrice.forEach(zone -> numbers.put(zone, present.applyAsInt(zone)));
+        int remaining = additional;
+        while (remaining > 0) {
+            List<AvailabilityZone> open = zonesByPrice.stream()
+                    .filter(zone -> numbers.getOrDefault(zone, 0) < maximum.applyAsInt(zone))
+                    .toList();
+            if (open.isEmpty()) {
+                return;
+            }
+            int fewest = open.stream()
+                    .mapToInt(zone -> numbers.getOrDefault(zone, 0))
+                    .min()
+                    .getAsInt();
+            List<AvailabilityZone> smallest = open.stream()
+                    .filter(zone -> numbers.getOrDefault(zone, 0) == fewest)
+                    .toList();
+            // All of them rise together until one is full or they are level with the next zone.
+            int next = Math.min(
+                    smallest.stream().mapToInt(maximum).min().getAsInt(),
+                    open.stream()
+                            .mapToInt(zone -> numbers.getOrDefault(zone, 0))
+                            .filter(number -> number > fewest)
+                            .min()
+                            .orElse(Integer.MAX_VALUE));
+            int each = Math.min(next - fewest, remaining / smallest.size());
+            List<AvailabilityZone> raised =
+                    each > 0 ? smallest : smallest.subList(0, Math.min(remaining, smallest.size()));
+            for (AvailabilityZone zone : raised) {
+                int number = fewest + Math.max(1, each);
+                numbers.put(zone, number);
+                assign.accept(zone, number);
+                remaining -= number - fewest;
+            }
+        }
     }
 
     private void placeOrdinary(Target target) {
@@ -111,22 +157,16 @@
                     Math.min(
                             state.ordinary().getOrDefault(zone, 0), plannedOrdinary(zone) + total - plannedOrdinary()));
         }
-        while (plannedOrdinary() < total) {
-            Optional<AvailabilityZone> smallest = zonesByPrice.stream()
-                    .filter(zone ->
-                            plannedOrdinary(zone) + reclaimable.getOrDefault(zone, 0) < scaling.maximumServers())
-                    .min(Comparator.comparingInt(zone -> plannedOrdinary(zone) + reclaimable.getOrDefault(zone, 0)));
-            if (smallest.isEmpty()) {
-                return;
-            }
-            raiseOrdinary(smallest.get(), plannedOrdinary(smallest.get()) + 1);
-        }
+        fillSmallest(
+                total - plannedOrdinary(),
+                zone -> plannedOrdinary(zone) + reclaimable.getOrDefault(zone, 0),
+                zone -> maximumServers(),
+                (zone, number) -> raiseOrdinary(zone, number - reclaimable.getOrDefault(zone, 0)));
     }
 
     /** Removes reclaimable servers from zones where both kinds exceed the maximum; ordinary servers take precedence. */
     private void enforceZoneMaximum() {
-        reclaimable.replaceAll(
-                (zone, count) -> Math.max(0, Math.min(count, scaling.maximumServers() - plannedOrdinary(zone))));
+        reclaimable.replaceAll((zone, count) -> Math.max(0, Math.min(count, maximumServers() - plannedOrdinary(zone))));
     }
 
     /** Raises the number of ordinary servers of a zone to at least {@code number}. */
--- a/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
@@ -13,7 +13,6 @@
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.event.ForwardEvent;
-import org.plantainwharf.identity.ServiceName;
 import org.plantainwharf.quarantine.Blame;
 
 /**
@@ -128,34 +127,23 @@
 
     private static ForwardCall createCall(
             ForwardEvent.ForwardArrived arrived, RouteRule route, Optional<AccountRule> account, Board board) {
-        long timeoutMillis =
-                Math.min(route.timeoutMillis(), arrived.head().deadlineMillis().orElse(route.timeoutMillis()));
+        // A caller without time left is one whose deadline has passed.
+        long timeoutMillis = Math.max(
+                0,
+                Math.min(route.timeoutMillis(), arrived.head().deadlineMillis().orElse(route.timeoutMillis())));
         double cost = account.map(rule -> rule.cost(arrived.head())).orElse(0.0);
         return new ForwardCall(
                 arrived.ticket(),
                 arrived.head(),
                 route,
                 account,
-                chooseService(route, board),
+                route.chooseService(board.random()),
                 new ForwardCall.Admission(
                         arrived.arrivedNanos(),
                         arrived.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
                         cost));
     }
 
-    private static ServiceName chooseService(RouteRule route, Board board) {
-        int totalWeight =
-                route.split().stream().mapToInt(RouteRule.Share::weight).sum();
-        int remainingWeight = board.random().nextInt(totalWeight);
-        for (RouteRule.Share share : route.split()) {
-            remainingWeight -= share.weight();
-            if (remainingWeight < 0) {
-                return share.service();
-            }
-        }
-        return route.split().getLast().service();
-    }
-
     private void refuseOverLimit(
             ForwardEvent.ForwardArrived arrived,
             AccountRule account,
--- a/src/main/java/org/plantainwharf/forward/ForwardCall.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardCall.java
@@ -221,11 +221,10 @@
 
     /** Returns the priority of the account, or else of the route; 0 is the most urgent. */
     public int effectivePriority() {
-        int declared = account.flatMap(rule -> rule.priority().isPresent()
-                        ? Optional.of(rule.priority().getAsInt())
-                        : Optional.empty())
+        long declared = account.filter(rule -> rule.priority().isPresent())
+                .map(rule -> rule.priority().getAsLong())
                 .orElse(route.priority());
-        return Math.max(0, Math.min(LOWEST_PRIORITY, declared));
+        return (int) Math.max(0, Math.min(LOWEST_PRIORITY, declared));
     }
 
     /** Returns the time until the deadline in milliseconds, at least 0. */
--- a/src/main/java/org/plantainwharf/forward/ForwardLimits.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardLimits.java
@@ -14,9 +14,10 @@
     /** Fraction of the slack that buckets use; the rest covers shares that two daemons hold during a partition. */
     private static final double BUCKET_SLACK_FRACTION = 0.5;
 
-    /** Returns the depth of an account's token bucket over all daemons, in tokens or requests. */
+    /** Returns the depth of an account's token bucket over all daemons, in tokens or requests; always finite. */
     double bucketDepth(double ratePerSecond, double burst) {
-        return burst * (1 + limitOverrun)
-                + BUCKET_SLACK_FRACTION * (ratePerSecond * limitWindowSeconds * limitOverrun + limitSlack);
+        double depth = burst * (1 + limitOverrun)
+                + BUCKET_SLACK_FRACTION * (ratePerSecond * (limitWindowSeconds * limitOverrun) + limitSlack);
+        return Math.min(depth, Double.MAX_VALUE);
     }
 }
--- a/src/main/java/org/plantainwharf/forward/ForwardTimer.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardTimer.java
@@ -25,7 +25,8 @@
             return;
         }
         long waitedMillis = (nowNanos - running.sentNanos()) / 1_000_000;
-        if (waitedMillis < OVERDUE_TARGET_LATENCIES * call.route().targetLatencyMillis()) {
+        // The product of a very long target latency does not fit into a long.
+        if (waitedMillis / OVERDUE_TARGET_LATENCIES < call.route().targetLatencyMillis()) {
             return;
         }
         if (board.forward().statistics(running.server()).recordOverdue(running.sentNanos(), nowNanos)) {
--- a/src/main/java/org/plantainwharf/platform/DocumentReader.java
+++ b/src/main/java/org/plantainwharf/platform/DocumentReader.java
@@ -1,13 +1,13 @@
 package org.plantainwharf.platform;
 
 import java.io.IOException;
+import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 
 import com.fasterxml.jackson.core.JsonParser;
@@ -60,7 +60,8 @@
 
     private static Either<Failure, ServiceDocument> read(JsonNode root) {
         FieldReader reader = FieldReader.of(root);
-        long version = reader.integer("version", Long.MIN_VALUE);
+        // The smallest long stands for no version.
+        long version = reader.integer("version", Long.MIN_VALUE + 1);
         Map<ServiceName, ServiceRule> services = new HashMap<>();
         for (JsonNode node : reader.array("services")) {
             readService(reader.nested(node, "services"), node)
@@ -104,7 +105,7 @@
                 limits.integer("idle_timeout_ms", 1, defaults.idleTimeoutMillis()));
     }
 
-    /** Returns a size limit. Values that no message reaches are reduced to the largest int. */
+    /** Returns a size limit. Values beyond the largest int are reduced to it, since no message reaches either. */
     private static int bytes(FieldReader limits, String name, int defaultValue) {
         return (int) Math.min(Integer.MAX_VALUE, limits.integer(name, 1, defaultValue));
     }
@@ -115,32 +116,39 @@
         Optional<ServiceRule.Engine> engine = Optional.empty();
         if (node.path("engine").isObject()) {
             FieldReader fields = reader.nested(node.path("engine"), "engine");
-            engine = Optional.of(new ServiceRule.Engine(
-                    (int) fields.integer("slots", 1, 1), fields.integer("kv_capacity_tokens", 0, 0)));
+            engine = Optional.of(
+                    new ServiceRule.Engine(fields.integer("slots", 1, 1), fields.integer("kv_capacity_tokens", 0, 0)));
         }
         Optional<ServiceRule.Scaling> scaling = Optional.empty();
         if (node.path("scaling").isObject()) {
             scaling = Optional.of(readScaling(reader.nested(node.path("scaling"), "scaling"), node.path("scaling")));
         }
         return reader.isValid()
-                ? Optional.of(new ServiceRule(ServiceName.of(name), (int) connections, engine, scaling))
+                ? Optional.of(new ServiceRule(ServiceName.of(name), connections, engine, scaling))
                 : Optional.empty();
     }
 
     private static ServiceRule.Scaling readScaling(FieldReader fields, JsonNode node) {
-        Map<AvailabilityZone, Double> prices = new HashMap<>();
-        node.path("zone_prices")
-                .properties()
-                .forEach(entry -> prices.put(
-                        AvailabilityZone.of(entry.getKey()), entry.getValue().asDouble()));
+        Map<AvailabilityZone, Double> prices = readZonePrices(fields, node.path("zone_prices"));
         return new ServiceRule.Scaling(
-                (int) fields.integer("min", 0, 0),
-                (int) fields.integer("max", 0, 0),
+                fields.optionalInteger("min", ServiceRule.Scaling.MAXIMUM_SERVERS / Math.max(1, prices.size())),
+                fields.integer("max", 0, 0),
+                // A cast of a double keeps to the bounds of a long.
                 (long) (fields.number("boot_s", 0) * 1_000),
                 fields.number("spot_price", 1),
                 prices);
     }
 
+    private static Map<AvailabilityZone, Double> readZonePrices(FieldReader scaling, JsonNode node) {
+        Map<AvailabilityZone, Double> prices = new HashMap<>();
+        if (!node.isMissingNode() && !node.isNull()) {
+            FieldReader zones = scaling.nested(node, "zone_prices");
+            node.properties()
+                    .forEach(entry -> prices.put(AvailabilityZone.of(entry.getKey()), zones.number(entry.getKey(), 0)));
+        }
+        return prices;
+    }
+
     private static Optional<RouteRule> readRoute(FieldReader reader, JsonNode node, Set<ServiceName> services) {
         String name = reader.string("name");
         String host = reader.string("host");
@@ -156,9 +164,7 @@
                 reader.addProblem("service", "must name services of this config, which " + share.service() + " is not");
             }
         }
-        if (split.stream().mapToLong(RouteRule.Share::weight).sum() <= 0) {
-            reader.addProblem("traffic_split", "must have weights with a positive sum");
-        }
+        checkWeights(reader, split);
         RouteRule route = new RouteRule(
                 RouteName.of(name.isEmpty() ? "unnamed" : name),
                 host,
@@ -166,15 +172,27 @@
                 repeatability.orElse(Repeatability.ONCE),
                 timeout,
                 reader.integer("target_latency_ms", 0, DEFAULT_TARGET_LATENCY_MILLIS),
-                (int) reader.integer("priority", 0, 0),
+                reader.integer("priority", 0, 0),
                 split,
-                (int) reader.integer("max_attempts", 1, 1),
+                reader.integer("max_attempts", 1, 1),
                 reader.bool("public"),
                 reader.bool("stream_resume"),
                 reader.integer("itl_target_ms", 0, 0));
         return reader.isValid() ? Optional.of(route) : Optional.empty();
     }
 
+    private static void checkWeights(FieldReader reader, List<RouteRule.Share> split) {
+        BigInteger sum = split.stream()
+                .map(share -> BigInteger.valueOf(share.weight()))
+                .reduce(BigInteger.ZERO, BigInteger::add);
+        if (sum.signum() <= 0) {
+            reader.addProblem("traffic_split", "must have weights with a positive sum");
+        } else if (sum.compareTo(BigInteger.valueOf(Long.MAX_VALUE)) > 0) {
+            reader.addProblem(
+                    "traffic_split", "must have weights with a sum of at most " + Long.MAX_VALUE + ", not " + sum);
+        }
+    }
+
     private static Optional<Repeatability> readRepeatability(String routeType) {
         return switch (routeType) {
             case "safe" -> Optional.of(Repeatability.SAFE);
@@ -190,7 +208,7 @@
         for (JsonNode entry : reader.array("traffic_split")) {
             FieldReader fields = reader.nested(entry, "traffic_split");
             String service = fields.string("service");
-            int weight = (int) fields.integer("weight", 0);
+            long weight = fields.integer("weight", 0);
             if (!service.isEmpty()) {
                 split.add(new RouteRule.Share(ServiceName.of(service), weight));
             }
@@ -210,14 +228,11 @@
         for (JsonNode key : reader.array("api_keys")) {
             keys.add(key.asText());
         }
-        OptionalInt priority = node.path("priority").canConvertToInt()
-                ? OptionalInt.of(node.path("priority").asInt())
-                : OptionalInt.empty();
         double rate = reader.number("rate_per_s", 0);
         AccountRule account = new AccountRule(
                 AccountName.of(name.isEmpty() ? "unnamed" : name),
                 keys,
-                priority,
+                reader.optionalInteger("priority"),
                 node.path("unit").asText().equals(TOKEN_UNIT),
                 reader.integer("uncached_tokens", 0, 0),
                 rate,
--- a/src/main/java/org/plantainwharf/platform/FieldReader.java
+++ b/src/main/java/org/plantainwharf/platform/FieldReader.java
@@ -1,8 +1,10 @@
 package org.plantainwharf.platform;
 
+import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -93,18 +95,41 @@
         }
     }
 
-    /** Returns a required integer, which must be at least the minimum. */
+    /** Returns a required integer, which must be at least the minimum and fit into a long. */
     long integer(String name, long minimum) {
+        return integerInRange(name, minimum, Long.MAX_VALUE);
+    }
+
+    /** Returns a required integer within bounds, both included. */
+    private long integerInRange(String name, long minimum, long maximum) {
         JsonNode value = node.path(name);
-        if (!value.isIntegralNumber() || !value.canConvertToLong() || value.asLong() < minimum) {
+        if (!value.isIntegralNumber() || value.bigIntegerValue().compareTo(BigInteger.valueOf(minimum)) < 0) {
             addProblem(name, "must be an integer of at least " + minimum);
+        } else if (value.bigIntegerValue().compareTo(BigInteger.valueOf(maximum)) > 0) {
+            addProblem(name, "must be an integer of at most " + maximum);
         }
         return value.asLong();
     }
 
     /** Returns an integer of at least the minimum, or the default if the field is absent or null. */
     long integer(String name, long minimum, long defaultValue) {
-        return node.path(name).isMissingNode() || node.path(name).isNull() ? defaultValue : integer(name, minimum);
+        return isAbsent(name) ? defaultValue : integer(name, minimum);
+    }
+
+    /** Returns an integer from 0 to the maximum, or 0 if the field is absent or null. */
+    int optionalInteger(String name, int maximum) {
+        return isAbsent(name) ? 0 : (int) integerInRange(name, 0, maximum);
+    }
+
+    /** Returns an integer, or nothing if the field is absent or null. */
+    OptionalLong optionalInteger(String name) {
+        return isAbsent(name)
+                ? OptionalLong.empty()
+                : OptionalLong.of(integerInRange(name, Long.MIN_VALUE, Long.MAX_VALUE));
+    }
+
+    private boolean isAbsent(String name) {
+        return node.path(name).isMissingNode() || node.path(name).isNull();
     }
 
     /** Returns a number of at least 0, or the default if the field is absent or null. */
--- a/src/test/java/org/plantainwharf/document/DocumentCheckTest.java
+++ b/src/test/java/org/plantainwharf/document/DocumentCheckTest.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.junit.jupiter.api.Nested;
@@ -45,7 +45,7 @@
 
     private static AccountRule account(
             Set<String> keys, boolean tokens, long defaultTokens, double rate, double burst) {
-        return new AccountRule(AccountName.of("acme"), keys, OptionalInt.empty(), tokens, defaultTokens, rate, burst);
+        return new AccountRule(AccountName.of("acme"), keys, OptionalLong.empty(), tokens, defaultTokens, rate, burst);
     }
 
     private static ServiceDocument document(
--- a/src/test/java/org/plantainwharf/document/DocumentFleet.java
+++ b/src/test/java/org/plantainwharf/document/DocumentFleet.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Queue;
@@ -189,7 +188,7 @@
                 routes,
                 Map.of(SERVICE, new ServiceRule(SERVICE, 100, Optional.empty(), Optional.empty())),
                 CallerBounds.defaults(),
-                List.of(new AccountRule(AccountName.of("acme"), keys, OptionalInt.empty(), false, 200, 1, 1))));
+                List.of(new AccountRule(AccountName.of("acme"), keys, OptionalLong.empty(), false, 200, 1, 1))));
     }
 
     /** Limits what a link to an entry daemon carries in a second; only large documents are slowed. */
--- a/src/test/java/org/plantainwharf/document/RouteTableTest.java
+++ b/src/test/java/org/plantainwharf/document/RouteTableTest.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.junit.jupiter.api.Nested;
@@ -40,7 +40,7 @@
                 Map.of(),
                 CallerBounds.defaults(),
                 List.of(new AccountRule(
-                        AccountName.of("acme"), Set.of("k1", "k2"), OptionalInt.empty(), false, 0, 0, 0))));
+                        AccountName.of("acme"), Set.of("k1", "k2"), OptionalLong.empty(), false, 0, 0, 0))));
     }
 
     private static Optional<String> name(RouteTable table, String host, String path) {
--- a/src/test/java/org/plantainwharf/duty/ScalingPlanTest.java
+++ b/src/test/java/org/plantainwharf/duty/ScalingPlanTest.java
@@ -1,9 +1,15 @@
 package org.plantainwharf.duty;
 
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.plantainwharf.document.ServiceRule;
 import org.plantainwharf.identity.AvailabilityZone;
 import org.plantainwharf.identity.ServiceName;
@@ -111,4 +117,59 @@
             }
         }
     }
+
+    @Nested
+    class LargeNumbers {
+        private static final int MOST = ServiceRule.Scaling.MAXIMUM_SERVERS;
+
+        private static Map<ServerPool, Integer> plan(ServiceRule.Scaling scaling, int servers) {
+            return ScalingPlan.of(
+                    SERVICE,
+                    scaling,
+                    new ScalingPlan.Target(1, servers, servers),
+                    running(Map.of(), Map.of(), Map.of()));
+        }
+
+        /** The control thread placed each server by itself, so that a large minimum kept it busy for seconds. */
+        @Test
+        @Timeout(1)
+        void arePlacedWithoutAStepForEachServer() {
+            ServiceRule.Scaling scaling =
+                    new ServiceRule.Scaling(MOST / 3, MOST, 4_000, 0.18, Map.of(A, 1.0, B, 0.8, C, 1.25));
+            for (int repetition = 0; repetition < 20; repetition++) {
+                assertEquals(MOST - 1, sum(plan(scaling, MOST), true));
+            }
+        }
+
+        /** A maximum beyond the largest int had become another one, such as none at all. */
+        @ParameterizedTest
+        @ValueSource(longs = {MOST, 1L << 31, 1L << 32, (1L << 32) + 1, Long.MAX_VALUE})
+        void ofAMaximumThatIsNotReachedChangeNothing(long maximum) {
+            ServiceRule.Scaling scaling =
+                    new ServiceRule.Scaling(1, maximum, 4_000, 0.18, Map.of(A, 1.0, B, 0.8, C, 1.25));
+            assertEquals(plan(SCALING, 4), plan(scaling, 4));
+        }
+
+        /** Adding servers one by one is what the plan promises. */
+        @Test
+        void areSpreadAsOneByOne() {
+            ServiceRule.Scaling scaling = new ServiceRule.Scaling(0, 5, 4_000, 0.18, Map.of(A, 1.0, B, 0.8, C, 1.25));
+            Map<AvailabilityZone, Integer> expected = new HashMap<>();
+            List<AvailabilityZone> byPrice = List.of(B, A, C);
+            for (int servers = 1; servers < 20; servers++) {
+                Map<ServerPool, Integer> plan = ScalingPlan.of(
+                        SERVICE,
+                        scaling,
+                        new ScalingPlan.Target(0, 0, servers),
+                        running(Map.of(), Map.of(), Map.of(A, 2)));
+                byPrice.stream()
+                        .filter(zone -> expected.getOrDefault(zone, 0) < (zone.equals(A) ? 2 : 5))
+                        .min(Comparator.comparingInt(zone -> expected.getOrDefault(zone, 0)))
+                        .ifPresent(zone -> expected.merge(zone, 1, Integer::sum));
+                for (AvailabilityZone zone : byPrice) {
+                    assertEquals(expected.getOrDefault(zone, 0), number(plan, zone, true), servers + " servers");
+                }
+            }
+        }
+    }
 }
--- a/src/test/java/org/plantainwharf/forward/EngineFleet.java
+++ b/src/test/java/org/plantainwharf/forward/EngineFleet.java
@@ -10,7 +10,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -397,7 +396,7 @@
                         .mapToObj(account -> new AccountRule(
                                 AccountName.of("account-" + account),
                                 Set.of(KEY + account),
-                                OptionalInt.empty(),
+                                OptionalLong.empty(),
                                 true,
                                 200,
                                 1e9,
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -70,7 +69,7 @@
                 List.of(new AccountRule(
                         AccountName.of("acme"),
                         Set.of(KEY),
-                        OptionalInt.empty(),
+                        OptionalLong.empty(),
                         true,
                         200,
                         tokensPerSecond,
--- a/src/test/java/org/plantainwharf/forward/PlainFleet.java
+++ b/src/test/java/org/plantainwharf/forward/PlainFleet.java
@@ -9,7 +9,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Queue;
@@ -151,7 +150,7 @@
                 Map.of(SERVICE, new ServiceRule(SERVICE, 400, Optional.empty(), Optional.empty())),
                 CallerBounds.defaults(),
                 List.of(new AccountRule(
-                        AccountName.of("acme"), Set.of(KEY), OptionalInt.empty(), true, 200, 1e9, 1e9)));
+                        AccountName.of("acme"), Set.of(KEY), OptionalLong.empty(), true, 200, 1e9, 1e9)));
         Board board = Board.create(Samples.settings("edge-" + index), 1, 7 + index);
         List<Controller> controllers = new ArrayList<>(List.of(
                 RegistryController.learning(),
--- a/src/test/java/org/plantainwharf/limit/AllowanceFleet.java
+++ b/src/test/java/org/plantainwharf/limit/AllowanceFleet.java
@@ -182,7 +182,7 @@
                 List.of(new AccountRule(
                         AccountName.of("acme"),
                         Set.of(KEY),
-                        OptionalInt.empty(),
+                        OptionalLong.empty(),
                         true,
                         200,
                         ratePerSecond,
