End what only a failed event would have moved on

Operators and servers waited for their time-outs.

Cause: ControlCycle contained the exception and went on, but events such as an arrival or the end of an attempt have no successor: the exchange stayed open, and the place at the server stayed taken.

Change: a controller that has thrown is asked to recover. The forward controller cancels the attempt, frees the place, gives the charge back if nothing was sent, and refuses at once: handling_failed (503, not run) before the first attempt, else internal_error (unknown). Controllers that answer operators, servers and calls of the own interface answer at once, too. The exception is counted and logged once, as before.

--- a/src/main/java/org/plantainwharf/admission/AdmissionController.java
+++ b/src/main/java/org/plantainwharf/admission/AdmissionController.java
@@ -31,6 +31,7 @@
 import org.plantainwharf.event.ServerEvent;
 import org.plantainwharf.event.StorageEvent;
 import org.plantainwharf.event.TimerEvent;
+import org.plantainwharf.retry.CallRecovery;
 import org.plantainwharf.sheet.ClientAccount;
 import org.plantainwharf.sheet.Rank;
 import org.plantainwharf.sheet.Sheet;
@@ -90,6 +91,14 @@
         }
     }
 
+    /** Ends a call whose arrival could not be handled: it is in no queue. */
+    @Override
+    public void recover(Event event, Board board, long nowNanos, Effects effects) {
+        if (event instanceof CallEvent.CallArrived arrived) {
+            CallRecovery.endArrived(arrived.call(), board, effects);
+        }
+    }
+
     private static void handleCall(CallEvent event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case CallEvent.CallArrived arrived -> handleArrival(arrived.call(), board, nowNanos, effects);
--- a/src/main/java/org/plantainwharf/configuration/ConfigurationController.java
+++ b/src/main/java/org/plantainwharf/configuration/ConfigurationController.java
@@ -69,6 +69,23 @@
         }
     }
 
+    /** Answers an operator whose request could not be handled. A sheet may have been committed. */
+    @Override
+    public void recover(Event event, Board board, long nowNanos, Effects effects) {
+        if (event instanceof OperatorEvent.SheetSubmitted submitted) {
+            refuse(submitted.ticket(), effects);
+        } else if (event instanceof ReplicationEvent.ProposalDecided decided) {
+            board.configuration().removeSubmission(decided.proposalId()).ifPresent(ticket -> refuse(ticket, effects));
+        } else if (event instanceof ReplicationEvent.ProposalFailed failed) {
+            board.configuration().removeSubmission(failed.proposalId()).ifPresent(ticket -> refuse(ticket, effects));
+        }
+    }
+
+    private static void refuse(long ticket, Effects effects) {
+        Failure failure = Failure.of(ErrorKind.INTERNAL_ERROR);
+        effects.add(new OperatorEffect.AnswerOperator(ticket, Either.left(failure)));
+    }
+
     private static void handleOperator(OperatorEvent event, Board board, Effects effects) {
         switch (event) {
             case OperatorEvent.SheetSubmitted submitted -> {
--- a/src/main/java/org/plantainwharf/control/ControlCycle.java
+++ b/src/main/java/org/plantainwharf/control/ControlCycle.java
@@ -1,6 +1,7 @@
 package org.plantainwharf.control;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.board.Board;
@@ -62,10 +63,23 @@
         }
     }
 
+    /** Runs a step of a controller; reports and returns what it throws. */
+    private static Optional<Throwable> attempt(
+            Controller controller, Event event, FailureListener listener, Runnable step) {
+        try {
+            step.run();
+            return Optional.empty();
+        } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError e) {
+            listener.onFailure(controller, event, e);
+            return Optional.of(e);
+        }
+    }
+
     /**
      * Handles an event and all events posted as a result, and returns the effects in order. A controller that throws
      * keeps neither the other controllers from handling the event nor its earlier effects from being returned: what it
-     * wrote to the board before it failed stays there, and the effects belong to it.
+     * wrote to the board before it failed stays there, and the effects belong to it. It is asked at once to {@linkplain
+     * Controller#recover recover}.
      *
      * @param nowNanos the time on the host's monotonic clock, in nanoseconds
      * @param wallClockMillis the time in milliseconds since the epoch
@@ -79,11 +93,13 @@
                         + " events in one cycle, last: " + current);
             }
             for (Controller controller : controllers) {
-                try {
-                    controller.handle(current, board, nowNanos, effects);
-                } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError e) {
-                    listener.onFailure(controller, current, e);
-                }
+                Event handled = current;
+                attempt(controller, handled, listener, () -> controller.handle(handled, board, nowNanos, effects))
+                        .ifPresent(failure -> attempt(
+                                controller,
+                                handled,
+                                listener,
+                                () -> controller.recover(handled, board, nowNanos, effects)));
             }
             current = effects.pollEvent();
         }
--- a/src/main/java/org/plantainwharf/control/Controller.java
+++ b/src/main/java/org/plantainwharf/control/Controller.java
@@ -15,4 +15,13 @@
      * @param nowNanos the time on the host's monotonic clock, in nanoseconds
      */
     void handle(Event event, Board board, long nowNanos, Effects effects);
+
+    /**
+     * Called after this controller has thrown while it handled an event. Ends what only this event would have moved on, such
+     * as a request that waits for its answer, and frees what that holds. What {@link #handle} wrote to the board before it
+     * failed is there, and nothing else is known of how far it came.
+     *
+     * @param nowNanos the time on the host's monotonic clock, in nanoseconds
+     */
+    default void recover(Event event, Board board, long nowNanos, Effects effects) {}
 }
--- a/src/main/java/org/plantainwharf/document/DocumentController.java
+++ b/src/main/java/org/plantainwharf/document/DocumentController.java
@@ -80,6 +80,24 @@
         }
     }
 
+    /** Answers an operator whose request could not be handled: it may be sent again to any host. */
+    @Override
+    public void recover(Event event, Board board, long nowNanos, Effects effects) {
+        if (event instanceof DocumentEvent document) {
+            effects.add(new DocumentEffect.RefuseDocument(document.ticket()));
+        } else if (event instanceof ReplicationEvent.ProposalDecided decided) {
+            refuse(decided.proposalId(), board, effects);
+        } else if (event instanceof ReplicationEvent.ProposalFailed failed) {
+            refuse(failed.proposalId(), board, effects);
+        }
+    }
+
+    private static void refuse(String proposalId, Board board, Effects effects) {
+        board.documents()
+                .takeTicket(proposalId)
+                .ifPresent(ticket -> effects.add(new DocumentEffect.RefuseDocument(ticket)));
+    }
+
     private static void onDocument(DocumentEvent event, Board board, Effects effects) {
         switch (event) {
             case DocumentEvent.DocumentSubmitted submitted ->
--- a/src/main/java/org/plantainwharf/drain/DrainController.java
+++ b/src/main/java/org/plantainwharf/drain/DrainController.java
@@ -76,6 +76,15 @@
         }
     }
 
+    /** Answers an operator whose order could not be handled. */
+    @Override
+    public void recover(Event event, Board board, long nowNanos, Effects effects) {
+        if (event instanceof OperatorEvent.DrainRequested requested && requested.ticket() != 0) {
+            effects.add(new OperatorEffect.AnswerOperator(
+                    requested.ticket(), Either.left(Failure.of(ErrorKind.INTERNAL_ERROR))));
+        }
+    }
+
     private static void onDrainRequested(
             OperatorEvent.DrainRequested requested, Board board, long nowNanos, Effects effects) {
         startDrain(board, nowNanos, effects);
--- a/src/main/java/org/plantainwharf/error/ErrorKind.java
+++ b/src/main/java/org/plantainwharf/error/ErrorKind.java
@@ -88,6 +88,8 @@
     FRAME_INVALID(400, ExecutionStatus.NO, false, "frame from peer cannot be decoded: %s"),
     STORAGE_FAILED(500, ExecutionStatus.NO, false, "storage failed: %s"),
     LOG_CORRUPT(500, ExecutionStatus.NO, false, "log file %s is corrupt at offset %s"),
+    HANDLING_FAILED(
+            503, ExecutionStatus.NO, true, "this host could not handle the request because of an internal error"),
     INTERNAL_ERROR(500, ExecutionStatus.UNKNOWN, false, "internal error");
 
     private final int httpStatus;
--- a/src/main/java/org/plantainwharf/event/DocumentEvent.java
+++ b/src/main/java/org/plantainwharf/event/DocumentEvent.java
@@ -5,6 +5,9 @@
 
 /** Operator requests on the service document. {@code ticket} identifies the exchange to answer. Immutable. */
 public sealed interface DocumentEvent extends Event {
+    /** Returns the id of the exchange to answer, unique within this daemon. */
+    long ticket();
+
     /** A valid document was submitted. */
     record DocumentSubmitted(long ticket, ServiceDocument document, Content content) implements DocumentEvent {}
 
--- a/src/main/java/org/plantainwharf/event/RegistryEvent.java
+++ b/src/main/java/org/plantainwharf/event/RegistryEvent.java
@@ -7,6 +7,9 @@
 
 /** Registration of backend servers with this daemon. {@code ticket} identifies the exchange to answer. Immutable. */
 public sealed interface RegistryEvent extends Event {
+    /** Returns the id of the exchange to answer, unique within this daemon. */
+    long ticket();
+
     /** A server reported its address and state, and waits for an acknowledgement. */
     record ServerReported(long ticket, ServerReport report) implements RegistryEvent {}
 
--- a/src/main/java/org/plantainwharf/event/RolloutEvent.java
+++ b/src/main/java/org/plantainwharf/event/RolloutEvent.java
@@ -5,6 +5,9 @@
 
 /** Operator requests on rollouts. {@code ticket} identifies the exchange to answer. Immutable. */
 public sealed interface RolloutEvent extends Event {
+    /** Returns the id of the exchange to answer, unique within this daemon. */
+    long ticket();
+
     /**
      * A rollout is ordered.
      *
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -61,12 +61,14 @@
     private final ForwardLimits limits;
     private final AccountLimits accounts;
     private final ForwardAdmission admission;
+    private final ForwardRecovery recovery;
     private final PeriodicTimer removalPeriod = PeriodicTimer.ofNanos(REMOVAL_PERIOD_NANOS);
 
     private ForwardController(ForwardLimits limits) {
         this.limits = limits;
         this.accounts = new AccountLimits(limits);
         this.admission = new ForwardAdmission(accounts);
+        this.recovery = new ForwardRecovery(accounts);
     }
 
     public static ForwardController create(ForwardLimits limits) {
@@ -94,6 +96,11 @@
         }
     }
 
+    @Override
+    public void recover(Event event, Board board, long nowNanos, Effects effects) {
+        recovery.recover(event, board, nowNanos, effects);
+    }
+
     private static void onPeerMessage(PeerMessage message, Board board) {
         if (message instanceof PeerMessage.ServerObservations news) {
             news.observations().forEach(seen -> board.forward().adopt(seen.server(), board.observations()));
@@ -256,8 +263,8 @@
                     .engineProfile(call.service())
                     .recordSent(uncachedTokens, call.effectivePriority(), nowNanos);
         }
+        // The state comes with the place, so that whatever ends the request frees it.
         statistics.recordSent(uncachedTokens, call.head().prompt(), nowNanos);
-        board.serverLimits().charge(id, nowNanos);
         call.setState(new ForwardCall.State.Running(
                 id,
                 server.report().startEpochMillis(),
@@ -266,6 +273,7 @@
                 uncachedTokens,
                 nowNanos,
                 OptionalLong.empty()));
+        board.serverLimits().charge(id, nowNanos);
         effects.add(new ForwardEffect.StartForward(
                 call.ticket(),
                 attempt,
--- a/src/main/java/org/plantainwharf/origin/OriginLookupController.java
+++ b/src/main/java/org/plantainwharf/origin/OriginLookupController.java
@@ -81,6 +81,14 @@
         }
     }
 
+    /** The stream of a caller whose question could not be asked goes on nowhere. */
+    @Override
+    public void recover(Event event, Board board, long nowNanos, Effects effects) {
+        if (event instanceof ForwardEvent.OriginRequested requested) {
+            effects.post(new ForwardEvent.OriginDecided(requested.ticket(), new OriginAnswer.Unknown()));
+        }
+    }
+
     private void onRequested(ForwardEvent.OriginRequested requested, Board board, long nowNanos, Effects effects) {
         OriginSection section = board.origins();
         effects.count("origin.lookups");
--- a/src/main/java/org/plantainwharf/registry/DepartureController.java
+++ b/src/main/java/org/plantainwharf/registry/DepartureController.java
@@ -57,6 +57,18 @@
         }
     }
 
+    /** Answers a server whose report could not be handled; it sends the report again. */
+    @Override
+    public void recover(Event event, Board board, long nowNanos, Effects effects) {
+        if (event instanceof RegistryEvent registry) {
+            effects.add(new RegistryEffect.AnswerServer(registry.ticket(), false));
+        } else if (event instanceof ReplicationEvent.ProposalDecided decided) {
+            answer(decided.proposalId(), false, board, effects);
+        } else if (event instanceof ReplicationEvent.ProposalFailed failed) {
+            answer(failed.proposalId(), false, board, effects);
+        }
+    }
+
     private static void onReport(RegistryEvent event, Board board, Effects effects) {
         switch (event) {
             case RegistryEvent.ServerReported reported -> {
--- a/src/main/java/org/plantainwharf/registry/RegistryController.java
+++ b/src/main/java/org/plantainwharf/registry/RegistryController.java
@@ -88,6 +88,14 @@
         }
     }
 
+    /** Answers a server whose report could not be handled; it sends the report again. */
+    @Override
+    public void recover(Event event, Board board, long nowNanos, Effects effects) {
+        if (event instanceof RegistryEvent registry) {
+            effects.add(new RegistryEffect.AnswerServer(registry.ticket(), false));
+        }
+    }
+
     private void onReport(RegistryEvent event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case RegistryEvent.ServerReported reported -> {
--- a/src/main/java/org/plantainwharf/retry/AttemptController.java
+++ b/src/main/java/org/plantainwharf/retry/AttemptController.java
@@ -85,6 +85,21 @@
         }
     }
 
+    /** Ends a call whose event could not be handled: nothing else would end it before its deadline. */
+    @Override
+    public void recover(Event event, Board board, long nowNanos, Effects effects) {
+        if (event instanceof CallEvent.CallArrived arrived) {
+            CallRecovery.endArrived(arrived.call(), board, effects);
+        } else if (event instanceof CallEvent.CallerLeft left) {
+            board.calls().call(left.request()).ifPresent(entry -> CallRecovery.end(entry, board, effects));
+        } else if (event instanceof AttemptEvent attempt) {
+            board.calls()
+                    .call(attempt.attempt().request())
+                    .filter(entry -> entry.isCurrent(attempt.attempt()))
+                    .ifPresent(entry -> CallRecovery.end(entry, board, effects));
+        }
+    }
+
     private static void handleCall(CallEvent event, Board board, long nowNanos, Effects effects) {
         switch (event) {
             case CallEvent.CallArrived arrived -> {
--- a/src/main/java/org/plantainwharf/rollout/RolloutOrderController.java
+++ b/src/main/java/org/plantainwharf/rollout/RolloutOrderController.java
@@ -63,6 +63,15 @@
         }
     }
 
+    /** Answers an operator whose request could not be handled. An order may have been committed. */
+    @Override
+    public void recover(Event event, Board board, long nowNanos, Effects effects) {
+        if (event instanceof RolloutEvent rollout) {
+            effects.count(ErrorKind.INTERNAL_ERROR.metricName());
+            effects.add(new RolloutEffect.RefuseRollout(rollout.ticket(), Failure.of(ErrorKind.INTERNAL_ERROR)));
+        }
+    }
+
     private static void onRequest(RolloutEvent event, Board board, Effects effects) {
         switch (event) {
             case RolloutEvent.RolloutOrdered ordered -> onOrder(ordered, board, effects);
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -7,12 +7,14 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 import io.vavr.control.Either;
 import org.plantainwharf.board.Board;
 import org.plantainwharf.call.Content;
 import org.plantainwharf.consensus.LogCopy;
 import org.plantainwharf.control.ControlCycle;
+import org.plantainwharf.control.Controller;
 import org.plantainwharf.document.AccountRule;
 import org.plantainwharf.document.CallerBounds;
 import org.plantainwharf.document.DocumentController;
@@ -55,12 +57,29 @@
 
     private final Board board = Board.create(Samples.settings("edge-1"), 1, 7);
     private final ControlCycle cycle;
+    private final ControlCycle.FailureListener failureListener;
     private final List<ForwardEvent.OriginRequested> originRequests = new ArrayList<>();
     private long nowNanos = TimeUnit.SECONDS.toNanos(100);
     private long sequence;
     private long tickets;
 
     ForwardHarness(List<RouteRule> routes, double tokensPerSecond) {
+        this(routes, tokensPerSecond, controllers -> controllers, (controller, event, cause) -> {
+            throw new AssertionError(controller + " failed at " + event, cause);
+        });
+    }
+
+    /**
+     * Creates a harness with other controllers.
+     *
+     * @param replacing receives the controllers of the harness and returns those to run
+     */
+    ForwardHarness(
+            List<RouteRule> routes,
+            double tokensPerSecond,
+            UnaryOperator<List<Controller>> replacing,
+            ControlCycle.FailureListener failureListener) {
+        this.failureListener = failureListener;
         ServiceDocument document = new ServiceDocument(
                 1,
                 routes,
@@ -76,7 +95,7 @@
                         tokensPerSecond)));
         this.cycle = ControlCycle.create(
                 board,
-                List.of(
+                replacing.apply(List.of(
                         RegistryController.learning(),
                         DocumentController.create(content -> Either.right(document)),
                         RolloutEvidenceController.create(RolloutBounds.defaults()),
@@ -86,7 +105,7 @@
                             if (event instanceof ForwardEvent.OriginRequested requested) {
                                 originRequests.add(requested);
                             }
-                        }));
+                        })));
         listVersion(ServerVersion.unstated());
     }
 
@@ -171,7 +190,7 @@
 
     List<ForwardEffect> run(Event event) {
         List<ForwardEffect> effects = new ArrayList<>();
-        for (Effect effect : cycle.run(event, nowNanos, 0)) {
+        for (Effect effect : cycle.run(event, nowNanos, 0, failureListener)) {
             if (effect instanceof ForwardEffect forward) {
                 effects.add(forward);
             }
