Keep no cookies of one caller for another

Cause: the HTTP client has a cookie store by default, and HttpClients left it.

Result: CallerIsolationTest$Cookies failed in 1 of 2 cases and passes; callers' own cookies and Set-Cookie pass unchanged.

--- a/src/main/java/org/plantainwharf/backend/HttpClients.java
+++ b/src/main/java/org/plantainwharf/backend/HttpClients.java
@@ -9,14 +9,16 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
- * Creates HTTP clients for proxying. They add no user agent to requests, follow no redirects and do not interpret or
- * decode responses. Stateless and thread-safe.
+ * Creates HTTP clients for proxying. They add no header to requests beyond those that frame the message, keep nothing of an
+ * exchange for later ones, follow no redirects and do not interpret or decode responses (docs/decisions/018). Stateless
+ * and thread-safe.
  */
 public final class HttpClients {
     /** Servers are in the same region; a healthy one accepts a connection within a few milliseconds. */
@@ -55,6 +57,7 @@
         client.setIdleTimeout(idleTimeoutMillis);
         client.setDestinationIdleTimeout(2 * idleTimeoutMillis);
         client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS_PER_SERVER);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUserAgentField(null);
         client.setMaxRequestHeadersSize(MAXIMUM_REQUEST_HEAD_BYTES);
         try {
