Add no content type to requests whose callers sent none

What servers saw: a request with a body and without Content-Type arrived with application/octet-stream, which its caller had not said.

Cause: the HTTP client's default type for bodies.

Change: no default type. Result: the test failed before and passes; a server gets its caller's headers, Host, the length, and what this system sets itself.

--- a/src/main/java/org/plantainwharf/backend/HttpClients.java
+++ b/src/main/java/org/plantainwharf/backend/HttpClients.java
@@ -59,6 +59,7 @@
         client.setMaxConnectionsPerDestination(MAXIMUM_CONNECTIONS_PER_SERVER);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUserAgentField(null);
+        client.setDefaultRequestContentType(null);
         client.setMaxRequestHeadersSize(MAXIMUM_REQUEST_HEAD_BYTES);
         try {
             client.start();
--- a/src/test/java/org/plantainwharf/front/CallerIsolationTest.java
+++ b/src/test/java/org/plantainwharf/front/CallerIsolationTest.java
@@ -74,6 +74,23 @@
 
     @Nested
     class Requests {
+        /** What the HTTP client adds by itself would be taken for the caller's wish. */
+        @Test
+        void reachTheServerWithTheHeadersOfTheirCallers() throws Exception {
+            try (RecordingServer server = RecordingServer.start("");
+                    ForwardingRelay relay = ForwardingRelay.start(server.address(), false);
+                    RawCaller caller = RawCaller.connect("127.0.0.1", relay.port())) {
+                caller.post(RawCaller.Connection.KEPT, "/x", "X-Id: r-1\r\nX-Own: v\r\n", "body");
+                assertEquals(200, caller.receive().status());
+                List<String> names = server.nextHead().stream()
+                        .skip(1)
+                        .map(line -> line.substring(0, line.indexOf(':')))
+                        .sorted()
+                        .toList();
+                assertEquals(List.of("content-length", "host", "x-deadline", "x-id", "x-own", "x-server"), names);
+            }
+        }
+
         /** An encoded body would be decoded, and then be another one than its server sealed. */
         @Test
         void doNotAskForEncodedBodiesByThemselves() throws Exception {
