Refuse a request whose server's head cannot be set with a head of its own

What callers would see: an exception while the head of a server's answer is set left a part of it in the response. The writer was never told, so that the attempt hung until the deadline, and the failure that followed bore that part.

Change: the write fails if the head cannot be set, and each head replaces what was there.

--- a/src/main/java/org/plantainwharf/front/ForwardedCall.java
+++ b/src/main/java/org/plantainwharf/front/ForwardedCall.java
@@ -198,6 +198,7 @@
 
     private void setHead(int httpStatus, List<HttpField> answerHeaders) {
         response.setStatus(httpStatus);
+        response.getHeaders().clear();
         answerHeaders.forEach(response.getHeaders()::add);
         if (closeConnection) {
             response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
@@ -210,16 +211,24 @@
             switch (answer) {
                 case Answer.NotBegun notBegun ->
                     written.failed(new IllegalStateException("the head of the answer is not known"));
-                case Answer.HeadKnown head -> {
-                    startWriting(head);
-                    writePart(bytes, written);
-                }
+                case Answer.HeadKnown head -> writeFirstPart(head, bytes, written);
                 case Answer.Writing writing -> writePart(bytes, written);
                 case Answer.Ended ended -> written.failed(new EofException("the answer has ended"));
             }
         });
     }
 
+    private void writeFirstPart(Answer.HeadKnown head, ByteBuffer bytes, Callback written) {
+        try {
+            startWriting(head);
+        } catch (RuntimeException e) {
+            // Nothing has been written, so that the attempt fails and its request can still be refused.
+            written.failed(e);
+            return;
+        }
+        writePart(bytes, written);
+    }
+
     private void writePart(ByteBuffer bytes, Callback written) {
         response.write(false, bytes, Callback.from(written::succeeded, cause -> {
             callerLost(cause);
--- a/src/test/java/org/plantainwharf/front/AnswerOwnerTest.java
+++ b/src/test/java/org/plantainwharf/front/AnswerOwnerTest.java
@@ -263,6 +263,32 @@
             }
         }
 
+        /** The head of a server's answer was set in part, and the failure that followed bore that part. */
+        @ParameterizedTest
+        @EnumSource(Ending.class)
+        void areFailuresOfOneSourceIfTheHeadCannotBeSet(Ending ending) throws Exception {
+            try (Stage<Forwarded> stage = stage(HeldResponse.Point.HEADERS);
+                    RawCaller caller = stage.connect()) {
+                Forwarded forwarded = stage.ask(caller);
+                forwarded.response().runOnce(() -> {
+                    forwarded.response().getHeaders().put("X-Seal", "s");
+                    throw new IllegalStateException("injected");
+                });
+                CompletableFuture<Boolean> written = new CompletableFuture<>();
+                forwarded.call().begin(200, SERVER_HEADERS);
+                forwarded
+                        .call()
+                        .write(
+                                ByteBuffer.allocate(1),
+                                Callback.from(() -> written.complete(true), cause -> written.complete(false)));
+                assertFalse(written.get(10, TimeUnit.SECONDS));
+                ending.run(forwarded.call());
+                RawCaller.Answer answer = caller.receive();
+                assertOneSource(answer);
+                assertTrue(answer.status() >= 500, answer.toString());
+            }
+        }
+
         /** An answer that begins after its caller has left must not use a connection that has been closed. */
         @ParameterizedTest
         @EnumSource(Beginning.class)
