--- a/src/main/java/org/plantainwharf/backend/ForwardExchange.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardExchange.java
@@ -27,7 +27,10 @@
     /** Returns whether the caller still waits for the response or its rest. */
     boolean isOpen();
 
-    /** Begins the response. Has no effect if an earlier attempt has begun it. */
+    /**
+     * Begins the response. Its head is sent with the first part of the body, or at the end; until then a later attempt
+     * may begin it anew.
+     */
     void begin(int httpStatus, List<HttpField> headers);
 
     /** Writes part of the response body. The callback fails if the caller has disconnected. */
--- a/src/main/java/org/plantainwharf/control/ControlCycle.java
+++ b/src/main/java/org/plantainwharf/control/ControlCycle.java
@@ -1,7 +1,6 @@
 package org.plantainwharf.control;
 
 import java.util.List;
-import java.util.Optional;
 
 import org.jspecify.annotations.Nullable;
 import org.plantainwharf.board.Board;
@@ -63,18 +62,6 @@
         }
     }
 
-    /** Runs a step of a controller; reports and returns what it throws. */
-    private static Optional<Throwable> attempt(
-            Controller controller, Event event, FailureListener listener, Runnable step) {
-        try {
-            step.run();
-            return Optional.empty();
-        } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError e) {
-            listener.onFailure(controller, event, e);
-            return Optional.of(e);
-        }
-    }
-
     /**
      * Handles an event and all events posted as a result, and returns the effects in order. A controller that throws
      * keeps neither the other controllers from handling the event nor its earlier effects from being returned: what it
@@ -93,16 +80,23 @@
                         + " events in one cycle, last: " + current);
             }
             for (Controller controller : controllers) {
-                Event handled = current;
-                attempt(controller, handled, listener, () -> controller.handle(handled, board, nowNanos, effects))
-                        .ifPresent(failure -> attempt(
-                                controller,
-                                handled,
-                                listener,
-                                () -> controller.recover(handled, board, nowNanos, effects)));
+                try {
+                    controller.handle(current, board, nowNanos, effects);
+                } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError e) {
+                    listener.onFailure(controller, current, e);
+                    recover(controller, current, nowNanos, listener);
+                }
             }
             current = effects.pollEvent();
         }
         return effects.drain();
     }
+
+    private void recover(Controller controller, Event event, long nowNanos, FailureListener listener) {
+        try {
+            controller.recover(event, board, nowNanos, effects);
+        } catch (RuntimeException | StackOverflowError | LinkageError | AssertionError e) {
+            listener.onFailure(controller, event, e);
+        }
+    }
 }
