Keep a released receive buffer apart from the connections that use its memory next

Cause: the HTTP client reads a body while it still handles the head, on one stack. If the response fails there, the inner call releases the receive buffer, and the outer one clears it through the reference that it has kept. Another connection may have acquired it by then.

Change: each acquisition from the clients' pool is a new view of the pooled memory. Clearing a released view changes no other.

--- a/src/main/java/org/plantainwharf/backend/HttpClients.java
+++ b/src/main/java/org/plantainwharf/backend/HttpClients.java
@@ -53,6 +53,7 @@
         client.setExecutor(threads);
         client.setName(name);
         client.setFollowRedirects(false);
+        client.setByteBufferPool(BufferViewPool.create());
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         client.setIdleTimeout(idleTimeoutMillis);
         client.setDestinationIdleTimeout(2 * idleTimeoutMillis);
--- a/src/test/java/org/plantainwharf/backend/RecordingExchange.java
+++ b/src/test/java/org/plantainwharf/backend/RecordingExchange.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 
@@ -21,6 +22,8 @@
     private volatile boolean open = true;
     private volatile boolean complete;
     private volatile int failureStatus;
+    private volatile Runnable onBegin = () -> {};
+    private volatile Runnable onWrite = () -> {};
 
     private RecordingExchange(String requestId, String pathQuery, byte[] body) {
         this.requestId = requestId;
@@ -40,6 +43,16 @@
         return new RecordingExchange(requestId, "/x/1", new byte[bytes]);
     }
 
+    /** Runs a task whenever the response begins, on the thread that begins it. */
+    void onBegin(Runnable task) {
+        onBegin = task;
+    }
+
+    /** Runs a task whenever a part of the body is written, on the thread that writes it and before its callback. */
+    void onWrite(Runnable task) {
+        onWrite = task;
+    }
+
     /** Returns whether the response was ended as a complete one. */
     boolean isComplete() {
         return complete;
@@ -100,13 +113,20 @@
     }
 
     @Override
-    public void begin(int httpStatus, List<HttpField> headers) {}
+    public void begin(int httpStatus, List<HttpField> headers) {
+        onBegin.run();
+    }
 
     @Override
     public void write(ByteBuffer bytes, Callback callback) {
         received.append(BufferUtil.toString(bytes, StandardCharsets.US_ASCII));
         firstBytes.countDown();
-        callback.succeeded();
+        onWrite.run();
+        if (open) {
+            callback.succeeded();
+        } else {
+            callback.failed(new EofException("the caller has left"));
+        }
     }
 
     @Override
