Count what becomes of requests by kind, zone and reason

Cause: counters named error kinds only.

Change: forward.kind.SERVICE.PRIORITY.RESULT counts requests asked for, answered in their target and late, sent after half of their target, and failed by error kind; failed_with_room tells where a refused request would have found a free place (near, far, avoided, limited). The line request_failed names the room.

--- a/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
@@ -168,12 +168,11 @@
                 waitMillis,
                 "version",
                 board.documents().version());
-        refuse(
-                arrived,
-                Failure.of(ErrorKind.ACCOUNT_LIMIT_EXCEEDED, account.name())
-                        .withRetryAfter(
-                                RetryAfter.limitedBy(arrived.head(), Math.max(waitMillis, MINIMUM_RETRY_AFTER_MILLIS))),
-                effects);
+        Failure failure = Failure.of(ErrorKind.ACCOUNT_LIMIT_EXCEEDED, account.name())
+                .withRetryAfter(RetryAfter.limitedBy(arrived.head(), Math.max(waitMillis, MINIMUM_RETRY_AFTER_MILLIS)));
+        KindTally.arrived(call, effects);
+        KindTally.failed(call, failure, board, nowNanos, effects);
+        refuse(arrived, failure, effects);
     }
 
     private static void refuse(ForwardEvent.ForwardArrived arrived, Failure failure, Effects effects) {
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -140,6 +140,7 @@
     private void onArrived(ForwardEvent.ForwardArrived arrived, Board board, long nowNanos, Effects effects) {
         admission.admit(arrived, board, nowNanos, effects).ifPresent(call -> {
             board.forward().put(call);
+            KindTally.arrived(call, effects);
             Optional<ForwardHead.TakeUp> takeUp =
                     call.route().mayResumeStream() ? call.head().takeUp() : Optional.empty();
             if (takeUp.isPresent()) {
@@ -257,6 +258,7 @@
         ServerId id = server.report().server();
         int attempt = call.nextAttempt(id);
         AttemptLog.started(call, attempt, chosen.get(), kept, board, nowNanos, effects);
+        KindTally.sent(call, nowNanos, effects);
         RolloutChoice.recordSent(call, server.report(), board, effects);
         if (call.head().prompt().isPresent()) {
             board.forward()
@@ -336,6 +338,7 @@
             began.status().ifPresent(status -> recordStatus(call, running, status, board, nowNanos, effects));
             statistics.recordAnswerStarted(nowNanos - running.sentNanos(), nowNanos);
             call.setState(running.withAnswerStarted(nowNanos));
+            KindTally.answered(call, nowNanos, effects);
             if (call.origin().isPresent() && StreamVersions.isDoubtful(running, board)) {
                 stopContinuation(call, effects);
             }
@@ -644,6 +647,7 @@
         } else if (call.possibleRuns() == 0 && failure.kind() == ErrorKind.DEADLINE_EXCEEDED && call.attempts() == 0) {
             reported = Failure.of(ErrorKind.QUEUE_TIMEOUT);
         }
+        KindTally.Room room = KindTally.failed(call, reported, board, nowNanos, effects);
         effects.log(
                 "request_failed",
                 "request",
@@ -654,6 +658,8 @@
                 reported.executionStatus(),
                 "attempts",
                 call.attempts(),
+                "room",
+                room.code(),
                 "message",
                 reported.message());
         effects.count(reported.kind().metricName());
--- a/src/test/java/org/plantainwharf/forward/ForwardHarness.java
+++ b/src/test/java/org/plantainwharf/forward/ForwardHarness.java
@@ -1,6 +1,7 @@
 package org.plantainwharf.forward;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,6 +23,7 @@
 import org.plantainwharf.document.RouteRule;
 import org.plantainwharf.document.ServiceDocument;
 import org.plantainwharf.document.ServiceRule;
+import org.plantainwharf.effect.CountEffect;
 import org.plantainwharf.effect.Effect;
 import org.plantainwharf.effect.ForwardEffect;
 import org.plantainwharf.event.Event;
@@ -56,6 +58,7 @@
     static final ServiceName SERVICE = ServiceName.of("desk");
 
     private final Board board = Board.create(Samples.settings("edge-1"), 1, 7);
+    private final Map<String, Long> counts = new HashMap<>();
     private final ControlCycle cycle;
     private final ControlCycle.FailureListener failureListener;
     private final List<ForwardEvent.OriginRequested> originRequests = new ArrayList<>();
@@ -191,6 +194,9 @@
     List<ForwardEffect> run(Event event) {
         List<ForwardEffect> effects = new ArrayList<>();
         for (Effect effect : cycle.run(event, nowNanos, 0, failureListener)) {
+            if (effect instanceof CountEffect count) {
+                counts.merge(count.metric(), count.amount(), Long::sum);
+            }
             if (effect instanceof ForwardEffect forward) {
                 effects.add(forward);
             }
@@ -198,6 +204,11 @@
         return effects;
     }
 
+    /** Returns what a counter was raised by in all. */
+    long count(String name) {
+        return counts.getOrDefault(name, 0L);
+    }
+
     long nowNanos() {
         return nowNanos;
     }
