Serve callers of a daemon that is cut off from the servers through another one

What callers saw: while an entry daemon had lost its links to the servers, its callers got 503 after some milliseconds or after a second, or nothing until their deadlines.

Cause: a daemon knew only its own links. It tried one server after the other and had no other way, although the daemons beside it reached the same servers. Ruled out as the cause: readiness, which moves new callers only, and servers that stay avoided, which is about the time after a cut. The class of fault: a path with a single link that nothing replaces.

Change: a daemon notices from connections that fail, while control daemons still hear from those servers, that it is cut off, and hands requests over to an entry daemon that reaches them, as their callers sent them (docs/decisions/019). One hop; promises, limits, usage, deadlines, repeats and callers that leave as if one daemon had served them.

--- a/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardAttempt.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
@@ -44,7 +43,7 @@
  *
  * <p>Thread-safe: Jetty calls the listeners of one request sequentially; {@link #cancel} may be called on any thread.
  */
-final class ForwardAttempt {
+final class ForwardAttempt implements CancellableAttempt {
     /** Error bodies are buffered up to this size; servers send only a short text. */
     private static final int MAXIMUM_FAILURE_BODY_BYTES = 64 << 10;
 
@@ -63,7 +62,7 @@
     private final ForwardEffect.StartForward start;
     private final ForwardExchange exchange;
     private final EventSink events;
-    private final Consumer<ForwardAttempt> onEnd;
+    private final Consumer<CancellableAttempt> onEnd;
     private final EventBoundaryBuffer eventBuffer = EventBoundaryBuffer.create();
     private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
     private ResponseState responseState = new ResponseState.AwaitingHeaders();
@@ -115,7 +114,7 @@
             ForwardEffect.StartForward start,
             ForwardExchange exchange,
             EventSink events,
-            Consumer<ForwardAttempt> onEnd) {
+            Consumer<CancellableAttempt> onEnd) {
         this.client = client;
         this.dialect = dialect;
         this.clock = clock;
@@ -133,16 +132,18 @@
             ForwardEffect.StartForward start,
             ForwardExchange exchange,
             EventSink events,
-            Consumer<ForwardAttempt> onEnd) {
+            Consumer<CancellableAttempt> onEnd) {
         return new ForwardAttempt(client, dialect, clock, start, exchange, events, onEnd);
     }
 
-    long ticket() {
+    @Override
+    public long ticket() {
         return start.ticket();
     }
 
     /** Sends the request. An attempt that cannot be prepared ends like one whose connection was not opened. */
-    void send() {
+    @Override
+    public void send() {
         try {
             sendRequest();
         } catch (RuntimeException e) {
@@ -155,7 +156,7 @@
     }
 
     private void sendRequest() {
-        Request prepared = newRequest()
+        Request prepared = ServerRequests.create(client, start.address(), exchange.pathQuery())
                 .method(exchange.method())
                 // No idle timeout: a response may pause, and the control thread cancels the attempt at its deadline.
                 .idleTimeout(0, java.util.concurrent.TimeUnit.MILLISECONDS)
@@ -212,14 +213,6 @@
         }
     }
 
-    private Request newRequest() {
-        String server = "http://" + start.address();
-        // Request.path() takes what follows two slashes for an authority and drops it.
-        return exchange.pathQuery().startsWith("//")
-                ? client.newRequest(URI.create(server + exchange.pathQuery()))
-                : client.newRequest(URI.create(server)).path(exchange.pathQuery());
-    }
-
     private void setHeaders(HttpFields.Mutable headers) {
         headers.clear();
         exchange.headers().stream()
@@ -234,8 +227,9 @@
     }
 
     /** Cancels the attempt and closes its connection, so that the server stops working on the request. */
+    @Override
     @SuppressWarnings("FutureReturnValueIgnored")
-    void cancel() {
+    public void cancel() {
         cancelled = true;
         Request sent = request;
         if (sent != null) {
--- a/src/main/java/org/plantainwharf/backend/ForwardClient.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardClient.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 
 import org.eclipse.jetty.client.HttpClient;
@@ -26,7 +27,7 @@
     private final LongFunction<Optional<? extends ForwardExchange>> exchanges;
     private final EventSink events;
     private final Executor executor;
-    private final Map<Long, ForwardAttempt> running = new ConcurrentHashMap<>();
+    private final Map<Long, CancellableAttempt> running = new ConcurrentHashMap<>();
 
     private ForwardClient(
             HttpClient client,
@@ -62,29 +63,41 @@
 
     /** Sends a request to a server. If its caller has disconnected, the attempt ends as withheld. */
     public void start(ForwardEffect.StartForward start) {
+        begin(
+                start.ticket(),
+                start.attempt(),
+                exchange -> ForwardAttempt.create(client, dialect, clock, start, exchange, events, this::remove));
+    }
+
+    /** Hands a request over to another entry daemon. If its caller has disconnected, the attempt ends as withheld. */
+    public void handOver(ForwardEffect.HandOver order) {
+        begin(
+                order.ticket(),
+                order.attempt(),
+                exchange -> HandoverAttempt.create(client, dialect, clock, order, exchange, events, this::remove));
+    }
+
+    private void begin(long ticket, int number, Function<ForwardExchange, CancellableAttempt> factory) {
         executor.execute(() -> {
-            Optional<? extends ForwardExchange> exchange = exchanges.apply(start.ticket());
+            Optional<? extends ForwardExchange> exchange = exchanges.apply(ticket);
             if (exchange.isEmpty()) {
                 events.post(new ForwardEvent.ForwardEnded(
-                        start.ticket(),
-                        start.attempt(),
+                        ticket,
+                        number,
                         new ForwardOutcome.Withheld(ForwardOutcome.Withheld.Reason.CALLER_LEFT),
                         Optional.empty()));
                 return;
             }
-            ForwardAttempt attempt = ForwardAttempt.create(
-                    client,
-                    dialect,
-                    clock,
-                    start,
-                    exchange.get(),
-                    events,
-                    ended -> running.remove(ended.ticket(), ended));
-            running.put(start.ticket(), attempt);
+            CancellableAttempt attempt = factory.apply(exchange.get());
+            running.put(ticket, attempt);
             attempt.send();
         });
     }
 
+    private void remove(CancellableAttempt ended) {
+        running.remove(ended.ticket(), ended);
+    }
+
     /**
      * Opens a connection to a server and closes it, and reports {@code ServerUnreachable} if the connection is refused.
      * Any other result does not tell whether the server's process exists.
@@ -97,10 +110,18 @@
         }));
     }
 
+    /** Opens a connection to a server, closes it, and reports {@code ConnectionChecked}. */
+    public void check(ForwardEffect.CheckConnection check) {
+        executor.execute(() -> ServerProbe.open(
+                client,
+                check.address(),
+                opened -> events.post(ForwardEvent.ConnectionChecked.of(check.server(), opened))));
+    }
+
     /** Cancels the running attempt of a request. Has no effect if none is running. */
     public void cancel(long ticket) {
         executor.execute(() -> {
-            @Nullable ForwardAttempt attempt = running.get(ticket);
+            @Nullable CancellableAttempt attempt = running.get(ticket);
             if (attempt != null) {
                 attempt.cancel();
             }
--- a/src/main/java/org/plantainwharf/backend/ForwardExchange.java
+++ b/src/main/java/org/plantainwharf/backend/ForwardExchange.java
@@ -21,6 +21,9 @@
     /** Returns the headers to forward, without the account key and the headers that only this system may set. */
     List<HttpField> headers();
 
+    /** Returns the header with the account key as the caller sent it; empty if it sent none. */
+    Optional<String> authorization();
+
     /** Returns the complete body. The array must not be changed. */
     byte[] body();
 
--- a/src/main/java/org/plantainwharf/backend/ServerProbe.java
+++ b/src/main/java/org/plantainwharf/backend/ServerProbe.java
@@ -2,6 +2,7 @@
 
 import java.net.ConnectException;
 import java.net.URI;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import org.eclipse.jetty.client.Connection;
@@ -20,17 +21,33 @@
      *     exists. Run on a thread of the client
      */
     static void send(HttpClient client, String address, Consumer<Boolean> onResult) {
+        connect(
+                client,
+                address,
+                cause -> onResult.accept(cause.isPresent() && cause.get() instanceof ConnectException));
+    }
+
+    /**
+     * Opens a connection to a server and closes it.
+     *
+     * @param onResult receives whether it could be opened. Run on a thread of the client
+     */
+    static void open(HttpClient client, String address, Consumer<Boolean> onResult) {
+        connect(client, address, cause -> onResult.accept(cause.isEmpty()));
+    }
+
+    private static void connect(HttpClient client, String address, Consumer<Optional<Throwable>> onEnd) {
         client.resolveDestination(client.newRequest(URI.create("http://" + address)))
                 .newConnection(new Promise<>() {
                     @Override
                     public void succeeded(Connection connection) {
                         connection.close();
-                        onResult.accept(false);
+                        onEnd.accept(Optional.empty());
                     }
 
                     @Override
                     public void failed(Throwable cause) {
-                        onResult.accept(cause instanceof ConnectException);
+                        onEnd.accept(Optional.of(cause));
                     }
                 });
     }
--- a/src/main/java/org/plantainwharf/board/Board.java
+++ b/src/main/java/org/plantainwharf/board/Board.java
@@ -12,6 +12,7 @@
 import org.plantainwharf.drain.DrainSection;
 import org.plantainwharf.duty.DutySection;
 import org.plantainwharf.forward.ForwardSection;
+import org.plantainwharf.handover.HandoverSection;
 import org.plantainwharf.keptpart.KeptPartSection;
 import org.plantainwharf.limit.AllowanceSection;
 import org.plantainwharf.limit.LimitSection;
@@ -62,6 +63,7 @@
     private final ObservationSection observations = ObservationSection.create();
     private final RoomSection room = RoomSection.create();
     private final KeptPartSection keptParts = KeptPartSection.create();
+    private final HandoverSection handovers = HandoverSection.create();
     private final AlarmSection alarms = AlarmSection.create();
     private long wallClockMillis;
 
@@ -232,6 +234,11 @@
         return keptParts;
     }
 
+    /** Returns the section on requests that are handed over to other entry daemons. */
+    public HandoverSection handovers() {
+        return handovers;
+    }
+
     /** Returns an immutable view for other threads. It shares only immutable objects with the board. */
     public BoardView publish() {
         return BoardView.of(this);
--- a/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
+++ b/src/main/java/org/plantainwharf/codec/PeerMessageCodec.java
@@ -117,6 +117,9 @@
             case PeerMessage.KeptParts parts -> frame.setKeptParts(ObservationMapping.encode(parts));
             case PeerMessage.RoomReport report -> frame.setRoomReport(RoomMapping.encode(report));
             case PeerMessage.RoomGrant grant -> frame.setRoomGrant(RoomMapping.encode(grant));
+            case PeerMessage.ReachReport report -> frame.setReachReport(ReportMapping.encode(report));
+            case PeerMessage.Helpers helpers ->
+                frame.setHelpers(PeerProtocol.Helpers.newBuilder().addAllAddresses(helpers.addresses()));
             case PeerMessage.LimitDemand demand ->
                 frame.setLimitDemand(PeerProtocol.LimitDemand.newBuilder()
                         .addAllRates(ValueMapping.encodeRates(demand.requestsPerSecond())));
@@ -227,6 +230,8 @@
             case KEPT_PARTS -> ObservationMapping.decode(frame.getKeptParts());
             case ROOM_REPORT -> RoomMapping.decode(frame.getRoomReport());
             case ROOM_GRANT -> RoomMapping.decode(frame.getRoomGrant());
+            case REACH_REPORT -> ReportMapping.decode(frame.getReachReport());
+            case HELPERS -> new PeerMessage.Helpers(frame.getHelpers().getAddressesList());
             case LARGE_MESSAGE, CONTENT_REQUEST, CONTENT_PART, CONTENT_UNAVAILABLE, KIND_NOT_SET ->
                 throw new DecodingException("message kind is missing or unknown");
         };
--- a/src/main/java/org/plantainwharf/codec/ReportMapping.java
+++ b/src/main/java/org/plantainwharf/codec/ReportMapping.java
@@ -38,6 +38,20 @@
                         (first, second) -> first)));
     }
 
+    static PeerProtocol.ReachReport encode(PeerMessage.ReachReport report) {
+        return PeerProtocol.ReachReport.newBuilder()
+                .setCallerAddress(report.callerAddress())
+                .addAllUnreached(
+                        report.unreached().stream().map(ServiceName::value).toList())
+                .build();
+    }
+
+    static PeerMessage.ReachReport decode(PeerProtocol.ReachReport wire) {
+        return new PeerMessage.ReachReport(
+                wire.getCallerAddress(),
+                wire.getUnreachedList().stream().map(ServiceName::of).collect(Collectors.toSet()));
+    }
+
     static PeerProtocol.ServerNews encode(PeerMessage.ServerReports news) {
         PeerProtocol.ServerNews.Builder wire = PeerProtocol.ServerNews.newBuilder();
         for (ServerReport report : news.reports()) {
--- a/src/main/java/org/plantainwharf/consensus/ConsensusController.java
+++ b/src/main/java/org/plantainwharf/consensus/ConsensusController.java
@@ -283,6 +283,8 @@
             case PeerMessage.KeptParts parts -> {}
             case PeerMessage.RoomReport report -> {}
             case PeerMessage.RoomGrant grant -> {}
+            case PeerMessage.ReachReport report -> {}
+            case PeerMessage.Helpers helpers -> {}
             case PeerMessage.DemandReport report -> {}
         }
     }
--- a/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/ControlDaemon.java
@@ -37,6 +37,7 @@
 import org.plantainwharf.error.ErrorKind;
 import org.plantainwharf.error.Failure;
 import org.plantainwharf.front.MetricsFrontend;
+import org.plantainwharf.handover.HelperController;
 import org.plantainwharf.identity.HostId;
 import org.plantainwharf.keptpart.KeptPartController;
 import org.plantainwharf.limit.AllowanceController;
@@ -118,6 +119,7 @@
                 DrainController.create(),
                 ObservationController.ofControlDaemon(),
                 KeptPartController.create(),
+                HelperController.create(),
                 AllowanceController.create(),
                 RoomController.ofSettings(role.sharesRoom()),
                 FencingController.create(role.dutyLeaseMillis()),
--- a/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
+++ b/src/main/java/org/plantainwharf/daemon/EntryDaemon.java
@@ -38,6 +38,7 @@
 import org.plantainwharf.front.ForwardingFrontend;
 import org.plantainwharf.front.ListenAddresses;
 import org.plantainwharf.front.MetricsFrontend;
+import org.plantainwharf.handover.ReachController;
 import org.plantainwharf.http.ForwardDialect;
 import org.plantainwharf.keptpart.KeptPartController;
 import org.plantainwharf.limit.AllowanceController;
@@ -110,6 +111,7 @@
                 RoomController.ofSettings(role.sharesRoom()),
                 ObservationController.ofEntryDaemon(),
                 KeptPartController.create(),
+                ReachController.create(settings.callerAddress()),
                 ForwardController.create(role.forwardLimits()),
                 OriginRecordController.create(),
                 DemandController.create());
@@ -177,6 +179,8 @@
             case ForwardEffect.StartForward start -> forwardClient.start(start);
             case ForwardEffect.CancelForward cancel -> forwardClient.cancel(cancel.ticket());
             case ForwardEffect.ProbeServer probe -> forwardClient.probe(probe);
+            case ForwardEffect.CheckConnection check -> forwardClient.check(check);
+            case ForwardEffect.HandOver handOver -> forwardClient.handOver(handOver);
             case ForwardEffect.RefuseForward refuse -> frontend.execute(refuse);
             case ForwardEffect.PassFailure pass -> frontend.execute(pass);
             case ForwardEffect.BreakForward broken -> frontend.execute(broken);
--- a/src/main/java/org/plantainwharf/duty/DemandController.java
+++ b/src/main/java/org/plantainwharf/duty/DemandController.java
@@ -79,6 +79,9 @@
     }
 
     private void countTokens(ForwardCall call) {
+        if (call.isHandedOver()) {
+            return;
+        }
         double[] tokens = tokenCounts.computeIfAbsent(call.service(), key -> new double[2]);
         if (call.state() instanceof ForwardCall.State.Running running) {
             tokens[0] += running.uncachedTokens();
@@ -91,7 +94,10 @@
             return;
         }
         Map<ServiceName, Integer> inFlight = new HashMap<>();
-        board.forward().calls().forEach(call -> inFlight.merge(call.service(), 1, Integer::sum));
+        // Another entry daemon reports the requests that it serves for this one.
+        board.forward().calls().stream()
+                .filter(call -> !call.isHandedOver())
+                .forEach(call -> inFlight.merge(call.service(), 1, Integer::sum));
         Map<ServiceName, ServiceDemand> demands = new HashMap<>();
         tokenCounts.forEach((service, tokens) -> {
             EngineProfile profile = board.forward().engineProfile(service);
--- a/src/main/java/org/plantainwharf/duty/UsageController.java
+++ b/src/main/java/org/plantainwharf/duty/UsageController.java
@@ -129,11 +129,13 @@
             case ForwardEvent.OriginDoubted doubted -> {}
             case ForwardEvent.OriginRequested requested -> {}
             case ForwardEvent.OriginDecided decided -> {}
+            case ForwardEvent.ConnectionChecked checked -> {}
         }
     }
 
     private void count(ForwardCall call, Board board) {
-        if (call.account().isPresent() && countedCalls.add(call.ticket())) {
+        // Another entry daemon counts a request that was handed over to it.
+        if (!call.isHandedOver() && call.account().isPresent() && countedCalls.add(call.ticket())) {
             AccountName account = call.account().map(AccountRule::name).orElseThrow();
             ownCounts
                     .computeIfAbsent(currentWindow(board), key -> new HashMap<>())
--- a/src/main/java/org/plantainwharf/error/ErrorKind.java
+++ b/src/main/java/org/plantainwharf/error/ErrorKind.java
@@ -38,6 +38,8 @@
     DEADLINE_UNREACHABLE(503, ExecutionStatus.NO, true, "predicted wait of %s ms exceeds the remaining time"),
     QUEUE_TIMEOUT(503, ExecutionStatus.NO, true, "deadline passed while the request was queued"),
     NO_SERVER_AVAILABLE(503, ExecutionStatus.NO, true, "no backend server is available for %s"),
+    SERVERS_UNREACHABLE(503, ExecutionStatus.NO, true, "this host reaches no backend server of %s"),
+    HELPER_FULL(503, ExecutionStatus.NO, true, "this host has no room for requests of other hosts"),
     SERVERS_AT_LIMIT(503, ExecutionStatus.NO, true, "backend servers for %s get as many requests as they accept"),
     SERVERS_OVERLOADED(503, ExecutionStatus.NO, true, "backend servers for %s cannot begin the request in time"),
     NO_ROOM_IN_TIME(503, ExecutionStatus.NO, false, "backend servers for %s have no room for the request in time"),
--- a/src/main/java/org/plantainwharf/event/ForwardEvent.java
+++ b/src/main/java/org/plantainwharf/event/ForwardEvent.java
@@ -63,7 +63,19 @@
     record ServerUnreachable(long ticket, ServerId server) implements ForwardEvent {}
 
     /**
-     * An attempt ended. Posted exactly once for each {@code StartForward}.
+     * A connection to a server was opened and closed again, or could not be opened.
+     *
+     * @param ticket 0, as it concerns no request
+     */
+    record ConnectionChecked(long ticket, ServerId server, boolean opened) implements ForwardEvent {
+        /** Returns the result of a check. */
+        public static ConnectionChecked of(ServerId server, boolean opened) {
+            return new ConnectionChecked(0, server, opened);
+        }
+    }
+
+    /**
+     * An attempt ended. Posted exactly once for each {@code StartForward} and {@code HandOver}.
      *
      * @param status empty if the server did not answer this attempt, or if {@code ForwardBegan} has reported it
      */
--- a/src/main/java/org/plantainwharf/forward/AccountLimits.java
+++ b/src/main/java/org/plantainwharf/forward/AccountLimits.java
@@ -16,8 +16,14 @@
         return board.allowances().tryCharge(account, call.admission().cost(), bucketDepth(account), nowNanos);
     }
 
-    /** Refunds the cost of a request that has not run and will not run. Does nothing for accounts without a limit. */
+    /**
+     * Refunds the cost of a request that has not run and will not run, or that another daemon charges. Does nothing for
+     * accounts without a limit, and the second time.
+     */
     void refund(ForwardCall call, Board board, long nowNanos) {
+        if (!call.markRefunded()) {
+            return;
+        }
         call.account().filter(AccountRule::limited).ifPresent(account -> board.allowances()
                 .refund(account, call.admission().cost(), nowNanos));
     }
--- a/src/main/java/org/plantainwharf/forward/AttemptLog.java
+++ b/src/main/java/org/plantainwharf/forward/AttemptLog.java
@@ -73,6 +73,33 @@
                 call.origin().map(origin -> origin.version().value()).orElse(""));
     }
 
+    static void handedOver(ForwardCall call, int attempt, String helper, Effects effects) {
+        effects.log(
+                "request_handed_over",
+                "request",
+                call.head().requestId(),
+                "attempt",
+                attempt,
+                "route",
+                call.route().name(),
+                "helper",
+                helper);
+    }
+
+    static void handoverEnded(
+            ForwardCall call, ForwardCall.State.HandedOver handedOver, ForwardOutcome outcome, Effects effects) {
+        effects.log(
+                "handover_ended",
+                "request",
+                call.head().requestId(),
+                "attempt",
+                handedOver.attempt(),
+                "helper",
+                handedOver.helper(),
+                "outcome",
+                outcome);
+    }
+
     static void cancelled(
             ForwardCall call,
             ForwardCall.State.Running stopped,
--- a/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardAdmission.java
@@ -26,6 +26,8 @@
     /** Retry-After while a newer service document may know a route or key: documents are in force everywhere in seconds. */
     private static final long OUTDATED_RETRY_AFTER_MILLIS = 1_000;
 
+    private static final long HELPER_FULL_RETRY_AFTER_MILLIS = 200;
+
     private final AccountLimits accounts;
 
     ForwardAdmission(AccountLimits accounts) {
@@ -39,6 +41,17 @@
             refuse(arrived, Failure.of(ErrorKind.DRAINING), effects);
             return Optional.empty();
         }
+        if (head.handedOver()
+                && 2 * board.forward().calls().size()
+                        >= board.settings().bounds().eventQueueCapacity()) {
+            // The rest is kept for this daemon's own callers.
+            refuse(
+                    arrived,
+                    Failure.of(ErrorKind.HELPER_FULL)
+                            .withRetryAfter(RetryAfter.limitedBy(head, HELPER_FULL_RETRY_AFTER_MILLIS)),
+                    effects);
+            return Optional.empty();
+        }
         Optional<RouteTable> table = board.documents().table();
         if (table.isEmpty()) {
             refuse(
--- a/src/main/java/org/plantainwharf/forward/ForwardCall.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardCall.java
@@ -28,6 +28,7 @@
     private ServiceName service;
     private final Admission admission;
     private final Set<ServerId> triedServers = new HashSet<>();
+    private final Set<String> triedHelpers = new HashSet<>();
     private State state = new State.Waiting();
     private int attempts;
     private int possibleRuns;
@@ -35,6 +36,7 @@
     private Optional<StreamOrigin> origin = Optional.empty();
     private int lastAttemptWithEvents;
     private boolean originDoubtful;
+    private boolean refunded;
 
     /**
      * Times and cost that are fixed when a request is admitted. Immutable.
@@ -90,6 +92,17 @@
 
         /** The request has ended for the caller; its last attempt is being cancelled. */
         record Cancelling(Running stopped) implements State {}
+
+        /**
+         * Another entry daemon serves the request.
+         *
+         * @param helper address of that daemon
+         * @param answerStarted whether the answer is being passed to the caller
+         */
+        record HandedOver(String helper, int attempt, boolean answerStarted) implements State {}
+
+        /** The request has ended for the caller; the other entry daemon is being told. */
+        record CancellingHandover(int attempt) implements State {}
     }
 
     ForwardCall(
@@ -162,6 +175,29 @@
         return attempts;
     }
 
+    /** Returns the addresses of entry daemons to which the request was handed over. */
+    Set<String> triedHelpers() {
+        return triedHelpers;
+    }
+
+    /** Returns whether another entry daemon serves the request. */
+    public boolean isHandedOver() {
+        return state instanceof State.HandedOver || state instanceof State.CancellingHandover;
+    }
+
+    int nextHandover(String helper) {
+        triedHelpers.add(helper);
+        attempts++;
+        return attempts;
+    }
+
+    /** Marks the charge to the limit of the account as given back; returns false if it was before. */
+    boolean markRefunded() {
+        boolean first = !refunded;
+        refunded = true;
+        return first;
+    }
+
     /** Returns the number of attempts that may have run on a server. */
     public int possibleRuns() {
         return possibleRuns;
--- a/src/main/java/org/plantainwharf/forward/ForwardController.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardController.java
@@ -111,6 +111,7 @@
         switch (event) {
             case ForwardEvent.ForwardArrived arrived -> onArrived(arrived, board, nowNanos, effects);
             case ForwardEvent.ServerUnreachable unreachable -> {}
+            case ForwardEvent.ConnectionChecked checked -> {}
             case ForwardEvent.StreamBegan streamBegan ->
                 board.forward()
                         .call(streamBegan.ticket())
@@ -141,16 +142,101 @@
         admission.admit(arrived, board, nowNanos, effects).ifPresent(call -> {
             board.forward().put(call);
             KindTally.arrived(call, effects);
-            Optional<ForwardHead.TakeUp> takeUp =
-                    call.route().mayResumeStream() ? call.head().takeUp() : Optional.empty();
-            if (takeUp.isPresent()) {
-                takeUp(call, takeUp.get().firstAttempt(), board, nowNanos, effects);
-            } else {
-                begin(call, board, nowNanos, effects);
+            switch (HandoverChoice.onArrival(call, board, nowNanos)) {
+                case HandoverChoice.Way.Servers servers -> serve(call, board, nowNanos, effects);
+                case HandoverChoice.Way.Helper helper -> handOver(call, helper.address(), board, nowNanos, effects);
+                case HandoverChoice.Way.Refused refused -> failCall(call, refused.failure(), board, nowNanos, effects);
             }
         });
     }
 
+    private void serve(ForwardCall call, Board board, long nowNanos, Effects effects) {
+        Optional<ForwardHead.TakeUp> takeUp =
+                call.route().mayResumeStream() ? call.head().takeUp() : Optional.empty();
+        if (takeUp.isPresent()) {
+            takeUp(call, takeUp.get().firstAttempt(), board, nowNanos, effects);
+        } else {
+            begin(call, board, nowNanos, effects);
+        }
+    }
+
+    /** Hands a request that has not run over to another entry daemon, which charges it to the limit of its account. */
+    private void handOver(ForwardCall call, String helper, Board board, long nowNanos, Effects effects) {
+        if (call.remainingMillis(nowNanos) < MINIMUM_REMAINING_MILLIS) {
+            failCall(call, Failure.of(ErrorKind.DEADLINE_EXCEEDED), board, nowNanos, effects);
+            return;
+        }
+        accounts.refund(call, board, nowNanos);
+        int attempt = call.nextHandover(helper);
+        call.setState(new ForwardCall.State.HandedOver(helper, attempt, false));
+        AttemptLog.handedOver(call, attempt, helper, effects);
+        effects.count("forward.handed_over");
+        effects.add(new ForwardEffect.HandOver(
+                call.ticket(), attempt, helper, call.admission().deadlineNanos()));
+    }
+
+    private void onHandoverEnded(
+            ForwardCall call,
+            ForwardCall.State.HandedOver handedOver,
+            ForwardOutcome outcome,
+            Board board,
+            long nowNanos,
+            Effects effects) {
+        call.setState(new ForwardCall.State.Waiting());
+        AttemptLog.handoverEnded(call, handedOver, outcome, effects);
+        switch (outcome) {
+            case ForwardOutcome.Completed completed -> board.forward().remove(call.ticket());
+            case ForwardOutcome.Cancelled cancelled -> board.forward().remove(call.ticket());
+            case ForwardOutcome.Withheld withheld -> {
+                effects.count("forward.withheld");
+                failCall(call, Failure.of(ErrorKind.QUEUE_TIMEOUT), board, nowNanos, effects);
+            }
+            case ForwardOutcome.Refused refused -> {
+                effects.count("forward.handovers_refused");
+                Optional<String> next = refused.httpStatus() == ErrorKind.ACCOUNT_LIMIT_EXCEEDED.httpStatus()
+                        ? Optional.empty()
+                        : HandoverChoice.helper(call, board, nowNanos);
+                if (next.isPresent()) {
+                    handOver(call, next.get(), board, nowNanos, effects);
+                } else {
+                    passFailure(call, board, effects);
+                }
+            }
+            case ForwardOutcome.NotSent notSent -> {
+                effects.count("forward.handovers_not_sent");
+                Optional<String> next = HandoverChoice.helper(call, board, nowNanos);
+                if (next.isPresent()) {
+                    handOver(call, next.get(), board, nowNanos, effects);
+                } else {
+                    failCall(call, HandoverChoice.unreachable(call), board, nowNanos, effects);
+                }
+            }
+            case ForwardOutcome.Failed failed -> passFailure(call, board, effects);
+            case ForwardOutcome.Broken broken -> {
+                call.countPossibleRun();
+                effects.count("forward.handovers_broken");
+                Optional<String> next = !broken.begun() && mayRunAgain(call)
+                        ? HandoverChoice.helper(call, board, nowNanos)
+                        : Optional.empty();
+                Failure failure = Failure.of(ErrorKind.SERVER_FAILED, broken.reason());
+                if (next.isPresent() && tryTakeRetry(call, board, nowNanos, effects)) {
+                    handOver(call, next.get(), board, nowNanos, effects);
+                } else if (broken.begun()) {
+                    board.forward().remove(call.ticket());
+                    effects.add(new ForwardEffect.BreakForward(call.ticket(), failure));
+                } else {
+                    failCall(call, failure, board, nowNanos, effects);
+                }
+            }
+        }
+    }
+
+    /** Passes on the error response that was held back. */
+    private static void passFailure(ForwardCall call, Board board, Effects effects) {
+        board.forward().remove(call.ticket());
+        effects.add(new ForwardEffect.PassFailure(call.ticket()));
+    }
+
     private void begin(ForwardCall call, Board board, long nowNanos, Effects effects) {
         board.forward()
                 .retryBudget(call.service(), limits.retryRatio(), limits.minimumRetries())
@@ -342,6 +428,10 @@
             if (call.origin().isPresent() && StreamVersions.isDoubtful(running, board)) {
                 stopContinuation(call, effects);
             }
+        } else if (call.state() instanceof ForwardCall.State.HandedOver handedOver
+                && handedOver.attempt() == began.attempt()) {
+            call.setState(new ForwardCall.State.HandedOver(handedOver.helper(), handedOver.attempt(), true));
+            KindTally.answered(call, nowNanos, effects);
         }
     }
 
@@ -365,6 +455,8 @@
                 recordBegan(call, stopped, began, board, effects);
             case ForwardCall.State.Waiting waiting -> {}
             case ForwardCall.State.AwaitingOrigin awaitingOrigin -> {}
+            case ForwardCall.State.HandedOver handedOver -> {}
+            case ForwardCall.State.CancellingHandover cancelling -> {}
         }
     }
 
@@ -405,7 +497,7 @@
     private void onCallerDisconnected(ForwardCall call, Board board, long nowNanos, Effects effects) {
         call.setCallerDisconnected();
         effects.count("forward.callers_left");
-        if (call.state() instanceof ForwardCall.State.Running) {
+        if (call.state() instanceof ForwardCall.State.Running || call.state() instanceof ForwardCall.State.HandedOver) {
             ForwardTimer.cancel(call, effects);
         } else if (call.state() instanceof ForwardCall.State.Waiting) {
             board.forward().remove(call.ticket());
@@ -436,6 +528,16 @@
                     board.forward().remove(call.ticket());
                 }
             }
+            case ForwardCall.State.HandedOver handedOver -> {
+                if (handedOver.attempt() == ended.attempt()) {
+                    onHandoverEnded(call, handedOver, ended.outcome(), board, nowNanos, effects);
+                }
+            }
+            case ForwardCall.State.CancellingHandover cancelling -> {
+                if (cancelling.attempt() == ended.attempt()) {
+                    board.forward().remove(call.ticket());
+                }
+            }
             case ForwardCall.State.Waiting waiting -> {}
             case ForwardCall.State.AwaitingOrigin awaitingOrigin -> {}
         }
@@ -546,6 +648,13 @@
             }
             case ForwardOutcome.NotSent notSent -> {
                 effects.count("forward.not_sent");
+                Optional<String> helper = call.possibleRuns() == 0
+                        ? HandoverChoice.afterNotSent(call, board, nowNanos)
+                        : Optional.empty();
+                if (helper.isPresent()) {
+                    handOver(call, helper.get(), board, nowNanos, effects);
+                    return;
+                }
                 retryOrFail(call, Failure.of(ErrorKind.NO_SERVER_AVAILABLE, call.service()), board, nowNanos, effects);
             }
             case ForwardOutcome.Failed failed -> {
--- a/src/main/java/org/plantainwharf/forward/ForwardHead.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardHead.java
@@ -18,6 +18,7 @@
  * @param fingerprints what may crash a server that processes this request: the shared parts of the prompt and the whole
  *     request
  * @param takeUp present if the caller has events of the stream already and wants those after them
+ * @param handedOver whether another entry daemon has handed the request over
  */
 public record ForwardHead(
         String requestId,
@@ -27,7 +28,8 @@
         OptionalLong deadlineMillis,
         Optional<PromptShape> prompt,
         List<Fingerprint> fingerprints,
-        Optional<TakeUp> takeUp) {
+        Optional<TakeUp> takeUp,
+        boolean handedOver) {
     /**
      * A caller's wish to go on with a stream that broke off.
      *
@@ -58,11 +60,18 @@
                 .limit(Math.max(0, shape.parts().size() - 1))
                 .forEach(part -> fingerprints.add(Fingerprint.ofPromptPart(part.id()))));
         fingerprints.add(content);
-        return new ForwardHead(requestId, host, path, key, deadlineMillis, prompt, fingerprints, Optional.empty());
+        return new ForwardHead(
+                requestId, host, path, key, deadlineMillis, prompt, fingerprints, Optional.empty(), false);
     }
 
     /** Returns this head with the stream that the caller takes up. */
     public ForwardHead takingUp(Optional<TakeUp> stream) {
-        return new ForwardHead(requestId, host, path, key, deadlineMillis, prompt, fingerprints, stream);
+        return new ForwardHead(requestId, host, path, key, deadlineMillis, prompt, fingerprints, stream, handedOver);
+    }
+
+    /** Returns this head with whether another entry daemon has handed the request over. */
+    public ForwardHead handedOver(boolean byAnotherDaemon) {
+        return new ForwardHead(
+                requestId, host, path, key, deadlineMillis, prompt, fingerprints, takeUp, byAnotherDaemon);
     }
 }
--- a/src/main/java/org/plantainwharf/forward/ForwardRecovery.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardRecovery.java
@@ -59,6 +59,7 @@
             case ForwardEvent.ServerUnreachable unreachable -> {}
             case ForwardEvent.OriginDoubted doubted -> {}
             case ForwardEvent.OriginRequested requested -> {}
+            case ForwardEvent.ConnectionChecked checked -> {}
         }
     }
 
@@ -77,6 +78,8 @@
             case ForwardCall.State.Cancelling(ForwardCall.State.Running stopped) -> free(stopped, board, nowNanos);
             case ForwardCall.State.Waiting waiting -> {}
             case ForwardCall.State.AwaitingOrigin awaitingOrigin -> {}
+            case ForwardCall.State.HandedOver handedOver -> {}
+            case ForwardCall.State.CancellingHandover cancelling -> {}
         }
         if (!sent) {
             accounts.refund(call, board, nowNanos);
--- a/src/main/java/org/plantainwharf/forward/ForwardTimer.java
+++ b/src/main/java/org/plantainwharf/forward/ForwardTimer.java
@@ -89,6 +89,28 @@
                         "begun",
                         running.answerStarted());
             }
+            endExpiredHandover(call, nowNanos, effects);
+        }
+    }
+
+    private static void endExpiredHandover(ForwardCall call, long nowNanos, Effects effects) {
+        if (nowNanos - call.admission().deadlineNanos() >= 0
+                && call.state() instanceof ForwardCall.State.HandedOver handedOver) {
+            effects.count("forward.timeouts");
+            cancel(call, effects);
+            Failure failure = Failure.of(ErrorKind.DEADLINE_EXCEEDED);
+            effects.add(
+                    handedOver.answerStarted()
+                            ? new ForwardEffect.BreakForward(call.ticket(), failure)
+                            : new ForwardEffect.RefuseForward(call.ticket(), failure));
+            effects.log(
+                    "request_timed_out",
+                    "request",
+                    call.head().requestId(),
+                    "helper",
+                    handedOver.helper(),
+                    "begun",
+                    handedOver.answerStarted());
         }
     }
 
@@ -105,6 +127,9 @@
         if (call.state() instanceof ForwardCall.State.Running running) {
             call.setState(new ForwardCall.State.Cancelling(running));
             effects.add(new ForwardEffect.CancelForward(call.ticket()));
+        } else if (call.state() instanceof ForwardCall.State.HandedOver handedOver) {
+            call.setState(new ForwardCall.State.CancellingHandover(handedOver.attempt()));
+            effects.add(new ForwardEffect.CancelForward(call.ticket()));
         }
     }
 }
--- a/src/main/java/org/plantainwharf/forward/KindTally.java
+++ b/src/main/java/org/plantainwharf/forward/KindTally.java
@@ -10,7 +10,7 @@
 /**
  * Counts what became of requests by their kind, that is by service and priority, so that a kind that is served too little
  * stands out, together with the reason. Counters are {@code forward.kind.SERVICE.PRIORITY.RESULT}; those of a daemon are of
- * its zone. Used by the forward controller on the control thread. Stateless.
+ * its zone. A request that was handed over counts only at the daemon to which its caller sent it. Used by the forward controller on the control thread. Stateless.
  */
 final class KindTally {
     private KindTally() {}
@@ -34,28 +34,28 @@
     }
 
     static void arrived(ForwardCall call, Effects effects) {
-        effects.count(name(call, "asked"));
+        count(call, "asked", effects);
     }
 
     /** Counts a first attempt that begins after much of the target has passed in this daemon. */
     static void sent(ForwardCall call, long nowNanos, Effects effects) {
         if (call.attempts() == 1
                 && 2 * elapsedMillis(call, nowNanos) > call.route().targetLatencyMillis()) {
-            effects.count(name(call, "sent_late"));
+            count(call, "sent_late", effects);
         }
     }
 
     static void answered(ForwardCall call, long nowNanos, Effects effects) {
         boolean inTarget = elapsedMillis(call, nowNanos) <= call.route().targetLatencyMillis();
-        effects.count(name(call, inTarget ? "in_target" : "late"));
+        count(call, inTarget ? "in_target" : "late", effects);
     }
 
     /** Counts a request that this system ends without an answer of a server; returns where there was room for it. */
     static Room failed(ForwardCall call, Failure failure, Board board, long nowNanos, Effects effects) {
         Room room = room(call, board, nowNanos);
-        effects.count(name(call, "failed." + failure.kind().code()));
+        count(call, "failed." + failure.kind().code(), effects);
         if (room != Room.NONE) {
-            effects.count(name(call, "failed_with_room." + room.code()));
+            count(call, "failed_with_room." + room.code(), effects);
         }
         return room;
     }
@@ -89,7 +89,9 @@
         return (nowNanos - call.admission().arrivedNanos()) / 1_000_000;
     }
 
-    private static String name(ForwardCall call, String result) {
-        return "forward.kind." + call.service() + "." + call.effectivePriority() + "." + result;
+    private static void count(ForwardCall call, String result, Effects effects) {
+        if (!call.head().handedOver()) {
+            effects.count("forward.kind." + call.service() + "." + call.effectivePriority() + "." + result);
+        }
     }
 }
--- a/src/main/java/org/plantainwharf/front/ForwardedCall.java
+++ b/src/main/java/org/plantainwharf/front/ForwardedCall.java
@@ -43,6 +43,7 @@
     private final String method;
     private final String pathQuery;
     private final List<HttpField> headers;
+    private final @Nullable String authorization;
     private final byte[] body;
     private final boolean closeConnection;
     private final Callbacks callbacks;
@@ -118,6 +119,7 @@
         this.method = request.getMethod();
         this.pathQuery = request.getHttpURI().getPathQuery();
         this.headers = List.copyOf(headers);
+        this.authorization = request.getHeaders().get(HttpHeader.AUTHORIZATION);
         this.body = body;
         this.closeConnection = closeConnection;
         this.callbacks = callbacks;
@@ -143,6 +145,11 @@
         return headers;
     }
 
+    @Override
+    public Optional<String> authorization() {
+        return Optional.ofNullable(authorization);
+    }
+
     @Override
     public byte[] body() {
         return body;
--- a/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
+++ b/src/main/java/org/plantainwharf/front/ForwardingFrontend.java
@@ -213,6 +213,10 @@
                     metrics.counter("front.misdirected_effects").inc();
                 case ForwardEffect.ProbeServer probe ->
                     metrics.counter("front.misdirected_effects").inc();
+                case ForwardEffect.CheckConnection check ->
+                    metrics.counter("front.misdirected_effects").inc();
+                case ForwardEffect.HandOver handOver ->
+                    metrics.counter("front.misdirected_effects").inc();
             }
         });
     }
@@ -353,7 +357,8 @@
                         number(fields.get(dialect.deadline())),
                         prompt(fields),
                         content(request, body))
-                .takingUp(takeUp(fields));
+                .takingUp(takeUp(fields))
+                .handedOver(fields.contains(dialect.handedOver()));
     }
 
     private Optional<ForwardHead.TakeUp> takeUp(HttpFields fields) {
--- a/src/main/java/org/plantainwharf/http/ForwardDialect.java
+++ b/src/main/java/org/plantainwharf/http/ForwardDialect.java
@@ -22,6 +22,7 @@
  * @param tokenCounts carries the number of prompt tokens and the maximum number of output tokens, separated by a comma
  * @param promptParts carries the parts of the prompt as id:tokens, separated by commas
  * @param resumes names the attempt that brought the first event of a stream that the caller takes up
+ * @param handedOver shows that another entry daemon has handed the request over; its value is 1
  * @param reservedHeaders names in lower case of request headers that only this system may set; those of callers are removed
  */
 public record ForwardDialect(
@@ -40,6 +41,7 @@
         String tokenCounts,
         String promptParts,
         String resumes,
+        String handedOver,
         Set<String> reservedHeaders) {
     /** Copies the set of header names. */
     public ForwardDialect {
--- a/src/main/java/org/plantainwharf/message/PeerMessage.java
+++ b/src/main/java/org/plantainwharf/message/PeerMessage.java
@@ -276,6 +276,30 @@
         }
     }
 
+    /**
+     * Tells a control daemon of which services an entry daemon reaches no server. Replaces earlier reports.
+     *
+     * @param callerAddress where callers and other entry daemons connect to the sender, as IP address and port
+     */
+    record ReachReport(String callerAddress, Set<ServiceName> unreached) implements PeerMessage {
+        /** Copies the set. */
+        public ReachReport {
+            unreached = Set.copyOf(unreached);
+        }
+    }
+
+    /**
+     * Names entry daemons that reach the servers that the receiver has said not to reach.
+     *
+     * @param addresses where they accept requests, as IP addresses and ports
+     */
+    record Helpers(List<String> addresses) implements PeerMessage {
+        /** Copies the list. */
+        public Helpers {
+            addresses = List.copyOf(addresses);
+        }
+    }
+
     /**
      * Tells one entry daemon how the room of each service is shared.
      *
--- a/src/main/java/org/plantainwharf/platform/WireNames.java
+++ b/src/main/java/org/plantainwharf/platform/WireNames.java
@@ -35,7 +35,9 @@
             "X-Plantainwharf-Token-Counts",
             "X-Plantainwharf-Prefix-Hash",
             "Resumes",
+            "X-Plantainwharf-Handed-Over",
             Set.of(
+                    "x-plantainwharf-handed-over",
                     "x-plantainwharf-tenant",
                     "x-plantainwharf-expected-instance",
                     "x-plantainwharf-expected-version",
--- a/src/main/java/org/plantainwharf/quarantine/ForwardQuarantineController.java
+++ b/src/main/java/org/plantainwharf/quarantine/ForwardQuarantineController.java
@@ -114,6 +114,7 @@
             case ForwardEvent.OriginDoubted doubted -> {}
             case ForwardEvent.OriginRequested requested -> {}
             case ForwardEvent.OriginDecided decided -> {}
+            case ForwardEvent.ConnectionChecked checked -> {}
             case ForwardEvent.ServerUnreachable unreachable ->
                 confirmCrash(unreachable.server(), "refuses_connections", board, nowNanos, effects);
             case ForwardEvent.ForwardEnded ended ->
--- a/src/main/java/org/plantainwharf/rollout/RolloutEvidenceController.java
+++ b/src/main/java/org/plantainwharf/rollout/RolloutEvidenceController.java
@@ -229,6 +229,8 @@
                 share.side(stopped.version()) == VersionShare.Side.OTHERS;
             case ForwardCall.State.Waiting waiting -> false;
             case ForwardCall.State.AwaitingOrigin awaitingOrigin -> false;
+            case ForwardCall.State.HandedOver handedOver -> false;
+            case ForwardCall.State.CancellingHandover cancelling -> false;
         };
     }
 }
--- a/src/test/java/org/plantainwharf/architecture/LayeringTest.java
+++ b/src/test/java/org/plantainwharf/architecture/LayeringTest.java
@@ -48,6 +48,7 @@
             "observation",
             "room",
             "keptpart",
+            "handover",
             "duty");
 
     private static final JavaClasses PRODUCT = new ClassFileImporter()
--- a/src/test/java/org/plantainwharf/backend/ForwardTestDialect.java
+++ b/src/test/java/org/plantainwharf/backend/ForwardTestDialect.java
@@ -22,6 +22,7 @@
             "X-Tokens",
             "X-Prompt",
             "X-Resumes",
+            "X-Handed-Over",
             Set.of());
 
     private ForwardTestDialect() {}
--- a/src/test/java/org/plantainwharf/backend/RecordingExchange.java
+++ b/src/test/java/org/plantainwharf/backend/RecordingExchange.java
@@ -98,6 +98,11 @@
         return List.of(new HttpField("X-Id", requestId), new HttpField("Host", "a.example"));
     }
 
+    @Override
+    public Optional<String> authorization() {
+        return Optional.empty();
+    }
+
     @Override
     public byte[] body() {
         return body;
--- a/src/test/java/org/plantainwharf/forward/ControllerFailureTest.java
+++ b/src/test/java/org/plantainwharf/forward/ControllerFailureTest.java
@@ -158,6 +158,8 @@
                     case ForwardEffect.BreakForward broken -> answered.add(broken.ticket());
                     case ForwardEffect.PassFailure pass -> answered.add(pass.ticket());
                     case ForwardEffect.ProbeServer probe -> {}
+                    case ForwardEffect.CheckConnection check -> {}
+                    case ForwardEffect.HandOver handOver -> throw new AssertionError("no other entry daemon is known");
                 }
             }
         }
--- a/src/test/java/org/plantainwharf/forward/EngineFleet.java
+++ b/src/test/java/org/plantainwharf/forward/EngineFleet.java
@@ -763,6 +763,8 @@
             case ForwardEffect.BreakForward broken -> end(daemon, broken.ticket(), false);
             case ForwardEffect.PassFailure failure -> end(daemon, failure.ticket(), false);
             case ForwardEffect.ProbeServer probe -> {}
+            case ForwardEffect.CheckConnection check -> {}
+            case ForwardEffect.HandOver handOver -> throw new AssertionError("no other entry daemon is known");
         }
     }
 
--- a/src/test/java/org/plantainwharf/forward/VersionedFleet.java
+++ b/src/test/java/org/plantainwharf/forward/VersionedFleet.java
@@ -300,6 +300,8 @@
                 }
                 case ForwardEffect.PassFailure failure -> {}
                 case ForwardEffect.ProbeServer probe -> {}
+                case ForwardEffect.CheckConnection check -> {}
+                case ForwardEffect.HandOver handOver -> throw new AssertionError("no other entry daemon is known");
             }
         }
     }
--- a/src/test/java/org/plantainwharf/quarantine/CrashingFleet.java
+++ b/src/test/java/org/plantainwharf/quarantine/CrashingFleet.java
@@ -353,6 +353,12 @@
                         run(daemon, new ForwardEvent.ServerUnreachable(probe.ticket(), probe.server()));
                     }
                 });
+            case ForwardEffect.CheckConnection check ->
+                schedule(
+                        2,
+                        () -> run(
+                                daemon, ForwardEvent.ConnectionChecked.of(check.server(), engine(check.address()).up)));
+            case ForwardEffect.HandOver handOver -> throw new AssertionError("no other entry daemon is known");
             case ForwardEffect.RefuseForward refuse -> {
                 refusals.add(new Refusal(
                         request(refuse.ticket()).deadly(), refuse.failure(), sent.contains(refuse.ticket())));
--- a/src/test/java/org/plantainwharf/quarantine/LargeCrashingFleet.java
+++ b/src/test/java/org/plantainwharf/quarantine/LargeCrashingFleet.java
@@ -412,6 +412,12 @@
                         run(daemon, new ForwardEvent.ServerUnreachable(probe.ticket(), probe.server()));
                     }
                 });
+            case ForwardEffect.CheckConnection check ->
+                schedule(
+                        2,
+                        () -> run(
+                                daemon, ForwardEvent.ConnectionChecked.of(check.server(), engine(check.address()).up)));
+            case ForwardEffect.HandOver handOver -> throw new AssertionError("no other entry daemon is known");
             case ForwardEffect.RefuseForward refuse -> {
                 Request request = request(refuse.ticket());
                 refusals.add(new Refusal(
