--- a/src/test/java/org/plantainwharf/handover/HandoverFleetTest.java
+++ b/src/test/java/org/plantainwharf/handover/HandoverFleetTest.java
@@ -4,6 +4,7 @@
 import java.util.function.Predicate;
 
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -136,6 +137,45 @@
         }
     }
 
+    /** A sound server may fall silent for about a second and go on. */
+    @Nested
+    class ServersThatFallSilentForASecond {
+        @ParameterizedTest
+        @ValueSource(ints = {1, 2, 4})
+        void loseNoRequestAndAreNotTakenForCutLinks(int silent) {
+            CutFleet fleet = CutFleet.running(4, 4, 1);
+            for (int server = 0; server < silent; server++) {
+                fleet.silence("desk-" + server, 1_000);
+            }
+            for (int step = 0; step < 60; step++) {
+                fleet.advance(50);
+                assertInstanceOf(Reach.Open.class, fleet.reach(0, CutFleet.DESK));
+            }
+            fleet.stopCallers();
+            fleet.advance(4_000);
+            fleet.requests().forEach(request -> assertTrue(request.served(), "not served: " + request.sentMillis));
+        }
+
+        /** A server is chosen by the time of its last answers, and one that is not chosen gives none. */
+        @Test
+        @Tag("known-red")
+        void getTheirShareAgainAtOnce() {
+            CutFleet fleet = CutFleet.running(4, 4, 1);
+            fleet.silence("desk-0", 1_000);
+            fleet.advance(2_000);
+            for (int server = 0; server < 4; server++) {
+                fleet.takeArrivals("desk-" + server);
+            }
+            fleet.advance(2_000);
+            int share = fleet.takeArrivals("desk-0");
+            int others = 0;
+            for (int server = 1; server < 4; server++) {
+                others += fleet.takeArrivals("desk-" + server);
+            }
+            assertTrue(share >= others / 3 / 2, share + " requests, " + others + " at the three others");
+        }
+    }
+
     /** Crashed servers are not to be taken for lost links, which would send requests on a detour in vain. */
     @Nested
     class CrashedServers {
