--- a/src/main/java/org/plantainwharf/handover/HandoverSection.java
+++ b/src/main/java/org/plantainwharf/handover/HandoverSection.java
@@ -91,10 +91,6 @@
         avoidedUntilNanos.keySet().retainAll(addresses);
     }
 
-    List<String> helpers() {
-        return helpers;
-    }
-
     void avoid(String address, long nowNanos) {
         avoidedUntilNanos.put(address, nowNanos + AVOIDANCE_NANOS);
     }
